--- /dev/null
+++ b/hookpoint/src/lib.rs
@@ -0,0 +1,1 @@
+//! hookpoint library
--- /dev/null
+++ b/hookpoint/src/main.rs
@@ -0,0 +1,2 @@
+//! hookpoint binary
+fn main() {}
--- /dev/null
+++ b/lab/sim/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,2 @@
+//! hookpoint-lab binary
+fn main() {}
