Fix the shared types of the request path

Cause: the parts are built side by side and need one vocabulary first. Change: names, positions, outcomes, token and bundle in state; events and actions of the request machine, status, term table and explain ring in coordination; frames and lease commands in protocol; the lease source and shared tables in transport.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,1 +1,11 @@
-//! placeholder
+//! Decision logic of hookpoint.
+//!
+//! Everything here is deterministic: typed events in, typed actions out, time passed
+//! in as an argument. There is no I/O, no clock and no randomness of its own, so the
+//! proxies, the simulator and the exhaustive models all run the same code.
+#![forbid(unsafe_code)]
+
+pub mod explain;
+pub mod request;
+pub mod status;
+pub mod terms;
--- /dev/null
+++ b/crates/coordination/src/status.rs
@@ -0,0 +1,55 @@
+//! What one status query says of a database.
+
+use hookpoint_state::{Lsn, Position, Term};
+use serde::{Deserialize, Serialize};
+
+/// Role of a database at the moment it answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Role {
+    /// Accepts writes (`pg_is_in_recovery()` is false).
+    Primary,
+    /// Replays another database's log.
+    Replica,
+}
+
+/// Answer to the status query, as evaluated by the database when the query ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendStatus {
+    /// Role it believes to have.
+    pub role: Role,
+    /// Term it is on.
+    pub term: Term,
+    /// Flushed position of a primary; replayed position of a replica.
+    pub position: Lsn,
+    /// On a primary: flushed position of each replica that streams from it, by name.
+    pub flushed: Vec<FlushedReplica>,
+}
+
+/// A replica's flushed position as its primary knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FlushedReplica {
+    /// `application_name` of the replica.
+    pub name: String,
+    /// Position it has reported as flushed.
+    pub position: Lsn,
+}
+
+impl BackendStatus {
+    /// Term and position together.
+    pub fn place(&self) -> Position {
+        Position {
+            term: self.term,
+            lsn: self.position,
+        }
+    }
+
+    /// How many databases, the primary included, hold the log up to `target`.
+    pub fn holders_of(&self, target: Lsn) -> usize {
+        let own = usize::from(self.position >= target);
+        own + self
+            .flushed
+            .iter()
+            .filter(|replica| replica.position >= target)
+            .count()
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,1 +1,7 @@
-//! placeholder
+//! Wire formats of hookpoint: PostgreSQL frames and messages (through `pgwire`'s
+//! codec), statement classification, authentication, the platform's JSON bodies and
+//! the messages between proxies.
+#![forbid(unsafe_code)]
+
+pub mod backend_command;
+pub mod frame;
--- /dev/null
+++ b/crates/state/src/outcome.rs
@@ -0,0 +1,135 @@
+//! What became of a request, and why.
+//!
+//! Every failure that reaches a caller says whether the request ran, did not run or
+//! may have run. The SQLSTATE classes are documented in `docs/OPERATIONS.md`.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Whether a request took effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It ran; its answer was delivered.
+    Ran,
+    /// It did not run and will not.
+    NotRun,
+    /// It may have run; nobody can tell from here.
+    Unknown,
+}
+
+impl Outcome {
+    /// The text in the error field that drivers can read (`DETAIL`).
+    pub fn as_field(self) -> &'static str {
+        match self {
+            Outcome::Ran => "hookpoint.outcome=ran",
+            Outcome::NotRun => "hookpoint.outcome=not_run",
+            Outcome::Unknown => "hookpoint.outcome=unknown",
+        }
+    }
+}
+
+/// A request that was refused and did not run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+pub enum Refusal {
+    /// The wait queue of the database is full.
+    #[error("the queue for a connection is full")]
+    QueueFull,
+    /// The tenant is over its share while the node is overloaded.
+    #[error("the tenant is over its limit")]
+    TenantLimit,
+    /// No connection became free before the deadline.
+    #[error("no connection became free before the deadline")]
+    WaitDeadline,
+    /// The group has no known primary and none appeared before the deadline.
+    #[error("the group has no primary")]
+    NoPrimary,
+    /// No database of the group can be reached.
+    #[error("no database of the group can be reached")]
+    NoDatabase,
+    /// This proxy is stopping.
+    #[error("the proxy is stopping")]
+    Stopping,
+    /// The group is not named in the bundle.
+    #[error("the group is not in the configuration bundle")]
+    UnknownGroup,
+    /// No bundle is in force on this proxy yet.
+    #[error("no configuration bundle is in force yet")]
+    NoBundle,
+    /// The feature cannot be carried by transaction pooling.
+    #[error("transaction pooling cannot carry {feature}")]
+    Unsupported {
+        /// The feature, such as `LISTEN`.
+        feature: String,
+    },
+    /// A request with the same identifier already ran.
+    #[error("a request with this identifier already ran")]
+    AlreadyRan,
+    /// The back end refused it before running it and no retry was left.
+    #[error("the database refused the request before running it ({sqlstate})")]
+    BackendRefused {
+        /// SQLSTATE of the back end's refusal.
+        sqlstate: String,
+    },
+}
+
+impl Refusal {
+    /// SQLSTATE told to the caller. Class `HN` means "not run".
+    pub fn sqlstate(&self) -> &'static str {
+        match self {
+            Refusal::QueueFull => "HN001",
+            Refusal::TenantLimit => "HN002",
+            Refusal::WaitDeadline => "HN003",
+            Refusal::NoPrimary => "HN004",
+            Refusal::NoDatabase => "HN005",
+            Refusal::Stopping => "HN006",
+            Refusal::UnknownGroup => "HN007",
+            Refusal::NoBundle => "HN008",
+            Refusal::Unsupported { .. } => "0A000",
+            Refusal::AlreadyRan => "HR001",
+            Refusal::BackendRefused { .. } => "HN009",
+        }
+    }
+
+    /// What the refusal says of the request. [`Refusal::AlreadyRan`] speaks of the
+    /// earlier request of that identifier; this attempt itself did not run.
+    pub fn outcome(&self) -> Outcome {
+        Outcome::NotRun
+    }
+
+    /// How long the caller had better wait before it asks again, where asking again
+    /// can help.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Refusal::QueueFull | Refusal::TenantLimit | Refusal::WaitDeadline => {
+                Some(Duration::from_millis(250))
+            }
+            Refusal::NoPrimary | Refusal::NoDatabase | Refusal::NoBundle => {
+                Some(Duration::from_millis(1_000))
+            }
+            Refusal::Stopping | Refusal::BackendRefused { .. } => Some(Duration::ZERO),
+            Refusal::UnknownGroup | Refusal::Unsupported { .. } | Refusal::AlreadyRan => None,
+        }
+    }
+}
+
+/// SQLSTATE for a request whose outcome is unknown (`transaction_resolution_unknown`).
+pub const UNKNOWN_SQLSTATE: &str = "08007";
+
+/// Why nobody can tell whether a request ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+pub enum UnknownCause {
+    /// The connection broke after the request was sent and before its answer.
+    #[error("the connection to the database broke while the request ran")]
+    ConnectionLost,
+    /// The write is committed on one database, but no majority confirmed it in time.
+    #[error("no majority confirmed the commit in time")]
+    NoMajority,
+    /// The primary that ran it has been replaced.
+    #[error("the primary was replaced while the request ran")]
+    TermChanged,
+    /// The answer did not arrive before the deadline.
+    #[error("the answer did not arrive before the deadline")]
+    Deadline,
+}
--- /dev/null
+++ b/crates/state/src/position.rs
@@ -0,0 +1,98 @@
+//! Log positions and terms, in PostgreSQL's own units.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// A write-ahead log position in bytes (`pg_lsn`).
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Lsn(pub u64);
+
+/// A term of a group: PostgreSQL's timeline. Each change of primary takes a higher one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Term(pub u32);
+
+/// A place in a group's history.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Position {
+    /// Term in which the position was reached.
+    pub term: Term,
+    /// Log position inside that term.
+    pub lsn: Lsn,
+}
+
+/// A text that is no log position.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("`{text}` is not a log position of the form X/Y in hexadecimal")]
+pub struct ParseLsnError {
+    /// The text as received, shortened to 64 characters.
+    pub text: String,
+}
+
+impl FromStr for Lsn {
+    type Err = ParseLsnError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let failure = || ParseLsnError {
+            text: text.chars().take(64).collect(),
+        };
+        let (high, low) = text.split_once('/').ok_or_else(failure)?;
+        let high = u32::from_str_radix(high, 16).map_err(|_| failure())?;
+        let low = u32::from_str_radix(low, 16).map_err(|_| failure())?;
+        Ok(Self(u64::from(high) << 32 | u64::from(low)))
+    }
+}
+
+impl fmt::Display for Lsn {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:X}/{:X}", self.0 >> 32, self.0 & 0xFFFF_FFFF)
+    }
+}
+
+impl fmt::Display for Term {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}@{}", self.term, self.lsn)
+    }
+}
+
+impl Position {
+    /// Builds a position from raw numbers.
+    pub fn new(term: u32, lsn: u64) -> Self {
+        Self {
+            term: Term(term),
+            lsn: Lsn(lsn),
+        }
+    }
+
+    /// Whether a database at `self` holds everything acknowledged up to `required`.
+    ///
+    /// A database on an older term than `required` may hold a divergent log, so its
+    /// position proves nothing. On the same or a newer term the logs share their
+    /// prefix up to every acknowledged position, because a write is acknowledged only
+    /// when every later primary holds it; there the log position alone decides.
+    pub fn covers(self, required: Position) -> bool {
+        self.term >= required.term && self.lsn >= required.lsn
+    }
+
+    /// The later requirement of two: both the higher term and the higher log position.
+    pub fn join(self, other: Position) -> Position {
+        Position {
+            term: self.term.max(other.term),
+            lsn: self.lsn.max(other.lsn),
+        }
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,1 +1,6 @@
-//! placeholder
+//! Transport of hookpoint: actors and tasks that carry out what the coordination layer
+//! decides. Nothing here decides.
+#![forbid(unsafe_code)]
+
+pub mod lease;
+pub mod shared;
