Measure replica lag in the term table and name nearness

Cause: the choice of a replica needs its nearness and whether it is likely to be fresh; a token can tell of a term that no status has shown yet. Change: proximity in place of the zone, samples of the primary's position, lag per replica, learn_term; a refusal for transactions rolled back; a Record action.

--- a/crates/coordination/src/request/action.rs
+++ b/crates/coordination/src/request/action.rs
@@ -4,6 +4,8 @@
 
 use hookpoint_state::{DatabaseName, Position, Refusal, Timestamp, UnknownCause};
 
+use crate::explain::Decision;
+
 /// An action, to be carried out in the order given.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RequestAction {
@@ -64,6 +66,8 @@
         /// Why.
         cause: UnknownCause,
     },
+    /// Put a decision on the explain record.
+    Record(Decision),
     /// The transaction is over; the session may take the next request. Final.
     Finished,
 }
--- a/crates/coordination/src/terms.rs
+++ b/crates/coordination/src/terms.rs
@@ -1,18 +1,48 @@
 //! What a node knows of each group: roles, terms and positions of its databases.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
-use hookpoint_state::{DatabaseName, GroupName, Lsn, Position, Term, Timestamp, ZoneName};
+use hookpoint_state::bundle::ReadPreference;
+use hookpoint_state::{DatabaseName, GroupName, Lsn, Position, Term, Timestamp};
 
 use crate::status::{BackendStatus, Role};
 
-/// What is known of one database.
+/// Samples of a primary's position that a group keeps, to tell replicas' lag.
+const PRIMARY_SAMPLES: usize = 256;
+/// Shortest time between two samples.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
+
+/// How near a database is to this node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Proximity {
+    /// In the same zone.
+    SameZone,
+    /// In another zone of the same region.
+    SameRegion,
+    /// In another region.
+    #[default]
+    Remote,
+}
+
+/// A database of a group as the bundle names it, seen from this node.
 #[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Name of the database.
+    pub name: DatabaseName,
+    /// How near it is.
+    pub proximity: Proximity,
+    /// Whether it gets no new work.
+    pub draining: bool,
+}
+
+/// What is known of one database.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DatabaseView {
     /// Name of the database.
     pub name: DatabaseName,
-    /// Zone it stands in.
-    pub zone: ZoneName,
+    /// How near it is.
+    pub proximity: Proximity,
     /// Last known role, none before the first observation.
     pub role: Option<Role>,
     /// Last known place.
@@ -25,6 +55,8 @@
     pub draining: bool,
     /// Requests of this node that are on it or wait for it.
     pub load: u32,
+    /// How far it replays behind its primary, as last measured.
+    pub lag: Duration,
 }
 
 /// What is known of one group.
@@ -34,6 +66,10 @@
     pub databases: Vec<DatabaseView>,
     /// Highest term ever seen in the group.
     pub highest_term: Term,
+    /// Where the bundle sends its reads.
+    pub reads: ReadPreference,
+    /// When the primary of the highest term was seen at which position, oldest first.
+    samples: VecDeque<(Timestamp, Lsn)>,
 }
 
 impl GroupView {
@@ -44,6 +80,88 @@
         })
     }
 
+    /// The database called `name`.
+    pub fn database(&self, name: &DatabaseName) -> Option<&DatabaseView> {
+        self.databases
+            .iter()
+            .find(|database| &database.name == name)
+    }
+
+    /// Whether `database` is expected to have replayed `required` by `now`: it was
+    /// seen there, or its lag has passed since the primary was seen there. This only
+    /// guides the choice; the check on the connection decides.
+    pub fn expects_fresh(
+        &self,
+        now: Timestamp,
+        database: &DatabaseView,
+        required: Position,
+    ) -> bool {
+        if database.place.covers(required) {
+            return true;
+        }
+        if database.place.term < required.term {
+            return false;
+        }
+        self.reached_at(required.lsn)
+            .is_some_and(|reached| now >= reached + database.lag)
+    }
+
+    /// When the primary was first seen at `lsn` or beyond.
+    fn reached_at(&self, lsn: Lsn) -> Option<Timestamp> {
+        let index = self.samples.partition_point(|(_, sample)| *sample < lsn);
+        self.samples.get(index).map(|(at, _)| *at)
+    }
+
+    fn raise_term(&mut self, term: Term) {
+        if term > self.highest_term {
+            self.highest_term = term;
+            self.samples.clear();
+        }
+    }
+
+    /// Takes a status answer. Returns false when it is of no use: the database is not
+    /// in the group, or the answer is of an older term than already known of it.
+    fn update(&mut self, now: Timestamp, name: &DatabaseName, status: &BackendStatus) -> bool {
+        self.raise_term(status.term);
+        if status.role == Role::Primary && status.term == self.highest_term {
+            self.sample_primary(now, status.position);
+        }
+        let reached = self.reached_at(status.position);
+        let Some(entry) = self.databases.iter_mut().find(|entry| &entry.name == name) else {
+            return false;
+        };
+        if status.term < entry.place.term {
+            return false;
+        }
+        let same_term = status.term == entry.place.term;
+        let floor = if same_term { entry.place.lsn } else { Lsn(0) };
+        entry.place = Position {
+            term: status.term,
+            lsn: status.position.max(floor),
+        };
+        entry.role = Some(status.role);
+        entry.observed_at = now;
+        entry.reachable = true;
+        if status.role == Role::Replica
+            && let Some(reached) = reached
+        {
+            entry.lag = now.since(reached);
+        }
+        true
+    }
+
+    fn sample_primary(&mut self, now: Timestamp, lsn: Lsn) {
+        if let Some((at, last)) = self.samples.back()
+            && (lsn <= *last || now.since(*at) < SAMPLE_INTERVAL)
+        {
+            return;
+        }
+        if self.samples.len() == PRIMARY_SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back((now, lsn));
+    }
+
     /// How many databases make a majority.
     pub fn majority(&self) -> usize {
         self.databases.len() / 2 + 1
@@ -78,32 +196,29 @@
         self.groups.get(group)
     }
 
-    /// Takes the members of a group from a bundle: new databases are added, missing
-    /// ones removed, zones and draining marks replaced. Observations are kept.
+    /// Takes a group from a bundle: new databases are added, missing ones removed,
+    /// proximity and draining marks replaced. Observations are kept.
     pub fn configure(
         &mut self,
         group: &GroupName,
-        members: impl IntoIterator<Item = (DatabaseName, ZoneName, bool)>,
+        reads: ReadPreference,
+        members: impl IntoIterator<Item = Member>,
     ) {
         let view = self.groups.entry(group.clone()).or_default();
+        view.reads = reads;
         let mut known: BTreeMap<DatabaseName, DatabaseView> = view
             .databases
             .drain(..)
             .map(|database| (database.name.clone(), database))
             .collect();
-        for (name, zone, draining) in members {
-            let mut database = known.remove(&name).unwrap_or_else(|| DatabaseView {
-                name,
-                zone: zone.clone(),
-                role: None,
-                place: Position::default(),
-                observed_at: Timestamp::default(),
+        for member in members {
+            let mut database = known.remove(&member.name).unwrap_or_else(|| DatabaseView {
+                name: member.name,
                 reachable: true,
-                draining,
-                load: 0,
+                ..DatabaseView::default()
             });
-            database.zone = zone;
-            database.draining = draining;
+            database.proximity = member.proximity;
+            database.draining = member.draining;
             view.databases.push(database);
         }
         view.databases.sort_by(|a, b| a.name.cmp(&b.name));
@@ -131,26 +246,9 @@
         let view = self.groups.get_mut(group)?;
         let before = view.primary().map(|primary| primary.name.clone());
         let term_before = view.highest_term;
-        let entry = view
-            .databases
-            .iter_mut()
-            .find(|candidate| &candidate.name == database)?;
-        if status.term < entry.place.term {
+        if !view.update(now, database, status) {
             return None;
         }
-        let advanced = status.term > entry.place.term;
-        entry.role = Some(status.role);
-        entry.place = Position {
-            term: status.term,
-            lsn: if advanced {
-                status.position
-            } else {
-                status.position.max(entry.place.lsn)
-            },
-        };
-        entry.observed_at = now;
-        entry.reachable = true;
-        view.highest_term = view.highest_term.max(status.term);
         let primary = view.primary().map(|primary| primary.name.clone());
         let changed = view.highest_term != term_before || primary != before;
         changed.then(|| LeadershipChange {
@@ -160,6 +258,18 @@
         })
     }
 
+    /// Raises the highest known term of `group`, as told by an authentic token or by
+    /// another node. Returns whether it was news.
+    pub fn learn_term(&mut self, group: &GroupName, term: Term) -> bool {
+        match self.groups.get_mut(group) {
+            Some(view) if view.highest_term < term => {
+                view.raise_term(term);
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Marks `database` as not answering.
     pub fn unreachable(&mut self, group: &GroupName, database: &DatabaseName) {
         if let Some(entry) = self.entry(group, database) {
@@ -181,21 +291,3 @@
             .find(|candidate| &candidate.name == name)
     }
 }
-
-impl Default for DatabaseView {
-    fn default() -> Self {
-        Self {
-            name: DatabaseName::new(""),
-            zone: ZoneName::new(""),
-            role: None,
-            place: Position {
-                term: Term(0),
-                lsn: Lsn(0),
-            },
-            observed_at: Timestamp::default(),
-            reachable: true,
-            draining: false,
-            load: 0,
-        }
-    }
-}
--- a/crates/state/src/bundle.rs
+++ b/crates/state/src/bundle.rs
@@ -94,8 +94,6 @@
     /// Longest wait for the evidence that a commit is held by a majority, in
     /// milliseconds.
     pub acknowledge_ms: u64,
-    /// Longest wait for a replica to reach a session's position, in milliseconds.
-    pub replica_wait_ms: u64,
     /// Longest queue for one database on its home node, in requests.
     pub queue_per_database: u32,
     /// Sessions one node accepts.
@@ -114,7 +112,6 @@
         Self {
             wait_ms: 10_000,
             acknowledge_ms: 5_000,
-            replica_wait_ms: 20,
             queue_per_database: 1_000,
             sessions_per_node: 10_000,
             message_bytes: 64 * 1024 * 1024,
@@ -134,11 +131,6 @@
     pub fn acknowledge(&self) -> Duration {
         Duration::from_millis(self.acknowledge_ms)
     }
-
-    /// [`Limits::replica_wait_ms`] as a duration.
-    pub fn replica_wait(&self) -> Duration {
-        Duration::from_millis(self.replica_wait_ms)
-    }
 }
 
 /// A tenant's share.
--- a/crates/state/src/outcome.rs
+++ b/crates/state/src/outcome.rs
@@ -66,6 +66,10 @@
     /// A request with the same identifier already ran.
     #[error("a request with this identifier already ran")]
     AlreadyRan,
+    /// The connection broke inside a transaction whose `COMMIT` was never sent, so the
+    /// database rolls it back.
+    #[error("the connection broke before COMMIT was sent; the transaction is rolled back")]
+    RolledBack,
     /// The back end refused it before running it and no retry was left.
     #[error("the database refused the request before running it ({sqlstate})")]
     BackendRefused {
@@ -89,6 +93,7 @@
             Refusal::Unsupported { .. } => "0A000",
             Refusal::AlreadyRan => "HR001",
             Refusal::BackendRefused { .. } => "HN009",
+            Refusal::RolledBack => "HN010",
         }
     }
 
@@ -108,7 +113,9 @@
             Refusal::NoPrimary | Refusal::NoDatabase | Refusal::NoBundle => {
                 Some(Duration::from_millis(1_000))
             }
-            Refusal::Stopping | Refusal::BackendRefused { .. } => Some(Duration::ZERO),
+            Refusal::Stopping | Refusal::RolledBack | Refusal::BackendRefused { .. } => {
+                Some(Duration::ZERO)
+            }
             Refusal::UnknownGroup | Refusal::Unsupported { .. } | Refusal::AlreadyRan => None,
         }
     }
--- a/crates/transport/src/shared.rs
+++ b/crates/transport/src/shared.rs
@@ -8,7 +8,7 @@
 
 use hookpoint_coordination::explain::{Decision, ExplainRing};
 use hookpoint_coordination::status::BackendStatus;
-use hookpoint_coordination::terms::{GroupView, TermTable};
+use hookpoint_coordination::terms::{GroupView, Member, Proximity, TermTable};
 use hookpoint_state::{Bundle, DatabaseName, GroupName, SessionId, Timestamp, ZoneName};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
@@ -81,12 +81,23 @@
         for group in gone {
             terms.remove(&group);
         }
-        for group in bundle.groups.keys() {
-            let members = bundle.databases_of(group).map(|(name, database)| {
-                let draining = bundle.drain.contains(name);
-                (name.clone(), database.zone.clone(), draining)
+        for (group, description) in &bundle.groups {
+            let members = bundle.databases_of(group).map(|(name, database)| Member {
+                name: name.clone(),
+                proximity: self.proximity(bundle, &database.zone),
+                draining: bundle.drain.contains(name),
             });
-            terms.configure(group, members);
+            terms.configure(group, description.reads, members);
+        }
+    }
+
+    fn proximity(&self, bundle: &Bundle, zone: &ZoneName) -> Proximity {
+        if zone == &self.zone {
+            return Proximity::SameZone;
+        }
+        match (bundle.region_of(zone), bundle.region_of(&self.zone)) {
+            (Some(theirs), Some(ours)) if theirs == ours => Proximity::SameRegion,
+            _ => Proximity::Remote,
         }
     }
 
