Bound a replica's lag from both sides

Cause: an idle replica that has caught up looked far behind, and names had no default. Change: the lag estimate is kept between what the samples prove.

--- a/crates/coordination/src/terms.rs
+++ b/crates/coordination/src/terms.rs
@@ -112,6 +112,16 @@
         self.samples.get(index).map(|(at, _)| *at)
     }
 
+    /// Between which bounds the lag of a replica at `lsn` lies. It is at least the age
+    /// of the first sample beyond `lsn` and at most the age of the first one there.
+    fn lag_bounds(&self, now: Timestamp, lsn: Lsn) -> (Duration, Duration) {
+        let beyond = self.samples.partition_point(|(_, sample)| *sample <= lsn);
+        let least = self.samples.get(beyond).map(|(at, _)| now.since(*at));
+        let most = self.reached_at(lsn).map(|at| now.since(at));
+        let least = least.unwrap_or(Duration::ZERO);
+        (least, most.unwrap_or(Duration::MAX).max(least))
+    }
+
     fn raise_term(&mut self, term: Term) {
         if term > self.highest_term {
             self.highest_term = term;
@@ -126,7 +136,7 @@
         if status.role == Role::Primary && status.term == self.highest_term {
             self.sample_primary(now, status.position);
         }
-        let reached = self.reached_at(status.position);
+        let (least, most) = self.lag_bounds(now, status.position);
         let Some(entry) = self.databases.iter_mut().find(|entry| &entry.name == name) else {
             return false;
         };
@@ -142,10 +152,8 @@
         entry.role = Some(status.role);
         entry.observed_at = now;
         entry.reachable = true;
-        if status.role == Role::Replica
-            && let Some(reached) = reached
-        {
-            entry.lag = now.since(reached);
+        if status.role == Role::Replica {
+            entry.lag = entry.lag.clamp(least, most);
         }
         true
     }
--- a/crates/state/src/names.rs
+++ b/crates/state/src/names.rs
@@ -8,7 +8,9 @@
 macro_rules! text_name {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
-        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[derive(
+            Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
         #[serde(transparent)]
         pub struct $name(Arc<str>);
 
