--- /dev/null
+++ b/lab/standin/tests/platform_client/mod.rs
@@ -0,0 +1,106 @@
+//! A small client of the key-value service for the contract tests.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use awc::error::SendRequestError;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use futures::StreamExt;
+use hookpoint_standin::platform::{Platform, PlatformSettings};
+use serde_json::{Value, json};
+use std::time::Duration;
+
+/// Long enough for any answer on a busy machine.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+pub fn encode(text: &str) -> String {
+    STANDARD.encode(text)
+}
+
+pub async fn start() -> Platform {
+    Platform::start(PlatformSettings::default())
+        .await
+        .expect("the platform starts")
+}
+
+pub fn client() -> awc::Client {
+    awc::Client::builder().timeout(PATIENCE).finish()
+}
+
+/// Sends a request and gives status and JSON body.
+pub async fn call(platform: &Platform, path: &str, body: Value) -> (u16, Value) {
+    try_call(platform, path, body).await.expect("an answer")
+}
+
+pub async fn try_call(
+    platform: &Platform,
+    path: &str,
+    body: Value,
+) -> Result<(u16, Value), SendRequestError> {
+    let url = format!("{}{path}", platform.url());
+    let mut response = client().post(url).send_json(&body).await?;
+    let bytes = response.body().await.expect("a whole body");
+    let answer = serde_json::from_slice(&bytes).expect("JSON");
+    Ok((response.status().as_u16(), answer))
+}
+
+/// Sends a request that must succeed.
+pub async fn done(platform: &Platform, path: &str, body: Value) -> Value {
+    let (status, answer) = call(platform, path, body).await;
+    assert_eq!(status, 200, "{path}: {answer}");
+    answer
+}
+
+pub async fn put(platform: &Platform, key: &str, value: &str) -> Value {
+    let body = json!({"key": encode(key), "value": encode(value)});
+    done(platform, "/v3/kv/put", body).await
+}
+
+pub async fn grant(platform: &Platform, ttl: i64, id: i64) -> Value {
+    done(
+        platform,
+        "/v3/lease/grant",
+        json!({"TTL": ttl, "ID": id.to_string()}),
+    )
+    .await
+}
+
+/// An open watch.
+pub struct WatchStream {
+    body: awc::ClientResponse,
+    buffer: Vec<u8>,
+}
+
+impl WatchStream {
+    pub async fn open(platform: &Platform, create_request: Value) -> Self {
+        let url = format!("{}/v3/watch", platform.url());
+        let body = json!({ "create_request": create_request });
+        let response = client()
+            .post(url)
+            .send_json(&body)
+            .await
+            .expect("an answer");
+        assert_eq!(response.status().as_u16(), 200);
+        Self {
+            body: response.map_body(|_, body| body),
+            buffer: Vec::new(),
+        }
+    }
+
+    /// The next answer; none when the stream has ended or broken.
+    pub async fn next(&mut self) -> Option<Value> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                let line: Vec<u8> = self.buffer.drain(..=end).collect();
+                let mut frame: Value = serde_json::from_slice(&line).expect("JSON");
+                return Some(frame["result"].take());
+            }
+            let chunk = tokio::time::timeout(PATIENCE, self.body.next());
+            let chunk = chunk.await.expect("the watch goes on")?.ok()?;
+            self.buffer.extend_from_slice(&chunk);
+        }
+    }
+
+    pub async fn expect(&mut self) -> Value {
+        self.next().await.expect("an answer on the watch")
+    }
+}
