Check histories of client sessions

Cause: whether the fleet keeps what it promises can only be told from what callers were told and what the databases hold in the end. Change: a typed history, a checker for lost and doubled writes, stale reads, mixed transactions, wrong answers, false refusals and cut requests, and the two deployments as data.

--- /dev/null
+++ b/lab/workload/src/checker.rs
@@ -0,0 +1,592 @@
+//! Checks a history against what must always hold.
+//!
+//! The checker works on what callers were told and on what the databases hold in the
+//! end. It knows nothing of proxies' inner workings.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+
+use crate::history::{
+    Ending, EntryRow, History, Operation, OperationResult, PlannedStop, ProxyIndex, Record,
+    SessionNumber,
+};
+
+/// One thing that must never happen and did.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(tag = "violation", rename_all = "snake_case")]
+pub enum Violation {
+    /// An acknowledged write is not there in the end.
+    WriteLost {
+        /// Session that was told so.
+        session: SessionNumber,
+        /// Sequence of the write, or number of the billing run.
+        sequence: u64,
+    },
+    /// A write took effect more than once.
+    WriteDoubled {
+        /// Session it belongs to.
+        session: SessionNumber,
+        /// Sequence of the write, or number of the billing run.
+        sequence: u64,
+        /// How often it took effect.
+        copies: usize,
+    },
+    /// A read did not show what its session had written or seen before.
+    StaleRead {
+        /// Session that read.
+        session: SessionNumber,
+        /// Session read about.
+        subject: SessionNumber,
+        /// Sequence that should have been seen.
+        missing: u64,
+        /// Start of the read in microseconds.
+        at: u64,
+    },
+    /// A transaction saw or left something else than its own statements.
+    MixedTransaction {
+        /// Session of the billing run.
+        session: SessionNumber,
+        /// Its run.
+        run: u64,
+        /// What was seen.
+        cause: MixedCause,
+    },
+    /// An answer was not the answer to its request.
+    WrongAnswer {
+        /// Session that got it.
+        session: SessionNumber,
+        /// Start of the request in microseconds.
+        at: u64,
+        /// What was wrong.
+        cause: WrongCause,
+    },
+    /// A request that was told not to have run did run.
+    FalseNotRun {
+        /// Session that was told so.
+        session: SessionNumber,
+        /// Sequence of the write.
+        sequence: u64,
+        /// The attempt that was told so.
+        attempt: u32,
+    },
+    /// A planned stop cut off a request.
+    InFlightCut {
+        /// Session whose request it was.
+        session: SessionNumber,
+        /// The proxy that was stopping.
+        proxy: ProxyIndex,
+        /// Start of the request in microseconds.
+        at: u64,
+    },
+}
+
+/// How a transaction was mixed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MixedCause {
+    /// It did not see exactly its own rows.
+    ForeignView,
+    /// Its statements were answered by more than one connection.
+    SeveralConnections,
+    /// Some of its rows are there and some are not.
+    Partial,
+    /// Its rows are there although it was never committed.
+    NeverCommitted,
+}
+
+/// How an answer was wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WrongCause {
+    /// It echoes another request's text.
+    Echo,
+    /// It has more rows than asked for, or another number affected than written.
+    RowCount,
+    /// It shows rows that nobody can have written.
+    Impossible,
+    /// It lacks the shape of an answer.
+    Malformed,
+}
+
+/// Counts of what was told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Totals {
+    /// Operations of any result.
+    pub requests: u64,
+    /// Writes and billing runs acknowledged.
+    pub writes_acknowledged: u64,
+    /// Reads answered.
+    pub reads: u64,
+    /// Reads answered by a replica.
+    pub replica_reads: u64,
+    /// Requests told not to have run.
+    pub not_run: u64,
+    /// Requests whose identifier was told to have run before.
+    pub already_run: u64,
+    /// Requests refused with an ordinary error.
+    pub rejected: u64,
+    /// Writes whose outcome was told to be unknown.
+    pub unknown: u64,
+    /// Requests without an answer: broken connections and time-outs.
+    pub unanswered: u64,
+    /// Writes of unknown outcome or without an answer that are there in the end.
+    pub unknown_found: u64,
+    /// Reads that showed a row which is not there in the end and was not acknowledged.
+    pub unconfirmed_reads: u64,
+}
+
+/// What the checker found.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Findings {
+    /// Counts of what was told.
+    pub totals: Totals,
+    /// Everything that must never happen and did.
+    pub violations: Vec<Violation>,
+}
+
+impl Findings {
+    /// Number of violations for which `matches` holds.
+    pub fn count(&self, matches: impl Fn(&Violation) -> bool) -> u64 {
+        self.violations
+            .iter()
+            .filter(|found| matches(found))
+            .count() as u64
+    }
+}
+
+/// A write of one session: its sequence, or its run.
+type WriteKey = (SessionNumber, u64);
+
+/// Checks `history` as a whole.
+pub fn check(history: &History) -> Findings {
+    let mut checker = Checker::new(history);
+    checker.check_sessions();
+    checker.check_entries();
+    checker.check_runs();
+    checker.check_stops();
+    checker.findings
+}
+
+struct Checker<'a> {
+    history: &'a History,
+    sessions: BTreeMap<SessionNumber, Vec<&'a Record>>,
+    entries: BTreeMap<WriteKey, Vec<EntryRow>>,
+    acknowledged: BTreeSet<WriteKey>,
+    findings: Findings,
+}
+
+impl<'a> Checker<'a> {
+    fn new(history: &'a History) -> Self {
+        let mut sessions: BTreeMap<SessionNumber, Vec<&Record>> = BTreeMap::new();
+        for record in &history.records {
+            sessions.entry(record.session).or_default().push(record);
+        }
+        let mut entries: BTreeMap<WriteKey, Vec<EntryRow>> = BTreeMap::new();
+        for row in history
+            .final_states
+            .values()
+            .flat_map(|state| &state.entries)
+        {
+            let key = (row.session, row.sequence);
+            entries.entry(key).or_default().push(*row);
+        }
+        let acknowledged = history.records.iter().filter_map(acknowledged_write);
+        Self {
+            acknowledged: acknowledged.collect(),
+            history,
+            sessions,
+            entries,
+            findings: Findings::default(),
+        }
+    }
+
+    fn report(&mut self, violation: Violation) {
+        self.findings.violations.push(violation);
+    }
+
+    fn check_sessions(&mut self) {
+        let sessions = std::mem::take(&mut self.sessions);
+        for (session, records) in &sessions {
+            let mut view = SessionView::default();
+            for record in records {
+                self.count(record);
+                self.check_record(*session, record, &mut view);
+            }
+        }
+        self.sessions = sessions;
+    }
+
+    fn count(&mut self, record: &Record) {
+        let totals = &mut self.findings.totals;
+        totals.requests += 1;
+        let read = matches!(
+            record.operation,
+            Operation::ReadOwn { .. } | Operation::ReadOther { .. }
+        );
+        match &record.result {
+            OperationResult::Written { .. } | OperationResult::RunEnded { .. } => {
+                totals.writes_acknowledged += 1;
+            }
+            OperationResult::Read { replica, .. } => {
+                totals.reads += 1;
+                totals.replica_reads += u64::from(*replica);
+            }
+            OperationResult::NotRun { .. } | OperationResult::NotCommitted { .. } => {
+                totals.not_run += 1;
+            }
+            OperationResult::AlreadyRan => totals.already_run += 1,
+            OperationResult::Rejected { .. } => totals.rejected += 1,
+            OperationResult::Unknown { .. } if !read => totals.unknown += 1,
+            OperationResult::Unknown { .. }
+            | OperationResult::ConnectionLost
+            | OperationResult::TimedOut => totals.unanswered += 1,
+            OperationResult::Malformed { .. } => {}
+        }
+    }
+
+    fn check_record(&mut self, session: SessionNumber, record: &Record, view: &mut SessionView) {
+        if let OperationResult::Malformed { .. } = record.result {
+            self.wrong(record, WrongCause::Malformed);
+        }
+        match &record.operation {
+            Operation::Write { sequence, .. } => {
+                view.attempted.insert(*sequence);
+                match record.result {
+                    OperationResult::Written { rows } => {
+                        view.acknowledged.insert(*sequence);
+                        if rows != 1 {
+                            self.wrong(record, WrongCause::RowCount);
+                        }
+                    }
+                    OperationResult::AlreadyRan => {
+                        view.acknowledged.insert(*sequence);
+                    }
+                    _ => {}
+                }
+            }
+            Operation::ReadOwn { nonce, limit } => {
+                if let OperationResult::Read {
+                    echo, sequences, ..
+                } = &record.result
+                {
+                    self.check_echo(record, nonce, echo);
+                    self.check_own_read(session, record, sequences, *limit, view);
+                }
+            }
+            Operation::ReadOther { subject, nonce } => {
+                if let OperationResult::Read {
+                    echo, sequences, ..
+                } = &record.result
+                {
+                    self.check_echo(record, nonce, echo);
+                    self.check_other_read(session, record, *subject, sequences, view);
+                }
+            }
+            Operation::BillingRun { .. } => {}
+        }
+    }
+
+    fn wrong(&mut self, record: &Record, cause: WrongCause) {
+        self.report(Violation::WrongAnswer {
+            session: record.session,
+            at: record.started,
+            cause,
+        });
+    }
+
+    fn check_echo(&mut self, record: &Record, nonce: &str, echo: &str) {
+        if nonce != echo {
+            self.wrong(record, WrongCause::Echo);
+        }
+    }
+
+    fn check_own_read(
+        &mut self,
+        session: SessionNumber,
+        record: &Record,
+        sequences: &[u64],
+        limit: usize,
+        view: &mut SessionView,
+    ) {
+        if sequences.len() > limit {
+            self.wrong(record, WrongCause::RowCount);
+        }
+        let shown: BTreeSet<u64> = sequences.iter().copied().collect();
+        if !shown.is_subset(&view.attempted) {
+            self.wrong(record, WrongCause::Impossible);
+        }
+        let lowest = match shown.first() {
+            Some(first) if sequences.len() >= limit => *first,
+            _ => 0,
+        };
+        let missing = view.expected(lowest).find(|known| !shown.contains(known));
+        if let Some(missing) = missing {
+            self.report(Violation::StaleRead {
+                session,
+                subject: session,
+                missing,
+                at: record.started,
+            });
+        }
+        for sequence in &shown {
+            self.note_unconfirmed((session, *sequence));
+        }
+        let kept = shown
+            .iter()
+            .filter(|sequence| self.entries.contains_key(&(session, **sequence)));
+        view.seen.extend(kept);
+    }
+
+    fn check_other_read(
+        &mut self,
+        session: SessionNumber,
+        record: &Record,
+        subject: SessionNumber,
+        sequences: &[u64],
+        view: &mut SessionView,
+    ) {
+        if sequences.len() > 1 {
+            self.wrong(record, WrongCause::RowCount);
+        }
+        let shown = sequences.iter().copied().max().unwrap_or(0);
+        let before = view.others.get(&subject).copied().unwrap_or(0);
+        if shown < before {
+            self.report(Violation::StaleRead {
+                session,
+                subject,
+                missing: before,
+                at: record.started,
+            });
+        }
+        if shown == 0 {
+            return;
+        }
+        self.note_unconfirmed((subject, shown));
+        if self.entries.contains_key(&(subject, shown)) {
+            view.others.insert(subject, shown.max(before));
+        }
+    }
+
+    fn note_unconfirmed(&mut self, key: WriteKey) {
+        if !self.entries.contains_key(&key) && !self.acknowledged.contains(&key) {
+            self.findings.totals.unconfirmed_reads += 1;
+        }
+    }
+
+    fn check_entries(&mut self) {
+        let entries = std::mem::take(&mut self.entries);
+        for ((session, sequence), rows) in &entries {
+            if rows.len() > 1 {
+                self.report(Violation::WriteDoubled {
+                    session: *session,
+                    sequence: *sequence,
+                    copies: rows.len(),
+                });
+            }
+        }
+        for record in &self.history.records {
+            let Operation::Write {
+                sequence, attempt, ..
+            } = record.operation
+            else {
+                continue;
+            };
+            let rows = entries.get(&(record.session, sequence));
+            let of_attempt = rows.is_some_and(|rows| rows.iter().any(|row| row.attempt == attempt));
+            self.check_entry(record, sequence, attempt, rows.is_some(), of_attempt);
+        }
+        self.entries = entries;
+    }
+
+    fn check_entry(
+        &mut self,
+        record: &Record,
+        sequence: u64,
+        attempt: u32,
+        present: bool,
+        of_attempt: bool,
+    ) {
+        let session = record.session;
+        match &record.result {
+            OperationResult::Written { .. } | OperationResult::AlreadyRan if !present => {
+                self.report(Violation::WriteLost { session, sequence });
+            }
+            OperationResult::NotRun { .. } | OperationResult::Rejected { .. } if of_attempt => {
+                self.report(Violation::FalseNotRun {
+                    session,
+                    sequence,
+                    attempt,
+                });
+            }
+            OperationResult::Unknown { .. }
+            | OperationResult::ConnectionLost
+            | OperationResult::TimedOut => {
+                self.findings.totals.unknown_found += u64::from(of_attempt);
+            }
+            _ => {}
+        }
+    }
+
+    fn check_runs(&mut self) {
+        let mut lines: BTreeMap<(SessionNumber, u64, u32), Vec<u32>> = BTreeMap::new();
+        for row in self
+            .history
+            .final_states
+            .values()
+            .flat_map(|state| &state.lines)
+        {
+            let key = (row.session, row.run, row.attempt);
+            lines.entry(key).or_default().push(row.line);
+        }
+        let history = self.history;
+        for record in &history.records {
+            if let Operation::BillingRun {
+                run,
+                attempt,
+                lines: expected,
+                ending,
+            } = record.operation
+            {
+                let found = lines.remove(&(record.session, run, attempt));
+                self.check_run(record, run, expected, ending, &found.unwrap_or_default());
+            }
+        }
+        self.check_run_copies();
+    }
+
+    fn check_run(
+        &mut self,
+        record: &Record,
+        run: u64,
+        expected: u32,
+        ending: Ending,
+        found: &[u32],
+    ) {
+        let session = record.session;
+        let mixed = |cause| Violation::MixedTransaction {
+            session,
+            run,
+            cause,
+        };
+        if let OperationResult::RunEnded { seen, backends } = &record.result {
+            if !seen.iter().copied().eq(1..=u64::from(expected)) {
+                self.report(mixed(MixedCause::ForeignView));
+            }
+            if backends.iter().collect::<BTreeSet<_>>().len() > 1 {
+                self.report(mixed(MixedCause::SeveralConnections));
+            }
+        }
+        let distinct = found.iter().collect::<BTreeSet<_>>().len();
+        if found.len() > distinct {
+            self.report(Violation::WriteDoubled {
+                session,
+                sequence: run,
+                copies: found.len().div_ceil(distinct),
+            });
+        }
+        if distinct != 0 && distinct != expected as usize {
+            self.report(mixed(MixedCause::Partial));
+        }
+        let ended = matches!(record.result, OperationResult::RunEnded { .. });
+        if ended && ending == Ending::Commit && distinct == 0 {
+            self.report(Violation::WriteLost {
+                session,
+                sequence: run,
+            });
+        }
+        let never = never_committed(&record.result, ending);
+        if never && distinct != 0 {
+            self.report(mixed(MixedCause::NeverCommitted));
+        }
+        if !ended && !never {
+            self.findings.totals.unknown_found += u64::from(distinct != 0);
+        }
+    }
+
+    /// A run whose attempts took effect more than once.
+    fn check_run_copies(&mut self) {
+        let mut attempts: BTreeMap<WriteKey, BTreeSet<u32>> = BTreeMap::new();
+        for row in self
+            .history
+            .final_states
+            .values()
+            .flat_map(|state| &state.lines)
+        {
+            let key = (row.session, row.run);
+            attempts.entry(key).or_default().insert(row.attempt);
+        }
+        for ((session, sequence), attempts) in attempts {
+            if attempts.len() > 1 {
+                self.report(Violation::WriteDoubled {
+                    session,
+                    sequence,
+                    copies: attempts.len(),
+                });
+            }
+        }
+    }
+
+    fn check_stops(&mut self) {
+        let history = self.history;
+        for record in &history.records {
+            if !matches!(record.result, OperationResult::ConnectionLost) {
+                continue;
+            }
+            let cut = history
+                .planned_stops
+                .iter()
+                .find(|stop| cut_by(stop, record));
+            if let Some(stop) = cut {
+                self.report(Violation::InFlightCut {
+                    session: record.session,
+                    proxy: stop.proxy,
+                    at: record.started,
+                });
+            }
+        }
+    }
+}
+
+/// What one session knows at a point of its history.
+#[derive(Default)]
+struct SessionView {
+    attempted: BTreeSet<u64>,
+    acknowledged: BTreeSet<u64>,
+    seen: BTreeSet<u64>,
+    others: BTreeMap<SessionNumber, u64>,
+}
+
+impl SessionView {
+    /// Own sequences from `lowest` on that a read has to show.
+    fn expected(&self, lowest: u64) -> impl Iterator<Item = u64> {
+        self.acknowledged
+            .range(lowest..)
+            .chain(self.seen.range(lowest..))
+            .copied()
+    }
+}
+
+fn acknowledged_write(record: &Record) -> Option<WriteKey> {
+    let Operation::Write { sequence, .. } = record.operation else {
+        return None;
+    };
+    matches!(
+        record.result,
+        OperationResult::Written { .. } | OperationResult::AlreadyRan
+    )
+    .then_some((record.session, sequence))
+}
+
+fn never_committed(result: &OperationResult, ending: Ending) -> bool {
+    match result {
+        OperationResult::NotCommitted { .. }
+        | OperationResult::NotRun { .. }
+        | OperationResult::Rejected { .. } => true,
+        _ => ending == Ending::Rollback,
+    }
+}
+
+fn cut_by(stop: &PlannedStop, record: &Record) -> bool {
+    stop.proxy == record.proxy && record.started <= stop.to && record.ended >= stop.from
+}
--- a/lab/workload/src/lib.rs
+++ b/lab/workload/src/lib.rs
@@ -1,1 +1,11 @@
-//! placeholder
+//! The workload of the two deployments, the history it leaves and the checker that
+//! judges it.
+//!
+//! Sessions speak to proxies through an ordinary PostgreSQL client library. Everything
+//! they ask for and are told goes into a [`history::History`], which [`checker::check`]
+//! compares with what the databases hold in the end.
+#![forbid(unsafe_code)]
+
+pub mod checker;
+pub mod deployment;
+pub mod history;
