Decide a transaction's whole life in the request machine

Cause: routing, checks, evidence, retries and refusals need one deterministic place. Change: route, acknowledge and machine modules; a table of lives and 4,000 random ones for each kind of unit. A read whose check failed went to a second replica; it goes to the primary now.

--- /dev/null
+++ b/crates/coordination/src/request/acknowledge.rs
@@ -0,0 +1,102 @@
+//! When a commit may be acknowledged.
+//!
+//! Invariant: a commit is acknowledged only after a majority of its group has flushed
+//! the log up to a position at or beyond it, on the term in which it ran. It holds
+//! across changes of primary because a group elects by majority the database with the
+//! furthest log, and any two majorities share a member: that member has the commit, so
+//! the elected one has it too. A primary that is cut off cannot gather a majority, as
+//! replicas that have voted for a later term no longer confirm to it.
+
+use std::time::Duration;
+
+use hookpoint_state::{Lsn, Position, Term, Timestamp, UnknownCause};
+
+use crate::status::{BackendStatus, Role};
+use crate::terms::GroupView;
+
+/// Pause before the first repeated probe.
+const FIRST_PROBE_PAUSE: Duration = Duration::from_micros(500);
+/// Longest pause between two probes.
+const LONGEST_PROBE_PAUSE: Duration = Duration::from_millis(20);
+
+/// The search for evidence of one commit.
+#[derive(Clone, Debug)]
+pub struct Evidence {
+    /// Term the transaction began in, as far as it is known.
+    began: Option<Term>,
+    target: Option<Position>,
+    deadline: Timestamp,
+    pause: Duration,
+}
+
+/// What to do after a probe's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The commit is held by that many databases; acknowledge it.
+    Held {
+        /// Position the session's later reads must see.
+        position: Position,
+        /// Databases known to hold it.
+        holders: usize,
+    },
+    /// Ask again after the pause.
+    AskAgain {
+        /// The pause.
+        after: Duration,
+    },
+    /// Give up.
+    Doubtful(UnknownCause),
+}
+
+impl Evidence {
+    /// Starts the search; it ends at `deadline`.
+    pub fn new(began: Option<Term>, deadline: Timestamp) -> Self {
+        Self {
+            began,
+            target: None,
+            deadline,
+            pause: FIRST_PROBE_PAUSE,
+        }
+    }
+
+    /// Weighs a probe's answer.
+    pub fn weigh(&mut self, now: Timestamp, view: &GroupView, status: &BackendStatus) -> Verdict {
+        let moved_on = status.role != Role::Primary
+            || self.began.is_some_and(|term| term != status.term)
+            || self.target.is_some_and(|target| target.term != status.term)
+            || view.highest_term > status.term;
+        if moved_on {
+            return Verdict::Doubtful(UnknownCause::TermChanged);
+        }
+        let target = *self.target.get_or_insert(status.place());
+        let holders = holders_in(view, status, target.lsn);
+        if holders >= view.majority() {
+            return Verdict::Held {
+                position: target,
+                holders,
+            };
+        }
+        if now >= self.deadline {
+            return Verdict::Doubtful(UnknownCause::NoMajority);
+        }
+        let after = self.pause;
+        self.pause = (self.pause * 2).min(LONGEST_PROBE_PAUSE);
+        Verdict::AskAgain { after }
+    }
+}
+
+/// Counts the members of the group, the primary included, that have flushed `target`.
+/// Standbys that the bundle does not name have no vote, so they are no evidence.
+fn holders_in(view: &GroupView, status: &BackendStatus, target: Lsn) -> usize {
+    let own = usize::from(status.position >= target);
+    let replicas =
+        view.databases
+            .iter()
+            .filter(|database| {
+                status.flushed.iter().any(|replica| {
+                    replica.name == database.name.as_str() && replica.position >= target
+                })
+            })
+            .count();
+    own + replicas
+}
--- a/crates/coordination/src/request/machine.rs
+++ b/crates/coordination/src/request/machine.rs
@@ -1,30 +1,470 @@
-//! The machine itself.
+//! The request machine: one transaction from its arrival to its end.
 
-use hookpoint_state::Timestamp;
+use std::collections::BTreeSet;
+use std::time::Duration;
 
-use crate::request::{RequestAction, RequestEvent, RequestProfile};
+use hookpoint_state::{DatabaseName, Position, Refusal, Term, Timestamp, UnknownCause};
+
+use crate::explain::{Decision, HoldReason};
+use crate::request::acknowledge::{Evidence, Verdict};
+use crate::request::checks::SafetyChecks;
+use crate::request::profile::{Access, RequestProfile, Unit};
+use crate::request::route::{self, RouteQuery};
+use crate::request::{RequestAction, RequestEvent, UnitResult};
+use crate::status::{BackendStatus, Role};
 use crate::terms::GroupView;
 
+/// SQLSTATE of a write refused by a database in recovery (`read_only_sql_transaction`).
+const READ_ONLY_TRANSACTION: &str = "25006";
+/// Pause after a failed attempt, unless the view changes before.
+const RETRY_PAUSE: Duration = Duration::from_millis(25);
+
+/// Where the transaction stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Waiting for a majority to tell the term.
+    Verifying,
+    /// Waiting for a change of view or the timer.
+    Holding,
+    /// Waiting for a connection.
+    Acquiring,
+    /// The first unit was sent; its check has not been answered.
+    Checking,
+    /// The database turned out to be a replica; the write's refusal is awaited.
+    AwaitingRefusal,
+    /// A unit's answer flows to the caller.
+    Running,
+    /// A unit that may commit has ended; evidence is gathered.
+    Proving,
+    /// Between two units of a transaction block.
+    Idle,
+    /// Over.
+    Finished,
+}
+
 /// One transaction's state.
 #[derive(Clone, Debug)]
 pub struct RequestMachine {
-    #[allow(dead_code)]
     profile: RequestProfile,
+    acknowledge_within: Duration,
+    checks: SafetyChecks,
+    stage: Stage,
+    unit: Unit,
+    required: Option<Position>,
+    excluded: BTreeSet<DatabaseName>,
+    database: Option<DatabaseName>,
+    term: Option<Term>,
+    evidence: Option<Evidence>,
+    in_transaction: bool,
+    first_unit: bool,
+    replica_failed: bool,
+    attempts: u32,
 }
 
 impl RequestMachine {
-    /// A machine for a request that has just arrived.
-    pub fn new(profile: RequestProfile) -> Self {
-        Self { profile }
+    /// A machine for a request that has just arrived. Evidence of a commit is sought
+    /// for at most `acknowledge_within`.
+    pub fn new(profile: RequestProfile, acknowledge_within: Duration) -> Self {
+        Self::with_checks(profile, acknowledge_within, SafetyChecks::default())
+    }
+
+    /// Like [`RequestMachine::new`] with some checks switched off, for negative
+    /// controls of the lab.
+    pub fn with_checks(
+        profile: RequestProfile,
+        acknowledge_within: Duration,
+        checks: SafetyChecks,
+    ) -> Self {
+        Self {
+            acknowledge_within,
+            checks,
+            stage: Stage::Holding,
+            unit: profile.unit,
+            required: profile.required,
+            excluded: BTreeSet::new(),
+            database: None,
+            term: None,
+            evidence: None,
+            in_transaction: false,
+            first_unit: true,
+            replica_failed: false,
+            attempts: 0,
+            profile,
+        }
+    }
+
+    /// Whether the machine has ended.
+    pub fn is_finished(&self) -> bool {
+        self.stage == Stage::Finished
+    }
+
+    /// Database of the held connection, if one is held.
+    pub fn database(&self) -> Option<&DatabaseName> {
+        self.database.as_ref()
     }
 
-    /// Takes an event and appends the actions it causes to `actions`.
+    /// Takes an event and appends the actions it causes to `actions`. Events that do
+    /// not fit the stage are late and change nothing.
     pub fn handle(
         &mut self,
-        _now: Timestamp,
-        _view: &GroupView,
-        _event: RequestEvent,
-        _actions: &mut Vec<RequestAction>,
+        now: Timestamp,
+        view: &GroupView,
+        event: RequestEvent,
+        actions: &mut Vec<RequestAction>,
+    ) {
+        use RequestEvent as Event;
+        match (&self.stage, event) {
+            (Stage::Finished, _) => {}
+            (_, Event::CallerGone) => self.caller_gone(actions),
+            (_, Event::Begin) => self.begin(now, view, actions),
+            (Stage::Verifying, Event::TermVerified { position }) => {
+                self.verified(now, view, position, actions);
+            }
+            (Stage::Verifying, Event::VerifyFailed) => {
+                self.hold(now, HoldReason::Verification, actions);
+            }
+            (Stage::Holding, Event::ViewChanged | Event::TimerFired) => {
+                self.excluded.clear();
+                self.begin(now, view, actions);
+            }
+            (Stage::Acquiring, Event::LeaseGranted { database }) => {
+                self.granted(database, actions);
+            }
+            (Stage::Acquiring, Event::LeaseRefused { database, refusal }) => {
+                self.lease_refused(now, view, database, refusal, actions);
+            }
+            (Stage::Checking, Event::CheckAnswered { status }) => {
+                self.checked(now, view, &status, actions);
+            }
+            (
+                Stage::AwaitingRefusal,
+                Event::UnitFinished {
+                    result,
+                    in_transaction,
+                },
+            ) => {
+                self.refused_by_replica(now, view, result, in_transaction, actions);
+            }
+            (Stage::Running, Event::UnitFinished { in_transaction, .. }) => {
+                self.unit_finished(now, in_transaction, actions);
+            }
+            (Stage::Proving, Event::ProbeAnswered { status }) => {
+                self.proved(now, view, &status, actions);
+            }
+            (Stage::Idle, Event::NextUnit { unit }) => self.next_unit(unit, actions),
+            (_, Event::ConnectionLost) => self.connection_lost(now, view, actions),
+            _ => {}
+        }
+    }
+
+    fn begin(&mut self, now: Timestamp, view: &GroupView, actions: &mut Vec<RequestAction>) {
+        if self.needs_verification() {
+            if now >= self.profile.deadline {
+                return self.refuse(Refusal::NoPrimary, actions);
+            }
+            self.stage = Stage::Verifying;
+            actions.push(RequestAction::VerifyTerm);
+            return;
+        }
+        self.route(now, view, actions);
+    }
+
+    /// A session without a known history must not read before a term is verified. A
+    /// lone write need not wait: its acknowledgement proves the term.
+    fn needs_verification(&self) -> bool {
+        let lone_write = self.unit.access == Access::Write && self.unit.may_commit;
+        self.required.is_none() && !lone_write
+    }
+
+    fn verified(
+        &mut self,
+        now: Timestamp,
+        view: &GroupView,
+        position: Position,
+        actions: &mut Vec<RequestAction>,
+    ) {
+        self.required = Some(position);
+        actions.push(RequestAction::Require { position });
+        self.route(now, view, actions);
+    }
+
+    fn route(&mut self, now: Timestamp, view: &GroupView, actions: &mut Vec<RequestAction>) {
+        let query = RouteQuery {
+            now,
+            access: self.unit.access,
+            required: self.required,
+            excluded: &self.excluded,
+            replica_failed: self.replica_failed,
+            session: self.profile.session,
+        };
+        let Some(choice) = route::choose(view, query) else {
+            return self.hold(now, HoldReason::Primary, actions);
+        };
+        if self.attempts > 0 {
+            actions.push(RequestAction::Record(Decision::Retried {
+                attempt: self.attempts,
+            }));
+        }
+        self.attempts += 1;
+        self.stage = Stage::Acquiring;
+        actions.push(RequestAction::Record(Decision::Routed {
+            database: choice.database.clone(),
+            reason: choice.reason,
+            required: self.required,
+        }));
+        actions.push(RequestAction::Acquire {
+            database: choice.database,
+            deadline: self.profile.deadline,
+        });
+    }
+
+    /// Holds the request until the view changes or the pause is over; past its
+    /// deadline it is refused at once.
+    fn hold(&mut self, now: Timestamp, reason: HoldReason, actions: &mut Vec<RequestAction>) {
+        if now >= self.profile.deadline {
+            let refusal = match reason {
+                HoldReason::Database => Refusal::NoDatabase,
+                HoldReason::Primary | HoldReason::Verification => Refusal::NoPrimary,
+            };
+            return self.refuse(refusal, actions);
+        }
+        self.stage = Stage::Holding;
+        actions.push(RequestAction::Record(Decision::Held {
+            waiting_for: reason,
+        }));
+        actions.push(RequestAction::Wait {
+            until: self.profile.deadline.min(now + RETRY_PAUSE),
+        });
+    }
+
+    fn granted(&mut self, database: DatabaseName, actions: &mut Vec<RequestAction>) {
+        self.database = Some(database);
+        self.stage = Stage::Checking;
+        actions.push(RequestAction::Send {
+            check: true,
+            probe: self.needs_evidence(),
+        });
+    }
+
+    fn needs_evidence(&self) -> bool {
+        self.profile.unit.access == Access::Write && self.unit.may_commit
+    }
+
+    fn lease_refused(
+        &mut self,
+        now: Timestamp,
+        view: &GroupView,
+        database: DatabaseName,
+        refusal: Refusal,
+        actions: &mut Vec<RequestAction>,
+    ) {
+        match refusal {
+            Refusal::NoDatabase | Refusal::NoPrimary => {
+                self.excluded.insert(database);
+                self.route(now, view, actions);
+            }
+            other => self.refuse(other, actions),
+        }
+    }
+
+    fn checked(
+        &mut self,
+        now: Timestamp,
+        view: &GroupView,
+        status: &BackendStatus,
+        actions: &mut Vec<RequestAction>,
+    ) {
+        self.term = Some(status.term);
+        if self.unit.access == Access::Write && status.role == Role::Replica {
+            self.stage = Stage::AwaitingRefusal;
+            return;
+        }
+        if self.covers(status) {
+            self.stage = Stage::Running;
+            actions.push(RequestAction::Deliver);
+            return;
+        }
+        actions.push(RequestAction::Record(Decision::CheckFailed {
+            database: self.database.clone().unwrap_or_default(),
+            place: status.place(),
+        }));
+        if self.needs_evidence() {
+            return self.give_up(UnknownCause::TermChanged, actions);
+        }
+        self.replica_failed = true;
+        self.start_over(now, view, actions);
+    }
+
+    fn covers(&self, status: &BackendStatus) -> bool {
+        if !self.checks.position {
+            return true;
+        }
+        self.required
+            .is_none_or(|required| status.place().covers(required))
+    }
+
+    /// Drops the connection and what it answered, and tries another database. Only
+    /// called while nothing sent can have taken effect.
+    fn start_over(&mut self, now: Timestamp, view: &GroupView, actions: &mut Vec<RequestAction>) {
+        actions.push(RequestAction::Discard);
+        self.release(
+            self.unit.access == Access::Read && !self.in_transaction,
+            actions,
+        );
+        if let Some(database) = self.database.take() {
+            let only_choice = view
+                .primary()
+                .is_some_and(|primary| primary.name == database);
+            self.excluded.insert(database);
+            if only_choice {
+                return self.hold(now, HoldReason::Primary, actions);
+            }
+        }
+        self.route(now, view, actions);
+    }
+
+    fn refused_by_replica(
+        &mut self,
+        now: Timestamp,
+        view: &GroupView,
+        result: UnitResult,
+        in_transaction: bool,
+        actions: &mut Vec<RequestAction>,
+    ) {
+        let refused =
+            matches!(&result, UnitResult::Failed { sqlstate } if sqlstate == READ_ONLY_TRANSACTION);
+        if refused || in_transaction {
+            self.in_transaction = in_transaction;
+            return self.start_over(now, view, actions);
+        }
+        actions.push(RequestAction::Deliver);
+        self.unit_finished(now, in_transaction, actions);
+    }
+
+    fn unit_finished(
+        &mut self,
+        now: Timestamp,
+        in_transaction: bool,
+        actions: &mut Vec<RequestAction>,
     ) {
+        self.in_transaction = in_transaction;
+        self.first_unit = false;
+        if self.needs_evidence() {
+            self.stage = Stage::Proving;
+            self.evidence = Some(Evidence::new(self.term, now + self.acknowledge_within));
+            return;
+        }
+        self.unit_over(actions);
+    }
+
+    fn unit_over(&mut self, actions: &mut Vec<RequestAction>) {
+        if self.in_transaction {
+            self.stage = Stage::Idle;
+            return;
+        }
+        self.release(true, actions);
+        self.finish(actions);
+    }
+
+    fn proved(
+        &mut self,
+        now: Timestamp,
+        view: &GroupView,
+        status: &BackendStatus,
+        actions: &mut Vec<RequestAction>,
+    ) {
+        let Some(evidence) = self.evidence.as_mut() else {
+            return;
+        };
+        let verdict = if self.checks.evidence {
+            evidence.weigh(now, view, status)
+        } else {
+            Verdict::Held {
+                position: status.place(),
+                holders: 0,
+            }
+        };
+        match verdict {
+            Verdict::Held { position, holders } => {
+                self.evidence = None;
+                actions.push(RequestAction::Record(Decision::Acknowledged {
+                    position,
+                    holders: u32::try_from(holders).unwrap_or(u32::MAX),
+                }));
+                actions.push(RequestAction::Acknowledge {
+                    position: Some(position),
+                });
+                self.unit_over(actions);
+            }
+            Verdict::AskAgain { after } => actions.push(RequestAction::Probe { after }),
+            Verdict::Doubtful(cause) => self.give_up(cause, actions),
+        }
+    }
+
+    fn next_unit(&mut self, unit: Unit, actions: &mut Vec<RequestAction>) {
+        self.unit = unit;
+        self.stage = Stage::Running;
+        actions.push(RequestAction::Send {
+            check: false,
+            probe: self.needs_evidence(),
+        });
+        actions.push(RequestAction::Deliver);
+    }
+
+    fn connection_lost(
+        &mut self,
+        now: Timestamp,
+        view: &GroupView,
+        actions: &mut Vec<RequestAction>,
+    ) {
+        match self.stage {
+            Stage::Checking | Stage::AwaitingRefusal if !self.needs_evidence() => {
+                self.start_over(now, view, actions);
+            }
+            Stage::Checking | Stage::AwaitingRefusal | Stage::Proving => {
+                self.give_up(UnknownCause::ConnectionLost, actions);
+            }
+            Stage::Running if self.unit.may_commit || self.lone_read() => {
+                self.give_up(UnknownCause::ConnectionLost, actions);
+            }
+            Stage::Running | Stage::Idle => {
+                self.release(false, actions);
+                self.refuse(Refusal::RolledBack, actions);
+            }
+            Stage::Verifying | Stage::Holding | Stage::Acquiring | Stage::Finished => {}
+        }
+    }
+
+    /// A read whose answer has begun to flow cannot be said not to have run.
+    fn lone_read(&self) -> bool {
+        self.profile.unit.access == Access::Read && self.first_unit
+    }
+
+    fn caller_gone(&mut self, actions: &mut Vec<RequestAction>) {
+        self.release(false, actions);
+        self.finish(actions);
+    }
+
+    fn give_up(&mut self, cause: UnknownCause, actions: &mut Vec<RequestAction>) {
+        self.release(false, actions);
+        actions.push(RequestAction::Unknown { cause });
+        self.finish(actions);
+    }
+
+    fn refuse(&mut self, refusal: Refusal, actions: &mut Vec<RequestAction>) {
+        actions.push(RequestAction::Refuse { refusal });
+        self.finish(actions);
+    }
+
+    fn release(&mut self, reusable: bool, actions: &mut Vec<RequestAction>) {
+        if self.database.is_some() {
+            actions.push(RequestAction::Release { reusable });
+        }
+    }
+
+    fn finish(&mut self, actions: &mut Vec<RequestAction>) {
+        self.database = None;
+        self.stage = Stage::Finished;
+        actions.push(RequestAction::Finished);
     }
 }
--- /dev/null
+++ b/crates/coordination/src/request/route.rs
@@ -0,0 +1,102 @@
+//! Which database a request goes to.
+
+use std::collections::BTreeSet;
+
+use hookpoint_state::bundle::ReadPreference;
+use hookpoint_state::{DatabaseName, Position, SessionId, Timestamp};
+
+use crate::explain::RouteReason;
+use crate::request::profile::Access;
+use crate::status::Role;
+use crate::terms::{DatabaseView, GroupView};
+
+/// What the choice depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteQuery<'a> {
+    /// The time.
+    pub now: Timestamp,
+    /// What the request may touch.
+    pub access: Access,
+    /// What its reads must see.
+    pub required: Option<Position>,
+    /// Databases that have already failed this request.
+    pub excluded: &'a BTreeSet<DatabaseName>,
+    /// Whether a replica has already turned out to be behind; the primary comes first
+    /// then, so that one failed check is all that a read pays for.
+    pub replica_failed: bool,
+    /// The session, to spread equal choices.
+    pub session: SessionId,
+}
+
+/// A choice and its reason.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// The database.
+    pub database: DatabaseName,
+    /// Why.
+    pub reason: RouteReason,
+}
+
+/// Chooses a database; none when the request has to wait.
+///
+/// Writes go to the primary. Reads go to the nearest, least loaded replica that is
+/// expected to hold `required`, and to the primary when there is none.
+pub fn choose(view: &GroupView, query: RouteQuery<'_>) -> Option<Route> {
+    if query.access == Access::Write {
+        return primary(view, query, RouteReason::Write);
+    }
+    if view.reads == ReadPreference::Primary {
+        return primary(view, query, RouteReason::Preference);
+    }
+    if query.replica_failed
+        && let Some(route) = primary(view, query, RouteReason::NoFreshReplica)
+    {
+        return Some(route);
+    }
+    if let Some(replica) = fresh_replica(view, query) {
+        return Some(Route {
+            database: replica.name.clone(),
+            reason: RouteReason::FreshReplica,
+        });
+    }
+    primary(view, query, RouteReason::NoFreshReplica)
+}
+
+fn primary(view: &GroupView, query: RouteQuery<'_>, reason: RouteReason) -> Option<Route> {
+    let primary = view.primary()?;
+    let known_term = query
+        .required
+        .is_none_or(|required| primary.place.term >= required.term);
+    (usable(primary, query) && known_term).then(|| Route {
+        database: primary.name.clone(),
+        reason,
+    })
+}
+
+fn fresh_replica<'a>(view: &'a GroupView, query: RouteQuery<'_>) -> Option<&'a DatabaseView> {
+    let required = query.required?;
+    view.databases
+        .iter()
+        .filter(|database| database.role == Some(Role::Replica) && usable(database, query))
+        .filter(|database| view.expects_fresh(query.now, database, required))
+        .min_by_key(|database| {
+            (
+                database.proximity,
+                database.load,
+                spread(query.session, &database.name),
+            )
+        })
+}
+
+fn usable(database: &DatabaseView, query: RouteQuery<'_>) -> bool {
+    database.reachable && !database.draining && !query.excluded.contains(&database.name)
+}
+
+/// A fixed but scattered order of databases for each session.
+fn spread(session: SessionId, database: &DatabaseName) -> u64 {
+    let mut hash = session.0 ^ 0xcbf2_9ce4_8422_2325;
+    for byte in database.as_str().bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    hash
+}
--- a/crates/coordination/src/request/tests.rs
+++ b/crates/coordination/src/request/tests.rs
@@ -1,1 +1,529 @@
-//! Tests of the request machine.
+//! Tests of the request machine: a table of lives, and properties over random ones.
+
+use std::time::Duration;
+
+use hookpoint_state::bundle::ReadPreference;
+use hookpoint_state::{
+    DatabaseName, GroupName, Lsn, Position, Refusal, SessionId, TenantName, Term, Timestamp,
+    UnknownCause, ZoneName,
+};
+use quickcheck::{Arbitrary, Gen};
+
+use super::{
+    Access, RequestAction, RequestEvent, RequestMachine, RequestProfile, Unit, UnitResult,
+};
+use crate::status::{BackendStatus, FlushedReplica, Role};
+use crate::terms::{GroupView, Member, Proximity, TermTable};
+
+const READ: Unit = Unit {
+    access: Access::Read,
+    may_commit: false,
+};
+const WRITE: Unit = Unit {
+    access: Access::Write,
+    may_commit: true,
+};
+const BEGIN: Unit = Unit {
+    access: Access::Write,
+    may_commit: false,
+};
+
+fn group() -> GroupName {
+    GroupName::new("meters")
+}
+
+fn status(role: Role, term: u32, position: u64, flushed: &[(&str, u64)]) -> BackendStatus {
+    BackendStatus {
+        role,
+        term: Term(term),
+        position: Lsn(position),
+        flushed: flushed
+            .iter()
+            .map(|(name, position)| FlushedReplica {
+                name: (*name).to_owned(),
+                position: Lsn(*position),
+            })
+            .collect(),
+    }
+}
+
+/// `a` leads on term 1 at 100; `b` in this zone is at 100 and `c` at 40.
+fn table() -> TermTable {
+    let mut table = TermTable::new();
+    let member = |name: &str, proximity| Member {
+        name: DatabaseName::new(name),
+        proximity,
+        draining: false,
+    };
+    table.configure(
+        &group(),
+        ReadPreference::Replica,
+        [
+            member("a", Proximity::SameRegion),
+            member("b", Proximity::SameZone),
+            member("c", Proximity::Remote),
+        ],
+    );
+    let now = Timestamp::from_millis(1);
+    for (name, answer) in [
+        ("a", status(Role::Primary, 1, 100, &[])),
+        ("b", status(Role::Replica, 1, 100, &[])),
+        ("c", status(Role::Replica, 1, 40, &[])),
+    ] {
+        table.observe(now, &group(), &DatabaseName::new(name), &answer);
+    }
+    table
+}
+
+fn profile(unit: Unit, required: Option<Position>) -> RequestProfile {
+    RequestProfile {
+        session: SessionId(1),
+        tenant: TenantName::new("clinic"),
+        group: group(),
+        zone: ZoneName::new("z1"),
+        unit,
+        required,
+        repeatable: true,
+        deadline: Timestamp::from_millis(1_000),
+    }
+}
+
+struct Life {
+    machine: RequestMachine,
+    table: TermTable,
+    now: Timestamp,
+}
+
+impl Life {
+    fn new(unit: Unit, required: Option<Position>) -> Self {
+        Self {
+            machine: RequestMachine::new(profile(unit, required), Duration::from_millis(100)),
+            table: table(),
+            now: Timestamp::from_millis(2),
+        }
+    }
+
+    fn view(&self) -> GroupView {
+        self.table.view(&group()).cloned().unwrap_or_default()
+    }
+
+    /// Feeds an event; records are left out of what is returned.
+    fn feed(&mut self, event: RequestEvent) -> Vec<RequestAction> {
+        let mut actions = Vec::new();
+        self.machine
+            .handle(self.now, &self.view(), event, &mut actions);
+        actions.retain(|action| !matches!(action, RequestAction::Record(_)));
+        actions
+    }
+
+    fn acquire(&mut self, event: RequestEvent) -> String {
+        let actions = self.feed(event);
+        actions
+            .iter()
+            .find_map(|action| match action {
+                RequestAction::Acquire { database, .. } => Some(database.as_str().to_owned()),
+                _ => None,
+            })
+            .unwrap_or_else(|| panic!("no connection is asked for in {actions:?}"))
+    }
+
+    fn grant(&mut self, name: &str) -> Vec<RequestAction> {
+        self.feed(RequestEvent::LeaseGranted {
+            database: DatabaseName::new(name),
+        })
+    }
+
+    fn finish_unit(&mut self, in_transaction: bool) -> Vec<RequestAction> {
+        self.feed(RequestEvent::UnitFinished {
+            result: UnitResult::Succeeded,
+            in_transaction,
+        })
+    }
+
+    fn check(&mut self, answer: BackendStatus) -> Vec<RequestAction> {
+        self.feed(RequestEvent::CheckAnswered { status: answer })
+    }
+
+    fn probe(&mut self, answer: BackendStatus) -> Vec<RequestAction> {
+        self.feed(RequestEvent::ProbeAnswered { status: answer })
+    }
+}
+
+fn at(term: u32, lsn: u64) -> Option<Position> {
+    Some(Position::new(term, lsn))
+}
+
+fn finished(mut actions: Vec<RequestAction>) -> Vec<RequestAction> {
+    assert_eq!(actions.pop(), Some(RequestAction::Finished));
+    actions
+}
+
+#[test]
+fn requests_go_where_they_must() {
+    let cases = [
+        ("fresh replica in the zone", READ, at(1, 100), "b"),
+        ("replica that once was past it", READ, at(1, 40), "b"),
+        ("nothing is known to be fresh", READ, at(1, 500), "a"),
+        ("write", WRITE, at(1, 10), "a"),
+        ("transaction", BEGIN, at(1, 10), "a"),
+        ("lone write without a history", WRITE, None, "a"),
+    ];
+    for (case, unit, required, expected) in cases {
+        let mut life = Life::new(unit, required);
+        assert_eq!(life.acquire(RequestEvent::Begin), expected, "{case}");
+    }
+}
+
+#[test]
+fn a_session_without_history_is_verified_before_it_reads() {
+    for unit in [READ, BEGIN] {
+        let mut life = Life::new(unit, None);
+        assert_eq!(life.feed(RequestEvent::Begin), [RequestAction::VerifyTerm]);
+        let actions = life.feed(RequestEvent::VerifyFailed);
+        assert!(matches!(actions[..], [RequestAction::Wait { .. }]));
+        assert_eq!(
+            life.feed(RequestEvent::TimerFired),
+            [RequestAction::VerifyTerm]
+        );
+        let position = Position::new(1, 100);
+        let actions = life.feed(RequestEvent::TermVerified { position });
+        assert_eq!(actions[0], RequestAction::Require { position });
+        assert!(matches!(actions[1], RequestAction::Acquire { .. }));
+    }
+}
+
+#[test]
+fn a_stale_answer_is_thrown_away_and_read_again_on_the_primary() {
+    let behind = [
+        status(Role::Replica, 1, 99, &[]),
+        status(Role::Replica, 0, 5_000, &[]),
+    ];
+    for answer in behind {
+        let mut life = Life::new(READ, at(1, 100));
+        assert_eq!(life.acquire(RequestEvent::Begin), "b");
+        assert_eq!(
+            life.grant("b"),
+            [RequestAction::Send {
+                check: true,
+                probe: false
+            }]
+        );
+        let actions = life.check(answer);
+        assert_eq!(actions[0], RequestAction::Discard);
+        assert_eq!(actions[1], RequestAction::Release { reusable: true });
+        assert!(
+            matches!(&actions[2], RequestAction::Acquire { database, .. } if database.as_str() == "a")
+        );
+        life.grant("a");
+        assert_eq!(
+            life.check(status(Role::Primary, 1, 120, &[])),
+            [RequestAction::Deliver]
+        );
+        assert_eq!(
+            finished(life.finish_unit(false)),
+            [RequestAction::Release { reusable: true }]
+        );
+    }
+}
+
+#[test]
+fn a_commit_needs_a_majority_on_its_own_term() {
+    let held = RequestAction::Acknowledge {
+        position: at(1, 130),
+    };
+    let unknown = |cause| RequestAction::Unknown { cause };
+    let cases = [
+        (
+            "majority",
+            status(Role::Primary, 1, 130, &[("b", 130)]),
+            Some(held),
+        ),
+        ("nobody else", status(Role::Primary, 1, 130, &[]), None),
+        (
+            "replica behind",
+            status(Role::Primary, 1, 130, &[("b", 129)]),
+            None,
+        ),
+        (
+            "standby outside the group",
+            status(Role::Primary, 1, 130, &[("x", 200)]),
+            None,
+        ),
+        (
+            "demoted",
+            status(Role::Replica, 1, 130, &[("b", 130)]),
+            Some(unknown(UnknownCause::TermChanged)),
+        ),
+        (
+            "newer term",
+            status(Role::Primary, 2, 130, &[("b", 130)]),
+            Some(unknown(UnknownCause::TermChanged)),
+        ),
+    ];
+    for (case, answer, expected) in cases {
+        let mut life = Life::new(WRITE, at(1, 10));
+        life.acquire(RequestEvent::Begin);
+        assert_eq!(
+            life.grant("a"),
+            [RequestAction::Send {
+                check: true,
+                probe: true
+            }],
+            "{case}"
+        );
+        life.check(status(Role::Primary, 1, 120, &[]));
+        assert_eq!(life.finish_unit(false), [], "{case}: held back");
+        let actions = life.probe(answer);
+        match expected {
+            Some(expected) => assert!(finished(actions).contains(&expected), "{case}"),
+            None => assert!(
+                matches!(actions[..], [RequestAction::Probe { .. }]),
+                "{case}"
+            ),
+        }
+    }
+}
+
+#[test]
+fn a_commit_is_not_acknowledged_once_a_higher_term_is_known() {
+    let mut life = Life::new(WRITE, at(1, 10));
+    life.acquire(RequestEvent::Begin);
+    life.grant("a");
+    life.check(status(Role::Primary, 1, 120, &[]));
+    life.finish_unit(false);
+    life.table.learn_term(&group(), Term(2));
+    let actions = finished(life.probe(status(Role::Primary, 1, 130, &[("b", 130), ("c", 130)])));
+    assert_eq!(
+        actions,
+        [
+            RequestAction::Release { reusable: false },
+            RequestAction::Unknown {
+                cause: UnknownCause::TermChanged
+            }
+        ]
+    );
+}
+
+#[test]
+fn evidence_is_given_up_at_its_deadline() {
+    let mut life = Life::new(WRITE, at(1, 10));
+    life.acquire(RequestEvent::Begin);
+    life.grant("a");
+    life.check(status(Role::Primary, 1, 120, &[]));
+    life.finish_unit(false);
+    life.now = life.now + Duration::from_millis(100);
+    let actions = finished(life.probe(status(Role::Primary, 1, 130, &[])));
+    assert!(actions.contains(&RequestAction::Unknown {
+        cause: UnknownCause::NoMajority
+    }));
+}
+
+#[test]
+fn a_lost_connection_is_told_as_what_it_proves() {
+    let unknown = Some(RequestAction::Unknown {
+        cause: UnknownCause::ConnectionLost,
+    });
+    let rolled_back = Some(RequestAction::Refuse {
+        refusal: Refusal::RolledBack,
+    });
+    // (case, unit, whether the check passed, whether a block is open, expected end)
+    let cases = [
+        ("write sent", WRITE, false, false, unknown.clone()),
+        ("write running", WRITE, true, false, unknown.clone()),
+        ("read not delivered", READ, false, false, None),
+        ("read half delivered", READ, true, false, unknown),
+        ("BEGIN not delivered", BEGIN, false, false, None),
+        ("between statements", BEGIN, true, true, rolled_back),
+    ];
+    for (case, unit, checked, open, expected) in cases {
+        let mut life = Life::new(unit, at(1, 10));
+        let database = life.acquire(RequestEvent::Begin);
+        life.grant(&database);
+        if checked {
+            life.check(status(Role::Primary, 1, 120, &[]));
+        }
+        if open {
+            life.finish_unit(true);
+        }
+        let actions = life.feed(RequestEvent::ConnectionLost);
+        match expected {
+            Some(expected) => assert!(finished(actions).contains(&expected), "{case}"),
+            None => assert!(!life.machine.is_finished(), "{case}: {actions:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_write_refused_by_a_replica_moves_to_the_new_primary() {
+    let mut life = Life::new(WRITE, at(1, 10));
+    life.acquire(RequestEvent::Begin);
+    life.grant("a");
+    assert_eq!(life.check(status(Role::Replica, 1, 120, &[])), []);
+    let actions = life.feed(RequestEvent::UnitFinished {
+        result: UnitResult::Failed {
+            sqlstate: "25006".to_owned(),
+        },
+        in_transaction: false,
+    });
+    assert_eq!(actions[0], RequestAction::Discard);
+    assert!(matches!(actions[2], RequestAction::Wait { .. }));
+    let answer = status(Role::Primary, 2, 130, &[]);
+    let now = life.now;
+    life.table
+        .observe(now, &group(), &DatabaseName::new("b"), &answer);
+    assert_eq!(life.acquire(RequestEvent::ViewChanged), "b");
+}
+
+#[test]
+fn a_held_write_is_refused_at_its_deadline_and_not_before() {
+    let mut life = Life::new(WRITE, at(2, 10));
+    let actions = life.feed(RequestEvent::Begin);
+    assert!(matches!(actions[..], [RequestAction::Wait { .. }]));
+    life.now = Timestamp::from_millis(999);
+    let actions = life.feed(RequestEvent::TimerFired);
+    assert!(matches!(actions[..], [RequestAction::Wait { until }] if until.0 == 1_000_000));
+    life.now = Timestamp::from_millis(1_000);
+    assert_eq!(
+        finished(life.feed(RequestEvent::TimerFired)),
+        [RequestAction::Refuse {
+            refusal: Refusal::NoPrimary
+        }]
+    );
+}
+
+#[test]
+fn a_draining_primary_gets_no_new_work() {
+    let mut life = Life::new(WRITE, at(1, 10));
+    life.table.configure(
+        &group(),
+        ReadPreference::Replica,
+        ["a", "b", "c"].map(|name| Member {
+            name: DatabaseName::new(name),
+            proximity: Proximity::SameZone,
+            draining: name == "a",
+        }),
+    );
+    let actions = life.feed(RequestEvent::Begin);
+    assert!(matches!(actions[..], [RequestAction::Wait { .. }]));
+}
+
+/// A step of a random life.
+#[derive(Clone, Debug)]
+struct Step {
+    event: RequestEvent,
+    pause: u64,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let names = ["a", "b", "c"].map(DatabaseName::new);
+        let database = random.choose(&names).cloned().unwrap_or_default();
+        let roles = [Role::Primary, Role::Replica];
+        let role = *random.choose(&roles).unwrap_or(&Role::Primary);
+        let numbers = [1, 90, 130];
+        let mut number = || *random.choose(&numbers).unwrap_or(&1);
+        let answer = status(
+            role,
+            (number() % 2) as u32 + 1,
+            number(),
+            &[("b", number())],
+        );
+        let position = Position::new(1, number());
+        let events = [
+            RequestEvent::TermVerified { position },
+            RequestEvent::VerifyFailed,
+            RequestEvent::LeaseGranted {
+                database: database.clone(),
+            },
+            RequestEvent::LeaseRefused {
+                database,
+                refusal: Refusal::NoDatabase,
+            },
+            RequestEvent::CheckAnswered {
+                status: answer.clone(),
+            },
+            RequestEvent::UnitFinished {
+                result: UnitResult::Succeeded,
+                in_transaction: bool::arbitrary(random),
+            },
+            RequestEvent::NextUnit { unit: WRITE },
+            RequestEvent::ProbeAnswered { status: answer },
+            RequestEvent::ConnectionLost,
+            RequestEvent::ViewChanged,
+            RequestEvent::TimerFired,
+        ];
+        Step {
+            event: random
+                .choose(&events)
+                .cloned()
+                .unwrap_or(RequestEvent::Begin),
+            pause: u64::from(u8::arbitrary(random)) * 100,
+        }
+    }
+}
+
+/// Runs a random life and tells the first rule it breaks.
+fn broken_rule(unit: Unit, steps: &[Step]) -> Option<&'static str> {
+    let mut life = Life::new(unit, at(1, 50));
+    let mut holds_connection = false;
+    let mut sent_commit = false;
+    let mut finals = 0;
+    let mut handled = |life: &mut Life, event: RequestEvent| -> Option<&'static str> {
+        let over = life.machine.is_finished();
+        if matches!(event, RequestEvent::LeaseGranted { .. }) && holds_connection {
+            return None;
+        }
+        let evidence = matches!(&event, RequestEvent::ProbeAnswered { status }
+            if status.role == Role::Primary && status.flushed[0].position >= status.position
+                && status.position > Lsn(0));
+        for action in life.feed(event) {
+            if over {
+                return Some("an action after the end");
+            }
+            match action {
+                RequestAction::Send { probe, .. } => {
+                    holds_connection = true;
+                    sent_commit = probe;
+                }
+                RequestAction::Release { .. } if !holds_connection => {
+                    return Some("released what was not held");
+                }
+                RequestAction::Release { .. } => holds_connection = false,
+                RequestAction::Discard if sent_commit && unit.access == Access::Write => {
+                    sent_commit = false;
+                }
+                RequestAction::Refuse { .. } if sent_commit => {
+                    return Some("told `not run` of what may have run");
+                }
+                RequestAction::Acknowledge { .. } if !evidence => {
+                    return Some("acknowledged without evidence");
+                }
+                RequestAction::Acknowledge { .. } => sent_commit = false,
+                RequestAction::Finished => finals += 1,
+                _ => {}
+            }
+        }
+        (finals > 1).then_some("ended twice")
+    };
+    if let Some(rule) = handled(&mut life, RequestEvent::Begin) {
+        return Some(rule);
+    }
+    for step in steps {
+        life.now = Timestamp(life.now.0 + step.pause);
+        if let Some(rule) = handled(&mut life, step.event.clone()) {
+            return Some(rule);
+        }
+    }
+    (life.machine.is_finished() && holds_connection).then_some("a connection leaked")
+}
+
+#[test]
+fn random_lives_keep_the_rules() {
+    for seed in 0..4_000 {
+        let mut random = Gen::from_size_and_seed(40, seed);
+        let steps = Vec::<Step>::arbitrary(&mut random);
+        for unit in [READ, WRITE, BEGIN] {
+            assert_eq!(broken_rule(unit, &steps), None, "seed {seed}, {steps:?}");
+        }
+    }
+}
--- a/crates/transport/src/shared.rs
+++ b/crates/transport/src/shared.rs
@@ -9,7 +9,7 @@
 use hookpoint_coordination::explain::{Decision, ExplainRing};
 use hookpoint_coordination::status::BackendStatus;
 use hookpoint_coordination::terms::{GroupView, Member, Proximity, TermTable};
-use hookpoint_state::{Bundle, DatabaseName, GroupName, SessionId, Timestamp, ZoneName};
+use hookpoint_state::{Bundle, DatabaseName, GroupName, SessionId, Term, Timestamp, ZoneName};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
 
@@ -127,6 +127,14 @@
         }
     }
 
+    /// Learns from an authentic source, such as a session's token, that `group` has
+    /// reached `term`; its older primaries are not trusted any more.
+    pub fn learn_term(&self, group: &GroupName, term: Term) {
+        if self.terms.write().learn_term(group, term) {
+            self.view_changes.send_modify(|count| *count += 1);
+        }
+    }
+
     /// Marks a database as not answering and wakes waiting requests.
     pub fn unreachable(&self, group: &GroupName, database: &DatabaseName) {
         self.terms.write().unreachable(group, database);
