Add the workload's sessions and the load tool's core

Cause: the demo and the measurements need callers that behave as the deployments' applications do, through an ordinary client library. Change: sessions that last, retry what did not run, resubmit not-repeatable writes under their identifier and roam with or without their token; the mixes of both deployments; an audit that reads the primaries directly; open and closed loop load without coordinated omission.

--- a/lab/workload/src/checker.rs
+++ b/lab/workload/src/checker.rs
@@ -530,7 +530,11 @@
     fn check_stops(&mut self) {
         let history = self.history;
         for record in &history.records {
-            if !matches!(record.result, OperationResult::ConnectionLost) {
+            let broken = matches!(
+                record.result,
+                OperationResult::ConnectionLost | OperationResult::NotCommitted { sqlstate: None }
+            );
+            if !broken {
                 continue;
             }
             let cut = history
--- a/lab/workload/src/lib.rs
+++ b/lab/workload/src/lib.rs
@@ -6,6 +6,12 @@
 //! compares with what the databases hold in the end.
 #![forbid(unsafe_code)]
 
+pub mod application;
+pub mod audit;
 pub mod checker;
+pub mod connection;
 pub mod deployment;
 pub mod history;
+pub mod load;
+pub mod session;
+pub mod sql;
--- /dev/null
+++ b/lab/workload/src/sql.rs
@@ -0,0 +1,147 @@
+//! The statements of the workload, in SQL that PostgreSQL and the stand-in both take.
+
+use crate::deployment::Application;
+use crate::history::{SessionNumber, WriteKind};
+
+/// Table of billing rows.
+pub const BILLING_TABLE: &str = "billing_lines";
+
+/// Statements that create the tables of a deployment.
+pub fn schema(application: Application) -> Vec<String> {
+    let table = table(application);
+    vec![
+        format!(
+            "create table {table} (session bigint not null, sequence bigint not null, \
+             attempt bigint not null, kind text not null, body text not null)"
+        ),
+        format!("create index {table}_session on {table} (session, sequence)"),
+        format!(
+            "create table {BILLING_TABLE} (session bigint not null, run bigint not null, \
+             attempt bigint not null, line bigint not null, amount bigint not null)"
+        ),
+        format!("create index {BILLING_TABLE}_run on {BILLING_TABLE} (session, run)"),
+        "create table hookpoint.request_ledger (request_id text primary key)".to_owned(),
+    ]
+}
+
+/// Table of single-statement writes.
+pub fn table(application: Application) -> &'static str {
+    match application {
+        Application::Messaging => "messages",
+        Application::Metering => "readings",
+    }
+}
+
+/// One row of a single-statement write.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryWrite<'a> {
+    /// Session that writes.
+    pub session: SessionNumber,
+    /// Its sequence.
+    pub sequence: u64,
+    /// Attempt, from 1.
+    pub attempt: u32,
+    /// Kind of write.
+    pub kind: WriteKind,
+    /// Request identifier of a write that is not repeatable.
+    pub request: Option<&'a str>,
+}
+
+impl EntryWrite<'_> {
+    /// The statement.
+    pub fn statement(&self, application: Application) -> String {
+        let comment = match self.request {
+            Some(request) => format!(" /*request_id='{request}'*/"),
+            None => String::new(),
+        };
+        format!(
+            "insert into {} (session, sequence, attempt, kind, body) \
+             values ({}, {}, {}, '{}', 'text of {}'){comment}",
+            table(application),
+            self.session.0,
+            self.sequence,
+            self.attempt,
+            self.kind.as_str(),
+            self.sequence,
+        )
+    }
+}
+
+/// Reads the latest `limit` sequences of `session`, echoes `nonce` and says whether a
+/// replica answered. Always answers at least one row.
+pub fn read_own(
+    application: Application,
+    session: SessionNumber,
+    nonce: &str,
+    limit: usize,
+) -> String {
+    format!(
+        "select '{nonce}' as echo, pg_is_in_recovery() as replica, latest.sequence \
+         from (select 1 as one) as base left join (select sequence from {} \
+         where session = {} order by sequence desc limit {limit}) as latest on true \
+         order by latest.sequence desc",
+        table(application),
+        session.0,
+    )
+}
+
+/// Reads the highest sequence of `subject`, echoes `nonce` and says whether a replica
+/// answered. Always answers one row.
+pub fn read_other(application: Application, subject: SessionNumber, nonce: &str) -> String {
+    format!(
+        "select '{nonce}' as echo, pg_is_in_recovery() as replica, max(sequence) as sequence \
+         from {} where session = {}",
+        table(application),
+        subject.0,
+    )
+}
+
+/// One row of a billing run.
+#[derive(Clone, Copy, Debug)]
+pub struct BillingLine {
+    /// Session of the run.
+    pub session: SessionNumber,
+    /// The run.
+    pub run: u64,
+    /// Attempt, from 1.
+    pub attempt: u32,
+    /// Line, from 1.
+    pub line: u32,
+}
+
+impl BillingLine {
+    /// Inserts the row.
+    pub fn insert(&self) -> String {
+        format!(
+            "insert into {BILLING_TABLE} (session, run, attempt, line, amount) \
+             values ({}, {}, {}, {}, {})",
+            self.session.0,
+            self.run,
+            self.attempt,
+            self.line,
+            u64::from(self.line) * 100,
+        )
+    }
+
+    /// Counts the rows of the run and names the connection that answers.
+    pub fn count(&self) -> String {
+        format!(
+            "select count(*) as counted, pg_backend_pid() as backend from {BILLING_TABLE} \
+             where session = {} and run = {} and attempt = {}",
+            self.session.0, self.run, self.attempt,
+        )
+    }
+}
+
+/// Reads all rows of single-statement writes.
+pub fn audit_entries(application: Application) -> String {
+    format!(
+        "select session, sequence, attempt from {}",
+        table(application)
+    )
+}
+
+/// Reads all rows of billing runs.
+pub fn audit_lines() -> String {
+    format!("select session, run, attempt, line from {BILLING_TABLE}")
+}
