Let a node reach an address by another one

Change: a table of replacements in the shared tables, empty unless filled. Conclusion: nobody resolves addresses through it yet.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,5 +2,6 @@
 //! decides. Nothing here decides.
 #![forbid(unsafe_code)]
 
+pub mod address;
 pub mod lease;
 pub mod shared;
--- a/crates/transport/src/shared.rs
+++ b/crates/transport/src/shared.rs
@@ -13,6 +13,8 @@
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
 
+use crate::address::AddressTable;
+
 /// Entries the explain record keeps.
 const EXPLAIN_CAPACITY: usize = 8_192;
 
@@ -20,6 +22,8 @@
 pub struct Shared {
     /// Zone of this node.
     pub zone: ZoneName,
+    /// Addresses that this node reaches by another address.
+    pub addresses: AddressTable,
     origin: Instant,
     bundle: RwLock<Option<Arc<Bundle>>>,
     terms: RwLock<TermTable>,
@@ -33,6 +37,7 @@
     pub fn new(zone: ZoneName) -> Self {
         Self {
             zone,
+            addresses: AddressTable::default(),
             origin: Instant::now(),
             bundle: RwLock::new(None),
             terms: RwLock::new(TermTable::new()),
