Add membership, home nodes and the spread of terms

Cause: the proxies of a fleet have to find each other, to agree on who holds a database's connections, and to tell each other of new primaries.

Change: coordination::membership is a SWIM-like machine over datagrams (probes, indirect probes, suspicion, incarnations, leaving, tombstones, digests that reveal differing tables, pages that compare them). A death is believed only of a member that was suspected before; otherwise the member itself is asked, so that the merge of a healed cut kills nobody. coordination::home finds homes by rendezvous hashing and keeps those this node might have up to date incrementally. coordination::node composes both with the spread of leadership changes.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,6 +6,9 @@
 #![forbid(unsafe_code)]
 
 pub mod explain;
+pub mod home;
+pub mod membership;
+pub mod node;
 pub mod request;
 pub mod status;
 pub mod terms;
--- /dev/null
+++ b/crates/coordination/src/membership/gossip.rs
@@ -0,0 +1,170 @@
+//! Sending datagrams, with claims on their back, and bursts of gossip.
+
+use std::time::Duration;
+
+use hookpoint_state::{NodeId, Timestamp};
+
+use super::datagram::{Datagram, DatagramBody};
+use super::machine::{Membership, MembershipAction};
+use super::member::{MemberState, MemberUpdate};
+use super::settings::MembershipSettings;
+
+/// Bytes of a datagram besides its updates: IP and UDP headers, sealing, sender.
+pub const DATAGRAM_OVERHEAD_BYTES: usize = 140;
+/// Members that are told at once when this node leaves.
+const LEAVING_FANOUT: usize = 8;
+/// Incarnations at which a claim carries zone, region and address: those of joining
+/// members. Who misses them asks.
+const INTRODUCING_INCARNATIONS: u32 = 0;
+
+/// A bucket of bytes that fills at a constant rate.
+#[derive(Clone, Debug)]
+pub struct ByteBudget {
+    available: f64,
+    per_second: f64,
+    burst: f64,
+    filled_at: Timestamp,
+}
+
+impl ByteBudget {
+    /// A full bucket.
+    pub fn new(now: Timestamp, settings: &MembershipSettings) -> Self {
+        let burst = f64::from(settings.gossip_burst_bytes);
+        Self {
+            available: burst,
+            per_second: f64::from(settings.gossip_bytes_per_second),
+            burst,
+            filled_at: now,
+        }
+    }
+
+    /// Whether `bytes` may be sent now. What is taken may overdraw the bucket.
+    pub fn allows(&mut self, now: Timestamp) -> bool {
+        let passed: Duration = now.since(self.filled_at);
+        self.filled_at = now;
+        let filled = self.available + passed.as_secs_f64() * self.per_second;
+        self.available = filled.min(self.burst);
+        self.available > 0.0
+    }
+
+    /// Takes `bytes` out.
+    pub fn take(&mut self, bytes: usize) {
+        self.available -= bytes as f64;
+    }
+}
+
+impl Membership {
+    /// Sends to a member, with as many queued claims as a probe has room for.
+    pub(super) fn send(
+        &mut self,
+        to: NodeId,
+        body: DatagramBody,
+        with_info: bool,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let updates = self.take_updates(to, self.settings.probe_update_bytes);
+        self.send_with(to, body, with_info, updates, actions);
+    }
+
+    /// Sends to a member with exactly these claims.
+    pub(super) fn send_with(
+        &mut self,
+        to: NodeId,
+        body: DatagramBody,
+        with_info: bool,
+        updates: Vec<MemberUpdate>,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(member) = self.table.get(to) else {
+            return;
+        };
+        let datagram = Datagram {
+            sender: self.sender(with_info),
+            receiver: Some(to),
+            body,
+            updates,
+        };
+        actions.push(MembershipAction::Send {
+            to: member.info.address,
+            datagram: Box::new(datagram),
+        });
+    }
+
+    /// Claims for `to`: first what is held against itself, so that it can deny it, and
+    /// then queued ones, up to `room` bytes.
+    fn take_updates(&mut self, to: NodeId, room: usize) -> Vec<MemberUpdate> {
+        let mut updates = Vec::new();
+        let mut used = 0;
+        if let Some(member) = self.table.get(to)
+            && matches!(member.state, MemberState::Suspect | MemberState::Dead)
+        {
+            updates.push(member.update(false));
+            used += updates[0].encoded_bound();
+        }
+        let mut sent = Vec::new();
+        for node in self.queue.iter() {
+            let Some(update) = self.queued_update(node) else {
+                sent.push(node);
+                continue;
+            };
+            used += update.encoded_bound();
+            if used > room {
+                break;
+            }
+            if node != to {
+                updates.push(update);
+                sent.push(node);
+            }
+        }
+        let limit = self.retransmissions();
+        for node in sent {
+            self.queue.sent(node, limit);
+        }
+        updates
+    }
+
+    fn queued_update(&self, node: NodeId) -> Option<MemberUpdate> {
+        if node == self.own.node {
+            return Some(self.own_update());
+        }
+        let member = self.table.get(node)?;
+        let introduce = member.incarnation == INTRODUCING_INCARNATIONS
+            && matches!(member.state, MemberState::Alive | MemberState::Leaving);
+        Some(member.update(introduce))
+    }
+
+    /// How often a change is passed on by one node.
+    fn retransmissions(&self) -> u32 {
+        let members = self.table.present() as u32 + 1;
+        let logarithm = u32::BITS - members.leading_zeros();
+        self.settings.retransmit_factor * logarithm
+    }
+
+    /// Sends queued claims to a few members at random, within the budget.
+    pub(super) fn gossip(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
+        self.gossip_to(now, self.settings.gossip_fanout, actions);
+    }
+
+    /// Tells a number of members at once that this node is leaving.
+    pub(super) fn announce_leaving(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
+        self.gossip_to(now, LEAVING_FANOUT, actions);
+    }
+
+    fn gossip_to(&mut self, now: Timestamp, fanout: usize, actions: &mut Vec<MembershipAction>) {
+        if self.queue.is_empty() {
+            return;
+        }
+        for node in self.draw_members(fanout, None) {
+            if !self.budget.allows(now) {
+                return;
+            }
+            let updates = self.take_updates(node, self.settings.update_bytes);
+            if updates.is_empty() {
+                continue;
+            }
+            let bytes: usize = updates.iter().map(MemberUpdate::encoded_bound).sum();
+            self.budget.take(bytes + DATAGRAM_OVERHEAD_BYTES);
+            self.send_with(node, DatagramBody::Gossip, false, updates, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/membership/receive.rs
@@ -0,0 +1,276 @@
+//! Taking datagrams.
+
+use hookpoint_state::{NodeId, Timestamp};
+
+use super::datagram::{Datagram, DatagramBody, Sender};
+use super::machine::{Membership, MembershipAction};
+use super::member::{MemberState, MemberUpdate};
+
+/// Members looked up in one datagram.
+const MAXIMUM_LOOKUP: usize = 32;
+
+impl Membership {
+    pub(super) fn receive(
+        &mut self,
+        now: Timestamp,
+        datagram: Datagram,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if datagram.sender.node == self.own.node {
+            return;
+        }
+        if datagram.receiver != Some(self.own.node) {
+            self.answer_stray(&datagram, actions);
+            return;
+        }
+        self.heard_at = now;
+        self.observe_sender(now, &datagram.sender, actions);
+        let Datagram {
+            sender,
+            body,
+            updates,
+            ..
+        } = datagram;
+        let joining = self.sync.as_ref().is_some_and(|sync| sync.joining);
+        let spread = !(joining && matches!(body, DatagramBody::SyncPage { .. }));
+        let unknown = self.take_claims(now, &updates, spread, actions);
+        self.act(now, sender.node, body, &updates, actions);
+        if !unknown.is_empty() {
+            let body = DatagramBody::Lookup { nodes: unknown };
+            self.send_with(sender.node, body, true, Vec::new(), actions);
+        }
+        if sender.digest != self.digest() && self.queue.is_empty() {
+            self.start_sync(now, sender.node, false, actions);
+        }
+    }
+
+    /// Answers a datagram that is not bound to this node. It changes nothing here.
+    fn answer_stray(&self, datagram: &Datagram, actions: &mut Vec<MembershipAction>) {
+        let Some(info) = &datagram.sender.info else {
+            return;
+        };
+        let body = match (&datagram.body, datagram.receiver) {
+            (DatagramBody::Hello, None) => DatagramBody::Welcome,
+            (DatagramBody::Ping { .. }, Some(target)) => DatagramBody::NotHere { target },
+            _ => return,
+        };
+        let answer = Datagram {
+            sender: self.sender(true),
+            receiver: Some(datagram.sender.node),
+            body,
+            updates: Vec::new(),
+        };
+        actions.push(MembershipAction::Send {
+            to: info.address,
+            datagram: Box::new(answer),
+        });
+    }
+
+    /// Takes what a datagram says of its sender, who is alive beyond doubt.
+    fn observe_sender(
+        &mut self,
+        now: Timestamp,
+        sender: &Sender,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let state = if sender.leaving {
+            MemberState::Leaving
+        } else {
+            MemberState::Alive
+        };
+        let Some(member) = self.table.get(sender.node) else {
+            if let Some(info) = &sender.info
+                && info.node == sender.node
+            {
+                self.add(now, info, (sender.incarnation, state), true, actions);
+                self.observe_version(sender, actions);
+            }
+            return;
+        };
+        if member.overridden_by(sender.incarnation, state) {
+            let returned = member.state == MemberState::Dead;
+            let claim = (sender.incarnation, state);
+            self.change(now, sender.node, claim, false, actions);
+            if returned {
+                // A cut has healed, or nearly so: compare tables soon.
+                self.sync_allowed_at = self.sync_allowed_at.min(now);
+                self.start_sync(now, sender.node, false, actions);
+            }
+        } else if matches!(member.state, MemberState::Suspect | MemberState::Dead) {
+            // It has not heard what is held against it.
+            self.accuse(sender.node);
+        }
+        self.observe_version(sender, actions);
+    }
+
+    fn observe_version(&mut self, sender: &Sender, actions: &mut Vec<MembershipAction>) {
+        let Some(member) = self.table.get_mut(sender.node) else {
+            return;
+        };
+        self.refresh.remove(&sender.node);
+        if sender.bundle > member.bundle {
+            member.bundle = sender.bundle;
+            actions.push(MembershipAction::VersionSeen {
+                node: sender.node,
+                version: sender.bundle,
+            });
+        }
+    }
+
+    /// Merges claims. Returns members that are claimed to be there but not known.
+    fn take_claims(
+        &mut self,
+        now: Timestamp,
+        updates: &[MemberUpdate],
+        spread: bool,
+        actions: &mut Vec<MembershipAction>,
+    ) -> Vec<NodeId> {
+        let mut unknown = Vec::new();
+        for update in updates {
+            if update.node == self.own.node {
+                self.hear_of_self(update);
+            } else if self.table.get(update.node).is_some() {
+                self.take_claim(now, update, actions);
+            } else if let Some(info) = update
+                .info
+                .as_ref()
+                .filter(|info| info.node == update.node && update.state != MemberState::Dead)
+            {
+                let claim = (update.incarnation, update.state);
+                self.add(now, info, claim, spread, actions);
+            } else if update.state != MemberState::Dead && unknown.len() < MAXIMUM_LOOKUP {
+                unknown.push(update.node);
+            }
+        }
+        unknown
+    }
+
+    /// Merges a claim about a known member.
+    ///
+    /// A death is believed only of a member that was suspected here before, and so had
+    /// its chance to deny it. Otherwise the member is asked: it may be dead only to
+    /// the far side of a cut that has just healed.
+    fn take_claim(
+        &mut self,
+        now: Timestamp,
+        update: &MemberUpdate,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(member) = self.table.get(update.node) else {
+            return;
+        };
+        if !member.overridden_by(update.incarnation, update.state) {
+            return;
+        }
+        let trusted = matches!(member.state, MemberState::Suspect | MemberState::Leaving);
+        if update.state == MemberState::Dead && !trusted {
+            if member.state != MemberState::Dead {
+                self.accuse(update.node);
+            }
+            return;
+        }
+        let claim = (update.incarnation, update.state);
+        self.change(now, update.node, claim, false, actions);
+    }
+
+    fn act(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        body: DatagramBody,
+        updates: &[MemberUpdate],
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        match body {
+            DatagramBody::Hello | DatagramBody::Gossip => {}
+            DatagramBody::Welcome => self.welcomed(now, from, actions),
+            DatagramBody::Ping { probe } => {
+                self.send(from, DatagramBody::Ack { probe }, false, actions);
+            }
+            DatagramBody::Ack { probe } => self.probe_answered(from, probe, actions),
+            DatagramBody::NotHere { target } => self.not_here(now, from, target, actions),
+            DatagramBody::PingRequest { probe, target, .. } => {
+                self.relay_probe(now, (from, probe), target, actions);
+            }
+            DatagramBody::IndirectAck { probe } => self.probe_answered_indirectly(probe),
+            DatagramBody::Lookup { nodes } => self.answer_lookup(from, &nodes, actions),
+            DatagramBody::SyncRequest { after, with_info } => {
+                self.send_page(from, after, with_info, actions);
+            }
+            DatagramBody::SyncPage { after, next } => {
+                let corrections = self.corrections(updates);
+                self.take_page(now, from, (after, next), corrections, actions);
+            }
+        }
+    }
+
+    fn welcomed(&mut self, now: Timestamp, from: NodeId, actions: &mut Vec<MembershipAction>) {
+        let joining = self.table.present() <= 1;
+        if joining {
+            self.sync_allowed_at = self.sync_allowed_at.min(now);
+        }
+        self.start_sync(now, from, joining, actions);
+        self.probe_now(now, from, actions);
+    }
+
+    /// Another node has taken the address of `target`, which is therefore gone.
+    fn not_here(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        target: NodeId,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let (Some(speaker), Some(member)) = (self.table.get(from), self.table.get(target)) else {
+            return;
+        };
+        let same_place = speaker.info.address == member.info.address;
+        if !same_place || member.state == MemberState::Dead {
+            return;
+        }
+        let claim = (member.incarnation, MemberState::Dead);
+        self.probes.retain(|_, probe| probe.target != target);
+        self.change(now, target, claim, false, actions);
+    }
+
+    fn answer_lookup(
+        &mut self,
+        from: NodeId,
+        nodes: &[NodeId],
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let mut room = self.settings.update_bytes;
+        let mut updates = Vec::new();
+        for node in nodes.iter().take(MAXIMUM_LOOKUP) {
+            let Some(member) = self.table.get(*node) else {
+                continue;
+            };
+            let update = member.update(true);
+            let Some(left) = room.checked_sub(update.encoded_bound()) else {
+                break;
+            };
+            room = left;
+            updates.push(update);
+        }
+        self.send_with(from, DatagramBody::Gossip, false, updates, actions);
+    }
+
+    fn corrections(&mut self, updates: &[MemberUpdate]) -> Vec<MemberUpdate> {
+        let mut room = self.settings.update_bytes;
+        let mut corrections = Vec::new();
+        for update in updates {
+            let Some(correction) = self.correction(update) else {
+                continue;
+            };
+            if correction.state == MemberState::Dead {
+                // The peer may be right. Ask the member itself.
+                self.accuse(update.node);
+            }
+            if let Some(left) = room.checked_sub(correction.encoded_bound()) {
+                room = left;
+                corrections.push(correction);
+            }
+        }
+        corrections
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/membership/ring.rs
@@ -0,0 +1,52 @@
+//! A shuffled round robin over members.
+
+use hookpoint_state::NodeId;
+use rand::Rng;
+use rand::seq::SliceRandom;
+
+/// Members in random order with a cursor; shuffled again after each round. Removal is
+/// lazy: whoever draws skips members that are no longer wanted.
+#[derive(Clone, Debug, Default)]
+pub struct ProbeRing {
+    nodes: Vec<NodeId>,
+    cursor: usize,
+}
+
+impl ProbeRing {
+    /// Adds a member at a random place of what is left of the round.
+    pub fn insert(&mut self, node: NodeId, random: &mut impl Rng) {
+        self.nodes.push(node);
+        let last = self.nodes.len() - 1;
+        let place = random.random_range(self.cursor.min(last)..=last);
+        self.nodes.swap(place, last);
+    }
+
+    /// The next member that `wanted` accepts. Others are dropped from the ring.
+    pub fn next(
+        &mut self,
+        random: &mut impl Rng,
+        mut wanted: impl FnMut(NodeId) -> bool,
+    ) -> Option<NodeId> {
+        while !self.nodes.is_empty() {
+            if self.cursor >= self.nodes.len() {
+                self.cursor = 0;
+                self.nodes.shuffle(random);
+            }
+            let node = self.nodes[self.cursor];
+            if wanted(node) {
+                self.cursor += 1;
+                return Some(node);
+            }
+            self.nodes.swap_remove(self.cursor);
+        }
+        None
+    }
+
+    /// A member at random. It may be one that is no longer wanted.
+    pub fn random(&self, random: &mut impl Rng) -> Option<NodeId> {
+        if self.nodes.is_empty() {
+            return None;
+        }
+        Some(self.nodes[random.random_range(0..self.nodes.len())])
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/membership/table.rs
@@ -0,0 +1,243 @@
+//! The table of members with its digest and rings.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hookpoint_state::{NodeId, Timestamp};
+use rand::Rng;
+
+use super::member::{Member, MemberInfo, MemberState};
+use super::ring::ProbeRing;
+
+/// How near a member is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Nearness {
+    /// In the same zone.
+    Zone,
+    /// In another zone of the same region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+/// Other members by identifier. This node itself is not in it.
+#[derive(Clone, Debug)]
+pub struct MemberTable {
+    own: Arc<MemberInfo>,
+    members: BTreeMap<NodeId, Member>,
+    addresses: BTreeMap<SocketAddr, NodeId>,
+    rings: [ProbeRing; 3],
+    dead: BTreeSet<(Timestamp, NodeId)>,
+    present: usize,
+    digest: u64,
+}
+
+/// Share of a member in the digest: a fixed mix of identifier, incarnation and whether
+/// it is leaving. Suspicions pass too quickly to count.
+fn digest_of(node: NodeId, incarnation: u32, leaving: bool) -> u64 {
+    let mut value = node.0 ^ (u64::from(incarnation) << 1 | u64::from(leaving)).rotate_left(32);
+    // The finalizer of SplitMix64.
+    value = (value ^ (value >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    value = (value ^ (value >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    value ^ (value >> 31)
+}
+
+impl MemberTable {
+    /// A table of nobody else.
+    pub fn new(own: Arc<MemberInfo>) -> Self {
+        Self {
+            own,
+            members: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            rings: Default::default(),
+            dead: BTreeSet::new(),
+            present: 0,
+            digest: 0,
+        }
+    }
+
+    /// A member, dead ones included.
+    pub fn get(&self, node: NodeId) -> Option<&Member> {
+        self.members.get(&node)
+    }
+
+    /// A member's record, to change what is not its state.
+    pub fn get_mut(&mut self, node: NodeId) -> Option<&mut Member> {
+        self.members.get_mut(&node)
+    }
+
+    /// Members that are not dead.
+    pub fn present(&self) -> usize {
+        self.present
+    }
+
+    /// Members in the order of their identifiers, dead ones included.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Members behind `after` in the order of their identifiers.
+    pub fn behind(&self, after: Option<NodeId>) -> impl Iterator<Item = &Member> {
+        let start = after.map_or(std::ops::Bound::Unbounded, std::ops::Bound::Excluded);
+        self.members
+            .range((start, std::ops::Bound::Unbounded))
+            .map(|(_, member)| member)
+    }
+
+    /// Digest of the members that are not dead, this node included.
+    pub fn digest(&self, own_incarnation: u32, leaving: bool) -> u64 {
+        self.digest ^ digest_of(self.own.node, own_incarnation, leaving)
+    }
+
+    /// Whether a member that is not dead has this address.
+    pub fn has_address(&self, address: SocketAddr) -> bool {
+        address == self.own.address
+            || self
+                .addresses
+                .get(&address)
+                .and_then(|node| self.members.get(node))
+                .is_some_and(|member| member.state != MemberState::Dead)
+    }
+
+    /// How near a member is.
+    pub fn nearness(&self, info: &MemberInfo) -> Nearness {
+        if info.zone == self.own.zone {
+            Nearness::Zone
+        } else if info.region == self.own.region {
+            Nearness::Region
+        } else {
+            Nearness::Far
+        }
+    }
+
+    /// Adds a member that is not known.
+    pub fn insert(&mut self, mut member: Member, random: &mut impl Rng) {
+        let node = member.info.node;
+        self.addresses.insert(member.info.address, node);
+        if member.state == MemberState::Dead {
+            self.dead.insert((member.changed_at, node));
+        } else {
+            self.present += 1;
+            self.enter_ring(&mut member, random);
+            self.digest ^= digest_of(
+                node,
+                member.incarnation,
+                member.state == MemberState::Leaving,
+            );
+        }
+        self.members.insert(node, member);
+    }
+
+    /// Replaces the state of a known member.
+    pub fn change(
+        &mut self,
+        now: Timestamp,
+        node: NodeId,
+        (incarnation, state): (u32, MemberState),
+        private: bool,
+        random: &mut impl Rng,
+    ) {
+        let Some(member) = self.members.get_mut(&node) else {
+            return;
+        };
+        let before = (member.incarnation, member.state);
+        let changed_at = member.changed_at;
+        member.incarnation = incarnation;
+        member.state = state;
+        member.private = private;
+        member.changed_at = now;
+        let address = member.info.address;
+        if before.1 == MemberState::Dead {
+            self.dead.remove(&(changed_at, node));
+        } else {
+            self.digest ^= digest_of(node, before.0, before.1 == MemberState::Leaving);
+        }
+        if state == MemberState::Dead {
+            self.dead.insert((now, node));
+            if before.1 != MemberState::Dead {
+                self.present -= 1;
+            }
+        } else {
+            self.digest ^= digest_of(node, incarnation, state == MemberState::Leaving);
+            if before.1 == MemberState::Dead {
+                self.addresses.insert(address, node);
+                self.present += 1;
+                self.return_to_ring(node, random);
+            }
+        }
+    }
+
+    fn return_to_ring(&mut self, node: NodeId, random: &mut impl Rng) {
+        if let Some(mut member) = self.members.remove(&node) {
+            self.enter_ring(&mut member, random);
+            self.members.insert(node, member);
+        }
+    }
+
+    fn enter_ring(&mut self, member: &mut Member, random: &mut impl Rng) {
+        if !member.in_ring {
+            member.in_ring = true;
+            let ring = self.nearness(&member.info) as usize;
+            self.rings[ring].insert(member.info.node, random);
+        }
+    }
+
+    /// Forgets members that died before `before`.
+    pub fn forget_dead(&mut self, before: Timestamp) {
+        while let Some((died_at, node)) = self.dead.first().copied() {
+            if died_at >= before {
+                return;
+            }
+            self.dead.remove(&(died_at, node));
+            if let Some(member) = self.members.remove(&node)
+                && self.addresses.get(&member.info.address) == Some(&node)
+            {
+                self.addresses.remove(&member.info.address);
+            }
+        }
+    }
+
+    /// Whether dead members are remembered.
+    pub fn has_dead(&self) -> bool {
+        !self.dead.is_empty()
+    }
+
+    /// A dead member at random, drawn by time of death.
+    pub fn random_dead(&self, random: &mut impl Rng) -> Option<NodeId> {
+        let (first, _) = *self.dead.first()?;
+        let (last, _) = *self.dead.last()?;
+        let drawn = Timestamp(random.random_range(first.0..=last.0));
+        let pivot = NodeId(random.random());
+        let later = self.dead.range((drawn, pivot)..).next();
+        later.or_else(|| self.dead.first()).map(|(_, node)| *node)
+    }
+
+    /// The next member of a ring that is not dead.
+    pub fn next_in(&mut self, nearness: Nearness, random: &mut impl Rng) -> Option<NodeId> {
+        let members = &mut self.members;
+        let ring = &mut self.rings[nearness as usize];
+        ring.next(random, |node| {
+            let present = is_present(members, node);
+            if !present && let Some(member) = members.get_mut(&node) {
+                member.in_ring = false;
+            }
+            present
+        })
+    }
+
+    /// A member at random that is not dead, from a ring.
+    pub fn random_in(&self, nearness: Nearness, random: &mut impl Rng) -> Option<NodeId> {
+        let ring = &self.rings[nearness as usize];
+        const ATTEMPTS: usize = 4;
+        (0..ATTEMPTS)
+            .filter_map(|_| ring.random(random))
+            .find(|node| is_present(&self.members, *node))
+    }
+}
+
+fn is_present(members: &BTreeMap<NodeId, Member>, node: NodeId) -> bool {
+    members
+        .get(&node)
+        .is_some_and(|member| member.state != MemberState::Dead)
+}
--- /dev/null
+++ b/crates/coordination/src/node/machine.rs
@@ -0,0 +1,372 @@
+//! The node machine.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hookpoint_state::{Bundle, DatabaseName, GroupName, NodeId, Timestamp};
+use rand_chacha::ChaCha8Rng;
+
+use super::event::{NodeAction, NodeEvent, PlatformMachine};
+use super::message::{LeadershipNews, PeerMessage};
+use super::spread::Spread;
+use crate::home::HomeTable;
+use crate::membership::{
+    MemberInfo, MemberState, Membership, MembershipAction, MembershipEvent, MembershipSettings,
+};
+
+/// Groups accepted in one subscription.
+const MAXIMUM_SUBSCRIBED_GROUPS: usize = 256;
+
+/// Where a request for a connection goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// This node is the home.
+    Here,
+    /// Another node is.
+    Peer {
+        /// The node.
+        node: NodeId,
+        /// Where its links are.
+        address: SocketAddr,
+    },
+}
+
+/// Membership, homes and spread of one node.
+#[derive(Clone, Debug)]
+pub struct NodeMachine {
+    membership: Membership,
+    homes: HomeTable,
+    spread: Spread,
+    groups: BTreeMap<GroupName, Vec<DatabaseName>>,
+    leaving_machines: BTreeSet<SocketAddr>,
+    scratch: Vec<MembershipAction>,
+}
+
+impl NodeMachine {
+    /// A node alone and without a bundle.
+    pub fn new(
+        now: Timestamp,
+        settings: MembershipSettings,
+        own: MemberInfo,
+        random: ChaCha8Rng,
+    ) -> Self {
+        let mut homes = HomeTable::new(own.node);
+        homes.add(own.node, &own.zone, &own.region);
+        Self {
+            homes,
+            membership: Membership::new(now, settings, own, random),
+            spread: Spread::default(),
+            groups: BTreeMap::new(),
+            leaving_machines: BTreeSet::new(),
+            scratch: Vec::new(),
+        }
+    }
+
+    /// Takes an event and appends the actions it causes to `actions`.
+    pub fn handle(&mut self, now: Timestamp, event: NodeEvent, actions: &mut Vec<NodeAction>) {
+        match event {
+            NodeEvent::Seeds(seeds) => self.tell(now, MembershipEvent::Seeds(seeds), actions),
+            NodeEvent::Datagram(datagram) => {
+                self.tell(now, MembershipEvent::Datagram(datagram), actions);
+            }
+            NodeEvent::PeerMessage { from, message } => {
+                self.take_message(now, from, message, actions);
+            }
+            NodeEvent::PeerLost(node) => self.tell(now, MembershipEvent::ProbeNow(node), actions),
+            NodeEvent::Timer => self.run_timers(now, actions),
+            NodeEvent::PlatformMachines(machines) => {
+                self.take_machines(now, machines, actions);
+            }
+            NodeEvent::BundleInstalled(bundle) => self.configure(now, &bundle, actions),
+            NodeEvent::LeadershipObserved(news) => self.push_news(now, None, &news, actions),
+            NodeEvent::GroupUsed(group) => self.note_use(now, &group, None, actions),
+            NodeEvent::VersionsRequested(version) => {
+                self.tell(now, MembershipEvent::RefreshVersions(version), actions);
+            }
+            NodeEvent::StopRequested => self.stop(now, actions),
+        }
+    }
+
+    /// When [`NodeEvent::Timer`] is due.
+    pub fn next_wake(&self) -> Timestamp {
+        let renewal = self.spread.next_deadline();
+        renewal
+            .into_iter()
+            .fold(self.membership.next_wake(), Timestamp::min)
+    }
+
+    /// The membership.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Whether this node is home of `database`.
+    pub fn is_home(&self, database: &DatabaseName) -> bool {
+        self.homes.is_home(database)
+    }
+
+    /// Databases that this node is home of.
+    pub fn held(&self) -> impl Iterator<Item = &DatabaseName> {
+        self.homes.held()
+    }
+
+    /// Where a session's request for a connection to `database` goes first. Notes that
+    /// the group is used.
+    pub fn route(
+        &mut self,
+        now: Timestamp,
+        group: &GroupName,
+        database: &DatabaseName,
+        actions: &mut Vec<NodeAction>,
+    ) -> Option<Route> {
+        let home = self.homes.home_of(database);
+        self.note_use(now, group, home, actions);
+        self.route_to(home?)
+    }
+
+    /// Where the request goes when `failed` could not take it: the next choice of the
+    /// rendezvous, at last this node itself.
+    pub fn route_after(&self, database: &DatabaseName, failed: &[NodeId]) -> Option<Route> {
+        if !self.homes.knows(database) {
+            return None;
+        }
+        let choices = self.homes.choices(database, failed.len() + 1);
+        let next = choices.into_iter().find(|node| !failed.contains(node));
+        next.and_then(|node| self.route_to(node))
+            .or(Some(Route::Here))
+    }
+
+    fn route_to(&self, node: NodeId) -> Option<Route> {
+        if node == self.membership.own().node {
+            return Some(Route::Here);
+        }
+        let address = self.address_of(node)?;
+        Some(Route::Peer { node, address })
+    }
+
+    /// Address of a member.
+    pub fn address_of(&self, node: NodeId) -> Option<SocketAddr> {
+        self.membership
+            .member(node)
+            .map(|member| member.info.address)
+    }
+
+    fn tell(&mut self, now: Timestamp, event: MembershipEvent, actions: &mut Vec<NodeAction>) {
+        let mut caused = std::mem::take(&mut self.scratch);
+        self.membership.handle(now, event, &mut caused);
+        for action in caused.drain(..) {
+            match action {
+                MembershipAction::Send { to, datagram } => {
+                    actions.push(NodeAction::SendDatagram { to, datagram });
+                }
+                MembershipAction::MemberChanged { info, state } => {
+                    self.member_changed(now, info, state, actions);
+                }
+                MembershipAction::VersionSeen { node, version } => {
+                    actions.push(NodeAction::PeerVersionSeen { node, version });
+                }
+            }
+        }
+        self.scratch = caused;
+    }
+
+    fn member_changed(
+        &mut self,
+        now: Timestamp,
+        info: Arc<MemberInfo>,
+        state: MemberState,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        self.update_candidate(&info, state, actions);
+        if !state.takes_work() {
+            for group in self.spread.subscribed_to(info.node) {
+                self.renew(now, &group, actions);
+            }
+        }
+        actions.push(NodeAction::MemberChanged { info, state });
+    }
+
+    fn update_candidate(
+        &mut self,
+        info: &MemberInfo,
+        state: MemberState,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        let takes_work = state.takes_work() && !self.leaving_machines.contains(&info.address);
+        let changes = if takes_work {
+            self.homes.add(info.node, &info.zone, &info.region)
+        } else {
+            self.homes.remove(info.node)
+        };
+        actions.extend(changes.into_iter().map(NodeAction::HomeChanged));
+    }
+
+    fn take_machines(
+        &mut self,
+        now: Timestamp,
+        machines: Vec<PlatformMachine>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        let leaving = machines.iter().filter(|machine| machine.leaving);
+        self.leaving_machines = leaving.map(|machine| machine.address).collect();
+        let staying = machines.iter().filter(|machine| !machine.leaving);
+        let addresses = staying.map(|machine| machine.address).collect();
+        self.tell(now, MembershipEvent::Hints(addresses), actions);
+        self.update_candidates(actions);
+    }
+
+    fn update_candidates(&mut self, actions: &mut Vec<NodeAction>) {
+        let others = self.membership.members();
+        let mut states: Vec<(Arc<MemberInfo>, MemberState)> = others
+            .map(|member| (member.info.clone(), member.state))
+            .collect();
+        let own_state = if self.membership.is_leaving() {
+            MemberState::Leaving
+        } else {
+            MemberState::Alive
+        };
+        states.push((self.membership.own().clone(), own_state));
+        for (info, state) in states {
+            self.update_candidate(&info, state, actions);
+        }
+    }
+
+    fn configure(&mut self, now: Timestamp, bundle: &Bundle, actions: &mut Vec<NodeAction>) {
+        self.groups.clear();
+        for (name, database) in &bundle.databases {
+            let members = self.groups.entry(database.group.clone()).or_default();
+            members.push(name.clone());
+        }
+        let groups = &self.groups;
+        self.spread.retain(|group| groups.contains_key(group));
+        let databases = bundle
+            .databases
+            .iter()
+            .map(|(name, database)| (name, &database.zone, bundle.region_of(&database.zone)));
+        let changes = self.homes.configure(databases);
+        actions.extend(changes.into_iter().map(NodeAction::HomeChanged));
+        self.tell(now, MembershipEvent::BundleInForce(bundle.version), actions);
+    }
+
+    fn run_timers(&mut self, now: Timestamp, actions: &mut Vec<NodeAction>) {
+        self.tell(now, MembershipEvent::Timer, actions);
+        while let Some(group) = self.spread.due(now) {
+            self.renew(now, &group, actions);
+        }
+    }
+
+    fn stop(&mut self, now: Timestamp, actions: &mut Vec<NodeAction>) {
+        self.tell(now, MembershipEvent::Leave, actions);
+        let own = self.membership.own().clone();
+        self.update_candidate(&own, MemberState::Leaving, actions);
+    }
+
+    fn homes_of_group(&mut self, group: &GroupName) -> BTreeSet<NodeId> {
+        let own = self.membership.own().node;
+        let databases = self.groups.get(group).map_or(&[][..], Vec::as_slice);
+        let homes = databases
+            .iter()
+            .filter_map(|database| self.homes.home_of(database));
+        homes.filter(|home| *home != own).collect()
+    }
+
+    fn note_use(
+        &mut self,
+        now: Timestamp,
+        group: &GroupName,
+        home: Option<NodeId>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        if !self.groups.contains_key(group) {
+            return;
+        }
+        let own = self.membership.own().node;
+        let home = home.filter(|home| *home != own);
+        if self.spread.note_use(now, group, home) {
+            self.renew(now, group, actions);
+        }
+    }
+
+    fn renew(&mut self, now: Timestamp, group: &GroupName, actions: &mut Vec<NodeAction>) {
+        let homes = self.homes_of_group(group);
+        let known = self.spread.renew(now, group, homes.clone());
+        for to in homes {
+            let message = PeerMessage::Subscribe(vec![known.clone()]);
+            actions.push(NodeAction::SendPeer { to, message });
+        }
+    }
+
+    fn take_message(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        message: PeerMessage,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        match message {
+            PeerMessage::LeadershipChange(news) => {
+                self.take_news(now, from, &news, actions);
+            }
+            PeerMessage::Subscribe(groups) => {
+                for news in groups.iter().take(MAXIMUM_SUBSCRIBED_GROUPS) {
+                    self.take_subscription(now, from, news, actions);
+                }
+            }
+        }
+    }
+
+    fn take_subscription(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        news: &LeadershipNews,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        if !self.groups.contains_key(&news.group) {
+            return;
+        }
+        self.spread.subscribe(now, &news.group, from);
+        self.take_news(now, from, news, actions);
+        let known = self.spread.known(&news.group);
+        if known.is_newer_than(news) {
+            let message = PeerMessage::LeadershipChange(known);
+            actions.push(NodeAction::SendPeer { to: from, message });
+        }
+    }
+
+    fn take_news(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        news: &LeadershipNews,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        let known = self.spread.known(&news.group);
+        if !self.groups.contains_key(&news.group) || !news.is_newer_than(&known) {
+            return;
+        }
+        actions.push(NodeAction::LeadershipLearned(news.clone()));
+        self.push_news(now, Some(from), news, actions);
+    }
+
+    /// Passes news on to the homes of the group's databases and, on a home, to those
+    /// who asked for them.
+    fn push_news(
+        &mut self,
+        now: Timestamp,
+        from: Option<NodeId>,
+        news: &LeadershipNews,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        if !self.groups.contains_key(&news.group) || !self.spread.learn(news) {
+            return;
+        }
+        let mut receivers = self.homes_of_group(&news.group);
+        receivers.extend(self.spread.subscribers(now, &news.group));
+        for to in receivers.into_iter().filter(|to| Some(*to) != from) {
+            let message = PeerMessage::LeadershipChange(news.clone());
+            actions.push(NodeAction::SendPeer { to, message });
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/tests/network/mod.rs
@@ -0,0 +1,278 @@
+//! A small network in virtual time that drives memberships.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hookpoint_coordination::membership::{
+    Datagram, MemberInfo, MemberState, Membership, MembershipAction, MembershipEvent,
+    MembershipSettings,
+};
+use hookpoint_state::{NodeId, RegionName, Timestamp, ZoneName};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// What is due at some time.
+enum Due {
+    Arrival(SocketAddr, Box<Datagram>),
+    Timer(NodeId),
+}
+
+/// One node and what was seen of it.
+pub struct Node {
+    pub membership: Membership,
+    pub zone: usize,
+    pub bytes_sent: u64,
+    pub deaths: Vec<(Timestamp, NodeId)>,
+    paused_until: Timestamp,
+    timer: Timestamp,
+}
+
+/// The network and all nodes.
+pub struct Network {
+    pub now: Timestamp,
+    pub nodes: BTreeMap<NodeId, Node>,
+    /// Loss in one of this many datagrams; none at zero.
+    pub loss_one_in: u32,
+    /// Pairs of zones that do not reach each other.
+    pub cut: BTreeSet<(usize, usize)>,
+    zones_per_region: usize,
+    addresses: BTreeMap<SocketAddr, NodeId>,
+    queue: BTreeMap<(Timestamp, u64), Due>,
+    sequence: u64,
+    random: ChaCha8Rng,
+    settings: MembershipSettings,
+}
+
+/// Bytes of sealing, IP and UDP around a datagram.
+const WRAPPING_BYTES: u64 = 73;
+
+impl Network {
+    pub fn new(seed: u64, zones_per_region: usize) -> Self {
+        Self {
+            now: Timestamp::from_millis(1_000),
+            nodes: BTreeMap::new(),
+            loss_one_in: 0,
+            cut: BTreeSet::new(),
+            zones_per_region,
+            addresses: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            settings: MembershipSettings::default(),
+        }
+    }
+
+    pub fn address(index: u16) -> SocketAddr {
+        SocketAddr::from(([10, 0, (index >> 8) as u8, index as u8], 7_000))
+    }
+
+    /// Starts a process at the address of `index`; an earlier one there is gone.
+    pub fn start(&mut self, index: u16, zone: usize, seeds: &[u16]) -> NodeId {
+        let node = NodeId(self.random.random());
+        let address = Self::address(index);
+        if let Some(earlier) = self.addresses.insert(address, node) {
+            self.nodes.remove(&earlier);
+        }
+        let info = MemberInfo {
+            node,
+            zone: ZoneName::new(format!("zone-{zone}")),
+            region: RegionName::new(format!("region-{}", zone / self.zones_per_region)),
+            address,
+        };
+        let random = ChaCha8Rng::seed_from_u64(self.random.random());
+        let membership = Membership::new(self.now, self.settings.clone(), info, random);
+        self.nodes.insert(
+            node,
+            Node {
+                membership,
+                zone,
+                bytes_sent: 0,
+                deaths: Vec::new(),
+                paused_until: Timestamp::default(),
+                timer: Timestamp(u64::MAX),
+            },
+        );
+        let seeds = seeds.iter().map(|seed| Self::address(*seed)).collect();
+        self.handle(node, MembershipEvent::Seeds(seeds));
+        node
+    }
+
+    /// A node vanishes.
+    pub fn kill(&mut self, node: NodeId) {
+        self.nodes.remove(&node);
+    }
+
+    /// A node does nothing for a while.
+    pub fn pause(&mut self, node: NodeId, time: Duration) {
+        let until = self.now + time;
+        self.nodes
+            .get_mut(&node)
+            .expect("the node runs")
+            .paused_until = until;
+    }
+
+    pub fn handle(&mut self, id: NodeId, event: MembershipEvent) {
+        let mut actions = Vec::new();
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        node.membership.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                MembershipAction::Send { to, datagram } => self.send(id, to, datagram),
+                MembershipAction::MemberChanged { info, state } => {
+                    if state == MemberState::Dead
+                        && let Some(node) = self.nodes.get_mut(&id)
+                    {
+                        node.deaths.push((self.now, info.node));
+                    }
+                }
+                MembershipAction::VersionSeen { .. } => {}
+            }
+        }
+        let wake = self.nodes[&id].membership.next_wake().max(self.now);
+        if wake != self.nodes[&id].timer {
+            self.nodes.get_mut(&id).expect("the node runs").timer = wake;
+            self.push(wake, Due::Timer(id));
+        }
+    }
+
+    fn push(&mut self, at: Timestamp, due: Due) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), due);
+    }
+
+    fn send(&mut self, from: NodeId, to: SocketAddr, datagram: Box<Datagram>) {
+        let bytes = postcard::to_stdvec(&datagram).expect("it encodes");
+        assert!(
+            bytes.len() as u64 + WRAPPING_BYTES - 28 <= 1_400,
+            "{} bytes",
+            bytes.len()
+        );
+        let sender = self.nodes.get_mut(&from).expect("the sender runs");
+        sender.bytes_sent += bytes.len() as u64 + WRAPPING_BYTES;
+        let zone = sender.zone;
+        if self.loss_one_in > 0 && self.random.random_ratio(1, self.loss_one_in) {
+            return;
+        }
+        let Some(target) = self.addresses.get(&to).and_then(|id| self.nodes.get(id)) else {
+            return;
+        };
+        let pair = (zone.min(target.zone), zone.max(target.zone));
+        if self.cut.contains(&pair) {
+            return;
+        }
+        let latency = match (
+            pair.0 == pair.1,
+            pair.0 / self.zones_per_region == pair.1 / self.zones_per_region,
+        ) {
+            (true, _) => 300,
+            (false, true) => 1_500,
+            (false, false) => 20_000,
+        };
+        let jitter = self.random.random_range(0..latency / 2);
+        let at = self.now + Duration::from_micros(latency + jitter);
+        self.push(at, Due::Arrival(to, datagram));
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(entry) = self.queue.first_entry() {
+            let (at, _) = *entry.key();
+            if at > end {
+                break;
+            }
+            let due = entry.remove();
+            self.now = self.now.max(at);
+            self.deliver(due);
+        }
+        self.now = end;
+    }
+
+    fn deliver(&mut self, due: Due) {
+        let id = match &due {
+            Due::Arrival(to, _) => self.addresses.get(to).copied(),
+            Due::Timer(id) => Some(*id),
+        };
+        let Some(node) = id.and_then(|id| self.nodes.get(&id)) else {
+            return;
+        };
+        if node.paused_until > self.now {
+            let until = node.paused_until;
+            self.push(until, due);
+            return;
+        }
+        let Some(id) = id else { return };
+        match due {
+            Due::Arrival(_, datagram) => self.handle(id, MembershipEvent::Datagram(datagram)),
+            Due::Timer(_) => {
+                if node.timer == self.now || node.membership.next_wake() <= self.now {
+                    self.handle(id, MembershipEvent::Timer);
+                }
+            }
+        }
+    }
+
+    /// Whether every node sees exactly the others that run, all of them alive.
+    pub fn agrees(&self) -> bool {
+        self.nodes.iter().all(|(id, node)| {
+            let seen: BTreeSet<NodeId> = node
+                .membership
+                .members()
+                .filter(|member| member.state == MemberState::Alive)
+                .map(|member| member.info.node)
+                .collect();
+            seen.len() + 1 == self.nodes.len()
+                && self
+                    .nodes
+                    .keys()
+                    .all(|other| other == id || seen.contains(other))
+        })
+    }
+
+    /// Runs in steps until [`Network::agrees`]; returns the time it took.
+    pub fn run_until_agreed(&mut self, limit: Duration) -> Option<Duration> {
+        const STEP: Duration = Duration::from_millis(250);
+        let mut passed = Duration::ZERO;
+        while !self.agrees() {
+            if passed >= limit {
+                return None;
+            }
+            self.run(STEP);
+            passed += STEP;
+        }
+        Some(passed)
+    }
+
+    /// State of `of` as `by` sees it.
+    pub fn state(&self, by: NodeId, of: NodeId) -> Option<MemberState> {
+        self.nodes[&by]
+            .membership
+            .member(of)
+            .map(|member| member.state)
+    }
+
+    /// Verdicts of death on nodes that run.
+    pub fn false_deaths(&self) -> usize {
+        self.nodes
+            .values()
+            .flat_map(|node| &node.deaths)
+            .filter(|(_, dead)| self.nodes.contains_key(dead))
+            .count()
+    }
+
+    /// Bytes sent per node and second since the last call, over `time`.
+    pub fn take_rates(&mut self, time: Duration) -> (f64, f64) {
+        let count = self.nodes.len() as f64;
+        let mut sum = 0.0;
+        let mut most: f64 = 0.0;
+        for node in self.nodes.values_mut() {
+            let rate = std::mem::take(&mut node.bytes_sent) as f64 / time.as_secs_f64();
+            sum += rate;
+            most = most.max(rate);
+        }
+        (sum / count, most)
+    }
+}
