--- a/lab/workload/src/lib.rs
+++ b/lab/workload/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod checker;
 pub mod connection;
 pub mod deployment;
+pub mod failover;
 pub mod history;
 pub mod load;
 pub mod session;
