Classify statements, and read and write errors, statuses and SCRAM

The caller and the database connections need to know what a statement provably is, what a database's status row says, how an error is told to a caller and how either side authenticates.

- classify: texts are split by the tokenizer of sqlparser, utility statements are read from their tokens, and queries are proved to be reads by a walk over the syntax tree with an allow-list of functions, operators and types.
What is not proved is a write with unknown effects.
Classifications are kept in a bounded cache.
- errors: refusals and unknown outcomes as ErrorResponse messages with the outcome in DETAIL; fields of a database's error, read without panics.
- status_query: the query and the reader of its answer.

--- /dev/null
+++ b/crates/protocol/src/classify/text.rs
@@ -0,0 +1,81 @@
+//! A text split into statements of tokens.
+
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::tokenizer::{Token, Tokenizer, TokenizerError, Whitespace};
+
+/// One statement: its tokens without white space and comments.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StatementTokens {
+    /// The tokens.
+    pub(super) tokens: Vec<Token>,
+}
+
+/// A whole text.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SplitText {
+    /// Statements in order; empty ones are left out.
+    pub(super) statements: Vec<StatementTokens>,
+    /// Bodies of its block comments.
+    pub(super) comments: Vec<String>,
+}
+
+/// Splits `sql` at its semicolons.
+pub(super) fn split(sql: &str) -> Result<SplitText, TokenizerError> {
+    let tokens = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize()?;
+    let mut result = SplitText::default();
+    let mut current = StatementTokens::default();
+    for token in tokens {
+        match token {
+            Token::SemiColon => result.push(std::mem::take(&mut current)),
+            Token::Whitespace(Whitespace::MultiLineComment(body)) => result.comments.push(body),
+            Token::Whitespace(_) | Token::EOF => {}
+            token => current.tokens.push(token),
+        }
+    }
+    result.push(current);
+    Ok(result)
+}
+
+impl SplitText {
+    fn push(&mut self, statement: StatementTokens) {
+        if !statement.tokens.is_empty() {
+            self.statements.push(statement);
+        }
+    }
+}
+
+impl StatementTokens {
+    /// The unquoted word at `index` in lower case; empty where there is none.
+    pub(super) fn word(&self, index: usize) -> String {
+        match self.tokens.get(index) {
+            Some(Token::Word(word)) if word.quote_style.is_none() => word.value.to_lowercase(),
+            _ => String::new(),
+        }
+    }
+
+    /// Whether the statement starts with these words.
+    pub(super) fn starts_with(&self, words: &[&str]) -> bool {
+        words
+            .iter()
+            .enumerate()
+            .all(|(index, word)| self.word(index) == *word)
+    }
+
+    /// Whether these words stand next to each other anywhere, outside quotes.
+    pub(super) fn contains(&self, words: &[&str]) -> bool {
+        (0..self.tokens.len()).any(|start| {
+            words
+                .iter()
+                .enumerate()
+                .all(|(index, word)| self.word(start + index) == *word)
+        })
+    }
+
+    /// Names of everything written like a call, quoted or not, in lower case.
+    pub(super) fn called_names(&self) -> impl Iterator<Item = String> {
+        self.tokens.windows(2).filter_map(|pair| match pair {
+            [Token::Word(word), Token::LParen] => Some(word.value.to_lowercase()),
+            _ => None,
+        })
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,4 +4,8 @@
 #![forbid(unsafe_code)]
 
 pub mod backend_command;
+pub mod classify;
+pub mod errors;
 pub mod frame;
+pub mod scram;
+pub mod status_query;
