Add bundle approval, deltas and the platform client

Bundles had types only. They now have rules whose breaches name line, key and reason, a canonical encoding with its digest, approvals over version and digest, and deltas that compose. The platform client speaks the etcd JSON mapping and its errors say whether a request ran.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod frame;
 pub mod scram;
 pub mod status_query;
+pub mod platform;
--- a/crates/state/src/bundle.rs
+++ b/crates/state/src/bundle/mod.rs
@@ -1,6 +1,22 @@
 //! The configuration bundle: groups, databases, routing preferences, limits and back
 //! ends to drain, as one versioned document.
 
+mod delta;
+mod digest;
+mod parse;
+mod signature;
+#[cfg(test)]
+mod tests;
+mod validate;
+
+pub use delta::{BundleDelta, DeltaError, MapDelta, SetDelta};
+pub use digest::{BundleDigest, ParseDigestError};
+pub use parse::{BundleProblem, BundleProblems, parse_bundle};
+pub use signature::{
+    BundleSignature, KeyError, KeyId, OperatorKey, SignatureError, SignedBundle, TrustedKeys,
+};
+pub use validate::BundleReason;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -8,7 +24,8 @@
 
 use crate::names::{DatabaseName, GroupName, RegionName, TenantName, ZoneName};
 
-/// Version of a bundle. Rolling a bundle gives it a version above every earlier one.
+/// Version of a bundle. Preparing a bundle gives it a version above every earlier one;
+/// the signature covers it, and the one in force never gives way to a lower one.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -19,7 +36,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Bundle {
-    /// Version, set when the bundle is rolled; 0 in a document being prepared.
+    /// Version, set when the bundle is prepared; 0 in a document that is being written.
     #[serde(default)]
     pub version: BundleVersion,
     /// Free text for operators.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod bundle;
+pub mod document;
 pub mod names;
 pub mod outcome;
 pub mod position;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod address;
 pub mod lease;
+pub mod platform;
 pub mod shared;
--- /dev/null
+++ b/crates/transport/src/platform/mod.rs
@@ -0,0 +1,12 @@
+//! Client of the platform's key-value service (etcd v3 by JSON over HTTP).
+//!
+//! The client belongs to the thread that made it. Every error says whether the request
+//! ran, so that a caller knows when it may simply ask again.
+
+mod client;
+mod error;
+mod watch;
+
+pub use client::{DEFAULT_REQUEST_TIMEOUT, PlatformClient};
+pub use error::PlatformError;
+pub use watch::{Watch, WatchEvent};
