--- a/crates/transport/src/lease.rs
+++ b/crates/transport/src/lease.rs
@@ -2,7 +2,9 @@
 
 use async_trait::async_trait;
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
-use hookpoint_state::{DatabaseName, GroupName, Refusal, SessionId, TenantName, ZoneName};
+use hookpoint_state::{
+    DatabaseName, GroupName, Position, Refusal, SessionId, TenantName, ZoneName,
+};
 use tokio::sync::mpsc;
 
 /// Commands a lease buffers towards its connection.
@@ -49,3 +51,11 @@
     /// A [`Refusal`]; nothing ran.
     async fn acquire(&self, request: AcquireRequest) -> Result<BackendLease, Refusal>;
 }
+
+/// Asks groups for their terms.
+#[async_trait]
+pub trait TermVerifier: Send + Sync {
+    /// Asks a majority of `group` for its term, starting after the call. Returns the
+    /// position of the verified primary, or none if no majority confirmed one.
+    async fn verify(&self, group: &GroupName) -> Option<Position>;
+}
