Add the rollout machine

A few nodes of a zone watch the platform; the others hear a version number and pull the change from a holder, spread at random and with bounded serving.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod membership;
 pub mod node;
 pub mod request;
+pub mod rollout;
 pub mod status;
 pub mod terms;
--- /dev/null
+++ b/crates/coordination/src/rollout/machine.rs
@@ -0,0 +1,368 @@
+//! The rollout machine of one node.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hookpoint_state::{BundleVersion, NodeId, Timestamp};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::event::{ChangeSource, RolloutAction, RolloutEvent};
+use super::holders::Holders;
+use super::message::RolloutMessage;
+use super::serving::ServeLimit;
+use super::store::{BundleStore, ChangeError};
+
+/// Nodes of a zone that watch the platform.
+pub const WATCHERS_PER_ZONE: usize = 2;
+/// Longest wait before the first pull of a version, so that its first holders are not
+/// asked by everyone at once.
+const PULL_SPREAD: Duration = Duration::from_millis(40);
+/// Longest wait before another holder is asked after a busy one.
+const BUSY_PAUSE: Duration = Duration::from_millis(60);
+/// Longest wait for the answer to a pull.
+const PULL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Shortest and longest pause between attempts to read the platform.
+const FETCH_PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(5));
+/// Longest wait for the platform's answer before the attempt counts as failed.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a node without any bundle waits for word from its peers before it asks the
+/// platform itself; the actual wait is between this and twice this.
+const LONELY_WAIT: Duration = Duration::from_millis(500);
+
+/// The pull from a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pull {
+    Idle,
+    Planned {
+        at: Timestamp,
+        avoid: Option<NodeId>,
+    },
+    Asked {
+        node: NodeId,
+        deadline: Timestamp,
+    },
+}
+
+/// The reading of the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fetch {
+    Idle,
+    Planned { at: Timestamp },
+    Asked { deadline: Timestamp },
+}
+
+/// One node's part in the spread of bundles.
+#[derive(Clone, Debug)]
+pub struct RolloutMachine<Store> {
+    store: Store,
+    random: ChaCha8Rng,
+    watching: bool,
+    platform_version: BundleVersion,
+    holders: Holders,
+    serving: ServeLimit,
+    pull: Pull,
+    /// Ask for the whole bundle next, since a change did not fit.
+    pull_whole: bool,
+    fetch: Fetch,
+    fetch_failures: u32,
+}
+
+impl<Store: BundleStore> RolloutMachine<Store> {
+    /// A node that has just started with what `store` holds, usually nothing.
+    pub fn new(now: Timestamp, store: Store, mut random: ChaCha8Rng) -> Self {
+        let lonely = LONELY_WAIT + LONELY_WAIT.mul_f64(random.random());
+        let fetch = if store.version() == BundleVersion(0) {
+            Fetch::Planned { at: now + lonely }
+        } else {
+            Fetch::Idle
+        };
+        Self {
+            store,
+            random,
+            watching: false,
+            platform_version: BundleVersion(0),
+            holders: Holders::default(),
+            serving: ServeLimit::default(),
+            pull: Pull::Idle,
+            pull_whole: false,
+            fetch,
+            fetch_failures: 0,
+        }
+    }
+
+    /// The store.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    /// Whether this node watches the platform.
+    pub fn is_watching(&self) -> bool {
+        self.watching
+    }
+
+    /// Takes an event and appends the actions it causes to `actions`.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        event: RolloutEvent,
+        actions: &mut Vec<RolloutAction>,
+    ) {
+        match event {
+            RolloutEvent::ZoneRank(rank) => self.set_rank(rank, actions),
+            RolloutEvent::PlatformVersion(version) => {
+                self.take_platform_version(now, version, actions);
+            }
+            RolloutEvent::PlatformChange(change) => {
+                self.take_platform_change(now, &change, actions);
+            }
+            RolloutEvent::PlatformFailed => self.plan_fetch_again(now),
+            RolloutEvent::PeerVersion { node, version } => {
+                self.take_peer_version(now, node, version);
+            }
+            RolloutEvent::PeerGone(node) => self.lose_peer(now, node),
+            RolloutEvent::PeerMessage { from, message } => {
+                self.take_message(now, from, message, actions);
+            }
+            RolloutEvent::Timer => self.run_timers(now, actions),
+        }
+    }
+
+    /// When [`RolloutEvent::Timer`] is due, if at all.
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        let pull = match self.pull {
+            Pull::Idle => None,
+            Pull::Planned { at, .. } => Some(at),
+            Pull::Asked { deadline, .. } => Some(deadline),
+        };
+        let fetch = match self.fetch {
+            Fetch::Idle => None,
+            Fetch::Planned { at } => Some(at),
+            Fetch::Asked { deadline } => Some(deadline),
+        };
+        pull.into_iter().chain(fetch).min()
+    }
+
+    fn set_rank(&mut self, rank: usize, actions: &mut Vec<RolloutAction>) {
+        let watching = rank < WATCHERS_PER_ZONE;
+        if watching != self.watching {
+            self.watching = watching;
+            actions.push(RolloutAction::WatchPlatform(watching));
+        }
+    }
+
+    fn take_platform_version(
+        &mut self,
+        now: Timestamp,
+        version: BundleVersion,
+        actions: &mut Vec<RolloutAction>,
+    ) {
+        self.platform_version = version.max(self.platform_version);
+        let waiting = matches!(self.fetch, Fetch::Asked { .. });
+        if version > self.store.version() && !waiting {
+            self.fetch_now(now, actions);
+        }
+    }
+
+    fn take_platform_change(
+        &mut self,
+        now: Timestamp,
+        change: &[u8],
+        actions: &mut Vec<RolloutAction>,
+    ) {
+        self.fetch = Fetch::Idle;
+        let accepted = self.take_change(now, change, ChangeSource::Platform, actions);
+        if !accepted || self.platform_version > self.store.version() {
+            self.plan_fetch_again(now);
+        } else {
+            self.fetch_failures = 0;
+        }
+    }
+
+    /// Plans another reading of the platform as long as one is of use.
+    fn plan_fetch_again(&mut self, now: Timestamp) {
+        let held = self.store.version();
+        let needed = held == BundleVersion(0) || self.platform_version > held;
+        if !needed {
+            self.fetch = Fetch::Idle;
+            self.fetch_failures = 0;
+            return;
+        }
+        let (shortest, longest) = FETCH_PAUSE;
+        let factor = 1_u32 << self.fetch_failures.min(8);
+        let pause = (shortest * factor).min(longest);
+        self.fetch_failures += 1;
+        let at = now + pause.mul_f64(0.5 + self.random.random::<f64>());
+        self.fetch = Fetch::Planned { at };
+    }
+
+    fn fetch_now(&mut self, now: Timestamp, actions: &mut Vec<RolloutAction>) {
+        self.fetch = Fetch::Asked {
+            deadline: now + FETCH_TIMEOUT,
+        };
+        actions.push(RolloutAction::FetchFromPlatform);
+    }
+
+    fn take_peer_version(&mut self, now: Timestamp, node: NodeId, version: BundleVersion) {
+        if version <= self.store.version() {
+            return;
+        }
+        self.holders.note(node, version);
+        if self.pull == Pull::Idle {
+            self.plan_pull(now, PULL_SPREAD, None);
+        }
+    }
+
+    fn plan_pull(&mut self, now: Timestamp, spread: Duration, avoid: Option<NodeId>) {
+        self.pull = if self.holders.is_empty() {
+            Pull::Idle
+        } else {
+            let at = now + spread.mul_f64(self.random.random());
+            Pull::Planned { at, avoid }
+        };
+    }
+
+    fn lose_peer(&mut self, now: Timestamp, node: NodeId) {
+        self.holders.remove(node);
+        if matches!(self.pull, Pull::Asked { node: asked, .. } if asked == node) {
+            self.plan_pull(now, Duration::ZERO, None);
+        }
+    }
+
+    fn take_message(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        message: RolloutMessage,
+        actions: &mut Vec<RolloutAction>,
+    ) {
+        if let RolloutMessage::Pull { have } = message {
+            self.serve(now, from, have, actions);
+            return;
+        }
+        let expected = matches!(self.pull, Pull::Asked { node, .. } if node == from);
+        if !expected {
+            return;
+        }
+        match message {
+            RolloutMessage::Change(change) => self.take_pulled(now, from, &change, actions),
+            RolloutMessage::Busy => self.plan_pull(now, BUSY_PAUSE, Some(from)),
+            RolloutMessage::NothingNewer | RolloutMessage::Pull { .. } => {
+                self.holders.remove(from);
+                self.plan_pull(now, BUSY_PAUSE, None);
+            }
+        }
+    }
+
+    fn serve(
+        &mut self,
+        now: Timestamp,
+        to: NodeId,
+        have: BundleVersion,
+        actions: &mut Vec<RolloutAction>,
+    ) {
+        let message = if have >= self.store.version() {
+            RolloutMessage::NothingNewer
+        } else if !self.serving.admit(now) {
+            RolloutMessage::Busy
+        } else {
+            let change = self.store.change_since(have);
+            change.map_or(RolloutMessage::NothingNewer, RolloutMessage::Change)
+        };
+        actions.push(RolloutAction::SendPeer { to, message });
+    }
+
+    fn take_pulled(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        change: &Bytes,
+        actions: &mut Vec<RolloutAction>,
+    ) {
+        self.pull = Pull::Idle;
+        let before = self.store.version();
+        let accepted = self.take_change(now, change, ChangeSource::Peer(from), actions);
+        let retry_whole = !accepted && self.pull_whole;
+        if self.store.version() == before && !retry_whole {
+            self.holders.remove(from);
+        }
+        if self.pull == Pull::Idle {
+            self.plan_pull(now, BUSY_PAUSE, None);
+        }
+    }
+
+    /// Takes a change; false when it was rejected.
+    fn take_change(
+        &mut self,
+        now: Timestamp,
+        change: &[u8],
+        source: ChangeSource,
+        actions: &mut Vec<RolloutAction>,
+    ) -> bool {
+        match self.store.apply(change) {
+            Ok(None) => true,
+            Ok(Some(version)) => {
+                self.after_install(now, version, actions);
+                true
+            }
+            Err(error) => {
+                // A change that does not fit is worth one attempt with the whole bundle.
+                self.pull_whole = !self.pull_whole && matches!(error, ChangeError::Delta(_));
+                actions.push(RolloutAction::Rejected { source, error });
+                false
+            }
+        }
+    }
+
+    fn after_install(
+        &mut self,
+        now: Timestamp,
+        version: BundleVersion,
+        actions: &mut Vec<RolloutAction>,
+    ) {
+        self.pull_whole = false;
+        self.holders.keep_newer_than(version);
+        actions.push(RolloutAction::Install(version));
+        if matches!(self.fetch, Fetch::Planned { .. }) && self.platform_version <= version {
+            self.fetch = Fetch::Idle;
+            self.fetch_failures = 0;
+        }
+        if matches!(self.pull, Pull::Planned { .. }) {
+            self.plan_pull(now, PULL_SPREAD, None);
+        }
+    }
+
+    fn run_timers(&mut self, now: Timestamp, actions: &mut Vec<RolloutAction>) {
+        match self.pull {
+            Pull::Planned { at, avoid } if at <= now => self.ask(now, avoid, actions),
+            Pull::Asked { node, deadline } if deadline <= now => {
+                self.holders.remove(node);
+                self.plan_pull(now, Duration::ZERO, None);
+            }
+            Pull::Idle | Pull::Planned { .. } | Pull::Asked { .. } => {}
+        }
+        match self.fetch {
+            Fetch::Planned { at } if at <= now => self.fetch_now(now, actions),
+            Fetch::Asked { deadline } if deadline <= now => self.plan_fetch_again(now),
+            Fetch::Idle | Fetch::Planned { .. } | Fetch::Asked { .. } => {}
+        }
+    }
+
+    fn ask(&mut self, now: Timestamp, avoid: Option<NodeId>, actions: &mut Vec<RolloutAction>) {
+        let Some(node) = self.holders.choose(avoid, &mut self.random) else {
+            self.pull = Pull::Idle;
+            return;
+        };
+        let have = if self.pull_whole {
+            BundleVersion(0)
+        } else {
+            self.store.version()
+        };
+        self.pull = Pull::Asked {
+            node,
+            deadline: now + PULL_TIMEOUT,
+        };
+        let message = RolloutMessage::Pull { have };
+        actions.push(RolloutAction::SendPeer { to: node, message });
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/rollout/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the rollout machine.
