Add links between zones with latencies and cuts

Cause: callers, proxies, databases and the platform share one loopback interface in the lab, while the deployments have zones 0.5 to 20 ms apart that can be cut off from each other. Change: ZoneLinks keeps latencies, cuts and datagram loss, with presets for both deployments; LinkProxy relays TCP in order with the one-way latency each way, bounded bytes on the way, half-close, stalls or resets at a cut; UdpLink does the same for datagrams with seeded loss and reordering. A timer thread of their own makes latencies finer than the runtime's millisecond.

--- a/lab/standin/src/lib.rs
+++ b/lab/standin/src/lib.rs
@@ -3,4 +3,5 @@
 #![forbid(unsafe_code)]
 
 pub mod database;
+pub mod links;
 pub mod platform;
