Let the databases' consensus run over the links between zones

Cause: a cut between zones has to part the databases as well as the callers. Change: ZoneLinks implements the database stand-in's ZoneNetwork. Conclusion: one set of cuts holds for relays and databases.

--- a/lab/standin/src/links/mod.rs
+++ b/lab/standin/src/links/mod.rs
@@ -3,6 +3,7 @@
 
 mod carry;
 mod datagram;
+mod network;
 mod proxy;
 mod route;
 mod runtime;
--- a/lab/standin/tests/links_zones.rs
+++ b/lab/standin/tests/links_zones.rs
@@ -1,5 +1,6 @@
 //! Latencies and cuts between zones.
 
+use hookpoint_standin::database::ZoneNetwork;
 use hookpoint_standin::links::{CLIENTS, RegionSpacing, ZoneLinks};
 use std::time::Duration;
 
@@ -129,3 +130,16 @@
         }
     }
 }
+
+#[test]
+fn databases_meet_the_same_links() {
+    let links = ZoneLinks::greece(RegionSpacing::Near);
+    let network: &dyn ZoneNetwork = &links;
+    assert_eq!(
+        network.delay("ath-hall", "her-hall"),
+        Duration::from_micros(500)
+    );
+    links.cut_one_way("ath-hall", "her-hall");
+    assert!(network.is_cut("ath-hall", "her-hall"));
+    assert!(!network.is_cut("her-hall", "ath-hall"));
+}
