Add the operators' HTTP endpoint and the platform follower

The endpoint serves metrics, health, the explain record and the fleet's versions. The follower watches the pointer and the list of machines and feeds the rollout machine's driver; the node's own entry in the list is best effort.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,6 +7,6 @@
 pub mod classify;
 pub mod errors;
 pub mod frame;
+pub mod platform;
 pub mod scram;
 pub mod status_query;
-pub mod platform;
--- a/crates/protocol/src/platform/mod.rs
+++ b/crates/protocol/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod error;
 mod kv;
 mod lease;
+pub mod records;
 mod watch;
 
 pub use encoding::Base64Bytes;
--- /dev/null
+++ b/crates/transport/src/admin/mod.rs
@@ -0,0 +1,9 @@
+//! The operators' HTTP endpoint: `/metrics`, `/health`, `/explain` and `/fleet`.
+
+mod metrics;
+mod server;
+mod status;
+
+pub use metrics::SharedCollector;
+pub use server::{AdminError, AdminHandle, AdminState, start_admin};
+pub use status::{FleetSource, FleetStatus, Health, NodeStatus, Readiness};
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod address;
+pub mod admin;
 pub mod lease;
 pub mod platform;
 pub mod shared;
--- a/crates/transport/src/platform/mod.rs
+++ b/crates/transport/src/platform/mod.rs
@@ -5,8 +5,16 @@
 
 mod client;
 mod error;
+mod follower;
+mod registration;
+mod retry;
+mod rollout;
 mod watch;
 
 pub use client::{DEFAULT_REQUEST_TIMEOUT, PlatformClient};
 pub use error::PlatformError;
+pub use follower::{PlatformCommand, PlatformEvent, PlatformFollower};
+pub use registration::{Registration, register};
+pub use retry::Backoff;
+pub use rollout::{RolloutDriver, RolloutHandle, RolloutLinks};
 pub use watch::{Watch, WatchEvent};
--- /dev/null
+++ b/crates/transport/src/platform/rollout.rs
@@ -0,0 +1,149 @@
+//! Drives the rollout machine of one node: carries its actions out towards the
+//! platform, the other nodes and the shared tables.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hookpoint_coordination::rollout::{
+    RolloutAction, RolloutEvent, RolloutMachine, RolloutMessage, SignedStore,
+};
+use hookpoint_state::bundle::TrustedKeys;
+use hookpoint_state::{NodeId, Timestamp};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::mpsc;
+
+use super::follower::{PlatformCommand, PlatformEvent};
+use crate::shared::Shared;
+
+/// Events that may wait.
+const EVENT_CAPACITY: usize = 1_024;
+/// Longest sleep; a machine without a timer sleeps this long.
+const LONGEST_SLEEP: Duration = Duration::from_secs(60);
+
+/// Carries rollout messages to other nodes.
+pub trait RolloutLinks: Send + Sync {
+    /// Sends `message` to `to`, or reports the failure as
+    /// [`RolloutEvent::PeerGone`].
+    fn send(&self, to: NodeId, message: RolloutMessage);
+}
+
+/// Where the driver hears of events.
+#[derive(Clone, Debug)]
+pub struct RolloutHandle {
+    events: mpsc::Sender<RolloutEvent>,
+}
+
+impl RolloutHandle {
+    /// Tells the machine of an event. When the driver is far behind, the event is
+    /// dropped: versions are told again, and pulls have a deadline.
+    pub fn tell(&self, event: RolloutEvent) {
+        if self.events.try_send(event).is_err() {
+            log::debug!("rollout: an event was dropped.");
+        }
+    }
+}
+
+/// The running driver.
+pub struct RolloutDriver {
+    machine: RolloutMachine<SignedStore>,
+    shared: Arc<Shared>,
+    commands: mpsc::Sender<PlatformCommand>,
+    links: Arc<dyn RolloutLinks>,
+}
+
+impl RolloutDriver {
+    /// Starts a driver on this thread. It ends when every handle is gone and the
+    /// platform's events have ended.
+    pub fn start(
+        shared: Arc<Shared>,
+        trusted: TrustedKeys,
+        commands: mpsc::Sender<PlatformCommand>,
+        platform: mpsc::Receiver<PlatformEvent>,
+        links: Arc<dyn RolloutLinks>,
+    ) -> RolloutHandle {
+        let (events, receiver) = mpsc::channel(EVENT_CAPACITY);
+        let random = ChaCha8Rng::seed_from_u64(rand::random());
+        let machine = RolloutMachine::new(shared.now(), SignedStore::new(trusted), random);
+        let driver = Self {
+            machine,
+            shared,
+            commands,
+            links,
+        };
+        actix_rt::spawn(driver.run(receiver, platform));
+        RolloutHandle { events }
+    }
+
+    async fn run(
+        mut self,
+        mut events: mpsc::Receiver<RolloutEvent>,
+        mut platform: mpsc::Receiver<PlatformEvent>,
+    ) {
+        loop {
+            let sleep = self.sleep_time();
+            tokio::select! {
+                event = events.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return,
+                },
+                Some(event) = platform.recv() => {
+                    if let Some(event) = rollout_event(event) {
+                        self.handle(event);
+                    }
+                }
+                () = tokio::time::sleep(sleep) => self.handle(RolloutEvent::Timer),
+            }
+        }
+    }
+
+    fn sleep_time(&self) -> Duration {
+        let now = self.shared.now();
+        let wake = self.machine.next_wake();
+        wake.map_or(LONGEST_SLEEP, |at: Timestamp| at.since(now))
+    }
+
+    fn handle(&mut self, event: RolloutEvent) {
+        let mut actions = Vec::new();
+        self.machine.handle(self.shared.now(), event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&self, action: RolloutAction) {
+        match action {
+            RolloutAction::WatchPlatform(on) => self.command(PlatformCommand::Watch(on)),
+            RolloutAction::FetchFromPlatform => self.command(PlatformCommand::Fetch),
+            RolloutAction::SendPeer { to, message } => self.links.send(to, message),
+            RolloutAction::Install(version) => self.install(version.0),
+            RolloutAction::Rejected { source, error } => {
+                log::warn!("rollout: a change from {source:?} was rejected: {error}.");
+            }
+        }
+    }
+
+    fn command(&self, command: PlatformCommand) {
+        if self.commands.try_send(command).is_err() {
+            log::debug!("rollout: the platform's follower is busy.");
+        }
+    }
+
+    fn install(&self, version: u64) {
+        let Some(signed) = self.machine.store().current() else {
+            return;
+        };
+        if self.shared.install_bundle((*signed.bundle).clone()) {
+            log::info!("rollout: bundle version {version} is in force.");
+        }
+    }
+}
+
+fn rollout_event(event: PlatformEvent) -> Option<RolloutEvent> {
+    match event {
+        PlatformEvent::Version(version) => Some(RolloutEvent::PlatformVersion(version)),
+        PlatformEvent::Change(change) => Some(RolloutEvent::PlatformChange(change)),
+        PlatformEvent::Failed => Some(RolloutEvent::PlatformFailed),
+        PlatformEvent::Machines(_) => None,
+    }
+}
