Check the platform stand-in's store by properties

Cause: the proxies resume watches and read older revisions by the store's revisions, so a fault in them would look like a fault of the proxies. Two tests meet the service through a link. Idle connections are no longer closed after 5 s, which the real service does not do either.

--- a/lab/standin/src/platform/mod.rs
+++ b/lab/standin/src/platform/mod.rs
@@ -18,6 +18,8 @@
 mod service;
 mod shared;
 mod store;
+#[cfg(test)]
+mod tests;
 mod watch;
 
 pub use counters::{PlatformCounters, RequestKind};
--- a/lab/standin/src/platform/server.rs
+++ b/lab/standin/src/platform/server.rs
@@ -32,6 +32,10 @@
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 
+/// How long an idle connection stays open. The real service closes none, so
+/// this is longer than any test.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(3600);
+
 /// Threads that answer requests.
 const WORKERS: usize = 2;
 
@@ -124,6 +128,8 @@
     let server = HttpServer::new(move || App::new().app_data(state.clone()).configure(routes))
         .on_connect(move |io, extensions| register(&connections, io, extensions))
         .workers(WORKERS)
+        .keep_alive(IDLE_TIMEOUT)
+        .client_request_timeout(IDLE_TIMEOUT)
         .disable_signals()
         .listen(listener)?
         .run();
--- a/lab/standin/tests/platform_client/mod.rs
+++ b/lab/standin/tests/platform_client/mod.rs
@@ -72,7 +72,11 @@
 
 impl WatchStream {
     pub async fn open(platform: &Platform, create_request: Value) -> Self {
-        let url = format!("{}/v3/watch", platform.url());
+        Self::open_at(&platform.url(), create_request).await
+    }
+
+    pub async fn open_at(url: &str, create_request: Value) -> Self {
+        let url = format!("{url}/v3/watch");
         let body = json!({ "create_request": create_request });
         let response = client()
             .post(url)
