Start stand-ins of a deployment and put load on them

Cause: demo and measurements need the deployments' databases, links and platform in one process, and load on any PostgreSQL address.

--- /dev/null
+++ b/lab/src/fault.rs
@@ -0,0 +1,188 @@
+//! Faults as lines of text, from a file or from standard input.
+//!
+//! A line is a fault, with `at SECONDS` ahead of it in a file. Empty lines and lines
+//! that begin with `#` are skipped. `kill primary mensajes-1`, `lag mensajes-1-b 2000`,
+//! `cut zone al-sala-b`, `stop proxy 2`, `platform down` and `heal` are faults.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use hookpoint_state::{DatabaseName, GroupName, ZoneName};
+use thiserror::Error;
+
+/// A database, named or by its role.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// The database of that name.
+    Database(DatabaseName),
+    /// Whichever leads the group when the fault strikes.
+    PrimaryOf(GroupName),
+}
+
+/// Something that goes wrong, or right again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A database dies.
+    Kill(Target),
+    /// A dead database comes back with its flushed log.
+    Restart(DatabaseName),
+    /// A database stops doing anything.
+    Pause(Target),
+    /// A paused database goes on.
+    Resume(DatabaseName),
+    /// A database is cut off from its peers; clients still reach it.
+    Isolate(Target),
+    /// A database is no longer cut off.
+    Rejoin(DatabaseName),
+    /// A replica falls behind by this much.
+    Lag(DatabaseName, Duration),
+    /// A group changes its primary as planned.
+    Switchover(GroupName, DatabaseName),
+    /// A zone is cut off from the others.
+    CutZone(ZoneName),
+    /// A zone is no longer cut off.
+    HealZone(ZoneName),
+    /// A proxy stops as planned.
+    StopProxy(usize),
+    /// A proxy dies.
+    KillProxy(usize),
+    /// A new proxy takes the place of one that is gone.
+    StartProxy(usize),
+    /// The platform answers nothing.
+    PlatformDown,
+    /// The platform answers after this time.
+    PlatformSlow(Duration),
+    /// The platform is well.
+    PlatformUp,
+    /// All cuts, lags, pauses and outages end, and dead databases come back.
+    Heal,
+}
+
+/// A fault at a time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ScheduledFault {
+    /// When, after the start.
+    pub after: Duration,
+    /// What.
+    pub fault: Fault,
+}
+
+/// Why a line is no fault.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum FaultError {
+    /// The line begins with none of the known words.
+    #[error("line {line}: `{text}` is no fault")]
+    Unknown {
+        /// Number of the line, from 1.
+        line: usize,
+        /// The line.
+        text: String,
+    },
+    /// A number is none.
+    #[error("line {line}: `{text}` is no number")]
+    Number {
+        /// Number of the line, from 1.
+        line: usize,
+        /// What stands in its place.
+        text: String,
+    },
+}
+
+impl FromStr for Fault {
+    type Err = FaultError;
+
+    fn from_str(text: &str) -> Result<Self, FaultError> {
+        parse_fault(1, text)
+    }
+}
+
+/// Reads the faults of a file, in the order of their times.
+///
+/// # Errors
+/// A [`FaultError`] that names the line.
+pub fn parse_schedule(text: &str) -> Result<Vec<ScheduledFault>, FaultError> {
+    let mut schedule = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        schedule.push(parse_line(index + 1, line)?);
+    }
+    schedule.sort_by_key(|scheduled| scheduled.after);
+    Ok(schedule)
+}
+
+fn parse_line(line: usize, text: &str) -> Result<ScheduledFault, FaultError> {
+    let Some(rest) = text.strip_prefix("at ") else {
+        return Ok(ScheduledFault {
+            after: Duration::ZERO,
+            fault: parse_fault(line, text)?,
+        });
+    };
+    let (seconds, fault) = rest.split_once(' ').unwrap_or((rest, ""));
+    let parsed = seconds.parse::<f64>().ok();
+    let after = parsed.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    Ok(ScheduledFault {
+        after: after.ok_or_else(|| number_error(line, seconds))?,
+        fault: parse_fault(line, fault)?,
+    })
+}
+
+fn parse_fault(line: usize, text: &str) -> Result<Fault, FaultError> {
+    let words: Vec<&str> = text.split_whitespace().collect();
+    let fault = match words.as_slice() {
+        ["kill", "proxy", index] => Fault::KillProxy(number(line, index)?),
+        ["stop", "proxy", index] => Fault::StopProxy(number(line, index)?),
+        ["start", "proxy", index] => Fault::StartProxy(number(line, index)?),
+        ["kill", rest @ ..] => Fault::Kill(target(line, text, rest)?),
+        ["restart", database] => Fault::Restart(DatabaseName::new(database)),
+        ["pause", rest @ ..] => Fault::Pause(target(line, text, rest)?),
+        ["resume", database] => Fault::Resume(DatabaseName::new(database)),
+        ["isolate", rest @ ..] => Fault::Isolate(target(line, text, rest)?),
+        ["rejoin", database] => Fault::Rejoin(DatabaseName::new(database)),
+        ["lag", database, millis] => {
+            let lag = Duration::from_millis(number(line, millis)?);
+            Fault::Lag(DatabaseName::new(database), lag)
+        }
+        ["switchover", group, database] => {
+            Fault::Switchover(GroupName::new(group), DatabaseName::new(database))
+        }
+        ["cut", "zone", zone] => Fault::CutZone(ZoneName::new(zone)),
+        ["heal", "zone", zone] => Fault::HealZone(ZoneName::new(zone)),
+        ["platform", "down"] => Fault::PlatformDown,
+        ["platform", "up"] => Fault::PlatformUp,
+        ["platform", "slow", millis] => {
+            Fault::PlatformSlow(Duration::from_millis(number(line, millis)?))
+        }
+        ["heal"] => Fault::Heal,
+        _ => return Err(unknown(line, text)),
+    };
+    Ok(fault)
+}
+
+fn target(line: usize, text: &str, words: &[&str]) -> Result<Target, FaultError> {
+    match words {
+        ["primary", group] => Ok(Target::PrimaryOf(GroupName::new(group))),
+        [database] => Ok(Target::Database(DatabaseName::new(database))),
+        _ => Err(unknown(line, text)),
+    }
+}
+
+fn number<T: FromStr>(line: usize, text: &str) -> Result<T, FaultError> {
+    text.parse().map_err(|_| number_error(line, text))
+}
+
+fn number_error(line: usize, text: &str) -> FaultError {
+    FaultError::Number {
+        line,
+        text: text.to_owned(),
+    }
+}
+
+fn unknown(line: usize, text: &str) -> FaultError {
+    FaultError::Unknown {
+        line,
+        text: text.to_owned(),
+    }
+}
--- /dev/null
+++ b/lab/src/flags.rs
@@ -0,0 +1,86 @@
+//! The command line. The macro writes the types; they carry no comments of their own.
+#![allow(missing_docs)]
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Stand-ins, workload, simulator and measurements of hookpoint.
+    cmd hookpoint-lab {
+        /// Runs the database stand-ins alone and prints their addresses as JSON.
+        cmd database {
+            /// costa-rica (default) or greece.
+            optional --deployment deployment: String
+            /// Seed of the elections; 1 by default.
+            optional --seed seed: u64
+            /// Replicas run this far behind, in milliseconds.
+            optional --lag-ms lag_ms: u64
+        }
+        /// Runs the platform stand-in alone and prints its address as JSON.
+        cmd platform {
+            /// Requests a second it takes; no limit by default.
+            optional --requests-per-second requests_per_second: f64
+        }
+        /// Runs stand-ins and three proxies, and takes faults from standard input.
+        cmd serve {
+            /// costa-rica (default) or greece.
+            optional --deployment deployment: String
+            /// File of faults, one a line, as `at SECONDS FAULT`.
+            optional --faults faults: PathBuf
+            /// Seed of all chance; 1 by default.
+            optional --seed seed: u64
+        }
+        /// Runs a deployment with its workload and faults, and checks the history.
+        cmd demo {
+            /// costa-rica (default) or greece.
+            optional --deployment deployment: String
+            /// Length of the workload in seconds; 30 by default.
+            optional --seconds seconds: u64
+            /// Seed of all chance; 1 by default.
+            optional --seed seed: u64
+            /// File for the JSON report.
+            optional --report report: PathBuf
+            /// File for the whole history as JSON.
+            optional --history history: PathBuf
+            /// Switches a protection off, to see the checker find it missing:
+            /// check, term or guard.
+            optional --without without: String
+            /// Replicas run this far behind, in milliseconds.
+            optional --lag-ms lag_ms: u64
+            /// Client sessions for each database.
+            optional --clients clients: usize
+            /// No faults: only the workload.
+            optional --calm
+        }
+        /// Puts load on any PostgreSQL address and measures latencies.
+        cmd load {
+            /// Address as ip:port; may be given several times.
+            repeated --address address: String
+            /// Database, which names the group at a proxy.
+            optional --database database: String
+            /// User, which names the tenant at a proxy.
+            optional --user user: String
+            /// Password, if one is asked for.
+            optional --password password: String
+            /// messaging, metering, reads, writes or trivial (default).
+            optional --mix mix: String
+            /// costa-rica (default) or greece: whose tables there are.
+            optional --deployment deployment: String
+            /// Requests a second over all sessions, as an open loop.
+            optional --rate rate: f64
+            /// Pause of each session between requests, as a closed loop.
+            optional --pause-ms pause_ms: u64
+            /// Sessions that send requests; 10 by default.
+            optional --sessions sessions: usize
+            /// Sessions that stay idle.
+            optional --idle idle: usize
+            /// Seconds of the measurement; 10 by default.
+            optional --seconds seconds: u64
+            /// Seconds before the measurement; 1 by default.
+            optional --warm-up warm_up: u64
+            /// Seed of all chance; 1 by default.
+            optional --seed seed: u64
+            /// File for the JSON report.
+            optional --report report: PathBuf
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,9 @@
+//! The laboratory: stand-ins, proxies, workload and measurements of a whole deployment
+//! in one process on loopback.
+#![forbid(unsafe_code)]
+
+pub mod commands;
+pub mod demo;
+pub mod fault;
+pub mod flags;
+pub mod stack;
