Hold connections to databases, and ask databases for their status

Cause: nothing stood between a lease that a session asks for and a database. Change: a slot table and a fair queue for each database decide who gets which connection; a pool actor for each database and a task for each connection carry that out, with SCRAM, statement and parameter tracking, cancel requests and heartbeats. Databases are probed through the same pools, and a group's term is verified by rounds of status queries that concurrent callers share. One back-off, one retry budget and one admission rule serve all of it.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,9 +7,13 @@
 
 pub mod explain;
 pub mod home;
+pub mod limits;
 pub mod membership;
 pub mod node;
+pub mod observer;
 pub mod request;
+pub mod retry;
 pub mod rollout;
+pub mod slots;
 pub mod status;
 pub mod terms;
--- /dev/null
+++ b/crates/coordination/src/slots/mod.rs
@@ -0,0 +1,21 @@
+//! Who may use a connection of one database.
+//!
+//! [`SlotTable`] receives [`SlotEvent`]s from the pool of one database and answers with
+//! [`SlotAction`]s. It never has more connections (opening, open, and closing ones whose
+//! end is not confirmed) than the database has slots. Waiting requests are served by
+//! weighted deficit round robin over tenants, then over the zones of a tenant in turn,
+//! then in the order of arrival.
+
+mod event;
+mod policy;
+mod queue;
+mod table;
+#[cfg(test)]
+mod tests;
+
+pub use event::{
+    ConnectionNumber, Lane, OpenFailure, RequestNumber, SlotAction, SlotEvent, WaitingRequest,
+};
+pub use policy::SlotPolicy;
+pub use queue::FairQueue;
+pub use table::{SlotCounts, SlotTable};
--- /dev/null
+++ b/crates/transport/src/backend/outgoing.rs
@@ -0,0 +1,96 @@
+//! Messages that the proxy itself writes to a database.
+
+use bytes::{BufMut, BytesMut};
+use hookpoint_protocol::frame::Frame;
+
+use super::tags::frontend;
+
+/// Version 3.0 of the protocol.
+const PROTOCOL_VERSION: u32 = 196_608;
+/// Code of a cancel request.
+const CANCEL_CODE: u32 = 80_877_102;
+/// Length of a cancel request.
+const CANCEL_LENGTH: u32 = 16;
+
+fn put_text(body: &mut BytesMut, text: &str) {
+    body.put_slice(text.as_bytes());
+    body.put_u8(0);
+}
+
+/// The start-up message with these parameters.
+pub(super) fn startup<'a>(parameters: impl IntoIterator<Item = (&'a str, &'a str)>) -> BytesMut {
+    let mut body = BytesMut::new();
+    body.put_u32(PROTOCOL_VERSION);
+    for (name, value) in parameters {
+        put_text(&mut body, name);
+        put_text(&mut body, value);
+    }
+    body.put_u8(0);
+    let mut message = BytesMut::with_capacity(body.len() + 4);
+    message.put_u32(body.len() as u32 + 4);
+    message.put_slice(&body);
+    message
+}
+
+/// A cancel request for the connection of this process and secret.
+pub(super) fn cancel_request(process: u32, secret: u32) -> BytesMut {
+    let mut message = BytesMut::with_capacity(CANCEL_LENGTH as usize);
+    message.put_u32(CANCEL_LENGTH);
+    message.put_u32(CANCEL_CODE);
+    message.put_u32(process);
+    message.put_u32(secret);
+    message
+}
+
+/// A simple query.
+pub(super) fn query(text: &str) -> Frame {
+    let mut body = BytesMut::with_capacity(text.len() + 1);
+    put_text(&mut body, text);
+    Frame::new(frontend::QUERY, body.freeze())
+}
+
+/// A `Parse` of a named statement.
+pub(super) fn parse(name: &str, text: &str, types: &[u32]) -> Frame {
+    let mut body = BytesMut::new();
+    put_text(&mut body, name);
+    put_text(&mut body, text);
+    body.put_u16(types.len() as u16);
+    for parameter in types {
+        body.put_u32(*parameter);
+    }
+    Frame::new(frontend::PARSE, body.freeze())
+}
+
+/// A `Close` of a named statement.
+pub(super) fn close_statement(name: &str) -> Frame {
+    let mut body = BytesMut::new();
+    body.put_u8(b'S');
+    put_text(&mut body, name);
+    Frame::new(frontend::CLOSE, body.freeze())
+}
+
+/// A clear-text password.
+pub(super) fn password(password: &str) -> Frame {
+    let mut body = BytesMut::new();
+    put_text(&mut body, password);
+    Frame::new(frontend::PASSWORD, body.freeze())
+}
+
+/// The first message of a SASL exchange.
+pub(super) fn sasl_initial(mechanism: &str, data: &str) -> Frame {
+    let mut body = BytesMut::new();
+    put_text(&mut body, mechanism);
+    body.put_u32(data.len() as u32);
+    body.put_slice(data.as_bytes());
+    Frame::new(frontend::PASSWORD, body.freeze())
+}
+
+/// A later message of a SASL exchange.
+pub(super) fn sasl_response(data: &str) -> Frame {
+    Frame::new(frontend::PASSWORD, data.as_bytes().to_vec())
+}
+
+/// The end of a connection.
+pub(super) fn terminate() -> Frame {
+    Frame::new(frontend::TERMINATE, Vec::new())
+}
--- /dev/null
+++ b/crates/transport/src/backend/pools.rs
@@ -0,0 +1,246 @@
+//! All pools of a node.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use actix::{Actor, Addr, Arbiter, ArbiterHandle};
+use async_trait::async_trait;
+use hookpoint_coordination::slots::{Lane, RequestNumber, SlotCounts, SlotPolicy, WaitingRequest};
+use hookpoint_state::{Bundle, DatabaseName, Refusal, ZoneName};
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::{mpsc, oneshot};
+
+use super::message::{Acquire, Cancelled, Configure, Home, PoolConfiguration, Retire, Target};
+use super::pool::{LossSender, PoolActor, PoolParts};
+use super::settings::BackendSettings;
+use crate::lease::{AcquireRequest, BackendLease, LeaseSource};
+use crate::shared::Shared;
+
+/// Says which databases this node is home for.
+pub type HomeFilter = Arc<dyn Fn(&DatabaseName) -> bool + Send + Sync>;
+
+/// Losses that wait to be looked at; more of them say nothing new.
+const LOSS_BUFFER: usize = 256;
+
+struct PoolEntry {
+    address: Addr<PoolActor>,
+    counts: Arc<Mutex<SlotCounts>>,
+}
+
+/// The pools of this node, one for each database that has been asked for.
+///
+/// Lock order: `pools`, then `home` or any lock of [`Shared`]. A [`HomeFilter`] is called
+/// with `pools` held and must not come back here.
+pub struct LocalPools {
+    shared: Arc<Shared>,
+    settings: Arc<BackendSettings>,
+    pools: Mutex<BTreeMap<DatabaseName, PoolEntry>>,
+    home: RwLock<HomeFilter>,
+    next_request: AtomicU64,
+    losses: LossSender,
+    loss_receiver: Mutex<Option<mpsc::Receiver<DatabaseName>>>,
+}
+
+impl LocalPools {
+    /// Empty pools that follow the bundle in force.
+    pub fn new(shared: Arc<Shared>, settings: BackendSettings) -> Arc<Self> {
+        let (losses, loss_receiver) = mpsc::channel(LOSS_BUFFER);
+        let pools = Arc::new(Self {
+            shared,
+            settings: Arc::new(settings),
+            pools: Mutex::new(BTreeMap::new()),
+            home: RwLock::new(Arc::new(|_| true)),
+            next_request: AtomicU64::new(0),
+            losses,
+            loss_receiver: Mutex::new(Some(loss_receiver)),
+        });
+        pools.follow_bundles();
+        pools
+    }
+
+    /// Zone of this node.
+    pub fn zone(&self) -> &ZoneName {
+        &self.shared.zone
+    }
+
+    /// Replaces the filter that says which databases this node is home for.
+    pub fn set_home(&self, filter: HomeFilter) {
+        *self.home.write() = filter;
+        self.refresh_homes();
+    }
+
+    /// Asks the filter again for each pool, after the membership has changed. Pools of
+    /// databases that have moved to another home give their idle connections back.
+    pub fn refresh_homes(&self) {
+        for (database, entry) in &*self.pools.lock() {
+            let home = self.is_home(database);
+            entry.address.do_send(Home(home));
+        }
+    }
+
+    /// Whether this node is home for `database`.
+    pub fn is_home(&self, database: &DatabaseName) -> bool {
+        let filter = self.home.read().clone();
+        filter(database)
+    }
+
+    /// Connections and waiting requests of each pool.
+    pub fn counts(&self) -> BTreeMap<DatabaseName, SlotCounts> {
+        let pools = self.pools.lock();
+        pools
+            .iter()
+            .map(|(name, entry)| (name.clone(), *entry.counts.lock()))
+            .collect()
+    }
+
+    /// Refuses what waits, closes what is idle and lets the rest finish.
+    pub fn retire(&self) {
+        for entry in std::mem::take(&mut *self.pools.lock()).into_values() {
+            entry.address.do_send(Retire);
+        }
+    }
+
+    /// Waits for a connection in `lane`.
+    ///
+    /// # Errors
+    /// A [`Refusal`]; nothing was sent to the database.
+    pub async fn acquire_in(
+        &self,
+        lane: Lane,
+        request: AcquireRequest,
+    ) -> Result<BackendLease, Refusal> {
+        let address = self.pool(&request.database)?;
+        let number = RequestNumber(self.next_request.fetch_add(1, Ordering::Relaxed));
+        let waiting = WaitingRequest {
+            number,
+            tenant: request.tenant,
+            zone: request.zone,
+            session: request.session,
+            deadline: self.shared.now() + request.wait,
+            lane,
+        };
+        let (reply, answer) = oneshot::channel();
+        address.do_send(Acquire {
+            request: waiting,
+            reply,
+        });
+        let mut withdrawal = Withdrawal {
+            address,
+            number: Some(number),
+        };
+        let result = answer.await.unwrap_or(Err(Refusal::NoDatabase));
+        withdrawal.number = None;
+        result
+    }
+
+    /// The receiver of connections that broke; there is one.
+    pub(crate) fn take_losses(&self) -> Option<mpsc::Receiver<DatabaseName>> {
+        self.loss_receiver.lock().take()
+    }
+
+    fn pool(&self, database: &DatabaseName) -> Result<Addr<PoolActor>, Refusal> {
+        let mut pools = self.pools.lock();
+        if let Some(entry) = pools.get(database) {
+            return Ok(entry.address.clone());
+        }
+        let entry = self.start_pool(database, pools.len())?;
+        let address = entry.address.clone();
+        pools.insert(database.clone(), entry);
+        Ok(address)
+    }
+
+    fn start_pool(&self, database: &DatabaseName, index: usize) -> Result<PoolEntry, Refusal> {
+        let bundle = self.shared.bundle().ok_or(Refusal::NoBundle)?;
+        let entry = bundle.databases.get(database);
+        let group = entry.ok_or(Refusal::NoDatabase)?.group.clone();
+        let counts = Arc::new(Mutex::new(SlotCounts::default()));
+        let parts = PoolParts {
+            shared: self.shared.clone(),
+            settings: self.settings.clone(),
+            group,
+            database: database.clone(),
+            configuration: configuration_of(&bundle, database).ok_or(Refusal::NoDatabase)?,
+            home: self.is_home(database),
+            seed: self.settings.seed.wrapping_add(index as u64),
+            counts: counts.clone(),
+            losses: self.losses.clone(),
+        };
+        let arbiter = self.arbiter(index);
+        let address = PoolActor::start_in_arbiter(&arbiter, move |_| PoolActor::new(parts));
+        Ok(PoolEntry { address, counts })
+    }
+
+    fn arbiter(&self, index: usize) -> ArbiterHandle {
+        let arbiters = &self.settings.arbiters;
+        match arbiters.get(index % arbiters.len().max(1)) {
+            Some(arbiter) => arbiter.clone(),
+            None => Arbiter::current(),
+        }
+    }
+
+    /// Starts the task that tells the pools of each new bundle.
+    fn follow_bundles(self: &Arc<Self>) {
+        let mut changes = self.shared.bundle_changes();
+        let pools = Arc::downgrade(self);
+        self.arbiter(0).spawn(async move {
+            while changes.changed().await.is_ok() {
+                let Some(pools) = pools.upgrade() else {
+                    return;
+                };
+                pools.configure();
+            }
+        });
+    }
+
+    fn configure(&self) {
+        let mut pools = self.pools.lock();
+        let Some(bundle) = self.shared.bundle() else {
+            return;
+        };
+        pools.retain(|database, entry| {
+            let configuration = configuration_of(&bundle, database);
+            let kept = configuration.is_some();
+            match configuration {
+                Some(configuration) => entry.address.do_send(Configure(configuration)),
+                None => entry.address.do_send(Retire),
+            }
+            kept
+        });
+    }
+}
+
+#[async_trait]
+impl LeaseSource for LocalPools {
+    async fn acquire(&self, request: AcquireRequest) -> Result<BackendLease, Refusal> {
+        self.acquire_in(Lane::Work, request).await
+    }
+}
+
+/// Withdraws a request whose future was dropped.
+struct Withdrawal {
+    address: Addr<PoolActor>,
+    number: Option<RequestNumber>,
+}
+
+impl Drop for Withdrawal {
+    fn drop(&mut self) {
+        if let Some(number) = self.number {
+            self.address.do_send(Cancelled(number));
+        }
+    }
+}
+
+fn configuration_of(bundle: &Bundle, database: &DatabaseName) -> Option<PoolConfiguration> {
+    let entry = bundle.databases.get(database)?;
+    let group = bundle.groups.get(&entry.group)?;
+    Some(PoolConfiguration {
+        policy: SlotPolicy::from_bundle(bundle, database)?,
+        target: Arc::new(Target {
+            address: entry.address.parse().map_err(|_| entry.address.clone()),
+            user: group.user.clone(),
+            database: group.database.clone(),
+        }),
+        draining: bundle.drain.contains(database),
+    })
+}
--- /dev/null
+++ b/crates/transport/src/backend/serve.rs
@@ -0,0 +1,313 @@
+//! One lease of a connection: commands in, replies out, with back-pressure both ways.
+
+use futures::{FutureExt, StreamExt};
+use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
+use hookpoint_protocol::frame::{Frame, FrameError};
+use tokio::io::AsyncWriteExt;
+use tokio::sync::mpsc;
+
+use super::connection::{Connection, ConnectionContext};
+use super::ledger::Verdict;
+use super::message::Grant;
+use super::outgoing;
+use super::prepared::Preparation;
+use super::run_settings;
+use super::tags::backend;
+use crate::lease::{BackendLease, LEASE_COMMAND_BUFFER, LEASE_REPLY_BUFFER};
+
+/// Bytes that may wait to be written before no more commands are taken.
+const OUTGOING_LIMIT: usize = 256 * 1024;
+/// Bytes of one reply, after which no more messages are read until it is taken.
+const BATCH_LIMIT: usize = 64 * 1024;
+/// Command tags that leave state on the connection.
+const TAINTING_TAGS: [&[u8]; 7] = [
+    b"SET\0",
+    b"RESET\0",
+    b"DISCARD",
+    b"DEALLOCATE",
+    b"PREPARE\0",
+    b"LISTEN\0",
+    b"DECLARE CURSOR\0",
+];
+
+/// How a lease ended.
+#[derive(Debug)]
+pub(super) enum ServeEnd {
+    /// The session gave it back.
+    Released { reusable: bool, discard: bool },
+    /// The session went away without a word before it sent anything.
+    Unused,
+    /// The session went away without a word.
+    Abandoned,
+    /// The connection broke.
+    Lost,
+}
+
+/// What happened first.
+enum Step {
+    Command(Option<BackendCommand>),
+    Written(bool),
+    Message(Option<Result<Frame, FrameError>>),
+    Delivered,
+    SessionGone,
+}
+
+struct Lease<'a> {
+    connection: &'a mut Connection,
+    context: &'a ConnectionContext,
+    commands: mpsc::Receiver<BackendCommand>,
+    replies: mpsc::Sender<BackendReply>,
+    batch: Vec<Frame>,
+    batch_bytes: usize,
+    used: bool,
+}
+
+/// Hands the connection to the session of `grant` and serves it until the lease ends.
+pub(super) async fn serve(
+    connection: &mut Connection,
+    context: &ConnectionContext,
+    grant: Grant,
+) -> ServeEnd {
+    let (command_sender, commands) = mpsc::channel(LEASE_COMMAND_BUFFER);
+    let (replies, reply_receiver) = mpsc::channel(LEASE_REPLY_BUFFER);
+    let lease = BackendLease {
+        database: context.database.clone(),
+        commands: command_sender,
+        replies: reply_receiver,
+    };
+    if grant.reply.send(Ok(lease)).is_err() {
+        return ServeEnd::Unused;
+    }
+    let mut lease = Lease {
+        connection,
+        context,
+        commands,
+        replies,
+        batch: Vec::new(),
+        batch_bytes: 0,
+        used: false,
+    };
+    let end = lease.run().await;
+    if matches!(end, ServeEnd::Lost) {
+        lease.tell_lost();
+    }
+    end
+}
+
+impl Lease<'_> {
+    async fn run(&mut self) -> ServeEnd {
+        loop {
+            let takes_commands = self.connection.outgoing.len() < OUTGOING_LIMIT;
+            let writes = !self.connection.outgoing.is_empty();
+            let reads = self.batch_bytes < BATCH_LIMIT;
+            let replies = !self.batch.is_empty();
+            let Connection {
+                reader,
+                writer,
+                outgoing,
+                ..
+            } = &mut *self.connection;
+            let step = tokio::select! {
+                command = self.commands.recv(), if takes_commands => Step::Command(command),
+                written = writer.write_buf(outgoing), if writes => Step::Written(written.is_ok()),
+                message = reader.next(), if reads => Step::Message(message),
+                permit = self.replies.reserve(), if replies => match permit {
+                    Ok(permit) => {
+                        permit.send(BackendReply::Frames(std::mem::take(&mut self.batch)));
+                        Step::Delivered
+                    }
+                    Err(_) => Step::SessionGone,
+                },
+                () = self.replies.closed() => Step::SessionGone,
+            };
+            if let Some(end) = self.step(step) {
+                return end;
+            }
+        }
+    }
+
+    fn step(&mut self, step: Step) -> Option<ServeEnd> {
+        match step {
+            Step::Command(command) => return self.commands_taken(command),
+            Step::Written(true) => self.connection.used(),
+            Step::Written(false) => return Some(ServeEnd::Lost),
+            Step::Message(message) => {
+                if !self.messages_read(message) {
+                    return Some(ServeEnd::Lost);
+                }
+            }
+            Step::Delivered => self.batch_bytes = 0,
+            Step::SessionGone => return Some(self.session_gone()),
+        }
+        None
+    }
+
+    /// The session has dropped its end; it may have released the connection before.
+    fn session_gone(&mut self) -> ServeEnd {
+        while let Ok(command) = self.commands.try_recv() {
+            if let Some(end) = self.command(command) {
+                return end;
+            }
+        }
+        self.abandoned()
+    }
+
+    fn abandoned(&self) -> ServeEnd {
+        if self.used {
+            ServeEnd::Abandoned
+        } else {
+            ServeEnd::Unused
+        }
+    }
+
+    fn commands_taken(&mut self, first: Option<BackendCommand>) -> Option<ServeEnd> {
+        let Some(first) = first else {
+            return Some(self.abandoned());
+        };
+        let mut next = Some(first);
+        while let Some(command) = next {
+            if let Some(end) = self.command(command) {
+                return Some(end);
+            }
+            if self.connection.outgoing.len() >= OUTGOING_LIMIT {
+                break;
+            }
+            next = self.commands.try_recv().ok();
+        }
+        None
+    }
+
+    fn command(&mut self, command: BackendCommand) -> Option<ServeEnd> {
+        if let BackendCommand::Release { reusable, discard } = command {
+            return Some(ServeEnd::Released { reusable, discard });
+        }
+        self.used = true;
+        match command {
+            BackendCommand::Frames(frames) => {
+                for frame in frames {
+                    self.connection.ledger.sent(&frame);
+                    frame.write_to(&mut self.connection.outgoing);
+                }
+            }
+            BackendCommand::EnsurePrepared {
+                name,
+                query,
+                parameter_types,
+            } => self.ensure_prepared(&name, &query, &parameter_types),
+            BackendCommand::EnsureSettings(wanted) => {
+                let changes = run_settings::changes(&self.connection.parameters, &wanted);
+                match changes {
+                    Ok(None) => {}
+                    Ok(Some(statements)) => {
+                        self.own_query(&statements);
+                        self.connection.parameters = wanted;
+                    }
+                    Err(error) => {
+                        log::warn!("pool: a session cannot be served: {error}.");
+                        return Some(ServeEnd::Lost);
+                    }
+                }
+            }
+            BackendCommand::Cancel => {
+                self.connection.cancel(self.context.settings.answer_timeout);
+            }
+            BackendCommand::Release { .. } => {}
+        }
+        None
+    }
+
+    fn own_query(&mut self, text: &str) {
+        outgoing::query(text).write_to(&mut self.connection.outgoing);
+        self.connection.ledger.own_query();
+    }
+
+    fn ensure_prepared(&mut self, name: &str, query: &str, types: &[u32]) {
+        let connection = &mut *self.connection;
+        let section = connection.ledger.sections();
+        let preparation = connection.prepared.ensure(name, section);
+        if preparation == Preparation::None {
+            return;
+        }
+        if preparation == Preparation::Renew {
+            close_statement(name, connection);
+        }
+        while let Some(evicted) = connection.prepared.evict() {
+            close_statement(&evicted, connection);
+        }
+        outgoing::parse(name, query, types).write_to(&mut connection.outgoing);
+        connection.ledger.own_parse(name.to_owned());
+    }
+
+    /// Takes a message and all others that are there already.
+    fn messages_read(&mut self, first: Option<Result<Frame, FrameError>>) -> bool {
+        let mut next = first;
+        loop {
+            let Some(Ok(frame)) = next else {
+                return false;
+            };
+            if !self.message(frame) {
+                return false;
+            }
+            if self.batch_bytes >= BATCH_LIMIT {
+                break;
+            }
+            match self.connection.reader.next().now_or_never() {
+                Some(message) => next = message,
+                None => break,
+            }
+        }
+        self.send_batch();
+        true
+    }
+
+    /// Hands the batch over if there is room for it.
+    fn send_batch(&mut self) {
+        if self.batch.is_empty() {
+            return;
+        }
+        if let Ok(permit) = self.replies.try_reserve() {
+            permit.send(BackendReply::Frames(std::mem::take(&mut self.batch)));
+            self.batch_bytes = 0;
+        }
+    }
+
+    fn message(&mut self, frame: Frame) -> bool {
+        match self.connection.receive(&frame) {
+            Verdict::Swallow => true,
+            Verdict::OwnEnded { succeeded } => {
+                if !succeeded {
+                    log::warn!(
+                        "pool: {} refused a session's parameters.",
+                        self.context.database
+                    );
+                }
+                succeeded
+            }
+            Verdict::Relay => {
+                let leaves_state = frame.tag == backend::COMMAND_COMPLETE
+                    && TAINTING_TAGS.iter().any(|tag| frame.body.starts_with(tag));
+                self.connection.tainted |= leaves_state;
+                self.batch_bytes += frame.wire_length();
+                self.batch.push(frame);
+                true
+            }
+        }
+    }
+
+    /// Tells the session that the connection broke, after all it may still read.
+    fn tell_lost(&mut self) {
+        let replies = self.replies.clone();
+        let batch = std::mem::take(&mut self.batch);
+        actix_rt::spawn(async move {
+            if !batch.is_empty() {
+                let _gone = replies.send(BackendReply::Frames(batch)).await;
+            }
+            let _gone = replies.send(BackendReply::Lost).await;
+        });
+    }
+}
+
+fn close_statement(name: &str, connection: &mut Connection) {
+    outgoing::close_statement(name).write_to(&mut connection.outgoing);
+    connection.ledger.own_close(name.to_owned());
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod address;
 pub mod admin;
+pub mod backend;
 pub mod lease;
+pub mod observe;
 pub mod platform;
 pub mod shared;
--- /dev/null
+++ b/crates/transport/src/observe/mod.rs
@@ -0,0 +1,10 @@
+//! Status queries to databases: the probes of the databases this node is home for, and
+//! the verification of a group's term.
+
+mod prober;
+mod status;
+mod verifier;
+
+pub use prober::start_observer;
+pub use status::{StatusError, StatusSource};
+pub use verifier::MajorityVerifier;
--- /dev/null
+++ b/crates/transport/src/observe/status.rs
@@ -0,0 +1,102 @@
+//! Asking one database for its status.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use hookpoint_coordination::slots::Lane;
+use hookpoint_coordination::status::BackendStatus;
+use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
+use hookpoint_protocol::frame::Frame;
+use hookpoint_protocol::status_query::{STATUS_QUERY, StatusCollector, StatusQueryError};
+use hookpoint_state::{DatabaseName, GroupName, Refusal, SessionId, TenantName};
+use thiserror::Error;
+
+use crate::backend::LocalPools;
+use crate::lease::{AcquireRequest, BackendLease};
+
+/// Tag of a simple query.
+const QUERY: u8 = b'Q';
+/// Session number of the proxy's own status queries; callers' sessions count from 1.
+const OWN_SESSION: SessionId = SessionId(0);
+/// Tenant of the proxy's own status queries.
+const OWN_TENANT: &str = "hookpoint";
+
+/// Why a database did not tell its status.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum StatusError {
+    /// No connection was granted.
+    #[error("no connection: {0}")]
+    Refused(#[from] Refusal),
+    /// The connection broke.
+    #[error("the connection broke")]
+    Lost,
+    /// The answer did not come in time.
+    #[error("the answer did not come in time")]
+    Timeout,
+    /// The answer could not be read.
+    #[error(transparent)]
+    Unreadable(#[from] StatusQueryError),
+}
+
+/// Asks databases for their status, here or through another node.
+#[async_trait]
+pub trait StatusSource: Send + Sync {
+    /// The status of `database`, evaluated by it after the call. Waits for at most `wait`.
+    ///
+    /// # Errors
+    /// A [`StatusError`].
+    async fn query_status(
+        &self,
+        group: &GroupName,
+        database: &DatabaseName,
+        wait: Duration,
+    ) -> Result<BackendStatus, StatusError>;
+}
+
+#[async_trait]
+impl StatusSource for LocalPools {
+    async fn query_status(
+        &self,
+        group: &GroupName,
+        database: &DatabaseName,
+        wait: Duration,
+    ) -> Result<BackendStatus, StatusError> {
+        let request = AcquireRequest {
+            group: group.clone(),
+            database: database.clone(),
+            session: OWN_SESSION,
+            tenant: TenantName::new(OWN_TENANT),
+            zone: self.zone().clone(),
+            wait,
+        };
+        let lease = self.acquire_in(Lane::Observer, request).await?;
+        let answer = tokio::time::timeout(wait, ask(lease)).await;
+        answer.map_err(|_| StatusError::Timeout)?
+    }
+}
+
+/// Asks for the status on `lease` and gives the connection back. A lease dropped midway
+/// closes its connection.
+async fn ask(mut lease: BackendLease) -> Result<BackendStatus, StatusError> {
+    let mut body = STATUS_QUERY.as_bytes().to_vec();
+    body.push(0);
+    let query = BackendCommand::Frames(vec![Frame::new(QUERY, body)]);
+    let sent = lease.commands.send(query).await;
+    sent.map_err(|_| StatusError::Lost)?;
+    let mut collector = StatusCollector::new();
+    loop {
+        let Some(BackendReply::Frames(frames)) = lease.replies.recv().await else {
+            return Err(StatusError::Lost);
+        };
+        for frame in &frames {
+            if let Some(answer) = collector.push(frame) {
+                let release = BackendCommand::Release {
+                    reusable: true,
+                    discard: false,
+                };
+                let _lost = lease.commands.send(release).await;
+                return Ok(answer?);
+            }
+        }
+    }
+}
