Fix replication behind a divergent log, and test failovers

Cause: a primary resent from where it had got to and not from where a message failed to fit, so a replica with a divergent suffix never caught up.

Change: a replica names the place to go on from. Failover tests: killed, paused and isolated primaries, the most advanced replica, a healed primary, lost majorities, planned changes, lag. Random runs of the agreement in virtual time check that terms have one primary and that safe entries survive.

Conclusion: a healed primary now discards its suffix and follows.

--- a/lab/standin/src/database/consensus.rs
+++ b/lab/standin/src/database/consensus.rs
@@ -12,94 +12,15 @@
 use super::entry::{Entry, LoggedStatement};
 use super::position::{FIRST_LSN, Lsn};
 
-/// Entries sent in one message at most.
-const BATCH: usize = 256;
+mod election;
+mod message;
+#[cfg(test)]
+mod tests;
 
-/// Number of a database in its group.
-pub type Member = usize;
-
-/// What a database is in its group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// Accepts writes.
-    Primary,
-    /// Follows a primary, or waits for one.
-    Replica,
-    /// Asks for votes.
-    Candidate,
-}
-
-/// A message between the databases of a group.
-#[derive(Clone, Debug)]
-pub enum Message {
-    /// Entries after the first `length`, of which the last is of `last_term`;
-    /// without entries, a heartbeat.
-    Append {
-        /// Term of the sender, who is its primary.
-        term: u64,
-        /// Number of entries before these.
-        length: usize,
-        /// Term of the entry before these.
-        last_term: u64,
-        /// The entries.
-        entries: Vec<Arc<Entry>>,
-    },
-    /// Answer to `Append`.
-    Appended {
-        /// Term of the sender.
-        term: u64,
-        /// How many entries are known to be the same, if the message fitted.
-        flushed: Option<usize>,
-        /// How many entries the sender has, as a hint where to go on.
-        hint: usize,
-        /// End of what the sender has replayed.
-        replayed: Lsn,
-    },
-    /// A request for a vote, or the question whether one would be given.
-    Ask {
-        /// Term that the sender wants to lead.
-        term: u64,
-        /// Whether this is only the question.
-        trial: bool,
-        /// Whether the present primary wants this election.
-        planned: bool,
-        /// Term of the sender's last entry.
-        last_term: u64,
-        /// Number of the sender's entries.
-        length: usize,
-    },
-    /// A vote.
-    Vote {
-        /// Term voted in; for a refusal, the sender's own.
-        term: u64,
-        /// Whether it answers only the question.
-        trial: bool,
-        /// Whether the vote is given.
-        granted: bool,
-    },
-    /// The primary's request to a replica to take over at once.
-    TakeOver {
-        /// Term of the sender.
-        term: u64,
-    },
-}
+pub use message::{Action, Member, Message, Role, Timing};
 
-/// What the owner of a [`Consensus`] must do.
-#[derive(Clone, Debug)]
-pub enum Action {
-    /// Send a message.
-    Send(Member, Message),
-    /// The log was cut to this many entries; undo what was replayed of the rest.
-    Truncated(usize),
-    /// Entries were added to the log.
-    Flushed,
-    /// This database now leads its term.
-    BecamePrimary,
-    /// This database leads no more.
-    SteppedDown,
-    /// More entries are known to be flushed by a majority.
-    MajorityAdvanced,
-}
+/// Entries sent in one message at most.
+const BATCH: usize = 256;
 
 /// What a primary knows of a replica.
 #[derive(Clone, Debug)]
@@ -114,15 +35,6 @@
     pub heard_at: Option<Instant>,
 }
 
-/// Timing of a group.
-#[derive(Clone, Copy, Debug)]
-pub struct Timing {
-    /// Time without a heartbeat after which a replica stands for election.
-    pub election_timeout: Duration,
-    /// Time between heartbeats.
-    pub heartbeat_interval: Duration,
-}
-
 /// The state of one member of a group.
 pub struct Consensus {
     member: Member,
@@ -307,13 +219,14 @@
                 if term >= self.term {
                     self.follow(now, term, from, &mut actions);
                 }
+                let hint = self.hint(length);
                 let flushed = (term == self.term)
                     .then(|| self.add(length, last_term, entries, &mut actions))
                     .flatten();
                 let reply = Message::Appended {
                     term: self.term,
                     flushed,
-                    hint: self.log.len(),
+                    hint,
                     replayed,
                 };
                 actions.push(Action::Send(from, reply));
@@ -435,6 +348,15 @@
         Some(at)
     }
 
+    /// Where a primary goes on after a message that did not fit behind
+    /// `length` entries: before all of the term that differs there.
+    fn hint(&self, length: usize) -> usize {
+        let Some(last) = length.checked_sub(1).and_then(|last| self.log.get(last)) else {
+            return self.log.len();
+        };
+        self.log.partition_point(|entry| entry.term < last.term)
+    }
+
     #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
     fn take_answer(
         &mut self,
@@ -462,7 +384,7 @@
                 peer.flushed = peer.flushed.max(flushed);
                 peer.next = peer.next.max(flushed);
             }
-            None => peer.next = hint.min(peer.next.saturating_sub(1)),
+            None => peer.next = hint.max(peer.flushed),
         }
         self.advance_majority(actions);
         if flushed.is_none() {
@@ -507,124 +429,4 @@
         self.peers[member].next = end;
         actions.push(Action::Send(member, message));
     }
-
-    fn ask(&mut self, now: Instant, trial: bool, planned: bool, actions: &mut Vec<Action>) {
-        self.postpone_election(now);
-        self.role = Role::Candidate;
-        self.trial = trial;
-        self.votes = BTreeSet::from([self.member]);
-        if !trial {
-            self.term += 1;
-            self.vote = Some(self.member);
-            self.primary = None;
-        }
-        let (last_term, length) = self.last();
-        let term = if trial { self.term + 1 } else { self.term };
-        for member in 0..self.members() {
-            if member != self.member {
-                let message = Message::Ask {
-                    term,
-                    trial,
-                    planned,
-                    last_term,
-                    length,
-                };
-                actions.push(Action::Send(member, message));
-            }
-        }
-        self.count_votes(now, actions);
-    }
-
-    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
-    fn vote_on(
-        &mut self,
-        now: Instant,
-        from: Member,
-        term: u64,
-        trial: bool,
-        planned: bool,
-        last: (u64, usize),
-        actions: &mut Vec<Action>,
-    ) -> Message {
-        let content = self.role == Role::Replica && self.heard_primary(now).is_some();
-        let leading = self.role == Role::Primary && self.hears_majority(now);
-        let refuses = (content || leading) && !planned;
-        if term > self.term && !trial && !refuses {
-            self.enter_term(term, actions);
-        }
-        let free = if trial {
-            term > self.term
-        } else {
-            term == self.term && self.vote.is_none_or(|vote| vote == from)
-        };
-        let granted = free && !refuses && last >= self.last() && self.role != Role::Primary;
-        if granted && !trial {
-            self.vote = Some(from);
-            self.postpone_election(now);
-        }
-        Message::Vote {
-            term: if granted { term } else { self.term },
-            trial,
-            granted,
-        }
-    }
-
-    fn hears_majority(&self, now: Instant) -> bool {
-        let heard = self.peers.iter().filter(|peer| {
-            peer.heard_at
-                .is_some_and(|at| now.saturating_duration_since(at) < self.timing.election_timeout)
-        });
-        self.is_majority(heard.count() + 1)
-    }
-
-    fn take_vote(
-        &mut self,
-        now: Instant,
-        from: Member,
-        term: u64,
-        trial: bool,
-        granted: bool,
-        actions: &mut Vec<Action>,
-    ) {
-        if !granted && term > self.term {
-            self.enter_term(term, actions);
-            self.postpone_election(now);
-            return;
-        }
-        let asked = if self.trial { self.term + 1 } else { self.term };
-        let counts =
-            granted && self.role == Role::Candidate && trial == self.trial && term == asked;
-        if counts {
-            self.votes.insert(from);
-            self.count_votes(now, actions);
-        }
-    }
-
-    fn count_votes(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if !self.is_majority(self.votes.len()) {
-            return;
-        }
-        if self.trial {
-            self.ask(now, false, false, actions);
-        } else {
-            self.lead(now, actions);
-        }
-    }
-
-    fn lead(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        self.role = Role::Primary;
-        self.primary = Some(self.member);
-        self.votes.clear();
-        self.heartbeat_at = now + self.timing.heartbeat_interval;
-        let length = self.log.len();
-        for peer in &mut self.peers {
-            peer.next = length;
-            peer.flushed = 0;
-            peer.heard_at = None;
-            peer.replayed = FIRST_LSN;
-        }
-        actions.push(Action::BecamePrimary);
-        // An empty entry starts the term, so that the older ones count.
-        actions.extend(self.append(super::timestamp::now_micros(), Vec::new()));
-    }
 }
--- a/lab/standin/src/database/group.rs
+++ b/lab/standin/src/database/group.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 
 use super::consensus::{Consensus, Role, Timing};
 use super::entry::{Entry, LoggedStatement};
@@ -82,6 +83,7 @@
     by_name: BTreeMap<String, usize>,
     history: Arc<History>,
     tasks: Vec<JoinHandle<()>>,
+    changes: Mutex<JoinSet<()>>,
 }
 
 impl DatabaseGroup {
@@ -115,6 +117,7 @@
             members,
             history,
             tasks: Vec::new(),
+            changes: Mutex::new(JoinSet::new()),
         };
         started.spawn(&network)?;
         started
@@ -252,7 +255,9 @@
         let old = self.member(&primary).node.clone();
         let target = self.member(to).node.clone();
         let history = self.history.clone();
-        tokio::spawn(async move {
+        let mut changes = self.changes.lock();
+        while changes.try_join_next().is_some() {}
+        changes.spawn(async move {
             let change = change_primary(&old, &target, &history);
             if tokio::time::timeout(SWITCHOVER_LIMIT, change)
                 .await
@@ -288,6 +293,8 @@
         for task in std::mem::take(&mut self.tasks) {
             let _ = task.await;
         }
+        let mut changes = std::mem::take(&mut *self.changes.lock());
+        changes.shutdown().await;
     }
 }
 
