--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,7 +6,13 @@
 pub mod backend_command;
 pub mod classify;
 pub mod errors;
+pub mod extended;
 pub mod frame;
 pub mod platform;
+pub mod prepared;
+pub mod reply;
 pub mod scram;
+pub mod settings_tracking;
+pub mod startup;
 pub mod status_query;
+pub mod tags;
--- /dev/null
+++ b/crates/transport/src/caller/active.rs
@@ -0,0 +1,370 @@
+//! One transaction in progress: its request machine, its connection and what is in
+//! flight on it.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::future::Future;
+use std::pin::Pin;
+
+use hookpoint_coordination::request::{RequestEvent, RequestMachine, UnitResult};
+use hookpoint_coordination::status::BackendStatus;
+use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
+use hookpoint_protocol::errors::BackendError;
+use hookpoint_protocol::frame::Frame;
+use hookpoint_protocol::reply::{self, TransactionStatus};
+use hookpoint_protocol::status_query::StatusCollector;
+use hookpoint_protocol::tags::{backend, frontend};
+use hookpoint_state::{DatabaseName, Position, Refusal, RequestId, Timestamp, UnknownCause};
+use tokio::sync::mpsc;
+
+use crate::caller::answer::Answer;
+use crate::caller::drain;
+use crate::caller::flight::{Flight, Section};
+use crate::caller::unit::{Translation, UnitPlan};
+use crate::lease::BackendLease;
+
+/// A wait that can be given up by dropping it.
+pub type Pending<T> = Option<Pin<Box<dyn Future<Output = T> + Send>>>;
+
+/// SQLSTATE of a duplicate key.
+const UNIQUE_VIOLATION: &str = "23505";
+
+/// How a transaction ended without an answer of its own.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// It did not run.
+    Refused(Refusal),
+    /// Nobody can tell.
+    Unknown(UnknownCause),
+    /// The caller cancelled it before it was sent.
+    Cancelled,
+    /// The caller has been told already.
+    Told,
+}
+
+/// One transaction in progress.
+pub struct ActiveTransaction {
+    /// The machine that decides.
+    pub machine: RequestMachine,
+    /// The unit in progress.
+    pub plan: UnitPlan,
+    /// Its answer.
+    pub answer: Answer,
+    /// What is in flight.
+    pub flight: Flight,
+    /// The connection, once granted.
+    pub lease: Option<BackendLease>,
+    /// Whether the connection has the session's parameters.
+    pub settled: bool,
+    /// Whether state may have been left on the connection.
+    pub dirty: bool,
+    /// Database the wait for a connection is about.
+    pub acquiring: Option<DatabaseName>,
+    /// The wait for a connection.
+    pub acquire: Pending<Result<BackendLease, Refusal>>,
+    /// The wait for a verified term.
+    pub verify: Pending<Option<Position>>,
+    /// When the machine's timer fires; while set, changes of view are reported too.
+    pub timer: Option<Timestamp>,
+    /// When the next status query is sent.
+    pub probe_at: Option<Timestamp>,
+    /// How it ended without an answer.
+    pub failure: Option<Failure>,
+    /// Whether the machine has ended.
+    pub finished: bool,
+    /// Whether the connection broke between two units.
+    pub lost_while_idle: bool,
+    /// Identifier to be put into the ledger with the current unit.
+    pub mark: Option<RequestId>,
+    /// Identifiers already in the ledger by this transaction.
+    pub marked: BTreeSet<RequestId>,
+    collector: StatusCollector,
+    ledger_error: Option<String>,
+    commit_error: Option<Frame>,
+    commit_rolled_back: bool,
+}
+
+/// What a reply told.
+pub enum Observed {
+    /// An event for the machine.
+    Event(RequestEvent),
+    /// A status of the database, to be shared.
+    Status(DatabaseName, BackendStatus),
+}
+
+impl ActiveTransaction {
+    /// A transaction whose first unit is `plan`.
+    pub fn new(machine: RequestMachine, plan: UnitPlan, mark: Option<RequestId>) -> Self {
+        Self {
+            machine,
+            plan,
+            answer: Answer::default(),
+            flight: Flight::default(),
+            lease: None,
+            settled: false,
+            dirty: false,
+            acquiring: None,
+            acquire: None,
+            verify: None,
+            timer: None,
+            probe_at: None,
+            failure: None,
+            finished: false,
+            lost_while_idle: false,
+            mark,
+            marked: BTreeSet::new(),
+            collector: StatusCollector::default(),
+            ledger_error: None,
+            commit_error: None,
+            commit_rolled_back: false,
+        }
+    }
+
+    /// Takes the next unit of the transaction.
+    pub fn next_unit(&mut self, plan: UnitPlan, mark: Option<RequestId>) {
+        self.plan = plan;
+        self.mark = mark.filter(|request| !self.marked.contains(request));
+        self.answer = Answer::default();
+        self.ledger_error = None;
+    }
+
+    /// Prepares for an attempt to send the current unit.
+    pub fn begin_attempt(&mut self, hold_end: bool) {
+        self.answer = Answer::new(self.plan.simple, self.plan.steps.clone(), hold_end);
+        self.ledger_error = None;
+        self.commit_error = None;
+        self.commit_rolled_back = false;
+    }
+
+    /// The end of the wait for a connection.
+    pub fn leased(&mut self, result: Result<BackendLease, Refusal>) -> RequestEvent {
+        let asked = self.acquiring.take().unwrap_or_default();
+        match result {
+            Ok(lease) => {
+                let database = lease.database.clone();
+                self.lease = Some(lease);
+                RequestEvent::LeaseGranted { database }
+            }
+            Err(refusal) => RequestEvent::LeaseRefused {
+                database: asked,
+                refusal,
+            },
+        }
+    }
+
+    /// Relays a message of the caller as it is.
+    pub fn relay(&mut self, frame: &Frame) {
+        let command = BackendCommand::Frames(vec![frame.clone()]);
+        self.flight.outgoing.push_back(command);
+    }
+
+    /// Sends a further message of a unit that goes on.
+    pub fn follow(&mut self, tag: u8, translation: Translation) {
+        if tag == frontend::SYNC {
+            self.plan.open = false;
+        }
+        let traits = &self.plan.traits;
+        self.dirty |= traits.leaves_state || !traits.settings.is_empty();
+        if let Some(step) = translation.step {
+            self.answer.expect(step);
+        }
+        self.flight.outgoing.extend(translation.commands);
+    }
+
+    /// Whether the machine waits for something although the answer is complete.
+    pub fn machine_is_busy(&self) -> bool {
+        self.acquire.is_some() || self.verify.is_some() || self.timer.is_some()
+    }
+
+    /// Whether what the caller sends belongs to the current unit.
+    pub fn takes_input(&self) -> bool {
+        self.lease.is_some()
+            && self.answer.ending().is_none()
+            && (self.plan.open || self.answer.is_copying())
+    }
+
+    /// Hands commands to the connection as far as it has room.
+    pub fn hand_over(&mut self) {
+        let Some(lease) = &self.lease else {
+            return;
+        };
+        while let Some(command) = self.flight.outgoing.pop_front() {
+            match lease.commands.try_send(command) {
+                Ok(()) => {}
+                Err(mpsc::error::TrySendError::Full(command)) => {
+                    self.flight.outgoing.push_front(command);
+                    return;
+                }
+                Err(mpsc::error::TrySendError::Closed(_)) => return,
+            }
+        }
+    }
+
+    /// Takes a reply of the connection, or its end.
+    pub fn reply(&mut self, reply: Option<BackendReply>, observed: &mut VecDeque<Observed>) {
+        match reply {
+            Some(BackendReply::Frames(frames)) => {
+                for frame in frames {
+                    self.frame(frame, observed);
+                }
+                if self.answer.overflowed() || self.is_stuck() {
+                    log::warn!("caller: an answer is larger than what may be held back.");
+                    self.lose_connection(observed);
+                }
+            }
+            Some(BackendReply::Lost) | None => self.lose_connection(observed),
+        }
+    }
+
+    /// Whether nothing can move any more: the answer fills its buffer while the
+    /// machine still waits for its end.
+    fn is_stuck(&self) -> bool {
+        !self.answer.has_room()
+            && !self.answer.is_delivering()
+            && self.flight.sections.front() == Some(&Section::Unit)
+    }
+
+    fn lose_connection(&mut self, observed: &mut VecDeque<Observed>) {
+        self.lease = None;
+        self.flight = Flight::default();
+        observed.push_back(Observed::Event(RequestEvent::ConnectionLost));
+    }
+
+    fn frame(&mut self, frame: Frame, observed: &mut VecDeque<Observed>) {
+        if BackendError::from_frame(&frame).is_some_and(|error| error.is_fatal()) {
+            return;
+        }
+        let Some(section) = self.flight.sections.front().copied() else {
+            return;
+        };
+        let ends = frame.tag == backend::READY_FOR_QUERY;
+        match section {
+            Section::Check | Section::Probe => self.status_frame(section, &frame, observed),
+            Section::Begin | Section::Ledger => self.ledger_frame(&frame),
+            Section::Unit => self.unit_frame(frame, observed),
+            Section::Commit => self.commit_frame(frame, observed),
+        }
+        if ends {
+            self.flight.sections.pop_front();
+        }
+    }
+
+    fn status_frame(&mut self, section: Section, frame: &Frame, observed: &mut VecDeque<Observed>) {
+        let Some(result) = self.collector.push(frame) else {
+            return;
+        };
+        let Ok(status) = result else {
+            if section == Section::Check || self.answer.ending().is_none_or(is_settled) {
+                self.lose_connection(observed);
+            }
+            return;
+        };
+        if let Some(lease) = &self.lease {
+            observed.push_back(Observed::Status(lease.database.clone(), status.clone()));
+        }
+        observed.push_back(Observed::Event(match section {
+            Section::Check => RequestEvent::CheckAnswered { status },
+            _ => RequestEvent::ProbeAnswered { status },
+        }));
+    }
+
+    fn ledger_frame(&mut self, frame: &Frame) {
+        if self.ledger_error.is_none() {
+            self.ledger_error = BackendError::from_frame(frame).map(|error| error.sqlstate);
+        }
+    }
+
+    fn unit_frame(&mut self, frame: Frame, observed: &mut VecDeque<Observed>) {
+        let ends = frame.tag == backend::READY_FOR_QUERY;
+        if frame.tag == backend::COPY_IN_RESPONSE && !self.plan.simple {
+            self.plan.open = true;
+        }
+        if self.ledger_error.is_none() || ends {
+            self.answer.push(frame);
+        }
+        if ends {
+            self.flight.unit_sent();
+        }
+        let wrapped = self.flight.sections.get(1) == Some(&Section::Commit);
+        if ends && !wrapped {
+            self.unit_ended(observed);
+        }
+    }
+
+    fn commit_frame(&mut self, frame: Frame, observed: &mut VecDeque<Observed>) {
+        match frame.tag {
+            backend::ERROR => self.commit_error = Some(frame),
+            backend::COMMAND_COMPLETE => {
+                self.commit_rolled_back = reply::command_tag(&frame) == Some("ROLLBACK");
+            }
+            backend::READY_FOR_QUERY => {
+                let failed = self
+                    .answer
+                    .ending()
+                    .is_some_and(|end| end.sqlstate.is_some());
+                if let Some(error) = self.commit_error.take() {
+                    self.answer.fail_end(error, TransactionStatus::Idle);
+                } else if self.commit_rolled_back && !failed && self.ledger_error.is_none() {
+                    self.lose_connection(observed);
+                    return;
+                } else {
+                    self.answer.set_status(TransactionStatus::Idle);
+                }
+                self.unit_ended(observed);
+            }
+            _ => {}
+        }
+    }
+
+    fn unit_ended(&mut self, observed: &mut VecDeque<Observed>) {
+        let Some(ending) = self.answer.ending() else {
+            return;
+        };
+        let sqlstate = self
+            .ledger_error
+            .clone()
+            .or_else(|| ending.sqlstate.clone());
+        let result = match sqlstate {
+            Some(sqlstate) if !ending.committed => UnitResult::Failed { sqlstate },
+            _ => UnitResult::Succeeded,
+        };
+        let in_transaction = ending.status.is_open();
+        if in_transaction && matches!(result, UnitResult::Failed { .. }) {
+            self.answer.release_end();
+        }
+        observed.push_back(Observed::Event(RequestEvent::UnitFinished {
+            result,
+            in_transaction,
+        }));
+    }
+
+    /// Why the ledger did not take the request's identifier, if it did not.
+    pub fn ledger_refusal(&self) -> Option<Refusal> {
+        let sqlstate = self.ledger_error.as_deref()?;
+        Some(if sqlstate == UNIQUE_VIOLATION {
+            Refusal::AlreadyRan
+        } else {
+            Refusal::BackendRefused {
+                sqlstate: sqlstate.to_owned(),
+            }
+        })
+    }
+
+    /// Gives the connection back. What is still in flight on it is read to its end
+    /// first, by a task of its own.
+    pub fn release(&mut self, reusable: bool) {
+        let flight = std::mem::take(&mut self.flight);
+        self.settled = false;
+        self.collector = StatusCollector::default();
+        let Some(lease) = self.lease.take() else {
+            return;
+        };
+        let discard = std::mem::take(&mut self.dirty);
+        let whole = flight.outgoing.is_empty();
+        drain::release(lease, flight.sections.len(), reusable && whole, discard);
+    }
+}
+
+/// Whether a status query could be answered after a unit that ended like this.
+fn is_settled(ending: &crate::caller::answer::Ending) -> bool {
+    ending.status != TransactionStatus::Failed
+}
--- /dev/null
+++ b/crates/transport/src/caller/finish.rs
@@ -0,0 +1,94 @@
+//! The end of a unit: its answer's end, the session's state after it, and errors in
+//! place of an answer.
+
+use hookpoint_protocol::reply::TransactionStatus;
+use hookpoint_state::Refusal;
+
+use crate::caller::active::{ActiveTransaction, Failure};
+use crate::caller::error::{self, SessionEnd};
+use crate::caller::session::Session;
+
+impl Session {
+    /// Writes the end of the current unit's answer and settles the session's state.
+    pub(super) fn finish_unit(&mut self) -> Result<(), SessionEnd> {
+        self.guard.entry.rests();
+        let Some(mut active) = self.transaction.take() else {
+            return Ok(());
+        };
+        match active.failure.take() {
+            Some(failure) => self.finish_failed(active, failure),
+            None => self.finish_answered(active),
+        }
+        Ok(())
+    }
+
+    fn finish_answered(&mut self, mut active: ActiveTransaction) {
+        let refusal = active.ledger_refusal();
+        for frame in active.answer.take_ready() {
+            self.stream.write(&frame);
+        }
+        let end = active.answer.take_end();
+        match &refusal {
+            Some(refusal) => self.stream.write(&error::refusal(refusal)),
+            None => end.iter().for_each(|frame| self.stream.write(frame)),
+        }
+        for name in active.answer.take_parse_failures() {
+            self.statements.remove(&name);
+        }
+        if refusal == Some(Refusal::AlreadyRan)
+            && let Some(request) = &active.mark
+        {
+            self.spend_mark(request);
+        }
+        self.settle(active, refusal.is_some());
+        self.write_ready();
+    }
+
+    /// Takes over what the unit changed in the session.
+    fn settle(&mut self, active: ActiveTransaction, refused: bool) {
+        let ending = active.answer.ending().cloned().unwrap_or_default();
+        let failed = refused || ending.sqlstate.is_some();
+        if !failed {
+            self.settings.note(&active.plan.traits.settings);
+        }
+        self.status = ending.status;
+        if self.status.is_open() {
+            self.transaction = Some(active);
+            return;
+        }
+        let undone = ending.rolled_back || (failed && !ending.committed);
+        if undone {
+            self.settings.roll_back();
+        } else {
+            self.settings.commit();
+            for request in &active.marked {
+                self.spend_mark(request);
+            }
+        }
+        self.statements.end_transaction();
+    }
+
+    fn finish_failed(&mut self, mut active: ActiveTransaction, failure: Failure) {
+        let frame = match &failure {
+            Failure::Refused(refusal) => Some(error::refusal(refusal)),
+            Failure::Unknown(cause) => Some(error::unknown(*cause)),
+            Failure::Cancelled => Some(error::cancelled()),
+            Failure::Told => None,
+        };
+        if let Some(frame) = frame {
+            self.stream.write(&frame);
+        }
+        active.release(false);
+        let ended = active.plan.traits.ends_transaction;
+        let open = active.plan.open;
+        self.settings.roll_back();
+        self.statements.end_transaction();
+        if self.status.is_open() && !ended {
+            self.aborted = true;
+            self.status = TransactionStatus::Failed;
+        } else {
+            self.status = TransactionStatus::Idle;
+        }
+        self.end_refused(open);
+    }
+}
--- /dev/null
+++ b/crates/transport/src/caller/mod.rs
@@ -0,0 +1,34 @@
+//! The caller side of a proxy: sessions of PostgreSQL clients, from their start-up to
+//! their end.
+//!
+//! A session reads a unit of messages, has it classified, and carries it through a
+//! [`hookpoint_coordination::request::RequestMachine`]: the machine decides, the
+//! session waits, sends, holds back and delivers.
+
+mod active;
+mod answer;
+mod authentication;
+mod context;
+mod drain;
+mod drive;
+mod error;
+mod finish;
+mod flight;
+mod listener;
+mod local;
+mod marks;
+mod own_answers;
+mod registry;
+mod session;
+mod settings;
+mod startup;
+mod statements;
+mod stream;
+mod tls;
+mod unit;
+
+pub use listener::{CallerHandle, CallerListener};
+pub use local::{REQUEST_ID_SETTING, TOKEN_SETTING};
+pub use settings::{
+    CallerError, CallerSettings, Credential, CredentialStore, TlsContent, TlsSettings,
+};
--- /dev/null
+++ b/crates/transport/src/caller/session.rs
@@ -0,0 +1,343 @@
+//! One caller's session: it reads units, has them answered one after another, and ends
+//! politely.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hookpoint_protocol::backend_command::BackendReply;
+use hookpoint_protocol::extended::MalformedMessage;
+use hookpoint_protocol::frame::Frame;
+use hookpoint_protocol::reply::{self, TransactionStatus};
+use hookpoint_protocol::settings_tracking::SettingsTracker;
+use hookpoint_protocol::tags::frontend;
+use hookpoint_state::{GroupName, Position, Refusal, RequestId, TenantName};
+use tokio::sync::watch;
+
+use crate::caller::active::ActiveTransaction;
+use crate::caller::context::Context;
+use crate::caller::error::{self, SessionEnd};
+use crate::caller::local::{LocalSetting, REQUEST_ID_SETTING, TOKEN_SETTING};
+use crate::caller::registry::{SessionGuard, StopMode};
+use crate::caller::statements::StatementTable;
+use crate::caller::stream::CallerStream;
+use crate::caller::unit::{CallerUnit, UnitPlan};
+
+/// A session after its start-up.
+pub struct Session {
+    pub(super) context: Arc<Context>,
+    pub(super) stream: CallerStream,
+    pub(super) guard: SessionGuard,
+    pub(super) group: GroupName,
+    pub(super) tenant: TenantName,
+    pub(super) statements: StatementTable,
+    pub(super) settings: SettingsTracker,
+    /// What the session's reads must see; none while its history is not known.
+    pub(super) required: Option<Position>,
+    /// What the caller was last told of [`Session::required`].
+    pub(super) reported: Option<Position>,
+    /// Identifier for the next write.
+    pub(super) request_mark: Option<RequestId>,
+    pub(super) transaction: Option<ActiveTransaction>,
+    pub(super) status: TransactionStatus,
+    /// Whether a transaction block has failed and has no connection any more.
+    pub(super) aborted: bool,
+    pub(super) views: watch::Receiver<u64>,
+    /// Whether messages are skipped up to the next `Sync`.
+    pub(super) skipping: bool,
+    stop: watch::Receiver<StopMode>,
+    batch: Vec<Frame>,
+    batch_bytes: usize,
+}
+
+/// Who a session belongs to.
+pub struct Identity {
+    /// Group it works on.
+    pub group: GroupName,
+    /// Tenant it belongs to.
+    pub tenant: TenantName,
+    /// Its run-time parameters, the proxy's own included.
+    pub settings: BTreeMap<String, String>,
+}
+
+impl Session {
+    /// A session of `identity`.
+    pub fn new(
+        context: Arc<Context>,
+        stream: CallerStream,
+        guard: SessionGuard,
+        identity: Identity,
+    ) -> Self {
+        let Identity {
+            group,
+            tenant,
+            mut settings,
+        } = identity;
+        let token = settings.remove(TOKEN_SETTING);
+        let request_id = settings.remove(REQUEST_ID_SETTING);
+        let views = context.shared.view_changes();
+        let stop = context.stop.subscribe();
+        let mut session = Self {
+            context,
+            stream,
+            guard,
+            group,
+            tenant,
+            statements: StatementTable::default(),
+            settings: SettingsTracker::new(settings),
+            required: None,
+            reported: None,
+            request_mark: None,
+            transaction: None,
+            status: TransactionStatus::Idle,
+            aborted: false,
+            views,
+            skipping: false,
+            stop,
+            batch: Vec::new(),
+            batch_bytes: 0,
+        };
+        if token.is_some() {
+            session.set_local(LocalSetting::Token, token);
+        }
+        if request_id.is_some() {
+            session.set_local(LocalSetting::RequestId, request_id);
+        }
+        session
+    }
+
+    /// Serves the session to its end.
+    pub async fn run(mut self) {
+        let end = loop {
+            let unit = match self.next_unit().await {
+                Ok(unit) => unit,
+                Err(end) => break end,
+            };
+            if let Err(end) = self.answer(unit).await {
+                break end;
+            }
+        };
+        self.end(end).await;
+    }
+
+    async fn end(mut self, end: SessionEnd) {
+        if let Some(mut active) = self.transaction.take() {
+            active.release(false);
+        }
+        self.guard.entry.rests();
+        log::debug!("caller: session {} ends: {end}.", self.guard.entry.id);
+        let Some(frame) = end.farewell() else {
+            return;
+        };
+        self.report_token();
+        self.stream.write(&frame);
+        self.stream.close().await;
+    }
+
+    /// Reads messages up to the end of a unit.
+    async fn next_unit(&mut self) -> Result<CallerUnit, SessionEnd> {
+        loop {
+            let frame = match self.stream.buffered()? {
+                Some(frame) => frame,
+                None => self.wait_for_frame().await?,
+            };
+            if let Some(unit) = self.collect(frame)? {
+                return Ok(unit);
+            }
+        }
+    }
+
+    /// Adds a message to the unit being read; returns the unit when that ends it.
+    fn collect(&mut self, frame: Frame) -> Result<Option<CallerUnit>, SessionEnd> {
+        if self.skipping && !matches!(frame.tag, frontend::SYNC | frontend::TERMINATE) {
+            return Ok(None);
+        }
+        match frame.tag {
+            frontend::SYNC => {
+                self.skipping = false;
+                Ok(Some(self.take_batch(false)))
+            }
+            frontend::FLUSH if self.batch.is_empty() => Ok(None),
+            frontend::FLUSH => Ok(Some(self.take_batch(true))),
+            frontend::QUERY | frontend::FUNCTION_CALL if self.batch.is_empty() => {
+                Ok(Some(CallerUnit::Simple(frame)))
+            }
+            frontend::TERMINATE => Err(SessionEnd::Terminated),
+            frontend::COPY_DATA | frontend::COPY_DONE | frontend::COPY_FAIL => Ok(None),
+            frontend::PARSE
+            | frontend::BIND
+            | frontend::DESCRIBE
+            | frontend::EXECUTE
+            | frontend::CLOSE => {
+                self.batch_bytes += frame.wire_length();
+                self.batch.push(frame);
+                if self.batch_bytes > self.message_limit() {
+                    return Err(SessionEnd::UnitTooLarge);
+                }
+                Ok(None)
+            }
+            tag => Err(SessionEnd::Malformed(MalformedMessage { tag })),
+        }
+    }
+
+    fn take_batch(&mut self, open: bool) -> CallerUnit {
+        self.batch_bytes = 0;
+        CallerUnit::Extended {
+            frames: std::mem::take(&mut self.batch),
+            open,
+        }
+    }
+
+    fn message_limit(&self) -> usize {
+        let bundle = self.context.shared.bundle();
+        bundle.map_or(usize::MAX, |bundle| bundle.limits.message_bytes as usize)
+    }
+
+    /// Waits between two units.
+    async fn wait_for_frame(&mut self) -> Result<Frame, SessionEnd> {
+        let busy = self.transaction.is_some() || !self.batch.is_empty();
+        if !busy {
+            self.stream.shrink();
+        }
+        let limit = self.idle_limit();
+        let idle = tokio::time::sleep(limit);
+        tokio::pin!(idle);
+        loop {
+            let replies = self
+                .transaction
+                .as_mut()
+                .and_then(|active| active.lease.as_mut());
+            let lost = tokio::select! {
+                biased;
+                frame = self.stream.frame() => return Ok(frame?),
+                _ = self.stop.wait_for(|mode| *mode >= StopMode::Graceful), if !busy => {
+                    return Err(SessionEnd::Stopping);
+                }
+                reply = async {
+                    match replies {
+                        Some(lease) => lease.replies.recv().await,
+                        None => std::future::pending().await,
+                    }
+                } => matches!(reply, None | Some(BackendReply::Lost)),
+                () = &mut idle, if busy => return Err(SessionEnd::IdleTransaction),
+            };
+            if lost && let Some(active) = &mut self.transaction {
+                active.lease = None;
+                active.lost_while_idle = true;
+            }
+        }
+    }
+
+    fn idle_limit(&self) -> Duration {
+        let limits = self
+            .context
+            .shared
+            .bundle()
+            .map(|bundle| bundle.limits.clone());
+        Duration::from_millis(limits.unwrap_or_default().idle_transaction_ms)
+    }
+
+    /// Has a unit answered.
+    async fn answer(&mut self, unit: CallerUnit) -> Result<(), SessionEnd> {
+        let open = matches!(unit, CallerUnit::Extended { open: true, .. });
+        match self.plan(&unit) {
+            Ok(plan) => self.answer_plan(plan).await?,
+            Err(error) => {
+                self.stream.write(&error::unit_error(&error));
+                self.fail_transaction();
+                self.end_refused(open);
+            }
+        }
+        if self.stream.pending() > 0 {
+            self.stream.flush().await?;
+        }
+        Ok(())
+    }
+
+    fn plan(&mut self, unit: &CallerUnit) -> Result<UnitPlan, crate::caller::unit::UnitError> {
+        let classifier = &self.context.classifier;
+        match unit {
+            CallerUnit::Simple(frame) if frame.tag == frontend::FUNCTION_CALL => {
+                Err(MalformedMessage { tag: frame.tag }.into())
+            }
+            CallerUnit::Simple(frame) => UnitPlan::simple(frame, classifier),
+            CallerUnit::Extended { frames, open } => {
+                UnitPlan::extended(frames, *open, &mut self.statements, classifier)
+            }
+        }
+    }
+
+    async fn answer_plan(&mut self, plan: UnitPlan) -> Result<(), SessionEnd> {
+        let open = plan.open;
+        if self.aborted {
+            self.answer_aborted(&plan);
+            return Ok(());
+        }
+        if let Some(refusal) = self.refusal_of(&plan) {
+            self.stream.write(&error::refusal(&refusal));
+            self.fail_transaction();
+            self.end_refused(open);
+            return Ok(());
+        }
+        if !plan.needs_connection {
+            self.answer_locally(&plan);
+            return Ok(());
+        }
+        self.run_unit(plan).await
+    }
+
+    /// Why the unit cannot be carried at all, if so.
+    fn refusal_of(&self, plan: &UnitPlan) -> Option<Refusal> {
+        if let Some(feature) = &plan.traits.unsupported {
+            return Some(Refusal::Unsupported {
+                feature: feature.clone(),
+            });
+        }
+        if plan.has_local && plan.needs_connection {
+            return Some(Refusal::Unsupported {
+                feature: "the proxy's own settings together with other statements".to_owned(),
+            });
+        }
+        let bundle = self.context.shared.bundle();
+        if !plan.needs_connection {
+            return None;
+        }
+        match bundle {
+            None => Some(Refusal::NoBundle),
+            Some(bundle) if !bundle.groups.contains_key(&self.group) => Some(Refusal::UnknownGroup),
+            Some(_) => self.mark_refusal(plan),
+        }
+    }
+
+    /// Ends a unit that was refused: with `ReadyForQuery`, or by skipping what the
+    /// caller still sends of it.
+    pub(super) fn end_refused(&mut self, open: bool) {
+        if open {
+            self.skipping = true;
+        } else {
+            self.write_ready();
+        }
+    }
+
+    /// A refusal inside a transaction block fails the block, as an error of the
+    /// database would.
+    pub(super) fn fail_transaction(&mut self) {
+        if !self.status.is_open() {
+            return;
+        }
+        if let Some(mut active) = self.transaction.take() {
+            active.release(false);
+        }
+        self.guard.entry.rests();
+        self.settings.roll_back();
+        self.statements.end_transaction();
+        self.aborted = true;
+        self.status = TransactionStatus::Failed;
+    }
+
+    /// Ends a unit's answer.
+    pub(super) fn write_ready(&mut self) {
+        self.report_token();
+        self.stream.write(&reply::ready_for_query(self.status));
+    }
+}
--- /dev/null
+++ b/crates/transport/src/caller/startup.rs
@@ -0,0 +1,281 @@
+//! The beginning of a connection: encryption, start-up packet, authentication.
+
+use std::sync::Arc;
+
+use hookpoint_protocol::reply::{self, TransactionStatus};
+use hookpoint_protocol::startup::{
+    self as packets, PROTOCOL_3_0, SessionParameters, StartupError, StartupPacket,
+};
+use hookpoint_state::{GroupName, TenantName};
+use thiserror::Error;
+use tokio::net::TcpStream;
+
+use crate::caller::authentication::AuthenticationError;
+use crate::caller::context::Context;
+use crate::caller::error;
+use crate::caller::registry::{SessionGuard, StopMode};
+use crate::caller::session::{Identity, Session};
+use crate::caller::stream::{CallerGone, CallerStream};
+
+/// Largest message accepted before a caller is authenticated, in bytes.
+const STARTUP_MESSAGE_LIMIT: usize = 16 * 1024;
+/// Requests for encryption answered on one connection.
+const ENCRYPTION_REQUESTS: usize = 4;
+/// Version of the server that callers are told.
+const SERVER_VERSION: &str = "16.0";
+
+/// Why a connection did not become a session.
+#[derive(Debug, Error)]
+pub enum StartFailure {
+    /// The caller has gone.
+    #[error(transparent)]
+    Gone(#[from] CallerGone),
+    /// Its start-up packet is not acceptable.
+    #[error(transparent)]
+    Packet(#[from] StartupError),
+    /// It did not prove who it is.
+    #[error(transparent)]
+    Authentication(#[from] AuthenticationError),
+    /// TLS is required and was not used.
+    #[error("the connection is not encrypted")]
+    TlsRequired,
+    /// The TLS handshake failed.
+    #[error("the TLS handshake failed")]
+    TlsHandshake,
+    /// It asked for encryption again and again.
+    #[error("encryption was asked for too often")]
+    TooManyEncryptionRequests,
+    /// It asked for a replication connection.
+    #[error("replication connections are not supported")]
+    Replication,
+    /// A run-time parameter has an impossible name.
+    #[error("`{name}` is no name of a run-time parameter")]
+    SettingName {
+        /// The name, shortened.
+        name: String,
+    },
+    /// The node has all the sessions it may have.
+    #[error("the proxy has as many sessions as it may have")]
+    TooManySessions,
+    /// The bundle does not know the group.
+    #[error("there is no database group `{group}`")]
+    UnknownGroup {
+        /// The group asked for.
+        group: GroupName,
+    },
+}
+
+/// Sessions this node may have.
+pub fn session_limit(context: &Context) -> usize {
+    let bundle = context.shared.bundle();
+    let limits = bundle
+        .map(|bundle| bundle.limits.clone())
+        .unwrap_or_default();
+    limits.sessions_per_node as usize
+}
+
+/// Serves one connection to its end.
+pub async fn serve(socket: TcpStream, context: Arc<Context>) {
+    let mut stop = context.stop.subscribe();
+    let _best_effort = socket.set_nodelay(true);
+    tokio::select! {
+        () = serve_session(socket, Arc::clone(&context)) => {}
+        _ = stop.wait_for(|mode| *mode == StopMode::Abort) => {}
+    }
+}
+
+async fn serve_session(socket: TcpStream, context: Arc<Context>) {
+    let limit = context.settings.startup_timeout;
+    let mut stop = context.stop.subscribe();
+    let started = tokio::select! {
+        started = tokio::time::timeout(limit, begin(socket, &context)) => started,
+        _ = stop.wait_for(|mode| *mode >= StopMode::Graceful) => return,
+    };
+    match started {
+        Ok(Some(session)) => session.run().await,
+        Ok(None) => {}
+        Err(_) => log::debug!("caller: a connection did not start up in {limit:?}."),
+    }
+}
+
+/// Turns a connection into a session. A connection that fails is told why.
+async fn begin(socket: TcpStream, context: &Arc<Context>) -> Option<Session> {
+    let write_timeout = context.settings.write_timeout;
+    let mut stream = CallerStream::new(Box::new(socket), STARTUP_MESSAGE_LIMIT, write_timeout);
+    let failure = match encryption(&mut stream, context).await {
+        Ok(None) => return None,
+        Ok(Some(parameters)) => match enter(&mut stream, context, parameters).await {
+            Ok((guard, identity)) => {
+                stream.limit_messages(message_limit(context));
+                let context = Arc::clone(context);
+                return Some(Session::new(context, stream, guard, identity));
+            }
+            Err(failure) => failure,
+        },
+        Err(failure) => failure,
+    };
+    log::info!("caller: a connection was refused: {failure}.");
+    if let Some(frame) = error::start_failure(&failure) {
+        stream.write(&frame);
+        stream.close().await;
+    }
+    None
+}
+
+fn message_limit(context: &Context) -> usize {
+    let bundle = context.shared.bundle();
+    let limits = bundle
+        .map(|bundle| bundle.limits.clone())
+        .unwrap_or_default();
+    limits.message_bytes as usize
+}
+
+/// Answers requests for encryption and cancelling, up to a session's own packet.
+async fn encryption(
+    stream: &mut CallerStream,
+    context: &Context,
+) -> Result<Option<SessionParameters>, StartFailure> {
+    let mut encrypted = false;
+    for _ in 0..=ENCRYPTION_REQUESTS {
+        match read_packet(stream).await? {
+            StartupPacket::Cancel { process, secret } => {
+                context.registry.cancel(process, secret);
+                return Ok(None);
+            }
+            StartupPacket::Tls if !encrypted && context.tls.is_some() => {
+                encrypt(stream, context).await?;
+                encrypted = true;
+            }
+            StartupPacket::Tls | StartupPacket::Gss => {
+                stream.write_raw(b"N");
+                stream.flush().await?;
+            }
+            StartupPacket::Session(parameters) => {
+                let required = context
+                    .tls
+                    .as_ref()
+                    .is_some_and(|tls| tls.settings().required);
+                if required && !encrypted {
+                    return Err(StartFailure::TlsRequired);
+                }
+                return Ok(Some(parameters));
+            }
+        }
+    }
+    Err(StartFailure::TooManyEncryptionRequests)
+}
+
+async fn read_packet(stream: &mut CallerStream) -> Result<StartupPacket, StartFailure> {
+    let length = stream.raw(4).await?;
+    let length = u32::from_be_bytes([length[0], length[1], length[2], length[3]]);
+    let body = stream.raw(packets::body_length(length)?).await?;
+    Ok(StartupPacket::read(body.freeze())?)
+}
+
+async fn encrypt(stream: &mut CallerStream, context: &Context) -> Result<(), StartFailure> {
+    let Some(tls) = &context.tls else {
+        return Err(StartFailure::TlsHandshake);
+    };
+    stream.write_raw(b"S");
+    stream.flush().await?;
+    let acceptor = tls.acceptor();
+    stream
+        .encrypt(&acceptor)
+        .await
+        .map_err(|_| StartFailure::TlsHandshake)
+}
+
+/// Checks who the caller is and what it asks for, and tells it that the session has
+/// begun.
+async fn enter(
+    stream: &mut CallerStream,
+    context: &Arc<Context>,
+    parameters: SessionParameters,
+) -> Result<(SessionGuard, Identity), StartFailure> {
+    if parameters.version != PROTOCOL_3_0 || !parameters.protocol_options.is_empty() {
+        let frame = reply::negotiate_version(PROTOCOL_3_0, &parameters.protocol_options);
+        stream.write(&frame);
+    }
+    if parameters.replication {
+        return Err(StartFailure::Replication);
+    }
+    check_setting_names(&parameters)?;
+    let authenticator = &context.authenticator;
+    authenticator.authenticate(stream, &parameters.user).await?;
+    let group = GroupName::new(&parameters.database);
+    if let Some(bundle) = context.shared.bundle()
+        && !bundle.groups.contains_key(&group)
+    {
+        return Err(StartFailure::UnknownGroup { group });
+    }
+    let guard = context
+        .registry
+        .enter(session_limit(context))
+        .ok_or(StartFailure::TooManySessions)?;
+    greet(stream, &guard, &parameters).await?;
+    let identity = Identity {
+        group,
+        tenant: TenantName::new(&parameters.user),
+        settings: parameters.settings,
+    };
+    Ok((guard, identity))
+}
+
+fn check_setting_names(parameters: &SessionParameters) -> Result<(), StartFailure> {
+    for name in parameters.settings.keys() {
+        let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'_' | b'.' | b'$');
+        if name.is_empty() || !name.bytes().all(allowed) {
+            return Err(StartFailure::SettingName {
+                name: name.chars().take(64).collect(),
+            });
+        }
+    }
+    Ok(())
+}
+
+async fn greet(
+    stream: &mut CallerStream,
+    guard: &SessionGuard,
+    parameters: &SessionParameters,
+) -> Result<(), StartFailure> {
+    stream.write(&reply::authentication_ok());
+    for (name, value) in reported_settings(parameters) {
+        stream.write(&reply::parameter_status(name, value));
+    }
+    let entry = &guard.entry;
+    stream.write(&reply::backend_key_data(entry.process, entry.secret));
+    stream.write(&reply::ready_for_query(TransactionStatus::Idle));
+    stream.flush().await?;
+    Ok(())
+}
+
+/// Parameters that a server reports when a session begins.
+fn reported_settings(parameters: &SessionParameters) -> Vec<(&'static str, &str)> {
+    let setting = |name: &'static str, key: &str, default: &'static str| {
+        let value = parameters.settings.get(key);
+        (name, value.map_or(default, String::as_str))
+    };
+    vec![
+        ("server_version", SERVER_VERSION),
+        ("server_encoding", "UTF8"),
+        ("integer_datetimes", "on"),
+        ("in_hot_standby", "off"),
+        ("is_superuser", "off"),
+        ("session_authorization", parameters.user.as_str()),
+        setting("application_name", "application_name", ""),
+        setting("client_encoding", "client_encoding", "UTF8"),
+        setting("DateStyle", "datestyle", "ISO, MDY"),
+        setting("IntervalStyle", "intervalstyle", "postgres"),
+        setting("TimeZone", "timezone", "UTC"),
+        setting(
+            "standard_conforming_strings",
+            "standard_conforming_strings",
+            "on",
+        ),
+        setting(
+            "default_transaction_read_only",
+            "default_transaction_read_only",
+            "off",
+        ),
+    ]
+}
--- /dev/null
+++ b/crates/transport/src/caller/unit.rs
@@ -0,0 +1,476 @@
+//! One unit of a caller's messages, made ready for any connection: what is sent, which
+//! parts its answer has, and what it may do.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use hookpoint_coordination::request::{Access, Unit};
+use hookpoint_protocol::backend_command::BackendCommand;
+use hookpoint_protocol::classify::{
+    Classifier, CopyDirection, SessionEffect, SettingChange, TransactionMode, UnitClass,
+};
+use hookpoint_protocol::extended::{self, Bind, MalformedMessage, Named, Parse, Target};
+use hookpoint_protocol::frame::Frame;
+use hookpoint_protocol::prepared::MISSING_STATEMENT;
+use hookpoint_protocol::reply;
+use hookpoint_protocol::tags::{backend, frontend};
+use hookpoint_state::RequestId;
+use thiserror::Error;
+
+use crate::caller::answer::Step;
+use crate::caller::local::LocalStatement;
+use crate::caller::statements::{Statement, StatementTable};
+
+/// A unit as it came from the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallerUnit {
+    /// A simple query.
+    Simple(Frame),
+    /// Extended messages, without the `Sync`.
+    Extended {
+        /// The messages.
+        frames: Vec<Frame>,
+        /// Whether the unit goes on: the caller asked to flush, and its `Sync` is yet
+        /// to come.
+        open: bool,
+    },
+}
+
+/// A unit that cannot be made ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum UnitError {
+    /// A message is malformed.
+    #[error(transparent)]
+    Malformed(#[from] MalformedMessage),
+    /// The session keeps too much statement text.
+    #[error("the session keeps too many prepared statements")]
+    TooManyStatements,
+}
+
+/// What a unit may do, over all its statements.
+#[derive(Clone, Debug, Default)]
+pub struct UnitTraits {
+    /// Whether every statement is a proved read.
+    pub reads_only: bool,
+    /// Whether its end may commit when it runs outside a transaction block.
+    pub may_commit: bool,
+    /// Whether it may commit when it runs inside a transaction block.
+    pub may_commit_in_block: bool,
+    /// Whether it leaves a transaction block open, and which.
+    pub opens_transaction: Option<TransactionMode>,
+    /// Whether it ends a transaction block.
+    pub ends_transaction: bool,
+    /// Whether it may leave state on the connection.
+    pub leaves_state: bool,
+    /// Changes of run-time parameters.
+    pub settings: Vec<SettingChange>,
+    /// A feature that pooling cannot carry.
+    pub unsupported: Option<String>,
+    /// Identifier of a request that is not repeatable.
+    pub request_id: Option<RequestId>,
+    /// Whether the caller has to send COPY data.
+    pub copies_in: bool,
+    /// Whether it is made of statements that end a transaction block, and of nothing
+    /// else.
+    pub only_ends: bool,
+    /// Whether it is made of statements that open a transaction block, and of nothing
+    /// else.
+    pub only_opens: bool,
+    /// Whether it executes anything.
+    pub executes: bool,
+}
+
+impl UnitTraits {
+    fn new() -> Self {
+        Self {
+            reads_only: true,
+            only_ends: true,
+            only_opens: true,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a statement that is executed.
+    fn execute(&mut self, class: &UnitClass) {
+        self.executes = true;
+        self.reads_only &= class.access == Access::Read;
+        self.may_commit |= class.may_commit;
+        self.may_commit_in_block |= class.may_commit_in_block;
+        if class.opens_transaction.is_some() {
+            self.opens_transaction = class.opens_transaction;
+        }
+        self.ends_transaction |= class.ends_transaction.is_some();
+        self.leaves_state |= class.session_effect != SessionEffect::None;
+        self.settings.extend(class.settings.iter().cloned());
+        self.copies_in |= class.copy == Some(CopyDirection::FromCaller);
+        if self.request_id.is_none() {
+            self.request_id.clone_from(&class.request_id);
+        }
+        self.mention(class);
+    }
+
+    /// Adds a statement that is only prepared or described.
+    fn mention(&mut self, class: &UnitClass) {
+        self.only_ends &= class.ends_transaction.is_some() && class.statements.len() == 1;
+        self.only_opens &= class.opens_transaction.is_some() && class.statements.len() == 1;
+        if self.unsupported.is_none() {
+            self.unsupported.clone_from(&class.unsupported);
+        }
+    }
+}
+
+/// A unit ready to be sent, again if need be.
+#[derive(Debug)]
+pub struct UnitPlan {
+    /// Whether it is a simple query.
+    pub simple: bool,
+    /// What is sent.
+    pub commands: Vec<BackendCommand>,
+    /// Parts of the answer to extended messages.
+    pub steps: VecDeque<Step>,
+    /// Whether the caller's `Sync` is yet to come.
+    pub open: bool,
+    /// What it may do.
+    pub traits: UnitTraits,
+    /// How the proxy answers by itself, if no connection is needed.
+    pub local: Vec<LocalStep>,
+    /// Tags of the answer if every statement returned no rows, in order.
+    pub answer_tags: Vec<u8>,
+    /// Whether it holds a statement that no database may see.
+    pub has_local: bool,
+    /// Whether something in it needs a connection.
+    pub needs_connection: bool,
+    ensured: BTreeSet<String>,
+    unnamed_parsed: bool,
+}
+
+/// A part of an answer that needs no connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LocalStep {
+    /// A message.
+    Message(Frame),
+    /// The statement runs now.
+    Run(LocalStatement),
+}
+
+/// One message of an open unit made ready.
+#[derive(Debug, Default)]
+pub struct Translation {
+    /// What is sent for it.
+    pub commands: Vec<BackendCommand>,
+    /// The part of the answer that belongs to it.
+    pub step: Option<Step>,
+}
+
+impl UnitPlan {
+    /// A plan of a simple query.
+    ///
+    /// # Errors
+    /// When the message is malformed.
+    pub fn simple(frame: &Frame, classifier: &Classifier) -> Result<Self, UnitError> {
+        let text = extended::query_text(frame)?;
+        let class = classifier.classify(&text);
+        let mut plan = Self::empty(true);
+        plan.traits.execute(&class);
+        match LocalStatement::of(&text, &class) {
+            Some(local) => plan.run_locally(local, true),
+            None => plan.needs_connection = true,
+        }
+        plan.commands.push(frames(vec![frame.clone()]));
+        Ok(plan)
+    }
+
+    /// A plan of extended messages. Statements they prepare are kept in `statements`
+    /// at once; those that fail are removed when the answer tells so.
+    ///
+    /// # Errors
+    /// When a message is malformed or too much would have to be kept.
+    pub fn extended(
+        messages: &[Frame],
+        open: bool,
+        statements: &mut StatementTable,
+        classifier: &Classifier,
+    ) -> Result<Self, UnitError> {
+        let mut plan = Self::empty(false);
+        plan.open = open;
+        let mut batch = Vec::new();
+        for message in messages {
+            let translation = plan.translate(message, statements, classifier)?;
+            for command in translation.commands {
+                match command {
+                    BackendCommand::Frames(more) => batch.extend(more),
+                    other => {
+                        plan.push_batch(&mut batch);
+                        plan.commands.push(other);
+                    }
+                }
+            }
+            plan.steps.extend(translation.step);
+        }
+        if open {
+            batch.push(Frame::new(frontend::FLUSH, Vec::new()));
+        } else {
+            batch.push(extended::sync());
+            plan.steps.push_back(Step::Sync);
+        }
+        plan.push_batch(&mut batch);
+        Ok(plan)
+    }
+
+    fn empty(simple: bool) -> Self {
+        Self {
+            simple,
+            commands: Vec::new(),
+            steps: VecDeque::new(),
+            open: false,
+            traits: UnitTraits::new(),
+            local: Vec::new(),
+            answer_tags: Vec::new(),
+            has_local: false,
+            needs_connection: false,
+            ensured: BTreeSet::new(),
+            unnamed_parsed: false,
+        }
+    }
+
+    fn push_batch(&mut self, batch: &mut Vec<Frame>) {
+        if !batch.is_empty() {
+            self.commands.push(frames(std::mem::take(batch)));
+        }
+    }
+
+    /// What the request machine is told of the unit. Inside a transaction block only
+    /// its end may commit. An open unit may turn into anything.
+    pub fn unit(&self, in_transaction: bool, marked: bool) -> Unit {
+        if marked && !in_transaction {
+            return Unit {
+                access: Access::Write,
+                may_commit: true,
+            };
+        }
+        let read = self.traits.reads_only && !self.open && !marked;
+        let read_only = self
+            .traits
+            .opens_transaction
+            .is_some_and(|mode| mode.read_only);
+        let may_commit = if in_transaction {
+            self.traits.may_commit_in_block || self.open
+        } else {
+            self.traits.may_commit || self.open
+        };
+        Unit {
+            access: if read || (read_only && !marked) {
+                Access::Read
+            } else {
+                Access::Write
+            },
+            may_commit,
+        }
+    }
+
+    /// Makes one extended message ready.
+    ///
+    /// # Errors
+    /// When it is malformed or too much would have to be kept.
+    pub fn translate(
+        &mut self,
+        message: &Frame,
+        statements: &mut StatementTable,
+        classifier: &Classifier,
+    ) -> Result<Translation, UnitError> {
+        match message.tag {
+            frontend::PARSE => self.parse(message, statements, classifier),
+            frontend::BIND => self.bind(message, statements),
+            frontend::DESCRIBE => self.describe(message, statements),
+            frontend::CLOSE => self.close(message, statements),
+            frontend::EXECUTE => self.execute(message, statements),
+            frontend::SYNC => Ok(relayed(message.clone(), Step::Sync)),
+            tag => Err(MalformedMessage { tag }.into()),
+        }
+    }
+
+    fn parse(
+        &mut self,
+        message: &Frame,
+        statements: &mut StatementTable,
+        classifier: &Classifier,
+    ) -> Result<Translation, UnitError> {
+        let parse = Parse::read(message)?;
+        let class = classifier.classify(&parse.query);
+        self.traits.mention(&class);
+        let statement = Arc::new(Statement::new(&parse, class));
+        statements
+            .insert(&parse.name, Arc::clone(&statement))
+            .map_err(|_| UnitError::TooManyStatements)?;
+        self.answer_locally(reply::empty(backend::PARSE_COMPLETE));
+        self.has_local |= statement.local.is_some();
+        self.needs_connection |= statement.local.is_none();
+        if parse.name.is_empty() {
+            self.unnamed_parsed = true;
+            return Ok(relayed(message.clone(), Step::Single));
+        }
+        Ok(Translation {
+            commands: self.ensure(&statement),
+            step: Some(Step::Synthesised {
+                frame: reply::empty(backend::PARSE_COMPLETE),
+                parsed: Some(parse.name),
+            }),
+        })
+    }
+
+    fn bind(
+        &mut self,
+        message: &Frame,
+        statements: &mut StatementTable,
+    ) -> Result<Translation, UnitError> {
+        let bind = Bind::read(message)?;
+        let statement = statements.get(&bind.statement).cloned();
+        if let Some(statement) = &statement {
+            statements.bind(&bind.portal, Arc::clone(statement));
+        }
+        self.answer_locally(reply::empty(backend::BIND_COMPLETE));
+        let (mut commands, name) = self.refer(&bind.statement, statement.as_ref());
+        commands.push(frames(vec![bind.with_statement(&name)]));
+        Ok(Translation {
+            commands,
+            step: Some(Step::Single),
+        })
+    }
+
+    fn describe(
+        &mut self,
+        message: &Frame,
+        statements: &StatementTable,
+    ) -> Result<Translation, UnitError> {
+        let named = Named::read(message)?;
+        if named.target == Target::Portal {
+            let statement = statements.portal(&named.name);
+            self.needs_connection |= is_relayed(statement);
+            self.describe_locally(statement);
+            return Ok(relayed(message.clone(), Step::Description));
+        }
+        let statement = statements.get(&named.name);
+        if let Some(statement) = statement {
+            self.traits.mention(&statement.class);
+            self.answer_locally(reply::no_parameters());
+        }
+        self.describe_locally(statement);
+        let (mut commands, name) = self.refer(&named.name, statement);
+        commands.push(frames(vec![named.renamed(frontend::DESCRIBE, &name)]));
+        Ok(Translation {
+            commands,
+            step: Some(Step::Description),
+        })
+    }
+
+    fn close(
+        &mut self,
+        message: &Frame,
+        statements: &mut StatementTable,
+    ) -> Result<Translation, UnitError> {
+        let named = Named::read(message)?;
+        self.answer_locally(reply::empty(backend::CLOSE_COMPLETE));
+        match named.target {
+            Target::Statement => {
+                statements.remove(&named.name);
+                Ok(Translation {
+                    commands: Vec::new(),
+                    step: Some(Step::Synthesised {
+                        frame: reply::empty(backend::CLOSE_COMPLETE),
+                        parsed: None,
+                    }),
+                })
+            }
+            Target::Portal => {
+                self.needs_connection |= is_relayed(statements.portal(&named.name));
+                statements.close_portal(&named.name);
+                Ok(relayed(message.clone(), Step::Single))
+            }
+        }
+    }
+
+    fn execute(
+        &mut self,
+        message: &Frame,
+        statements: &StatementTable,
+    ) -> Result<Translation, UnitError> {
+        let portal = extended::execute_portal(message)?;
+        self.answer_tags.push(backend::COMMAND_COMPLETE);
+        match statements.portal(&portal) {
+            Some(statement) => {
+                self.traits.execute(&statement.class);
+                match &statement.local {
+                    Some(local) => self.run_locally(local.clone(), false),
+                    None => self.needs_connection = true,
+                }
+            }
+            None => {
+                self.traits.reads_only = false;
+                self.traits.may_commit = true;
+                self.traits.may_commit_in_block = true;
+                self.traits.executes = true;
+                self.needs_connection = true;
+            }
+        }
+        Ok(relayed(message.clone(), Step::Rows))
+    }
+
+    fn answer_locally(&mut self, frame: Frame) {
+        self.answer_tags.push(frame.tag);
+        self.local.push(LocalStep::Message(frame));
+    }
+
+    fn describe_locally(&mut self, statement: Option<&Arc<Statement>>) {
+        match statement.and_then(|statement| statement.local.as_ref()) {
+            Some(local) => self.answer_locally(local.description()),
+            None => self.answer_tags.push(backend::NO_DATA),
+        }
+    }
+
+    /// A local statement runs; a simple query describes its rows unasked.
+    fn run_locally(&mut self, local: LocalStatement, described: bool) {
+        self.has_local = true;
+        let description = local.description();
+        if described && description.tag == backend::ROW_DESCRIPTION {
+            self.answer_locally(description);
+        }
+        self.local.push(LocalStep::Run(local));
+    }
+
+    /// The name that `statement` has on the connection, and what puts it there.
+    fn refer(
+        &mut self,
+        name: &str,
+        statement: Option<&Arc<Statement>>,
+    ) -> (Vec<BackendCommand>, String) {
+        self.needs_connection |= is_relayed(statement);
+        match statement {
+            None => (Vec::new(), MISSING_STATEMENT.to_owned()),
+            Some(_) if name.is_empty() && self.unnamed_parsed => (Vec::new(), String::new()),
+            Some(statement) => (self.ensure(statement), statement.shared_name.clone()),
+        }
+    }
+
+    fn ensure(&mut self, statement: &Arc<Statement>) -> Vec<BackendCommand> {
+        if self.ensured.insert(statement.shared_name.clone()) {
+            vec![statement.ensure()]
+        } else {
+            Vec::new()
+        }
+    }
+}
+
+fn is_relayed(statement: Option<&Arc<Statement>>) -> bool {
+    statement.is_none_or(|statement| statement.local.is_none())
+}
+
+fn frames(frames: Vec<Frame>) -> BackendCommand {
+    BackendCommand::Frames(frames)
+}
+
+fn relayed(frame: Frame, step: Step) -> Translation {
+    Translation {
+        commands: vec![frames(vec![frame])],
+        step: Some(step),
+    }
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod address;
 pub mod admin;
 pub mod backend;
+pub mod caller;
 pub mod lease;
 pub mod observe;
 pub mod platform;
--- /dev/null
+++ b/crates/transport/tests/caller_support/mod.rs
@@ -0,0 +1,246 @@
+//! Support of the caller side's tests: a group of fake databases behind a fake source
+//! of leases, and clients.
+#![allow(dead_code, reason = "each test file uses another part")]
+
+pub mod database;
+pub mod raw;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use hookpoint_coordination::status::Role;
+use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
+use hookpoint_state::bundle::{Database, Group, ReadPreference};
+use hookpoint_state::{
+    Bundle, BundleVersion, DatabaseName, GroupName, Position, Refusal, ZoneName,
+};
+use hookpoint_transport::caller::{CallerHandle, CallerListener, CallerSettings};
+use hookpoint_transport::lease::{
+    AcquireRequest, BackendLease, LEASE_COMMAND_BUFFER, LEASE_REPLY_BUFFER, LeaseSource,
+    TermVerifier,
+};
+use hookpoint_transport::shared::Shared;
+use parking_lot::Mutex;
+use tokio::sync::mpsc;
+use tokio_postgres::{Client, Config, NoTls};
+
+use self::database::{Connection, Server};
+
+/// Name of the group in every test.
+pub const GROUP: &str = "orders";
+/// Key that seals tokens in every test.
+pub const TOKEN_KEY: &[u8] = b"key of the tests";
+/// Longest time anything in a test may take.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Names of the databases; the first one leads at the start.
+pub const DATABASES: [&str; 3] = ["db-a", "db-b", "db-c"];
+
+/// What every connection of the group shares.
+pub struct FakeGroup {
+    pub server: Arc<Mutex<Server>>,
+    pub shared: Arc<Shared>,
+    pub refusals: Mutex<BTreeMap<String, Vec<Refusal>>>,
+    pub releases: Mutex<Vec<(String, bool, bool)>>,
+    pub acquired: Mutex<Vec<String>>,
+    pub verifications: Mutex<usize>,
+    /// While set, no lease is granted.
+    pub hold_leases: tokio::sync::watch::Sender<bool>,
+}
+
+impl FakeGroup {
+    pub fn new() -> Arc<Self> {
+        let shared = Arc::new(Shared::new(ZoneName::new("zone-1")));
+        let group = Arc::new(Self {
+            server: Arc::new(Mutex::new(Server::new(&DATABASES))),
+            shared,
+            refusals: Mutex::default(),
+            releases: Mutex::default(),
+            acquired: Mutex::default(),
+            verifications: Mutex::default(),
+            hold_leases: tokio::sync::watch::Sender::new(false),
+        });
+        group.shared.install_bundle(bundle());
+        group.observe_all();
+        group
+    }
+
+    /// Lets the proxy know where each database stands.
+    pub fn observe_all(&self) {
+        for name in DATABASES {
+            let status = self.server.lock().status(name);
+            let group = GroupName::new(GROUP);
+            self.shared
+                .observe(&group, &DatabaseName::new(name), &status);
+        }
+    }
+
+    /// Statements that ran on any database, in order, without status queries.
+    pub fn log(&self) -> Vec<String> {
+        let server = self.server.lock();
+        server.log.iter().map(|entry| entry.1.clone()).collect()
+    }
+
+    /// Databases on which `text` ran.
+    pub fn ran_on(&self, text: &str) -> Vec<String> {
+        let server = self.server.lock();
+        let found = server.log.iter().filter(|entry| entry.1.contains(text));
+        found.map(|entry| entry.0.clone()).collect()
+    }
+
+    /// Waits until `condition` holds.
+    pub async fn until(&self, what: &str, condition: impl Fn(&Self) -> bool) {
+        let started = tokio::time::Instant::now();
+        while !condition(self) {
+            assert!(started.elapsed() < PATIENCE, "waited in vain until {what}");
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+}
+
+/// A bundle of one group.
+pub fn bundle() -> Bundle {
+    let mut bundle = Bundle {
+        version: BundleVersion(1),
+        ..Bundle::default()
+    };
+    bundle
+        .zones
+        .insert(ZoneName::new("zone-1"), "region-1".into());
+    bundle.groups.insert(
+        GroupName::new(GROUP),
+        Group {
+            database: GROUP.to_owned(),
+            user: "proxy".to_owned(),
+            reads: ReadPreference::Replica,
+            election_timeout_ms: 300,
+        },
+    );
+    for name in DATABASES {
+        bundle.databases.insert(
+            DatabaseName::new(name),
+            Database {
+                group: GroupName::new(GROUP),
+                zone: ZoneName::new("zone-1"),
+                address: "127.0.0.1:1".to_owned(),
+                slots: 5,
+            },
+        );
+    }
+    bundle.limits.wait_ms = 2_000;
+    bundle.limits.acknowledge_ms = 500;
+    bundle
+}
+
+#[async_trait]
+impl LeaseSource for FakeGroup {
+    async fn acquire(&self, request: AcquireRequest) -> Result<BackendLease, Refusal> {
+        let name = request.database.as_str().to_owned();
+        let mut held = self.hold_leases.subscribe();
+        let waited = tokio::time::timeout(request.wait, held.wait_for(|held| !held)).await;
+        if waited.is_err() {
+            return Err(Refusal::WaitDeadline);
+        }
+        let refusal = self
+            .refusals
+            .lock()
+            .get_mut(&name)
+            .and_then(|refusals| (!refusals.is_empty()).then(|| refusals.remove(0)));
+        if let Some(refusal) = refusal {
+            return Err(refusal);
+        }
+        self.acquired.lock().push(name.clone());
+        let (commands, command_receiver) = mpsc::channel(LEASE_COMMAND_BUFFER);
+        let (reply_sender, replies) = mpsc::channel(LEASE_REPLY_BUFFER);
+        let connection = Connection::new(name, Arc::clone(&self.server));
+        actix_rt::spawn(connection.run(command_receiver, reply_sender));
+        Ok(BackendLease {
+            database: request.database,
+            commands,
+            replies,
+        })
+    }
+}
+
+#[async_trait]
+impl TermVerifier for FakeGroup {
+    async fn verify(&self, _group: &GroupName) -> Option<Position> {
+        *self.verifications.lock() += 1;
+        let server = self.server.lock();
+        DATABASES
+            .iter()
+            .map(|name| server.status(name))
+            .filter(|status| status.role == Role::Primary)
+            .map(|status| status.place())
+            .max_by_key(|place| place.term)
+    }
+}
+
+/// Settings of a listener on loopback that trusts everyone.
+pub fn settings() -> CallerSettings {
+    CallerSettings {
+        token_keys: vec![TOKEN_KEY.to_vec()],
+        arbiters: 2,
+        startup_timeout: Duration::from_secs(10),
+        ..CallerSettings::new("127.0.0.1:0".parse().expect("a socket address"))
+    }
+}
+
+/// A caller side over `group`.
+pub async fn start(group: &Arc<FakeGroup>) -> CallerHandle {
+    start_with(group, settings()).await
+}
+
+/// A caller side with other settings.
+pub async fn start_with(group: &Arc<FakeGroup>, settings: CallerSettings) -> CallerHandle {
+    let leases: Arc<dyn LeaseSource> = Arc::clone(group) as _;
+    let verifier: Arc<dyn TermVerifier> = Arc::clone(group) as _;
+    let shared = Arc::clone(&group.shared);
+    CallerListener::start(settings, shared, leases, verifier)
+        .await
+        .expect("the caller side starts")
+}
+
+/// Connection parameters of an ordinary client.
+pub fn config(handle: &CallerHandle) -> Config {
+    let mut config = Config::new();
+    config
+        .host("127.0.0.1")
+        .port(handle.address().port())
+        .user("clinic")
+        .dbname(GROUP);
+    config
+}
+
+/// An ordinary client.
+pub async fn connect(handle: &CallerHandle) -> Client {
+    connect_with(&config(handle)).await
+}
+
+/// A client with these parameters.
+pub async fn connect_with(config: &Config) -> Client {
+    let (client, connection) = config.connect(NoTls).await.expect("a session begins");
+    actix_rt::spawn(async move {
+        let _ended = connection.await;
+    });
+    client
+}
+
+/// SQLSTATE of an error.
+pub fn sqlstate(error: &tokio_postgres::Error) -> String {
+    let code = error.code().expect("the error has a SQLSTATE");
+    code.code().to_owned()
+}
+
+/// `DETAIL` of an error.
+pub fn detail(error: &tokio_postgres::Error) -> String {
+    let error = error.as_db_error().expect("the error came from the server");
+    error.detail().unwrap_or_default().to_owned()
+}
+
+/// Reply channel of a fake connection.
+pub type Replies = mpsc::Sender<BackendReply>;
+/// Command channel of a fake connection.
+pub type Commands = mpsc::Receiver<BackendCommand>;
