--- a/crates/transport/tests/caller_path.rs
+++ b/crates/transport/tests/caller_path.rs
@@ -26,6 +26,7 @@
         .execute("INSERT INTO t VALUES ($1)", &[&"x"])
         .await
         .expect("a write");
+    group.observe_all();
     assert_eq!(simple_values(&client, "SELECT 'eight'").await, ["eight"]);
     assert_eq!(group.ran_on("INSERT"), ["db-a"]);
     assert_ne!(group.ran_on("SELECT $1"), ["db-a"]);
