Bound statements and readers of the database stand-in

Cause: a long read held the rows' lock while heartbeats waited for it, so a slow statement could bring an election about; an endless statement never ended; a message whose length was below four bytes was waited for without end.

Change: replay takes the rows' lock without the group's; statements end at their timeout, on a cancel request, or after ten seconds; lengths are checked at both ends; a start-up has a minute. A client that connects while its database is killed is reset. Tests cover transactions, settings, portals, copies, passwords, advisory locks and malformed input.

--- a/lab/standin/src/database/connections.rs
+++ b/lab/standin/src/database/connections.rs
@@ -42,6 +42,11 @@
         self.requested.swap(false, Ordering::SeqCst)
     }
 
+    /// Whether the running work was cancelled.
+    pub fn is_requested(&self) -> bool {
+        self.requested.load(Ordering::SeqCst)
+    }
+
     /// Waits for the running work to be cancelled.
     pub async fn cancelled(&self) {
         loop {
--- a/lab/standin/src/database/copy.rs
+++ b/lab/standin/src/database/copy.rs
@@ -7,7 +7,7 @@
 
 use super::error::{SqlError, SqlState};
 use super::outcome::Outcome;
-use super::session::{Failure, Session, canceled};
+use super::session::{Failure, Session};
 use super::statement::Statement;
 use super::value;
 
@@ -143,7 +143,7 @@
             self.wire.push(PgWireBackendMessage::CopyData(data))?;
             if self.wire.is_full() {
                 if self.identity.slot.cancellation.take() {
-                    return Err(Failure::Sql(canceled()));
+                    return Err(Failure::Sql(SqlError::canceled()));
                 }
                 self.wire.flush().await?;
             }
--- a/lab/standin/src/database/error.rs
+++ b/lab/standin/src/database/error.rs
@@ -186,6 +186,14 @@
         }
     }
 
+    /// The end of a statement on request or past its time.
+    pub fn canceled() -> Self {
+        Self::new(
+            SqlState::QueryCanceled,
+            "canceling statement due to user request",
+        )
+    }
+
     /// The closing of a connection because its database left its role.
     pub fn terminated() -> Self {
         Self::fatal(
@@ -202,7 +210,10 @@
             rusqlite::Error::SqlInputError { msg, .. } => msg.clone(),
             other => other.to_string(),
         };
-        Self::new(classify(&error, &message), message)
+        match classify(&error, &message) {
+            SqlState::QueryCanceled => Self::canceled(),
+            state => Self::new(state, message),
+        }
     }
 }
 
--- a/lab/standin/src/database/execute.rs
+++ b/lab/standin/src/database/execute.rs
@@ -1,8 +1,9 @@
 //! Runs the statements of a session.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
 use pgwire::api::Type;
 use rusqlite::types::Value;
 
@@ -10,7 +11,7 @@
 use super::error::{SqlError, SqlState};
 use super::infer::{ColumnTypes, mentioned_tables};
 use super::outcome::{Column, Outcome, columns_of};
-use super::session::{Failure, Session, canceled};
+use super::session::{Failure, Session};
 use super::side_effect::{SideEffect, SideEffectKind};
 use super::statement::{Statement, StatementKind};
 use super::store::{RowSet, Store};
@@ -18,6 +19,9 @@
 use super::view;
 use super::working::{Working, WriteTransaction};
 
+/// Time that one statement may keep the rows to itself.
+const MAXIMUM_STATEMENT_TIME: Duration = Duration::from_secs(10);
+
 impl Session {
     /// Runs one statement. `described` are the columns that the client was
     /// told, if it was.
@@ -60,7 +64,7 @@
     }
 
     fn check_writable(&self, statement: &Statement) -> Result<(), SqlError> {
-        if self.transaction.read_only || self.node.view().in_recovery {
+        if self.transaction.read_only || self.node.in_recovery() {
             let words = statement.tag.trim_end_matches(" 0");
             return Err(SqlError::new(
                 SqlState::ReadOnlySqlTransaction,
@@ -81,7 +85,7 @@
             .await?;
         let locks_rows = statement.kind == StatementKind::LockingRead;
         let exclusive = self.transaction.snapshot && !self.transaction.read_only;
-        if locks_rows || (exclusive && !self.node.view().in_recovery) {
+        if locks_rows || (exclusive && !self.node.in_recovery()) {
             self.begin_write().await?;
         }
         let (rows, known) = self.with_rows(statement, locks, |store| {
@@ -153,11 +157,12 @@
 
     /// Runs `work` on the rows as this session sees them now.
     pub(super) fn with_rows<R>(
-        &self,
+        &mut self,
         statement: &Statement,
         locks: Vec<bool>,
         work: impl FnOnce(&mut Store) -> Result<R, SqlError>,
     ) -> Result<R, SqlError> {
+        self.take_snapshot()?;
         let mut view = self.node.view();
         let newest = view.replayed;
         let reads_views = statement
@@ -166,10 +171,14 @@
             .any(|token| token.is_any_word(&view::NAMES));
         let seed = self.node.next_seed();
         let identity = &self.identity;
+        let timestamp = self.transaction.timestamp;
+        let limit = identity.settings.timeout("statement_timeout");
+        let deadline = Instant::now() + limit.unwrap_or(MAXIMUM_STATEMENT_TIME);
         let prepared = |store: &mut Store, replayed| {
             view.replayed = replayed;
             store.set_view(&view);
-            store.set_chance(self.transaction.timestamp, seed);
+            store.set_chance(timestamp, seed);
+            store.set_limit(deadline, identity.slot.cancellation.clone());
             store.set_session(
                 identity.slot.process,
                 &identity.user,
@@ -181,12 +190,29 @@
             }
             work(store)
         };
-        match &self.transaction.write {
-            Some(write) => write.with_store(|store| prepared(store, newest)),
-            None => self.node.read(self.epoch, prepared),
+        match (&self.transaction.write, &mut self.transaction.rows) {
+            (Some(write), _) => write.with_store(|store| prepared(store, newest)),
+            (None, Some(rows)) => prepared(rows.get_mut(), newest),
+            (None, None) => self.node.read(self.epoch, prepared),
         }
     }
 
+    /// Copies the rows at the first read of a snapshot that only reads.
+    fn take_snapshot(&mut self) -> Result<(), SqlError> {
+        let transaction = &self.transaction;
+        let wanted = transaction.stage == Stage::Explicit
+            && transaction.snapshot
+            && transaction.rows.is_none()
+            && (transaction.read_only || self.node.in_recovery());
+        if wanted {
+            let copy = self
+                .node
+                .read(self.epoch, |store, _| Ok(Store::copy(store)?))?;
+            self.transaction.rows = Some(Mutex::new(copy));
+        }
+        Ok(())
+    }
+
     /// The columns of the proxies' status query.
     pub(super) fn status_columns() -> Vec<Column> {
         vec![
@@ -256,7 +282,7 @@
         let limit = limit.unwrap_or(Duration::from_secs(86_400));
         tokio::select! {
             result = work => Ok(result),
-            () = self.identity.slot.cancellation.cancelled() => Err(canceled()),
+            () = self.identity.slot.cancellation.cancelled() => Err(SqlError::canceled()),
             () = tokio::time::sleep(limit) => Err(SqlError::new(
                 SqlState::QueryCanceled,
                 "canceling statement due to statement timeout",
--- a/lab/standin/src/database/extended.rs
+++ b/lab/standin/src/database/extended.rs
@@ -102,7 +102,7 @@
     }
 
     fn describe_statement(
-        &self,
+        &mut self,
         statement: &Statement,
         given: &[Option<Type>],
     ) -> Result<(Vec<Type>, Option<Vec<Column>>), SqlError> {
--- a/lab/standin/src/database/node.rs
+++ b/lab/standin/src/database/node.rs
@@ -2,7 +2,7 @@
 //!
 //! Lock order: `inner`, then a working store, then `committed`.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -44,11 +44,24 @@
     store: Store,
     applied: usize,
     position: Lsn,
+    /// How often the log was cut below what had been replayed.
+    rebuilds: u64,
+}
+
+/// Entries that are to be replayed next.
+struct Due {
+    entries: Vec<Arc<Entry>>,
+    /// Number of entries before them.
+    start: usize,
+    rebuilds: u64,
+    /// When there will be more, if that is known.
+    next: Option<Instant>,
 }
 
 struct Inner {
     consensus: Consensus,
     received: Vec<Instant>,
+    rebuilds: u64,
     alive: bool,
     paused: bool,
     working: Option<Arc<Working>>,
@@ -70,6 +83,9 @@
     pub history: Arc<History>,
     inner: Mutex<Inner>,
     committed: Mutex<Committed>,
+    /// Copies of the committed rows' counters, read without their lock.
+    applied: AtomicUsize,
+    replayed: AtomicU64,
     links: OnceLock<Links>,
     epoch: watch::Sender<Epoch>,
     majority: watch::Sender<usize>,
@@ -106,6 +122,7 @@
             inner: Mutex::new(Inner {
                 consensus,
                 received: vec![Instant::now()],
+                rebuilds: 0,
                 alive: true,
                 paused: false,
                 working,
@@ -114,7 +131,10 @@
                 store,
                 applied: 1,
                 position: first.end,
+                rebuilds: 0,
             }),
+            applied: AtomicUsize::new(1),
+            replayed: AtomicU64::new(first.end.0),
             links: OnceLock::new(),
             epoch: watch::Sender::new(Epoch::default()),
             majority: watch::Sender::new(1),
@@ -178,7 +198,7 @@
 
     /// Takes in a message from a peer.
     pub fn receive(&self, from: Member, message: Message) {
-        let replayed = self.committed.lock().position;
+        let replayed = self.replayed();
         self.step(|consensus, now| consensus.receive(now, from, message, replayed));
     }
 
@@ -206,8 +226,8 @@
     /// Replays entries as they come due until dropped.
     pub async fn run_replay(self: Arc<Self>) {
         loop {
-            let due = self.replay_due();
-            let wait = due.unwrap_or_else(|| Instant::now() + REPLAY_IDLE);
+            let next = self.catch_up();
+            let wait = next.unwrap_or_else(|| Instant::now() + REPLAY_IDLE);
             if wait > Instant::now() {
                 tokio::select! {
                     () = tokio::time::sleep_until(wait.into()) => {}
@@ -219,24 +239,72 @@
         }
     }
 
-    /// Replays what is due; returns when the next entry is.
-    fn replay_due(&self) -> Option<Instant> {
-        let lag = *self.replay_lag.lock();
-        let inner = self.inner.lock();
-        if !inner.alive || inner.paused || inner.consensus.role() == Role::Primary {
-            return None;
+    /// Replays what is due, without keeping the group waiting for readers;
+    /// returns when there will be more, if that is known.
+    pub fn catch_up(&self) -> Option<Instant> {
+        let due = self.due();
+        if due.entries.is_empty() {
+            return due.next;
         }
         let mut committed = self.committed.lock();
+        if committed.rebuilds == due.rebuilds {
+            let done = committed.applied.saturating_sub(due.start);
+            for entry in due.entries.iter().skip(done) {
+                committed.apply(entry);
+            }
+            self.publish(&committed);
+        }
+        due.next
+    }
+
+    fn due(&self) -> Due {
+        let lag = *self.replay_lag.lock();
+        let start = self.applied.load(Ordering::Acquire);
+        let inner = self.inner.lock();
         let log = inner.consensus.log();
-        for _ in 0..REPLAY_BATCH {
-            let due = *inner.received.get(committed.applied)? + lag;
-            if due > Instant::now() {
-                return Some(due);
+        let mut due = Due {
+            entries: Vec::new(),
+            start,
+            rebuilds: inner.rebuilds,
+            next: None,
+        };
+        if !inner.alive || inner.paused {
+            return due;
+        }
+        let now = Instant::now();
+        let visible = self.visible(&inner);
+        let end = visible.min(start + REPLAY_BATCH);
+        let following = inner.consensus.role() != Role::Primary;
+        for (entry, received) in log.iter().zip(&inner.received).take(end).skip(start) {
+            let ready = *received + lag;
+            if following && ready > now {
+                due.next = Some(ready);
+                return due;
             }
-            let end = committed.applied + 1;
-            committed.apply(log, end);
+            due.entries.push(entry.clone());
+        }
+        if end < visible {
+            due.next = Some(now);
         }
-        Some(Instant::now())
+        due
+    }
+
+    /// How many entries reads may see now.
+    fn visible(&self, inner: &Inner) -> usize {
+        if inner.consensus.role() == Role::Primary && self.group.synchronous_commit {
+            inner.consensus.majority()
+        } else {
+            inner.consensus.log().len()
+        }
+    }
+
+    fn publish(&self, committed: &Committed) {
+        self.applied.store(committed.applied, Ordering::Release);
+        self.replayed.store(committed.position.0, Ordering::Release);
+    }
+
+    fn replayed(&self) -> Lsn {
+        Lsn(self.replayed.load(Ordering::Acquire))
     }
 
     fn apply(&self, inner: &mut Inner, actions: Vec<Action>) {
@@ -256,11 +324,8 @@
                     self.end_connections(false);
                 }
                 Action::MajorityAdvanced => {
-                    let majority = inner.consensus.majority();
-                    if self.group.synchronous_commit {
-                        self.committed.lock().apply(inner.consensus.log(), majority);
-                    }
-                    self.majority.send_replace(majority);
+                    self.majority.send_replace(inner.consensus.majority());
+                    self.replay_wake.notify_one();
                 }
             }
         }
@@ -269,10 +334,6 @@
     fn flushed(&self, inner: &mut Inner) {
         let length = inner.consensus.log().len();
         inner.received.resize(length, Instant::now());
-        let at_once = !self.group.synchronous_commit;
-        if inner.consensus.role() == Role::Primary && at_once {
-            self.committed.lock().apply(inner.consensus.log(), length);
-        }
         self.replay_wake.notify_one();
     }
 
@@ -288,8 +349,12 @@
             committed.applied - length
         );
         self.end_connections(false);
-        match Committed::rebuild(&inner.consensus.log()[..length]) {
-            Ok(rebuilt) => *committed = rebuilt,
+        inner.rebuilds += 1;
+        match Committed::rebuild(&inner.consensus.log()[..length], inner.rebuilds) {
+            Ok(rebuilt) => {
+                *committed = rebuilt;
+                self.publish(&committed);
+            }
             Err(error) => log::error!("database: {} cannot rebuild: {error}.", self.settings.name),
         }
     }
@@ -297,7 +362,10 @@
     fn promote(&self, inner: &mut Inner) {
         let mut committed = self.committed.lock();
         let log = inner.consensus.log();
-        committed.apply(log, log.len());
+        for entry in &log[committed.applied..] {
+            committed.apply(entry);
+        }
+        self.publish(&committed);
         match Store::copy(&committed.store) {
             Ok(copy) => inner.working = Some(Arc::new(Working::new(copy))),
             Err(error) => log::error!("database: {} cannot promote: {error}.", self.settings.name),
@@ -339,9 +407,22 @@
         let actions = inner.consensus.append(timestamp, statements);
         let length = inner.consensus.log().len();
         self.apply(&mut inner, actions);
+        drop(inner);
+        if !self.group.synchronous_commit {
+            self.catch_up_to(length);
+        }
         Ok(Some(length))
     }
 
+    /// Makes the first `length` entries visible, if they may be.
+    pub fn catch_up_to(&self, length: usize) {
+        while self.applied.load(Ordering::Acquire) < length {
+            if self.catch_up().is_none() {
+                return;
+            }
+        }
+    }
+
     /// Runs `read` on the rows that have been replayed, with their position,
     /// unless the connections of `epoch` have ended.
     pub fn read<R>(
@@ -372,7 +453,7 @@
                 consensus.timeline()
             },
             flushed: consensus.flushed(),
-            replayed: self.committed.lock().position,
+            replayed: self.replayed(),
             primary: heard.map(|member| self.group.databases[member].name.clone()),
             replicas: if primary {
                 self.replicas(consensus, now)
@@ -399,6 +480,11 @@
         replicas
     }
 
+    /// Whether it is no primary now.
+    pub fn in_recovery(&self) -> bool {
+        self.inner.lock().consensus.role() != Role::Primary
+    }
+
     /// Role and term; no role when the process is down.
     pub fn role(&self) -> (Option<Role>, u64) {
         let inner = self.inner.lock();
@@ -478,28 +564,28 @@
 }
 
 impl Committed {
-    fn rebuild(log: &[Arc<Entry>]) -> Result<Self, SqlError> {
+    fn rebuild(log: &[Arc<Entry>], rebuilds: u64) -> Result<Self, SqlError> {
         let mut rebuilt = Self {
             store: Store::open()?,
             applied: 0,
             position: Lsn(0),
+            rebuilds,
         };
-        rebuilt.apply(log, log.len());
+        for entry in log {
+            rebuilt.apply(entry);
+        }
         Ok(rebuilt)
     }
 
-    /// Replays the log up to its first `end` entries.
-    fn apply(&mut self, log: &[Arc<Entry>], end: usize) {
-        while self.applied < end.min(log.len()) {
-            let entry = &log[self.applied];
-            if let Err(error) = self.store.replay(entry) {
-                log::error!(
-                    "database: an entry at {} fails to replay: {error}.",
-                    entry.end
-                );
-            }
-            self.applied += 1;
-            self.position = entry.end;
+    /// Replays the next entry of the log.
+    fn apply(&mut self, entry: &Entry) {
+        if let Err(error) = self.store.replay(entry) {
+            log::error!(
+                "database: an entry at {} fails to replay: {error}.",
+                entry.end
+            );
         }
+        self.applied += 1;
+        self.position = entry.end;
     }
 }
--- a/lab/standin/src/database/session.rs
+++ b/lab/standin/src/database/session.rs
@@ -142,8 +142,7 @@
         match message {
             PgWireFrontendMessage::Terminate(_) => return Err(End::Closed),
             PgWireFrontendMessage::Sync(_) => return self.sync().await,
-            PgWireFrontendMessage::Query(query) => {
-                self.skipping = false;
+            PgWireFrontendMessage::Query(query) if !self.skipping => {
                 return self.simple_query(&query.query).await;
             }
             PgWireFrontendMessage::Flush(_) => return Ok(self.wire.flush().await?),
@@ -236,7 +235,7 @@
             sent += 1;
             if self.wire.is_full() {
                 if self.identity.slot.cancellation.take() {
-                    return Err(canceled().into());
+                    return Err(SqlError::canceled().into());
                 }
                 self.wire.flush().await?;
             }
@@ -260,6 +259,10 @@
     }
 
     async fn ready(&mut self) -> Result<(), End> {
+        let standby = if self.node.in_recovery() { "on" } else { "off" };
+        self.identity
+            .settings
+            .set_internal("in_hot_standby", standby);
         let reported = self.identity.settings.reported();
         for (now, before) in reported.iter().zip(&self.reported) {
             if now != before {
@@ -278,14 +281,6 @@
 /// How long a client may take to read why it is disconnected.
 const FAREWELL_WAIT: Duration = Duration::from_millis(500);
 
-/// The error of a cancelled statement.
-pub fn canceled() -> SqlError {
-    SqlError::new(
-        SqlState::QueryCanceled,
-        "canceling statement due to user request",
-    )
-}
-
 /// Why a message could not be answered as asked.
 #[derive(Debug, thiserror::Error)]
 pub enum Failure {
--- a/lab/standin/src/database/startup.rs
+++ b/lab/standin/src/database/startup.rs
@@ -1,6 +1,7 @@
 //! Opens client connections: start-up, authentication and cancel requests.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use pgwire::api::auth::sasl::scram::{
     SCRAM_ITERATIONS, ScramSecret, ScramServerAuth, gen_salted_password,
@@ -22,6 +23,8 @@
 
 /// The mechanism offered when a password is set.
 const MECHANISM: &str = "SCRAM-SHA-256";
+/// Time that a client may take to start up and authenticate.
+const STARTUP_LIMIT: Duration = Duration::from_secs(60);
 /// Length of the salt in bytes.
 const SALT_BYTES: usize = 16;
 
@@ -36,6 +39,11 @@
     let mut epochs = node.epochs();
     let first = *epochs.borrow_and_update();
     let mut wire = Wire::new(stream, node.gate());
+    if !node.is_alive() {
+        // The connection came in while the process was being killed.
+        wire.reset();
+        return;
+    }
     // A slot is given back when the connection ends, however it ends.
     let mut lease = Lease {
         node: &node,
@@ -43,6 +51,7 @@
     };
     let opened = tokio::select! {
         opened = open(&node, &mut wire, &mut lease.slot) => opened,
+        () = tokio::time::sleep(STARTUP_LIMIT) => return,
         _ = epochs.changed() => {
             if epochs.borrow().abrupt {
                 wire.reset();
@@ -204,7 +213,7 @@
     if database.is_empty() {
         database.clone_from(&user);
     }
-    let in_recovery = node.view().in_recovery;
+    let in_recovery = node.in_recovery();
     settings.set_internal("in_hot_standby", if in_recovery { "on" } else { "off" });
     settings.set_internal("session_authorization", &user);
     Ok(Identity {
--- a/lab/standin/src/database/store.rs
+++ b/lab/standin/src/database/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 use parking_lot::Mutex;
 use pgwire::api::Type;
@@ -11,6 +12,7 @@
 use rusqlite::types::Value;
 use rusqlite::{Connection, params_from_iter};
 
+use super::connections::Cancellation;
 use super::entry::Entry;
 use super::error::{SqlError, SqlState};
 use super::functions::{self, FunctionContext, SharedContext};
@@ -50,8 +52,24 @@
     connection: Connection,
     context: SharedContext,
     columns: HashMap<String, Vec<(String, Type)>>,
+    limit: Arc<Mutex<Option<Limit>>>,
 }
 
+/// What ends a statement early.
+struct Limit {
+    deadline: Instant,
+    cancellation: Arc<Cancellation>,
+}
+
+impl Limit {
+    fn is_reached(&self) -> bool {
+        self.cancellation.is_requested() || Instant::now() >= self.deadline
+    }
+}
+
+/// Steps of the engine between two looks at the limit.
+const STEPS_BETWEEN_LOOKS: i32 = 10_000;
+
 impl Store {
     /// An empty store.
     pub fn open() -> rusqlite::Result<Self> {
@@ -62,10 +80,17 @@
         rusqlite::vtab::series::load_module(&connection)?;
         connection.execute_batch("PRAGMA foreign_keys = ON; PRAGMA case_sensitive_like = ON;")?;
         super::view::create(&connection)?;
+        let limit: Arc<Mutex<Option<Limit>>> = Arc::default();
+        let looked_at = limit.clone();
+        connection.progress_handler(
+            STEPS_BETWEEN_LOOKS,
+            Some(move || looked_at.lock().as_ref().is_some_and(Limit::is_reached)),
+        );
         Ok(Self {
             connection,
             context,
             columns: HashMap::new(),
+            limit,
         })
     }
 
@@ -108,6 +133,14 @@
         Ok(refresh(&self.connection, view)?)
     }
 
+    /// Sets what ends the next statements early.
+    pub fn set_limit(&mut self, deadline: Instant, cancellation: Arc<Cancellation>) {
+        *self.limit.lock() = Some(Limit {
+            deadline,
+            cancellation,
+        });
+    }
+
     /// Runs one statement.
     pub fn run(&mut self, sql: &str, parameters: &[Value]) -> Result<RowSet, SqlError> {
         let before = self.connection.total_changes();
@@ -189,6 +222,7 @@
         if entry.statements.is_empty() {
             return Ok(());
         }
+        *self.limit.lock() = None;
         self.run_batch("BEGIN")?;
         let result = entry.statements.iter().try_for_each(|statement| {
             self.set_chance(entry.timestamp, statement.seed);
--- a/lab/standin/src/database/transaction.rs
+++ b/lab/standin/src/database/transaction.rs
@@ -1,8 +1,10 @@
 //! The state of a session's transaction.
 
+use parking_lot::Mutex;
 use pgwire::messages::response::TransactionStatus;
 
 use super::session_settings::SessionSettings;
+use super::store::Store;
 use super::timestamp;
 use super::working::WriteTransaction;
 
@@ -33,6 +35,8 @@
     pub timestamp: i64,
     /// Its writes, once it has any.
     pub write: Option<WriteTransaction>,
+    /// The rows as they were at its first read, for a snapshot that only reads.
+    pub rows: Option<Mutex<Store>>,
     /// Settings after a commit, where SET LOCAL made a difference.
     pub after_commit: SessionSettings,
     /// Settings after a rollback.
@@ -51,6 +55,7 @@
             snapshot: matches!(isolation, "repeatable read" | "serializable"),
             timestamp: timestamp::now_micros(),
             write: None,
+            rows: None,
             after_commit: settings.clone(),
             after_rollback: settings.clone(),
         }
--- a/lab/standin/src/database/utility.rs
+++ b/lab/standin/src/database/utility.rs
@@ -88,7 +88,7 @@
     }
 
     fn set_modes(&mut self, modes: TransactionModes) -> Result<(), SqlError> {
-        if modes.read_only == Some(false) && self.node.view().in_recovery {
+        if modes.read_only == Some(false) && self.node.in_recovery() {
             return Err(SqlError::new(
                 SqlState::FeatureNotSupported,
                 "cannot set transaction read-write mode during recovery",
@@ -154,11 +154,11 @@
         };
         let value = match name {
             "transaction_read_only" => {
-                let read_only = self.transaction.read_only || self.node.view().in_recovery;
+                let read_only = self.transaction.read_only || self.node.in_recovery();
                 if read_only { "on" } else { "off" }
             }
             "in_hot_standby" => {
-                if self.node.view().in_recovery {
+                if self.node.in_recovery() {
                     "on"
                 } else {
                     "off"
@@ -225,7 +225,10 @@
         let mut majorities = self.node.majorities();
         let reached = majorities.wait_for(|majority| *majority >= length);
         match tokio::time::timeout(self.node.group.commit_wait, reached).await {
-            Ok(Ok(_)) => Ok(()),
+            Ok(Ok(_)) => {
+                self.node.catch_up_to(length);
+                Ok(())
+            }
             _ => Err(SqlError::fatal(
                 SqlState::AdminShutdown,
                 "terminating connection: no majority confirmed the commit in time",
@@ -253,7 +256,7 @@
         if self.transaction.stage != Stage::Explicit {
             return Err(outside_block("SAVEPOINT"));
         }
-        if self.transaction.read_only || self.node.view().in_recovery {
+        if self.transaction.read_only || self.node.in_recovery() {
             return Ok(());
         }
         self.begin_write().await?;
--- a/lab/standin/src/database/wire.rs
+++ b/lab/standin/src/database/wire.rs
@@ -16,6 +16,8 @@
 
 /// Size of a message in bytes past which the connection is closed.
 const MAXIMUM_MESSAGE_BYTES: usize = 64 * 1024 * 1024;
+/// Size of a message's length, which counts itself.
+const LENGTH_BYTES: usize = 4;
 /// Output collected before it is written.
 const OUTPUT_BYTES: usize = 64 * 1024;
 /// Length of an error's text past which it is cut.
@@ -30,9 +32,9 @@
     /// The client sent what is no message.
     #[error("a malformed message")]
     Malformed(#[from] PgWireError),
-    /// The client sent a message that is too large.
+    /// The client sent a length that no message has.
     #[error("a message of {0} bytes")]
-    TooLarge(usize),
+    BadLength(usize),
 }
 
 /// One connection's socket with its buffers.
@@ -93,12 +95,12 @@
     fn check_length(&self) -> Result<(), WireError> {
         let typed = !self.context.awaiting_frontend_startup;
         let at = usize::from(typed);
-        let Some(bytes) = self.input.get(at..at + 4) else {
+        let Some(bytes) = self.input.get(at..at + LENGTH_BYTES) else {
             return Ok(());
         };
         let length = u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]) as usize;
-        if length > MAXIMUM_MESSAGE_BYTES {
-            return Err(WireError::TooLarge(length));
+        if !(LENGTH_BYTES..=MAXIMUM_MESSAGE_BYTES).contains(&length) {
+            return Err(WireError::BadLength(length));
         }
         Ok(())
     }
--- /dev/null
+++ b/lab/standin/tests/database_sessions.rs
@@ -0,0 +1,370 @@
+//! Sessions: transactions, settings, portals, copies, authentication and
+//! malformed input.
+
+mod database_support;
+
+use std::time::Duration;
+
+use database_support::{
+    code, config, connect, failure, group_of_three, number, start, status_of, texts, try_connect,
+    until, until_replayed,
+};
+use futures::{SinkExt, TryStreamExt};
+use hookpoint_standin::database::GroupSettings;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_postgres::{Client, NoTls};
+
+async fn run(client: &Client, sql: &str) {
+    client
+        .batch_execute(sql)
+        .await
+        .unwrap_or_else(|error| panic!("{sql}: {error}"));
+}
+
+#[tokio::test]
+async fn transactions_are_whole() {
+    let group = start(group_of_three()).await;
+    let client = connect(&group, "a").await;
+    // Statements, and how many notes there are after them.
+    let cases: [(&[&str], i64); 9] = [
+        (&["BEGIN", "INSERT INTO notes VALUES (1, 'x')", "COMMIT"], 1),
+        (
+            &["BEGIN", "INSERT INTO notes VALUES (2, 'x')", "ROLLBACK"],
+            1,
+        ),
+        (
+            &["INSERT INTO notes VALUES (2, 'x'); INSERT INTO notes VALUES (1, 'x')"],
+            1,
+        ),
+        (
+            &["INSERT INTO notes VALUES (2, 'x'); INSERT INTO notes VALUES (3, 'x')"],
+            3,
+        ),
+        (
+            &["BEGIN", "DELETE FROM notes", "SELECT broken", "COMMIT"],
+            3,
+        ),
+        (
+            &["BEGIN; DELETE FROM notes WHERE id = 3; COMMIT; SELECT broken"],
+            2,
+        ),
+        (
+            &[
+                "BEGIN",
+                "SAVEPOINT one",
+                "DELETE FROM notes",
+                "ROLLBACK TO one",
+                "COMMIT",
+            ],
+            2,
+        ),
+        (
+            &[
+                "BEGIN",
+                "SAVEPOINT one",
+                "SELECT broken",
+                "ROLLBACK TO SAVEPOINT one",
+                "INSERT INTO notes VALUES (4, 'x')",
+                "RELEASE one",
+                "COMMIT",
+            ],
+            3,
+        ),
+        (
+            &[
+                "BEGIN",
+                "INSERT INTO notes VALUES (5, 'x')",
+                "INSERT INTO notes VALUES (5, 'x')",
+                "END",
+            ],
+            3,
+        ),
+    ];
+    for (statements, expected) in cases {
+        for sql in statements {
+            // Some of them are meant to fail.
+            let _ = client.simple_query(sql).await;
+        }
+        assert_eq!(
+            number(&client, "SELECT count(*) FROM notes").await,
+            expected,
+            "{statements:?}"
+        );
+    }
+    until_replayed(&group).await;
+    let replica = connect(&group, "c").await;
+    assert_eq!(number(&replica, "SELECT count(*) FROM notes").await, 3);
+    group.stop().await;
+}
+
+#[tokio::test]
+async fn open_transactions_hide_their_writes() {
+    let mut settings = group_of_three();
+    settings.lock_wait = Duration::from_millis(50);
+    let group = start(settings).await;
+    let writer = connect(&group, "a").await;
+    let reader = connect(&group, "a").await;
+    run(&reader, "BEGIN ISOLATION LEVEL REPEATABLE READ READ ONLY").await;
+    assert_eq!(number(&reader, "SELECT count(*) FROM notes").await, 0);
+    run(&writer, "BEGIN; INSERT INTO notes VALUES (1, 'x')").await;
+    assert_eq!(number(&writer, "SELECT count(*) FROM notes").await, 1);
+    let other = connect(&group, "a").await;
+    assert_eq!(number(&other, "SELECT count(*) FROM notes").await, 0);
+    assert_eq!(
+        failure(&other, "INSERT INTO notes VALUES (2, 'x')").await,
+        "55P03"
+    );
+    run(&writer, "COMMIT").await;
+    assert_eq!(number(&other, "SELECT count(*) FROM notes").await, 1);
+    assert_eq!(number(&reader, "SELECT count(*) FROM notes").await, 0);
+    run(&reader, "COMMIT").await;
+    assert_eq!(number(&reader, "SELECT count(*) FROM notes").await, 1);
+    group.stop().await;
+}
+
+#[tokio::test]
+async fn a_lost_client_rolls_back_and_frees_its_turn() {
+    let group = start(group_of_three()).await;
+    let lost = connect(&group, "a").await;
+    run(&lost, "BEGIN; INSERT INTO notes VALUES (1, 'x')").await;
+    drop(lost);
+    let client = connect(&group, "a").await;
+    run(&client, "INSERT INTO notes VALUES (1, 'y')").await;
+    assert_eq!(texts(&client, "SELECT body FROM notes").await, ["y"]);
+    group.stop().await;
+}
+
+#[tokio::test]
+async fn settings_follow_their_rules() {
+    let group = start(group_of_three()).await;
+    let client = connect(&group, "a").await;
+    // Statements, a setting, and its value after them.
+    let cases = [
+        ("SET hookpoint.token = 'a b'", "hookpoint.token", "a b"),
+        ("SET search_path TO one, \"Two\"", "search_path", "one, Two"),
+        (
+            "BEGIN; SET search_path = three; ROLLBACK",
+            "search_path",
+            "one, Two",
+        ),
+        (
+            "BEGIN; SET LOCAL search_path = three; COMMIT",
+            "search_path",
+            "one, Two",
+        ),
+        (
+            "BEGIN; SET search_path = three; COMMIT",
+            "search_path",
+            "three",
+        ),
+        ("RESET search_path", "search_path", "\"$user\", public"),
+        ("SET TIME ZONE 'Europe/Athens'", "TimeZone", "Europe/Athens"),
+        ("SET application_name = 'x'; RESET ALL", "TimeZone", "UTC"),
+        (
+            "SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY",
+            "transaction_read_only",
+            "on",
+        ),
+        ("DISCARD ALL", "transaction_read_only", "off"),
+        (
+            "SET default_transaction_read_only = on",
+            "default_transaction_read_only",
+            "on",
+        ),
+    ];
+    for (sql, name, expected) in cases {
+        run(&client, sql).await;
+        assert_eq!(
+            texts(&client, &format!("SHOW {name}")).await,
+            [expected],
+            "{sql}"
+        );
+    }
+    assert_eq!(failure(&client, "DELETE FROM notes").await, "25006");
+    let replica = connect(&group, "b").await;
+    assert_eq!(texts(&replica, "SHOW in_hot_standby").await, ["on"]);
+    let mut options = config(&group, "a");
+    options.options("-c search_path=four -c hookpoint.token=five");
+    let (client, connection) = options.connect(NoTls).await.expect("the options are taken");
+    tokio::spawn(connection);
+    assert_eq!(texts(&client, "SHOW search_path").await, ["four"]);
+    assert_eq!(texts(&client, "SHOW hookpoint.token").await, ["five"]);
+    group.stop().await;
+}
+
+#[tokio::test]
+async fn portals_give_rows_in_parts() {
+    let group = start(group_of_three()).await;
+    let mut client = connect(&group, "a").await;
+    let transaction = client.transaction().await.expect("BEGIN runs");
+    let sql = "SELECT value FROM generate_series(1, 10) AS value";
+    let portal = transaction.bind(sql, &[]).await.expect("it binds");
+    let mut sizes = Vec::new();
+    loop {
+        let rows = transaction
+            .query_portal(&portal, 4)
+            .await
+            .expect("rows come");
+        sizes.push(rows.len());
+        if rows.len() < 4 {
+            break;
+        }
+    }
+    assert_eq!(sizes, [4, 4, 2]);
+    transaction.commit().await.expect("COMMIT runs");
+    group.stop().await;
+}
+
+#[tokio::test]
+async fn copies_go_both_ways() {
+    let group = start(group_of_three()).await;
+    let client = connect(&group, "a").await;
+    let sink = client
+        .copy_in("COPY notes (id, body) FROM STDIN")
+        .await
+        .expect("it starts");
+    futures::pin_mut!(sink);
+    sink.send(bytes::Bytes::from("1\tone\\ttab\n2\ttwo\n"))
+        .await
+        .expect("data is taken");
+    assert_eq!(sink.finish().await.expect("it ends"), 2);
+    let stream = client
+        .copy_out("COPY notes TO STDOUT")
+        .await
+        .expect("it starts");
+    let chunks: Vec<bytes::Bytes> = stream.try_collect().await.expect("data comes");
+    assert_eq!(chunks.concat(), b"1\tone\\ttab\n2\ttwo\n");
+    until_replayed(&group).await;
+    assert_eq!(
+        number(&connect(&group, "b").await, "SELECT count(*) FROM notes").await,
+        2
+    );
+    group.stop().await;
+}
+
+#[tokio::test]
+async fn passwords_are_checked() {
+    let mut settings = group_of_three();
+    settings.databases[0].password = Some("secret".to_owned());
+    let group = start(settings).await;
+    for (password, expected) in [("secret", None), ("wrong", Some("28P01"))] {
+        let mut config = config(&group, "a");
+        config.password(password);
+        let outcome = config.connect(NoTls).await;
+        let refused = outcome.err().map(|error| code(&error));
+        assert_eq!(refused.as_deref(), expected, "{password}");
+    }
+    until("no slot is kept", || {
+        status_of(&group, "a").open_connections == 0
+    })
+    .await;
+    group.stop().await;
+}
+
+#[tokio::test]
+async fn advisory_locks_exclude_other_sessions() {
+    let group = start(group_of_three()).await;
+    let one = connect(&group, "a").await;
+    let two = connect(&group, "a").await;
+    let cases = [
+        (&one, "SELECT pg_try_advisory_lock(7)", "t"),
+        (&two, "SELECT pg_try_advisory_lock(7)", "f"),
+        (&two, "SELECT pg_advisory_unlock(7)", "f"),
+        (&one, "SELECT pg_advisory_unlock(7)", "t"),
+        (&two, "SELECT pg_try_advisory_lock(7)", "t"),
+    ];
+    for (client, sql, expected) in cases {
+        assert_eq!(texts(client, sql).await, [expected], "{sql}");
+    }
+    let waiting = one.simple_query("SELECT pg_advisory_lock(7)");
+    let unlocking = async {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        run(&two, "SELECT pg_advisory_unlock_all()").await;
+    };
+    let (locked, ()) = tokio::join!(waiting, unlocking);
+    locked.expect("the lock is taken");
+    group.stop().await;
+}
+
+#[tokio::test]
+async fn long_statements_and_large_answers_are_bounded() {
+    let group = start(group_of_three()).await;
+    let client = connect(&group, "a").await;
+    let endless =
+        "WITH RECURSIVE n (x) AS (SELECT 1 UNION ALL SELECT x + 1 FROM n) SELECT count(*) FROM n";
+    run(&client, "SET statement_timeout = '50ms'").await;
+    assert_eq!(failure(&client, endless).await, "57014");
+    assert_eq!(failure(&client, "SELECT pg_sleep(60)").await, "57014");
+    run(&client, "RESET statement_timeout").await;
+    let large = "SELECT value, repeat('x', 1000) AS body FROM generate_series(1, 20000) AS value";
+    let rows = client.query(large, &[]).await.expect("the rows come");
+    assert_eq!(rows.len(), 20_000);
+    assert_eq!(rows[19_999].get::<_, &str>("body").len(), 1000);
+    group.stop().await;
+}
+
+#[tokio::test]
+async fn request_ledger_works_in_its_schema() {
+    let mut settings = group_of_three();
+    settings.schema = vec![
+        "CREATE SCHEMA IF NOT EXISTS hookpoint".to_owned(),
+        "CREATE TABLE hookpoint.request_ledger (request_id TEXT PRIMARY KEY, made TIMESTAMPTZ NOT NULL DEFAULT now())".to_owned(),
+    ];
+    let group = start(settings).await;
+    let client = connect(&group, "a").await;
+    let insert =
+        "INSERT INTO hookpoint.request_ledger (request_id) VALUES ($1) ON CONFLICT DO NOTHING";
+    for (request, changed) in [("one", 1), ("one", 0), ("two", 1)] {
+        let result = client.execute(insert, &[&request]).await;
+        assert_eq!(result.expect("the write runs"), changed, "{request}");
+    }
+    let twice = "INSERT INTO hookpoint.request_ledger (request_id) VALUES ('one')";
+    assert_eq!(failure(&client, twice).await, "23505");
+    until_replayed(&group).await;
+    let made = "SELECT made FROM hookpoint.request_ledger WHERE request_id = 'one'";
+    let replica = connect(&group, "b").await;
+    assert_eq!(texts(&replica, made).await, texts(&client, made).await);
+    group.stop().await;
+}
+
+#[tokio::test]
+async fn malformed_input_closes_its_own_connection_only() {
+    let group = start(GroupSettings {
+        connect_delay: Duration::ZERO,
+        ..group_of_three()
+    })
+    .await;
+    let client = connect(&group, "a").await;
+    let startup: &[u8] = b"\0\0\0\x12\0\x03\0\0user\0eve\0\0";
+    // What is sent after the start-up message, if that is sent.
+    let cases: [(bool, &[u8]); 6] = [
+        (false, b"GET / HTTP/1.1\r\n\r\n"),
+        (false, b"\0\0\0\x01\0\x03\0\0"),
+        (false, b"\xff\xff\xff\xff\0\x03\0\0"),
+        (true, b"Q\x7f\xff\xff\xff"),
+        (true, b"!\0\0\0\x04"),
+        (true, b"Q\0\0\0\0"),
+    ];
+    for (starts, bytes) in cases {
+        let mut stream = TcpStream::connect(group.address("a"))
+            .await
+            .expect("it connects");
+        if starts {
+            stream.write_all(startup).await.expect("it is taken");
+        }
+        stream.write_all(bytes).await.expect("it is taken");
+        let mut answer = Vec::new();
+        // A reset is as good an end as a closed stream.
+        let read = stream.read_to_end(&mut answer);
+        let ended = tokio::time::timeout(database_support::PATIENCE, read).await;
+        assert!(ended.is_ok(), "{bytes:?}");
+    }
+    assert_eq!(texts(&client, "SELECT 1").await, ["1"]);
+    until("their slots are free", || {
+        status_of(&group, "a").open_connections == 1
+    })
+    .await;
+    try_connect(&group, "a").await.expect("others are served");
+    group.stop().await;
+}
