Time the databases' messages with the links' timer

Cause: the runtime's timer counts in milliseconds, so a commit over links of 0.5 ms took more than three times the round trip it waits for, and a proxy's added latency looked smaller than it is. Change: the links' timer is public as links::sleep_until, and the database stand-in's messages use it.

--- a/lab/standin/src/database/link.rs
+++ b/lab/standin/src/database/link.rs
@@ -10,6 +10,7 @@
 use super::consensus::{Member, Message};
 use super::node::Node;
 use super::settings::ZoneNetwork;
+use crate::links::sleep_until;
 
 /// Messages under way on one link; more are lost.
 const CAPACITY: usize = 1024;
@@ -86,7 +87,7 @@
 ) {
     while let Some(envelope) = receiver.recv().await {
         if envelope.due > Instant::now() {
-            tokio::time::sleep_until(envelope.due.into()).await;
+            sleep_until(envelope.due).await;
         }
         let cut = from.is_isolated()
             || to.is_isolated()
--- a/lab/standin/src/links/mod.rs
+++ b/lab/standin/src/links/mod.rs
@@ -15,6 +15,7 @@
 pub use zones::{CLIENTS, Latencies, RegionSpacing, ZoneLinks};
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Instant;
 use thiserror::Error;
 
 /// Why a link could not be started.
@@ -41,6 +42,19 @@
     pub bytes_back: u64,
 }
 
+/// Sleeps until a moment, more exactly than the runtime's timer does, which
+/// counts in milliseconds. Where the timer's thread cannot be started, the
+/// runtime's timer takes its place.
+pub async fn sleep_until(deadline: Instant) {
+    match timer::Timer::get() {
+        Ok(timer) => timer.sleep_until(deadline).await,
+        Err(error) => {
+            log::warn!("link: the timer did not start: {error}.");
+            tokio::time::sleep_until(deadline.into()).await;
+        }
+    }
+}
+
 fn listen_address() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
