Forward leases between nodes over secured links

Cause: a database's slots are held by its home node, and sessions live on any node.

Change: protocol::peer seals datagrams (XChaCha20-Poly1305 under a key derived from the fleet key, numbered against repetition) and secures links (Noise NNpsk0, multiplexed streams with credit). transport::peer runs the node machine on an arbiter of its own, dials links on demand with one in use per pair of nodes, and grants leases wherever in the fleet the connection is. A home that is lost before it granted anything is replaced by the next choice; one lost later ends the lease with Lost.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod errors;
 pub mod extended;
 pub mod frame;
+pub mod peer;
 pub mod platform;
 pub mod prepared;
 pub mod reply;
--- /dev/null
+++ b/crates/protocol/src/peer/mod.rs
@@ -0,0 +1,24 @@
+//! Messages between the nodes of a fleet: sealed datagrams of the membership, and the
+//! frames of the links that carry leases and control messages.
+//!
+//! Everything is authenticated and encrypted with a fleet key. What was not made with
+//! one of the accepted keys is dropped and changes nothing.
+
+mod datagram;
+mod frame;
+mod handshake;
+mod key;
+mod replay;
+mod stream;
+
+pub use datagram::{DatagramError, DatagramSealer, MAXIMUM_DATAGRAM_BYTES, open_datagram};
+pub use frame::{FrameDecodeError, LinkFrame, OpenRequest, decode_frames, encode_frame};
+pub use handshake::{
+    Dialler, HANDSHAKE_ANSWER_BYTES, HANDSHAKE_BYTES, LinkCipher, LinkError, MAXIMUM_RECORD_BYTES,
+    accept_handshake,
+};
+pub use key::{FleetKey, FleetKeyError, FleetKeys};
+pub use replay::ReplayGuard;
+pub use stream::{
+    Assembler, CREDIT_STEP, INITIAL_CREDIT, MAXIMUM_FRAGMENT_BYTES, StreamError, fragments,
+};
--- /dev/null
+++ b/crates/protocol/tests/peer.rs
@@ -0,0 +1,283 @@
+//! Contract of the messages between nodes: what is not authentic is dropped, and
+//! streams keep their bounds.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hookpoint_coordination::membership::{
+    Datagram, DatagramBody, MemberInfo, MemberState, MemberUpdate, Sender,
+};
+use hookpoint_protocol::backend_command::BackendCommand;
+use hookpoint_protocol::frame::Frame;
+use hookpoint_protocol::peer::{
+    Assembler, DatagramError, DatagramSealer, Dialler, FleetKey, FleetKeyError, FleetKeys,
+    HANDSHAKE_BYTES, LinkCipher, LinkError, LinkFrame, MAXIMUM_DATAGRAM_BYTES,
+    MAXIMUM_FRAGMENT_BYTES, ReplayGuard, StreamError, accept_handshake, decode_frames,
+    encode_frame, fragments, open_datagram,
+};
+use hookpoint_state::{BundleVersion, NodeId, RegionName, ZoneName};
+use quickcheck::{Gen, QuickCheck};
+
+fn key(number: u32, secret: u8) -> FleetKey {
+    FleetKey::new(number, &[secret; 32]).expect("the secret is long enough")
+}
+
+fn keys(keys: &[FleetKey]) -> FleetKeys {
+    FleetKeys::new(keys.to_vec()).expect("the keys are valid")
+}
+
+fn info(node: u64) -> MemberInfo {
+    MemberInfo {
+        node: NodeId(node),
+        zone: ZoneName::new("sj-sala-a"),
+        region: RegionName::new("san-jose"),
+        address: "10.1.2.3:7000".parse().expect("an address"),
+    }
+}
+
+fn datagram(updates: usize) -> Datagram {
+    let update = |node| MemberUpdate {
+        node: NodeId(node),
+        incarnation: 3,
+        state: MemberState::Suspect,
+        info: Some(Arc::new(info(node))),
+    };
+    Datagram {
+        sender: Sender {
+            node: NodeId(u64::MAX),
+            incarnation: 1,
+            leaving: false,
+            bundle: BundleVersion(9),
+            digest: u64::MAX,
+            info: Some(Arc::new(info(u64::MAX))),
+        },
+        receiver: Some(NodeId(5)),
+        body: DatagramBody::Ping { probe: 7 },
+        updates: (0..updates as u64).map(update).collect(),
+    }
+}
+
+#[test]
+fn datagrams_survive_the_way_with_ascending_numbers() {
+    let mut sealer = DatagramSealer::default();
+    for sequence in 1..4 {
+        let sealed = sealer.seal(&key(1, 1), &datagram(3)).expect("it fits");
+        let opened = open_datagram(&keys(&[key(2, 2), key(1, 1)]), &sealed);
+        assert_eq!(opened, Ok((sequence, datagram(3))));
+    }
+}
+
+#[test]
+fn datagrams_from_outside_are_dropped() {
+    let good = DatagramSealer::default()
+        .seal(&key(1, 1), &datagram(2))
+        .expect("it fits");
+    let changed = |place: usize, value: u8| {
+        let mut bytes = good.clone();
+        bytes[place] = value;
+        bytes
+    };
+    let too_large = vec![1; MAXIMUM_DATAGRAM_BYTES + 1];
+    let cases = [
+        ("empty", Vec::new(), DatagramError::Malformed),
+        ("short", good[..52].to_vec(), DatagramError::Malformed),
+        (
+            "cut",
+            good[..good.len() - 1].to_vec(),
+            DatagramError::Forged,
+        ),
+        ("of another format", changed(0, 2), DatagramError::Malformed),
+        (
+            "of an unknown key",
+            changed(4, 9),
+            DatagramError::UnknownKey,
+        ),
+        ("of the wrong key", changed(4, 2), DatagramError::Forged),
+        ("too large", too_large, DatagramError::TooLarge),
+    ];
+    let accepted = keys(&[key(1, 1), key(2, 2)]);
+    for (name, bytes, error) in cases {
+        assert_eq!(open_datagram(&accepted, &bytes), Err(error), "{name}");
+    }
+    for (place, byte) in good.iter().enumerate() {
+        let garbled = changed(place, byte ^ 0x10);
+        assert!(open_datagram(&accepted, &garbled).is_err(), "byte {place}");
+    }
+}
+
+#[test]
+fn a_datagram_that_is_too_large_is_not_sent() {
+    let sent = DatagramSealer::default().seal(&key(1, 1), &datagram(60));
+    assert_eq!(sent, Err(DatagramError::TooLarge));
+}
+
+#[test]
+fn each_number_is_accepted_once() {
+    let mut guard = ReplayGuard::default();
+    // (number, whether it is accepted), in the order of arrival.
+    let arrivals = [
+        (0, false),
+        (1, true),
+        (1, false),
+        (5, true),
+        (3, true),
+        (3, false),
+        (300, true),
+        (300, false),
+        (173, true),
+        (172, false),
+        (5, false),
+        (u64::MAX, true),
+        (300, false),
+    ];
+    for (sequence, accepted) in arrivals {
+        assert_eq!(
+            guard.accept(NodeId(1), sequence),
+            accepted,
+            "number {sequence}"
+        );
+    }
+    assert!(guard.accept(NodeId(2), 1), "senders are independent");
+}
+
+#[test]
+fn no_number_is_accepted_twice_in_any_order() {
+    fn property(arrivals: Vec<u16>) -> bool {
+        let mut guard = ReplayGuard::default();
+        let mut seen = BTreeSet::new();
+        arrivals.into_iter().all(|sequence| {
+            let accepted = guard.accept(NodeId(1), u64::from(sequence % 400));
+            !accepted || seen.insert(sequence % 400)
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(600, 3))
+        .tests(200)
+        .quickcheck(property as fn(Vec<u16>) -> bool);
+}
+
+#[test]
+fn keys_are_checked() {
+    assert_eq!(
+        FleetKey::new(1, &[0; 15]).err(),
+        Some(FleetKeyError::TooShort)
+    );
+    assert_eq!(FleetKeys::new(Vec::new()).err(), Some(FleetKeyError::NoKey));
+    let twice = FleetKeys::new(vec![key(1, 1), key(1, 2)]);
+    assert_eq!(twice.err(), Some(FleetKeyError::SameNumber(1)));
+}
+
+fn link(dialling: &FleetKey, accepting: &FleetKeys) -> Result<(LinkCipher, LinkCipher), LinkError> {
+    let (dialler, message) = Dialler::start(dialling)?;
+    let (accepted, answer) = accept_handshake(accepting, &message)?;
+    Ok((dialler.finish(&answer)?, accepted))
+}
+
+#[test]
+fn both_ends_of_a_link_understand_each_other() {
+    let (one, other) = link(&key(2, 2), &keys(&[key(1, 1), key(2, 2)])).expect("a link");
+    for number in 0..3 {
+        let record = one.seal(number, b"there").expect("it fits");
+        assert_eq!(other.open(number, &record[2..]), Ok(b"there".to_vec()));
+        let record = other.seal(number, b"back").expect("it fits");
+        assert_eq!(one.open(number, &record[2..]), Ok(b"back".to_vec()));
+    }
+}
+
+#[test]
+fn links_from_outside_are_refused() {
+    let accepting = keys(&[key(1, 1)]);
+    assert_eq!(
+        link(&key(2, 1), &accepting).err(),
+        Some(LinkError::UnknownKey)
+    );
+    assert_eq!(link(&key(1, 2), &accepting).err(), Some(LinkError::Forged));
+    let garbage = accept_handshake(&accepting, &[7; HANDSHAKE_BYTES]);
+    assert_eq!(garbage.err(), Some(LinkError::Malformed));
+    let (_, message) = Dialler::start(&key(1, 1)).expect("it starts");
+    for place in 0..HANDSHAKE_BYTES {
+        let mut garbled = message;
+        garbled[place] ^= 1;
+        assert!(
+            accept_handshake(&accepting, &garbled).is_err(),
+            "byte {place}"
+        );
+    }
+}
+
+#[test]
+fn the_answer_to_another_handshake_is_refused() {
+    let (dialler, _) = Dialler::start(&key(1, 1)).expect("it starts");
+    let (_, message) = Dialler::start(&key(1, 1)).expect("it starts");
+    let (_, answer) = accept_handshake(&keys(&[key(1, 1)]), &message).expect("accepted");
+    assert_eq!(dialler.finish(&answer).err(), Some(LinkError::Forged));
+}
+
+#[test]
+fn records_cannot_be_repeated_reordered_or_changed() {
+    let (one, other) = link(&key(1, 1), &keys(&[key(1, 1)])).expect("a link");
+    let first = one.seal(0, b"first").expect("it fits");
+    let second = one.seal(1, b"second").expect("it fits");
+    let mut changed = first.clone();
+    changed[4] ^= 1;
+    let cases: [(&str, u64, &[u8]); 5] = [
+        ("reordered", 0, &second[2..]),
+        ("repeated", 1, &first[2..]),
+        ("changed", 0, &changed[2..]),
+        ("cut", 0, &first[2..first.len() - 1]),
+        ("empty", 0, &[]),
+    ];
+    for (name, number, record) in cases {
+        assert_eq!(other.open(number, record), Err(LinkError::Forged), "{name}");
+    }
+    assert_eq!(one.seal(2, &[0; 70_000]), Err(LinkError::TooLarge));
+}
+
+#[test]
+fn frames_share_a_record() {
+    let frames = [
+        LinkFrame::Ping,
+        LinkFrame::Data {
+            stream: 3,
+            last: false,
+            bytes: Bytes::from_static(b"piece"),
+        },
+        LinkFrame::Closed { stream: 3 },
+    ];
+    let record = frames
+        .iter()
+        .fold(Vec::new(), |record, frame| encode_frame(frame, record));
+    assert_eq!(decode_frames(&record).as_deref(), Ok(&frames[..]));
+    assert!(decode_frames(&record[..record.len() - 1]).is_err());
+    assert!(decode_frames(&[0xFF]).is_err());
+}
+
+#[test]
+fn messages_of_any_size_pass_in_pieces() {
+    for size in [0, 1, MAXIMUM_FRAGMENT_BYTES, 3 * MAXIMUM_FRAGMENT_BYTES + 5] {
+        let command = BackendCommand::Frames(vec![Frame::new(b'Q', vec![1; size])]);
+        let mut assembler = Assembler::default();
+        let mut received = None;
+        for (last, piece) in fragments(&command).expect("it encodes") {
+            assert!(piece.len() <= MAXIMUM_FRAGMENT_BYTES);
+            assert!(received.is_none());
+            received = assembler
+                .push::<BackendCommand>(last, &piece)
+                .expect("a piece");
+        }
+        assert_eq!(received, Some(command));
+    }
+}
+
+#[test]
+fn an_endless_message_is_cut_off() {
+    let piece = vec![0; 1024 * 1024];
+    let mut assembler = Assembler::default();
+    let failure = (0..200)
+        .find_map(|_| assembler.push::<BackendCommand>(false, &piece).err())
+        .expect("there is a limit");
+    assert_eq!(failure, StreamError::TooLarge);
+    let nonsense = Assembler::default().push::<BackendCommand>(true, &[0xFF; 9]);
+    assert_eq!(nonsense, Err(StreamError::Malformed));
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod caller;
 pub mod lease;
 pub mod observe;
+pub mod peer;
 pub mod platform;
 pub mod shared;
--- /dev/null
+++ b/crates/transport/src/peer/core.rs
@@ -0,0 +1,109 @@
+//! What the actor, the links and the lease source share.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+
+use actix::Addr;
+use hookpoint_coordination::membership::MemberInfo;
+use hookpoint_coordination::node::{NodeAction, NodeEvent, NodeMachine, Route};
+use hookpoint_protocol::peer::FleetKeys;
+use hookpoint_state::{DatabaseName, GroupName, NodeId};
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::watch;
+
+use super::actor::{FleetActor, Perform};
+use super::link::LinkTable;
+use super::settings::CancelHandler;
+use super::status::Counters;
+use crate::lease::LeaseSource;
+use crate::shared::Shared;
+
+pub(super) struct Core {
+    pub shared: Arc<Shared>,
+    pub own: Arc<MemberInfo>,
+    pub keys: RwLock<FleetKeys>,
+    pub links: LinkTable,
+    pub local: Arc<dyn LeaseSource>,
+    pub cancel: RwLock<Option<CancelHandler>>,
+    pub counters: Counters,
+    pub home_changes: watch::Sender<u64>,
+    stopping: AtomicBool,
+    machine: Mutex<NodeMachine>,
+    actor: OnceLock<Addr<FleetActor>>,
+}
+
+impl Core {
+    pub fn new(
+        shared: Arc<Shared>,
+        own: Arc<MemberInfo>,
+        keys: FleetKeys,
+        local: Arc<dyn LeaseSource>,
+        machine: NodeMachine,
+    ) -> Self {
+        Self {
+            shared,
+            own,
+            keys: RwLock::new(keys),
+            links: LinkTable::default(),
+            local,
+            cancel: RwLock::new(None),
+            counters: Counters::default(),
+            home_changes: watch::Sender::new(0),
+            stopping: AtomicBool::new(false),
+            machine: Mutex::new(machine),
+            actor: OnceLock::new(),
+        }
+    }
+
+    pub fn set_actor(&self, actor: Addr<FleetActor>) {
+        // Set once, by the function that starts the actor.
+        let _ = self.actor.set(actor);
+    }
+
+    /// Reads or changes the machine.
+    pub fn with_machine<R>(&self, access: impl FnOnce(&mut NodeMachine) -> R) -> R {
+        access(&mut self.machine.lock())
+    }
+
+    /// Tells the machine of an event and has its actions carried out.
+    pub fn tell(&self, event: NodeEvent) {
+        let mut actions = Vec::new();
+        let now = self.shared.now();
+        self.machine.lock().handle(now, event, &mut actions);
+        self.perform(actions);
+    }
+
+    fn perform(&self, actions: Vec<NodeAction>) {
+        if let Some(actor) = self.actor.get() {
+            actor.do_send(Perform(actions));
+        }
+    }
+
+    /// Where a request goes first.
+    pub fn route(&self, group: &GroupName, database: &DatabaseName) -> Option<Route> {
+        let mut actions = Vec::new();
+        let now = self.shared.now();
+        let route = self
+            .machine
+            .lock()
+            .route(now, group, database, &mut actions);
+        if !actions.is_empty() {
+            self.perform(actions);
+        }
+        route
+    }
+
+    /// Address of a member.
+    pub fn address_of(&self, node: NodeId) -> Option<SocketAddr> {
+        self.machine.lock().address_of(node)
+    }
+
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    pub fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+}
--- /dev/null
+++ b/crates/transport/src/peer/link/connect.rs
@@ -0,0 +1,186 @@
+//! Making links: dialling, accepting, the handshake and the first frames.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hookpoint_coordination::membership::MemberInfo;
+use hookpoint_coordination::node::NodeEvent;
+use hookpoint_protocol::peer::{
+    Dialler, HANDSHAKE_ANSWER_BYTES, HANDSHAKE_BYTES, LinkCipher, LinkFrame, accept_handshake,
+    encode_frame,
+};
+use hookpoint_state::NodeId;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+use super::{Link, reader, writer};
+use crate::peer::core::Core;
+use crate::peer::error::ConnectError;
+
+/// Longest time to connect and shake hands.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Number of the first record behind that of the greeting.
+const FIRST_RECORD: u64 = 1;
+
+/// A connection whose ends know each other.
+struct Greeted {
+    peer: MemberInfo,
+    cipher: Arc<LinkCipher>,
+    reader: OwnedReadHalf,
+    writer: OwnedWriteHalf,
+}
+
+/// The link to a peer, dialled if there is none.
+pub(in crate::peer) async fn connect(
+    core: &Arc<Core>,
+    node: NodeId,
+) -> Result<Arc<Link>, ConnectError> {
+    if let Some(link) = core.links.get(node) {
+        return Ok(link);
+    }
+    let address = core.address_of(node).ok_or(ConnectError::WrongNode(node))?;
+    let dial = core.links.dial(node);
+    // Others who want the same link wait here and then find it.
+    let mut dial = dial.lock().await;
+    if let Some(link) = core.links.get(node) {
+        return Ok(link);
+    }
+    if dial.is_backing_off() {
+        return Err(ConnectError::BackingOff);
+    }
+    match dial_peer(core, node, address).await {
+        Ok(link) => {
+            dial.succeeded();
+            Ok(link)
+        }
+        Err(error) => {
+            log::warn!("fleet: no link to {node} at {address}: {error}.");
+            dial.failed();
+            core.tell(NodeEvent::PeerLost(node));
+            Err(error)
+        }
+    }
+}
+
+async fn dial_peer(
+    core: &Arc<Core>,
+    node: NodeId,
+    address: SocketAddr,
+) -> Result<Arc<Link>, ConnectError> {
+    let address = core.shared.addresses.resolve(address);
+    let greeting = greet_as_dialler(core, address);
+    let greeted = tokio::time::timeout(CONNECT_TIMEOUT, greeting)
+        .await
+        .map_err(|_| ConnectError::Timeout)??;
+    if greeted.peer.node != node {
+        return Err(ConnectError::WrongNode(node));
+    }
+    Ok(run(core, greeted, true))
+}
+
+/// Makes a link of an accepted connection.
+pub(in crate::peer) async fn accept(
+    core: &Arc<Core>,
+    socket: TcpStream,
+) -> Result<(), ConnectError> {
+    let greeting = greet_as_acceptor(core, socket);
+    let greeted = tokio::time::timeout(CONNECT_TIMEOUT, greeting)
+        .await
+        .map_err(|_| ConnectError::Timeout)??;
+    if greeted.peer.node == core.own.node {
+        return Err(ConnectError::Protocol);
+    }
+    run(core, greeted, false);
+    Ok(())
+}
+
+async fn greet_as_dialler(core: &Core, address: SocketAddr) -> Result<Greeted, ConnectError> {
+    let mut socket = TcpStream::connect(address).await?;
+    socket.set_nodelay(true)?;
+    let (dialler, message) = Dialler::start(core.keys.read().current())?;
+    socket.write_all(&message).await?;
+    let mut answer = [0; HANDSHAKE_ANSWER_BYTES];
+    socket.read_exact(&mut answer).await?;
+    let cipher = Arc::new(dialler.finish(&answer)?);
+    let (mut reader, mut writer) = socket.into_split();
+    send_hello(core, &cipher, &mut writer).await?;
+    let peer = read_hello(&cipher, &mut reader).await?;
+    Ok(Greeted {
+        peer,
+        cipher,
+        reader,
+        writer,
+    })
+}
+
+async fn greet_as_acceptor(core: &Core, mut socket: TcpStream) -> Result<Greeted, ConnectError> {
+    socket.set_nodelay(true)?;
+    let mut message = [0; HANDSHAKE_BYTES];
+    socket.read_exact(&mut message).await?;
+    let (cipher, answer) = accept_handshake(&core.keys.read(), &message)?;
+    socket.write_all(&answer).await?;
+    let cipher = Arc::new(cipher);
+    let (mut reader, mut writer) = socket.into_split();
+    // A dialler that only repeats what it once heard cannot seal a record.
+    let peer = read_hello(&cipher, &mut reader).await?;
+    send_hello(core, &cipher, &mut writer).await?;
+    Ok(Greeted {
+        peer,
+        cipher,
+        reader,
+        writer,
+    })
+}
+
+async fn send_hello(
+    core: &Core,
+    cipher: &LinkCipher,
+    socket: &mut OwnedWriteHalf,
+) -> Result<(), ConnectError> {
+    let hello = LinkFrame::Hello((*core.own).clone());
+    let content = encode_frame(&hello, Vec::new());
+    Ok(writer::send_record(cipher, 0, &content, socket).await?)
+}
+
+async fn read_hello(
+    cipher: &LinkCipher,
+    socket: &mut OwnedReadHalf,
+) -> Result<MemberInfo, ConnectError> {
+    let frames = reader::read_record(cipher, 0, socket)
+        .await
+        .map_err(|error| match error {
+            reader::ReadError::Io(error) => ConnectError::Io(error),
+            reader::ReadError::Record(error) => ConnectError::Handshake(error),
+            _ => ConnectError::Protocol,
+        })?;
+    match <[LinkFrame; 1]>::try_from(frames) {
+        Ok([LinkFrame::Hello(info)]) => Ok(info),
+        _ => Err(ConnectError::Protocol),
+    }
+}
+
+fn run(core: &Arc<Core>, greeted: Greeted, dialled: bool) -> Arc<Link> {
+    let (link, frames) = Link::new(Arc::new(greeted.peer), dialled);
+    core.links.register(core.own.node, &link);
+    let cipher = greeted.cipher;
+    let writing = writer::write(
+        link.clone(),
+        frames,
+        cipher.clone(),
+        greeted.writer,
+        FIRST_RECORD,
+    );
+    tokio::spawn(writing);
+    let reading = reader::read(
+        core.clone(),
+        link.clone(),
+        cipher,
+        greeted.reader,
+        FIRST_RECORD,
+    );
+    tokio::spawn(reading);
+    tokio::spawn(link.clone().monitor());
+    link
+}
--- /dev/null
+++ b/crates/transport/src/peer/link/mod.rs
@@ -0,0 +1,217 @@
+//! Links: secured connections between two nodes that carry many streams.
+
+mod connect;
+mod reader;
+mod stream;
+mod table;
+mod writer;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+use hookpoint_coordination::membership::MemberInfo;
+use hookpoint_protocol::peer::LinkFrame;
+use hookpoint_state::Refusal;
+use parking_lot::Mutex;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+pub(super) use connect::{accept, connect};
+pub(super) use stream::{StreamEvent, StreamReceiver, StreamSender, StreamTable};
+pub(super) use table::LinkTable;
+
+/// Frames waiting for the writer; more hold up their senders.
+const WRITER_BUFFER: usize = 64;
+/// Time between two heartbeats while streams are open.
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(300);
+/// Heartbeats left out while no stream is open: one in so many is sent.
+const IDLE_HEARTBEAT_SHARE: u32 = 16;
+/// How long a heartbeat may go unanswered before the link counts as lost.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_150);
+/// Lateness of the monitor itself that shows that this process was paused.
+const MONITOR_PAUSE: Duration = Duration::from_millis(400);
+/// How long a link without streams is kept.
+const IDLE_TIME: Duration = Duration::from_secs(60);
+
+/// One link.
+pub(super) struct Link {
+    /// The node at the other end.
+    pub peer: Arc<MemberInfo>,
+    /// Whether this node dialled.
+    pub dialled: bool,
+    frames: mpsc::Sender<LinkFrame>,
+    streams: Mutex<StreamTable>,
+    next_stream: AtomicU32,
+    /// Set when the link takes no new streams and closes after the last one.
+    retiring: AtomicBool,
+    closed: watch::Sender<bool>,
+    health: Mutex<Health>,
+}
+
+struct Health {
+    unanswered_since: Option<Instant>,
+    busy_at: Instant,
+}
+
+impl Link {
+    fn new(peer: Arc<MemberInfo>, dialled: bool) -> (Arc<Self>, mpsc::Receiver<LinkFrame>) {
+        let (frames, outgoing) = mpsc::channel(WRITER_BUFFER);
+        let link = Self {
+            peer,
+            dialled,
+            frames,
+            streams: Mutex::new(StreamTable::default()),
+            next_stream: AtomicU32::new(if dialled { 1 } else { 2 }),
+            retiring: AtomicBool::new(false),
+            closed: watch::Sender::new(false),
+            health: Mutex::new(Health {
+                unanswered_since: None,
+                busy_at: Instant::now(),
+            }),
+        };
+        (Arc::new(link), outgoing)
+    }
+
+    /// Sends a frame; waits while the writer is busy. Returns false if the link is lost.
+    pub async fn send(&self, frame: LinkFrame) -> bool {
+        if self.is_closed() {
+            return false;
+        }
+        let mut closed = self.closed.subscribe();
+        tokio::select! {
+            sent = self.frames.send(frame) => sent.is_ok(),
+            _ = closed.wait_for(|closed| *closed) => false,
+        }
+    }
+
+    /// Opens a stream of this side.
+    pub fn open_stream(self: &Arc<Self>) -> Option<(StreamSender, StreamReceiver)> {
+        let number = self.next_stream.fetch_add(2, Ordering::Relaxed);
+        self.add_stream(number)
+    }
+
+    /// Takes a stream that the other side has opened; none if there are too many, or if
+    /// its number is in use.
+    pub fn accept_stream(self: &Arc<Self>, number: u32) -> Option<(StreamSender, StreamReceiver)> {
+        self.add_stream(number)
+    }
+
+    /// Refuses a stream that the other side has opened.
+    pub fn refuse_stream(self: &Arc<Self>, stream: u32, refusal: Refusal) {
+        let link = self.clone();
+        let frame = LinkFrame::Refused { stream, refusal };
+        tokio::spawn(async move { link.send(frame).await });
+    }
+
+    fn add_stream(self: &Arc<Self>, number: u32) -> Option<(StreamSender, StreamReceiver)> {
+        // Under the lock, so that closing either sees the stream or is seen.
+        let mut streams = self.streams.lock();
+        if self.is_closed() {
+            return None;
+        }
+        let parts = streams.insert(number)?;
+        drop(streams);
+        Some(stream::join(self.clone(), number, parts))
+    }
+
+    /// Forgets a stream that has ended here and tells the other side.
+    fn end_stream(self: &Arc<Self>, number: u32, tell: bool) {
+        self.streams.lock().remove(number);
+        self.health.lock().busy_at = Instant::now();
+        if !tell || self.is_closed() {
+            return;
+        }
+        let frame = LinkFrame::Closed { stream: number };
+        if let Err(mpsc::error::TrySendError::Full(frame)) = self.frames.try_send(frame) {
+            let link = self.clone();
+            tokio::spawn(async move { link.send(frame).await });
+        }
+    }
+
+    /// Streams open now.
+    pub fn stream_count(&self) -> usize {
+        self.streams.lock().len()
+    }
+
+    /// Whether the link is lost.
+    pub fn is_closed(&self) -> bool {
+        *self.closed.borrow()
+    }
+
+    /// Lets the link take no new streams; it closes after the last one.
+    pub fn retire(&self) {
+        self.retiring.store(true, Ordering::Release);
+    }
+
+    /// Breaks the link: all its streams are lost.
+    pub fn close(&self) {
+        self.closed.send_replace(true);
+        self.streams.lock().clear();
+    }
+
+    fn heard(&self) {
+        self.health.lock().unanswered_since = None;
+    }
+
+    /// Sends heartbeats and closes the link when they go unanswered, or when it is of
+    /// no more use.
+    async fn monitor(self: Arc<Self>) {
+        let mut closed = self.closed.subscribe();
+        let mut beat: u32 = 0;
+        let mut due = Instant::now() + HEARTBEAT_PERIOD;
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep_until(due) => {}
+                _ = closed.wait_for(|closed| *closed) => return,
+            }
+            let now = Instant::now();
+            let late = now.saturating_duration_since(due) > MONITOR_PAUSE;
+            due = now + HEARTBEAT_PERIOD;
+            beat = beat.wrapping_add(1);
+            if self.is_lost(now, late) || self.is_useless(now) {
+                self.close();
+                return;
+            }
+            if self.stream_count() > 0 || beat.is_multiple_of(IDLE_HEARTBEAT_SHARE) {
+                self.beat(now);
+            }
+        }
+    }
+
+    fn beat(&self, now: Instant) {
+        self.health.lock().unanswered_since.get_or_insert(now);
+        // A writer too busy to take it is a writer whose peer does not read.
+        let _ = self.frames.try_send(LinkFrame::Ping);
+    }
+
+    fn is_lost(&self, now: Instant, late: bool) -> bool {
+        let mut health = self.health.lock();
+        let Some(since) = health.unanswered_since else {
+            return false;
+        };
+        if late {
+            // This process was paused; answers may lie unread in the socket.
+            health.unanswered_since = Some(now);
+            return false;
+        }
+        let lost = now.saturating_duration_since(since) > HEARTBEAT_TIMEOUT;
+        if lost {
+            log::warn!("fleet: the link to {} is silent.", self.peer.node);
+        }
+        lost
+    }
+
+    fn is_useless(&self, now: Instant) -> bool {
+        if self.stream_count() > 0 {
+            return false;
+        }
+        let idle = now.saturating_duration_since(self.health.lock().busy_at);
+        let patience = if self.retiring.load(Ordering::Acquire) {
+            HEARTBEAT_TIMEOUT
+        } else {
+            IDLE_TIME
+        };
+        idle > patience
+    }
+}
--- /dev/null
+++ b/crates/transport/src/peer/link/reader.rs
@@ -0,0 +1,136 @@
+//! The reading task of a link.
+
+use std::sync::Arc;
+
+use hookpoint_coordination::node::NodeEvent;
+use hookpoint_protocol::peer::{
+    FrameDecodeError, LinkCipher, LinkError, LinkFrame, StreamError, decode_frames,
+};
+use thiserror::Error;
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::OwnedReadHalf;
+
+use super::{Link, StreamEvent};
+use crate::peer::core::Core;
+use crate::peer::serve;
+
+/// Why reading ended.
+#[derive(Debug, Error)]
+pub(super) enum ReadError {
+    /// The connection failed or was closed.
+    #[error("the connection failed: {0}")]
+    Io(#[from] std::io::Error),
+    /// A record is not authentic.
+    #[error("{0}")]
+    Record(#[from] LinkError),
+    /// A record holds something else than frames.
+    #[error("{0}")]
+    Frame(#[from] FrameDecodeError),
+    /// A stream was misused.
+    #[error("{0}")]
+    Stream(#[from] StreamError),
+    /// A frame came at the wrong time.
+    #[error("a frame came at the wrong time")]
+    Unexpected,
+}
+
+/// Reads one record and returns its frames.
+pub(super) async fn read_record(
+    cipher: &LinkCipher,
+    number: u64,
+    socket: &mut OwnedReadHalf,
+) -> Result<Vec<LinkFrame>, ReadError> {
+    let length = usize::from(socket.read_u16().await?);
+    let mut sealed = vec![0; length];
+    socket.read_exact(&mut sealed).await?;
+    let content = cipher.open(number, &sealed)?;
+    Ok(decode_frames(&content)?)
+}
+
+/// Reads until the link is lost and hands every frame to whom it concerns. It never
+/// waits for any of them.
+pub(super) async fn read(
+    core: Arc<Core>,
+    link: Arc<Link>,
+    cipher: Arc<LinkCipher>,
+    mut socket: OwnedReadHalf,
+    first_record: u64,
+) {
+    let mut closed = link.closed.subscribe();
+    let mut number = first_record;
+    loop {
+        let frames = tokio::select! {
+            frames = read_record(&cipher, number, &mut socket) => frames,
+            _ = closed.wait_for(|closed| *closed) => break,
+        };
+        number += 1;
+        link.heard();
+        let taken = frames.and_then(|frames| take_frames(&core, &link, frames));
+        if let Err(error) = taken {
+            if !matches!(error, ReadError::Io(_)) {
+                log::warn!("fleet: the link to {} is broken: {error}.", link.peer.node);
+            }
+            break;
+        }
+    }
+    link.close();
+    core.links.remove(&link);
+    core.tell(NodeEvent::PeerLost(link.peer.node));
+}
+
+fn take_frames(
+    core: &Arc<Core>,
+    link: &Arc<Link>,
+    frames: Vec<LinkFrame>,
+) -> Result<(), ReadError> {
+    for frame in frames {
+        take_frame(core, link, frame)?;
+    }
+    Ok(())
+}
+
+fn take_frame(core: &Arc<Core>, link: &Arc<Link>, frame: LinkFrame) -> Result<(), ReadError> {
+    match frame {
+        LinkFrame::Hello(_) => return Err(ReadError::Unexpected),
+        LinkFrame::Ping => {
+            // Where the writer is busy, what it sends is answer enough.
+            let _ = link.frames.try_send(LinkFrame::Pong);
+        }
+        LinkFrame::Pong => {}
+        LinkFrame::Open { stream, request } => {
+            let ours = (stream % 2 == 1) == link.dialled;
+            if ours {
+                return Err(ReadError::Unexpected);
+            }
+            serve::open(core, link, stream, request);
+        }
+        LinkFrame::Granted { stream, database } => {
+            deliver(link, stream, StreamEvent::Granted(database))?;
+        }
+        LinkFrame::Refused { stream, refusal } => {
+            deliver(link, stream, StreamEvent::Refused(refusal))?;
+        }
+        LinkFrame::Data {
+            stream,
+            last,
+            bytes,
+        } => deliver(link, stream, StreamEvent::Data { last, bytes })?,
+        LinkFrame::Credit { stream, bytes } => link.streams.lock().credit(stream, bytes)?,
+        LinkFrame::Closed { stream } => deliver(link, stream, StreamEvent::Closed)?,
+        LinkFrame::Control(message) => core.tell(NodeEvent::PeerMessage {
+            from: link.peer.node,
+            message,
+        }),
+        LinkFrame::CancelSession { process, secret } => {
+            let handler = core.cancel.read().clone();
+            if let Some(handler) = handler {
+                handler(process, secret);
+            }
+        }
+    }
+    Ok(())
+}
+
+fn deliver(link: &Link, stream: u32, event: StreamEvent) -> Result<(), StreamError> {
+    link.streams.lock().deliver(stream, event)
+}
--- /dev/null
+++ b/crates/transport/src/peer/link/writer.rs
@@ -0,0 +1,69 @@
+//! The writing task of a link.
+
+use std::sync::Arc;
+
+use hookpoint_protocol::peer::{
+    LinkCipher, LinkError, LinkFrame, MAXIMUM_FRAGMENT_BYTES, encode_frame,
+};
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+
+use super::Link;
+
+/// A record is sent once it holds this many bytes; one more frame still fits.
+const RECORD_TARGET_BYTES: usize = 2 * MAXIMUM_FRAGMENT_BYTES;
+
+/// Sends frames until the link is lost, several in a record where they wait.
+pub(super) async fn write(
+    link: Arc<Link>,
+    mut frames: mpsc::Receiver<LinkFrame>,
+    cipher: Arc<LinkCipher>,
+    mut socket: OwnedWriteHalf,
+    first_record: u64,
+) {
+    let mut closed = link.closed.subscribe();
+    let mut number = first_record;
+    loop {
+        let frame = tokio::select! {
+            frame = frames.recv() => frame,
+            _ = closed.wait_for(|closed| *closed) => None,
+        };
+        let Some(frame) = frame else {
+            return;
+        };
+        let content = gather(frame, &mut frames);
+        let sent = tokio::select! {
+            sent = send_record(&cipher, number, &content, &mut socket) => sent,
+            _ = closed.wait_for(|closed| *closed) => return,
+        };
+        if sent.is_err() {
+            link.close();
+            return;
+        }
+        number += 1;
+    }
+}
+
+fn gather(first: LinkFrame, frames: &mut mpsc::Receiver<LinkFrame>) -> Vec<u8> {
+    let mut content = encode_frame(&first, Vec::new());
+    while content.len() < RECORD_TARGET_BYTES
+        && let Ok(frame) = frames.try_recv()
+    {
+        content = encode_frame(&frame, content);
+    }
+    content
+}
+
+/// Seals and sends one record.
+pub(super) async fn send_record(
+    cipher: &LinkCipher,
+    number: u64,
+    content: &[u8],
+    socket: &mut OwnedWriteHalf,
+) -> std::io::Result<()> {
+    let record = cipher
+        .seal(number, content)
+        .map_err(|error: LinkError| std::io::Error::other(error))?;
+    socket.write_all(&record).await
+}
--- a/crates/transport/src/shared.rs
+++ b/crates/transport/src/shared.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use hookpoint_coordination::explain::{Decision, ExplainRing};
+use hookpoint_coordination::node::LeadershipNews;
 use hookpoint_coordination::status::BackendStatus;
 use hookpoint_coordination::terms::{GroupView, Member, Proximity, TermTable};
 use hookpoint_state::{Bundle, DatabaseName, GroupName, SessionId, Term, Timestamp, ZoneName};
@@ -111,6 +112,25 @@
         self.terms.read().view(group).cloned()
     }
 
+    /// Who leads each group, as far as this node knows.
+    pub fn leaderships(&self) -> Vec<LeadershipNews> {
+        let terms = self.terms.read();
+        let views = terms
+            .groups()
+            .filter_map(|group| terms.view(group).map(|view| (group, view)));
+        views
+            .map(|(group, view)| {
+                let primary = view.primary();
+                LeadershipNews {
+                    group: group.clone(),
+                    term: view.highest_term,
+                    primary: primary.map(|primary| primary.name.clone()),
+                    place: primary.map(|primary| primary.place).unwrap_or_default(),
+                }
+            })
+            .collect()
+    }
+
     /// Takes a status answer and wakes waiting requests when leadership changed.
     pub fn observe(&self, group: &GroupName, database: &DatabaseName, status: &BackendStatus) {
         let now = self.now();
