Wire callers, pools, observer and rollout into a proxy

The library starts any number of proxies in one process; the binary runs one and carries out operators' commands. Nodes have no links yet, so each watches the platform by itself.

--- a/crates/transport/src/admin/server.rs
+++ b/crates/transport/src/admin/server.rs
@@ -42,7 +42,7 @@
     /// The other nodes.
     pub fleet: Arc<dyn FleetSource>,
     /// Whether the node is leaving.
-    pub stopping: AtomicBool,
+    pub stopping: Arc<AtomicBool>,
 }
 
 impl AdminState {
--- a/crates/transport/src/platform/rollout.rs
+++ b/crates/transport/src/platform/rollout.rs
@@ -7,6 +7,7 @@
 use hookpoint_coordination::rollout::{
     RolloutAction, RolloutEvent, RolloutMachine, RolloutMessage, SignedStore,
 };
+use hookpoint_protocol::platform::records::MachineRecord;
 use hookpoint_state::bundle::TrustedKeys;
 use hookpoint_state::{NodeId, Timestamp};
 use rand::SeedableRng;
@@ -21,8 +22,11 @@
 /// Longest sleep; a machine without a timer sleeps this long.
 const LONGEST_SLEEP: Duration = Duration::from_secs(60);
 
-/// Carries rollout messages to other nodes.
+/// What lies beyond the rollout machine: the other nodes.
 pub trait RolloutLinks: Send + Sync {
+    /// Takes the platform's list of machines.
+    fn machines(&self, machines: Vec<MachineRecord>);
+
     /// Sends `message` to `to`, or reports the failure as
     /// [`RolloutEvent::PeerGone`].
     fn send(&self, to: NodeId, message: RolloutMessage);
@@ -87,11 +91,7 @@
                     Some(event) => self.handle(event),
                     None => return,
                 },
-                Some(event) = platform.recv() => {
-                    if let Some(event) = rollout_event(event) {
-                        self.handle(event);
-                    }
-                }
+                Some(event) = platform.recv() => self.handle_platform(event),
                 () = tokio::time::sleep(sleep) => self.handle(RolloutEvent::Timer),
             }
         }
@@ -103,6 +103,15 @@
         wake.map_or(LONGEST_SLEEP, |at: Timestamp| at.since(now))
     }
 
+    fn handle_platform(&mut self, event: PlatformEvent) {
+        match event {
+            PlatformEvent::Version(version) => self.handle(RolloutEvent::PlatformVersion(version)),
+            PlatformEvent::Change(change) => self.handle(RolloutEvent::PlatformChange(change)),
+            PlatformEvent::Failed => self.handle(RolloutEvent::PlatformFailed),
+            PlatformEvent::Machines(machines) => self.links.machines(machines),
+        }
+    }
+
     fn handle(&mut self, event: RolloutEvent) {
         let mut actions = Vec::new();
         self.machine.handle(self.shared.now(), event, &mut actions);
@@ -138,12 +147,3 @@
         }
     }
 }
-
-fn rollout_event(event: PlatformEvent) -> Option<RolloutEvent> {
-    match event {
-        PlatformEvent::Version(version) => Some(RolloutEvent::PlatformVersion(version)),
-        PlatformEvent::Change(change) => Some(RolloutEvent::PlatformChange(change)),
-        PlatformEvent::Failed => Some(RolloutEvent::PlatformFailed),
-        PlatformEvent::Machines(_) => None,
-    }
-}
--- /dev/null
+++ b/hookpoint/src/command/key.rs
@@ -0,0 +1,41 @@
+//! `hookpoint key`.
+
+use std::path::Path;
+
+use anyhow::{Context, Result};
+use hookpoint_state::bundle::OperatorKey;
+
+use crate::flags::{Key, KeyCmd};
+
+/// Carries out the command.
+///
+/// # Errors
+/// When a key cannot be read.
+pub fn run(flags: Key) -> Result<()> {
+    match flags.subcommand {
+        KeyCmd::Generate(_) => {
+            let key = OperatorKey::from_secret(rand::random());
+            println!("secret {}", key.secret_text());
+            print_public(&key);
+        }
+        KeyCmd::Public(public) => print_public(&read(&public.key)?),
+    }
+    Ok(())
+}
+
+fn print_public(key: &OperatorKey) {
+    println!("public {}", key.public_text());
+    println!("name   {}", key.id());
+}
+
+/// Reads the secret half of a key from a file. The output of `key generate` is
+/// accepted as it is.
+///
+/// # Errors
+/// When the file cannot be read or holds no key.
+pub fn read(path: &Path) -> Result<OperatorKey> {
+    let name = || format!("cannot read the key in {}", path.display());
+    let text = std::fs::read_to_string(path).with_context(name)?;
+    let secret = text.lines().find_map(|line| line.strip_prefix("secret "));
+    OperatorKey::read(secret.unwrap_or(&text)).with_context(name)
+}
--- /dev/null
+++ b/hookpoint/src/command/logging.rs
@@ -0,0 +1,40 @@
+//! Logs on standard error: text, or JSON objects.
+
+use anyhow::{Context, Result};
+use hookpoint::settings::{LogFormat, LogLevel, LogSection};
+use log::LevelFilter;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::Encode;
+use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::pattern::PatternEncoder;
+
+/// Time, level and message.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.6fZ)(utc)} {l} {m}{n}";
+
+/// Starts the logs of this process.
+///
+/// # Errors
+/// When they have been started before.
+pub fn start(section: &LogSection) -> Result<()> {
+    let encoder: Box<dyn Encode> = match section.format {
+        LogFormat::Text => Box::new(PatternEncoder::new(PATTERN)),
+        LogFormat::Json => Box::new(JsonEncoder::new()),
+    };
+    let console = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(encoder)
+        .build();
+    let level = match section.level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+    };
+    let config = Config::builder()
+        .appender(Appender::builder().build("console", Box::new(console)))
+        .build(Root::builder().appender("console").build(level))
+        .context("the logs cannot be set up")?;
+    log4rs::init_config(config).context("the logs cannot be started")?;
+    Ok(())
+}
--- /dev/null
+++ b/hookpoint/src/command/mod.rs
@@ -0,0 +1,65 @@
+//! The commands.
+
+mod bundle;
+mod explain;
+mod fleet;
+mod http;
+mod key;
+mod logging;
+mod proxy;
+mod settings;
+
+use std::future::Future;
+use std::process::ExitCode;
+
+use anyhow::Result;
+use hookpoint::operator::OperatorError;
+use hookpoint::settings::SettingsError;
+use hookpoint_state::bundle::BundleProblems;
+
+use crate::flags::HookpointCmd;
+
+/// Exit code for anything without a code of its own.
+const EXIT_FAILURE: u8 = 1;
+/// Exit code for a document with problems.
+const EXIT_BAD_DOCUMENT: u8 = 2;
+
+/// Carries out a command and returns its exit code.
+pub fn run(command: HookpointCmd) -> ExitCode {
+    let result = match command {
+        HookpointCmd::Proxy(flags) => proxy::run(flags),
+        HookpointCmd::Settings(flags) => settings::run(flags),
+        HookpointCmd::Key(flags) => key::run(flags),
+        HookpointCmd::Bundle(flags) => bundle::run(flags),
+        HookpointCmd::Explain(flags) => explain::run(&flags),
+        HookpointCmd::Fleet(flags) => fleet::run(&flags),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hookpoint: {error:#}");
+            ExitCode::from(exit_code(&error))
+        }
+    }
+}
+
+fn exit_code(error: &anyhow::Error) -> u8 {
+    if let Some(error) = error.downcast_ref::<OperatorError>() {
+        return error.exit_code();
+    }
+    let bad_document = error.is::<BundleProblems>()
+        || matches!(
+            error.downcast_ref::<SettingsError>(),
+            Some(SettingsError::Problems { .. })
+        );
+    if bad_document {
+        EXIT_BAD_DOCUMENT
+    } else {
+        EXIT_FAILURE
+    }
+}
+
+/// Runs `task` in an actix system of its own.
+fn in_system<T>(task: impl Future<Output = Result<T>>) -> Result<T> {
+    actix_rt::System::new().block_on(task)
+}
--- /dev/null
+++ b/hookpoint/src/flags.rs
@@ -0,0 +1,109 @@
+//! Arguments of the command line.
+#![allow(missing_docs)]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// A PostgreSQL proxy fleet with session consistency.
+    cmd hookpoint {
+        /// Run a proxy until SIGTERM or SIGINT. A second signal ends it at once.
+        cmd proxy {
+            /// Settings file; flags override it.
+            required --settings file: PathBuf
+            /// Zone of this machine.
+            optional --zone name: String
+            /// Region of the zone.
+            optional --region name: String
+            /// Address to listen on for callers.
+            optional --callers address: SocketAddr
+            /// Address to listen on for other proxies.
+            optional --peers address: SocketAddr
+            /// Address that other proxies reach this one by.
+            optional --advertise address: SocketAddr
+            /// Peer address of a proxy that is likely to run.
+            repeated --seed address: SocketAddr
+            /// Address to listen on for operators.
+            optional --admin address: SocketAddr
+            /// Base URL of the platform's key-value service.
+            repeated --platform url: String
+        }
+
+        /// Settings of a proxy.
+        cmd settings {
+            /// Check a settings file; problems name file, line, key and reason.
+            cmd check-settings check {
+                required file: PathBuf
+            }
+        }
+
+        /// Operators' keys.
+        cmd key {
+            /// Print a new key; keep the secret half to yourself.
+            cmd generate {}
+            /// Print the public half and the name of a key.
+            cmd public {
+                /// File of the secret half.
+                required --key file: PathBuf
+            }
+        }
+
+        /// Configuration bundles.
+        cmd bundle {
+            /// Settings file to take the platform's URLs and the trusted keys from.
+            optional --settings file: PathBuf
+            /// Base URL of the platform's key-value service.
+            repeated --platform url: String
+            /// Your name, for the history; the user's name if not given.
+            optional --operator name: String
+            /// Seconds that the command may take in all, retries included; 15 if not
+            /// given.
+            optional --timeout seconds: u64
+
+            /// Check a document; problems name file, line, key and reason.
+            cmd check {
+                required file: PathBuf
+            }
+            /// Store a document under the next version.
+            cmd prepare {
+                required file: PathBuf
+            }
+            /// Sign a prepared version.
+            cmd approve {
+                /// File of the secret half of your key.
+                required --key file: PathBuf
+                required version: u64
+            }
+            /// Put an approved version in force.
+            cmd roll {
+                /// Version that you saw in force; another one now is a conflict.
+                optional --seen version: u64
+                required version: u64
+            }
+            /// Tell what is in force and what is prepared.
+            cmd status {}
+            /// Tell what was in force before.
+            cmd history {
+                /// How many versions back; 20 if not given.
+                optional --count versions: u64
+            }
+        }
+
+        /// Tell why requests were routed, held or refused.
+        cmd explain {
+            /// Base URL of the proxy's operators' endpoint.
+            required --admin url: String
+            /// Only this session.
+            optional --session number: u64
+        }
+
+        /// The fleet.
+        cmd fleet {
+            /// Tell the nodes, and who does not have the newest bundle in force.
+            cmd fleet-status status {
+                /// Base URL of any proxy's operators' endpoint.
+                required --admin url: String
+            }
+        }
+    }
+}
--- a/hookpoint/src/lib.rs
+++ b/hookpoint/src/lib.rs
@@ -3,4 +3,5 @@
 #![forbid(unsafe_code)]
 
 pub mod operator;
+pub mod proxy;
 pub mod settings;
--- /dev/null
+++ b/hookpoint/src/proxy/mod.rs
@@ -0,0 +1,115 @@
+//! A running proxy: the parts of the other crates, wired together.
+//!
+//! Several proxies may run in one process; they share nothing but the logs.
+
+mod error;
+mod metrics;
+mod own_node;
+mod parts;
+mod rollout;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use hookpoint_state::NodeId;
+use hookpoint_transport::admin::AdminHandle;
+use hookpoint_transport::backend::LocalPools;
+use hookpoint_transport::caller::CallerHandle;
+use hookpoint_transport::shared::Shared;
+
+pub use error::ProxyError;
+use parts::Arbiters;
+
+use crate::settings::ProxySettings;
+
+/// Starts proxies.
+pub struct Proxy;
+
+/// A running proxy. Clones mean the same proxy.
+#[derive(Clone)]
+pub struct ProxyHandle {
+    inner: Arc<Running>,
+}
+
+struct Running {
+    shared: Arc<Shared>,
+    callers: CallerHandle,
+    pools: Arc<LocalPools>,
+    node: NodeId,
+    admin: AdminHandle,
+    stopping: Arc<AtomicBool>,
+    arbiters: Arbiters,
+}
+
+impl Proxy {
+    /// Starts a proxy. Must be called inside an actix system. It takes sessions at
+    /// once; until a bundle is in force, requests wait or are refused as not run.
+    ///
+    /// # Errors
+    /// A [`ProxyError`] when an address cannot be listened on or a setting cannot be
+    /// used. A platform that is away is no error.
+    pub async fn start(settings: ProxySettings) -> Result<ProxyHandle, ProxyError> {
+        let inner = parts::start(settings).await?;
+        Ok(ProxyHandle {
+            inner: Arc::new(inner),
+        })
+    }
+}
+
+impl ProxyHandle {
+    /// This node.
+    pub fn node(&self) -> NodeId {
+        self.inner.node
+    }
+
+    /// Address that callers connect to.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.inner.callers.address()
+    }
+
+    /// Address of the operators' endpoint.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.inner.admin.address()
+    }
+
+    /// The shared tables.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.inner.shared
+    }
+
+    /// The caller side.
+    pub fn callers(&self) -> &CallerHandle {
+        &self.inner.callers
+    }
+
+    /// The connections to databases that this node holds.
+    pub fn pools(&self) -> &Arc<LocalPools> {
+        &self.inner.pools
+    }
+
+    /// A planned stop: leaves the fleet's lists, finishes what is in flight, gives idle
+    /// sessions their token and a clean end, and closes.
+    pub async fn stop(&self) {
+        let running = &self.inner;
+        if running.stopping.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        log::info!("proxy: node {} is stopping.", self.node());
+        running.callers.stop().await;
+        running.pools.retire();
+        running.admin.stop(true).await;
+        running.arbiters.stop();
+        log::info!("proxy: node {} has stopped.", self.node());
+    }
+
+    /// A sudden end, as if the process had died: every socket is closed without a word.
+    pub async fn abort(&self) {
+        let running = &self.inner;
+        running.stopping.store(true, Ordering::Relaxed);
+        running.arbiters.stop();
+        running.callers.abort().await;
+        running.admin.stop(false).await;
+        log::info!("proxy: node {} was aborted.", self.node());
+    }
+}
--- a/hookpoint/src/settings/load.rs
+++ b/hookpoint/src/settings/load.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::path::{Path, PathBuf};
 
-use hookpoint_state::document::{Document, DocumentReason, Problem};
+use hookpoint_state::document::{Document, DocumentReason, KeyPath, Problem};
 use thiserror::Error;
 
 use super::ProxySettings;
@@ -20,6 +20,14 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// Settings from elsewhere than a file break a rule.
+    #[error("{key}: {reason}")]
+    Rule {
+        /// Key concerned.
+        key: KeyPath,
+        /// What is wrong.
+        reason: SettingsReason,
+    },
     /// The settings break rules.
     #[error("{}", lines(document, problems))]
     Problems {
@@ -86,3 +94,16 @@
         reason: SettingsReason::Document(problem.reason),
     }
 }
+
+impl ProxySettings {
+    /// Whether the settings break no rule, wherever they come from.
+    ///
+    /// # Errors
+    /// The first rule broken, as [`SettingsError::Rule`].
+    pub fn verify(&self) -> Result<(), SettingsError> {
+        match check(self).into_iter().next() {
+            Some((key, reason)) => Err(SettingsError::Rule { key, reason }),
+            None => Ok(()),
+        }
+    }
+}
