Seek no evidence for a unit that failed inside its transaction block

Cause: a unit that holds COMMIT and fails before it leaves an aborted block. The status query behind it is refused there (25P02), so the machine waited for an answer that never comes and the session could not end its block.

Change: the unit is over at once; nothing was committed.

--- a/crates/coordination/src/request/machine.rs
+++ b/crates/coordination/src/request/machine.rs
@@ -145,8 +145,14 @@
             ) => {
                 self.refused_by_replica(now, view, result, in_transaction, actions);
             }
-            (Stage::Running, Event::UnitFinished { in_transaction, .. }) => {
-                self.unit_finished(now, in_transaction, actions);
+            (
+                Stage::Running,
+                Event::UnitFinished {
+                    result,
+                    in_transaction,
+                },
+            ) => {
+                self.unit_finished(now, &result, in_transaction, actions);
             }
             (Stage::Proving, Event::ProbeAnswered { status }) => {
                 self.proved(now, view, &status, actions);
@@ -338,18 +344,22 @@
             return self.start_over(now, view, actions);
         }
         actions.push(RequestAction::Deliver);
-        self.unit_finished(now, in_transaction, actions);
+        self.unit_finished(now, &result, in_transaction, actions);
     }
 
+    /// A failed transaction block commits nothing and answers no status query, so no
+    /// evidence is sought for it.
     fn unit_finished(
         &mut self,
         now: Timestamp,
+        result: &UnitResult,
         in_transaction: bool,
         actions: &mut Vec<RequestAction>,
     ) {
         self.in_transaction = in_transaction;
         self.first_unit = false;
-        if self.needs_evidence() {
+        let block_failed = in_transaction && matches!(result, UnitResult::Failed { .. });
+        if self.needs_evidence() && !block_failed {
             self.stage = Stage::Proving;
             self.evidence = Some(Evidence::new(self.term, now + self.acknowledge_within));
             return;
--- a/crates/coordination/src/request/tests.rs
+++ b/crates/coordination/src/request/tests.rs
@@ -304,6 +304,32 @@
     );
 }
 
+#[test]
+fn a_failed_block_needs_no_evidence_and_can_be_ended() {
+    let mut life = Life::new(BEGIN, at(1, 10));
+    life.acquire(RequestEvent::Begin);
+    life.grant("a");
+    life.check(status(Role::Primary, 1, 100, &[]));
+    assert_eq!(life.finish_unit(true), []);
+    let end = RequestEvent::NextUnit { unit: WRITE };
+    let sent = RequestAction::Send {
+        check: false,
+        probe: true,
+    };
+    assert_eq!(
+        life.feed(end.clone()),
+        [sent.clone(), RequestAction::Deliver]
+    );
+    let failed = RequestEvent::UnitFinished {
+        result: UnitResult::Failed {
+            sqlstate: "23514".to_owned(),
+        },
+        in_transaction: true,
+    };
+    assert_eq!(life.feed(failed), []);
+    assert_eq!(life.feed(end), [sent, RequestAction::Deliver]);
+}
+
 #[test]
 fn evidence_is_given_up_at_its_deadline() {
     let mut life = Life::new(WRITE, at(1, 10));
