Hold the caller side's protocol corners, faults and marked requests to tests

Cause: the thin caller side was seen only on its straight paths. The tests found a probe behind a failed block whose late answer was taken for the next unit's, a lone read that was told 08007 although nothing of it had reached the caller, and the proxy's own parameters that slipped to a database among other statements.

Change: such a probe is read and forgotten, also between two units; such a read begins anew on another connection; such statements are refused, as is set_config of the proxy's own parameters.

--- a/crates/transport/src/caller/active.rs
+++ b/crates/transport/src/caller/active.rs
@@ -5,7 +5,7 @@
 use std::future::Future;
 use std::pin::Pin;
 
-use hookpoint_coordination::request::{RequestEvent, RequestMachine, UnitResult};
+use hookpoint_coordination::request::{Access, RequestEvent, RequestMachine, UnitResult};
 use hookpoint_coordination::status::BackendStatus;
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
 use hookpoint_protocol::errors::BackendError;
@@ -25,6 +25,8 @@
 /// A wait that can be given up by dropping it.
 pub type Pending<T> = Option<Pin<Box<dyn Future<Output = T> + Send>>>;
 
+/// How often a read begins anew after its connection broke.
+const RESTART_LIMIT: u32 = 4;
 /// SQLSTATE of a duplicate key.
 const UNIQUE_VIOLATION: &str = "23505";
 
@@ -77,6 +79,7 @@
     pub mark: Option<RequestId>,
     /// Identifiers already in the ledger by this transaction.
     pub marked: BTreeSet<RequestId>,
+    restarts: u32,
     collector: StatusCollector,
     ledger_error: Option<String>,
     commit_error: Option<Frame>,
@@ -112,6 +115,7 @@
             lost_while_idle: false,
             mark,
             marked: BTreeSet::new(),
+            restarts: 0,
             collector: StatusCollector::default(),
             ledger_error: None,
             commit_error: None,
@@ -170,6 +174,25 @@
         self.flight.outgoing.extend(translation.commands);
     }
 
+    /// Whether a read whose connection broke may begin anew: nothing of its answer has
+    /// reached the caller.
+    pub fn may_begin_anew(&self) -> bool {
+        let unit = self.plan.unit(false, self.mark.is_some());
+        unit.access == Access::Read
+            && self.restarts < RESTART_LIMIT
+            && self.answer.is_delivering()
+            && !self.answer.has_flowed()
+            && self.answer.ending().is_none()
+    }
+
+    /// Begins the transaction anew with `machine`.
+    pub fn begin_anew(&mut self, machine: RequestMachine) {
+        self.restarts += 1;
+        self.machine = machine;
+        self.begin_attempt(false);
+        self.release(false);
+    }
+
     /// Whether the machine waits for something although the answer is complete.
     pub fn machine_is_busy(&self) -> bool {
         self.acquire.is_some() || self.verify.is_some() || self.timer.is_some()
@@ -215,6 +238,15 @@
         }
     }
 
+    /// Takes a reply that comes between two units: the rest of one that failed, or the
+    /// end of the connection.
+    pub fn reply_while_idle(&mut self, reply: Option<BackendReply>) {
+        let mut observed = VecDeque::new();
+        self.reply(reply, &mut observed);
+        let lost = |item: &Observed| matches!(item, Observed::Event(RequestEvent::ConnectionLost));
+        self.lost_while_idle |= observed.iter().any(lost);
+    }
+
     /// Whether nothing can move any more: the answer fills its buffer while the
     /// machine still waits for its end.
     fn is_stuck(&self) -> bool {
@@ -239,6 +271,7 @@
         let ends = frame.tag == backend::READY_FOR_QUERY;
         match section {
             Section::Check | Section::Probe => self.status_frame(section, &frame, observed),
+            Section::Stale => {}
             Section::Begin | Section::Ledger => self.ledger_frame(&frame),
             Section::Unit => self.unit_frame(frame, observed),
             Section::Commit => self.commit_frame(frame, observed),
@@ -253,10 +286,7 @@
             return;
         };
         let Ok(status) = result else {
-            if section == Section::Check || self.answer.ending().is_none_or(is_settled) {
-                self.lose_connection(observed);
-            }
-            return;
+            return self.lose_connection(observed);
         };
         if let Some(lease) = &self.lease {
             observed.push_back(Observed::Status(lease.database.clone(), status.clone()));
@@ -330,6 +360,7 @@
         let in_transaction = ending.status.is_open();
         if in_transaction && matches!(result, UnitResult::Failed { .. }) {
             self.answer.release_end();
+            self.flight.forget_probes();
         }
         observed.push_back(Observed::Event(RequestEvent::UnitFinished {
             result,
@@ -363,8 +394,3 @@
         drain::release(lease, flight.sections.len(), reusable && whole, discard);
     }
 }
-
-/// Whether a status query could be answered after a unit that ended like this.
-fn is_settled(ending: &crate::caller::answer::Ending) -> bool {
-    ending.status != TransactionStatus::Failed
-}
--- a/crates/transport/src/caller/drive.rs
+++ b/crates/transport/src/caller/drive.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use hookpoint_coordination::request::{
-    RequestAction, RequestEvent, RequestMachine, RequestProfile,
+    RequestAction, RequestEvent, RequestMachine, RequestProfile, Unit,
 };
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
 use hookpoint_protocol::frame::Frame;
@@ -69,26 +69,43 @@
                 RequestEvent::NextUnit { unit }
             });
         }
-        let limits = self
-            .context
-            .shared
-            .bundle()
-            .map(|bundle| bundle.limits.clone());
+        let unit = plan.unit(false, mark.is_some());
+        let machine = self.machine(unit, mark.is_none());
+        self.transaction = Some(ActiveTransaction::new(machine, plan, mark));
+        self.guard.entry.waits();
+        Some(RequestEvent::Begin)
+    }
+
+    fn machine(&self, unit: Unit, repeatable: bool) -> RequestMachine {
+        let shared = &self.context.shared;
+        let limits = shared.bundle().map(|bundle| bundle.limits.clone());
         let limits = limits.unwrap_or_default();
         let profile = RequestProfile {
             session: self.guard.entry.id,
             tenant: self.tenant.clone(),
             group: self.group.clone(),
-            zone: self.context.shared.zone.clone(),
-            unit: plan.unit(false, mark.is_some()),
+            zone: shared.zone.clone(),
+            unit,
             required: self.required,
-            repeatable: mark.is_none(),
-            deadline: self.context.shared.now() + limits.wait(),
+            repeatable,
+            deadline: shared.now() + limits.wait(),
         };
-        let machine = RequestMachine::new(profile, limits.acknowledge());
-        self.transaction = Some(ActiveTransaction::new(machine, plan, mark));
-        self.guard.entry.waits();
-        Some(RequestEvent::Begin)
+        RequestMachine::new(profile, limits.acknowledge())
+    }
+
+    /// Begins a read anew whose connection broke before any of its answer was told.
+    fn begin_anew(&mut self) -> RequestEvent {
+        let unit = self
+            .transaction
+            .as_ref()
+            .map(|active| active.plan.unit(false, false));
+        if let Some(unit) = unit {
+            let machine = self.machine(unit, true);
+            if let Some(active) = &mut self.transaction {
+                active.begin_anew(machine);
+            }
+        }
+        RequestEvent::Begin
     }
 
     fn handle(&mut self, event: RequestEvent) {
@@ -301,8 +318,13 @@
         };
         let mut observed = VecDeque::new();
         active.reply(reply, &mut observed);
+        let anew = !self.status.is_open() && active.may_begin_anew();
         for item in observed {
             match item {
+                Observed::Event(RequestEvent::ConnectionLost) if anew => {
+                    let event = self.begin_anew();
+                    events.push_back(event);
+                }
                 Observed::Event(event) => events.push_back(event),
                 Observed::Status(database, status) => {
                     self.context.shared.observe(&self.group, &database, &status);
--- a/crates/transport/src/caller/flight.rs
+++ b/crates/transport/src/caller/flight.rs
@@ -23,6 +23,8 @@
     Commit,
     /// Answer to a status query behind the unit.
     Probe,
+    /// Answer to a status query that nobody waits for any more.
+    Stale,
 }
 
 /// Commands still to be handed over and sections still to be read.
@@ -90,6 +92,15 @@
         self.push(Section::Probe, status_query());
     }
 
+    /// Nobody waits for the status behind the unit any more.
+    pub fn forget_probes(&mut self) {
+        for section in &mut self.sections {
+            if *section == Section::Probe {
+                *section = Section::Stale;
+            }
+        }
+    }
+
     fn push(&mut self, section: Section, command: BackendCommand) {
         self.sections.push_back(section);
         self.outgoing.push_back(command);
--- a/crates/transport/src/caller/local.rs
+++ b/crates/transport/src/caller/local.rs
@@ -1,7 +1,7 @@
 //! Statements that the proxy answers by itself: they speak of the session and not of a
 //! database.
 
-use hookpoint_protocol::classify::{SettingChange, UnitClass};
+use hookpoint_protocol::classify::{SettingChange, StatementKind, UnitClass};
 use hookpoint_protocol::frame::Frame;
 use hookpoint_protocol::reply;
 use hookpoint_protocol::tags::backend;
@@ -41,6 +41,21 @@
     }
 }
 
+/// Whether `text` changes one of the proxy's own parameters in a way that only a
+/// database would notice: among other statements, or through `set_config`.
+pub fn changes_own_setting(text: &str, class: &UnitClass) -> bool {
+    let lower = text.to_ascii_lowercase();
+    if lower.contains("set_config") {
+        return lower.contains(TOKEN_SETTING) || lower.contains(REQUEST_ID_SETTING);
+    }
+    class.settings.iter().any(|change| match change {
+        SettingChange::Set { name, .. } | SettingChange::Reset { name } => {
+            LocalSetting::named(name).is_some()
+        }
+        SettingChange::ResetAll => false,
+    })
+}
+
 /// A statement the proxy answers by itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LocalStatement {
@@ -60,10 +75,12 @@
         if class.statements.len() > 1 {
             return None;
         }
+        let sets = class.statements == [StatementKind::Set];
         if let Some(name) = &class.show {
             return LocalSetting::named(name).map(Self::Show);
         }
         match class.settings.as_slice() {
+            _ if !sets => {}
             [SettingChange::Set { name, value, .. }] => {
                 let setting = LocalSetting::named(name)?;
                 return Some(Self::Set(setting, Some(value.clone())));
--- a/crates/transport/src/caller/session.rs
+++ b/crates/transport/src/caller/session.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hookpoint_protocol::backend_command::BackendReply;
 use hookpoint_protocol::extended::MalformedMessage;
 use hookpoint_protocol::frame::Frame;
 use hookpoint_protocol::reply::{self, TransactionStatus};
@@ -207,7 +206,7 @@
                 .transaction
                 .as_mut()
                 .and_then(|active| active.lease.as_mut());
-            let lost = tokio::select! {
+            let reply = tokio::select! {
                 biased;
                 frame = self.stream.frame() => return Ok(frame?),
                 _ = self.stop.wait_for(|mode| *mode >= StopMode::Graceful), if !busy => {
@@ -218,12 +217,11 @@
                         Some(lease) => lease.replies.recv().await,
                         None => std::future::pending().await,
                     }
-                } => matches!(reply, None | Some(BackendReply::Lost)),
+                } => reply,
                 () = &mut idle, if busy => return Err(SessionEnd::IdleTransaction),
             };
-            if lost && let Some(active) = &mut self.transaction {
-                active.lease = None;
-                active.lost_while_idle = true;
+            if let Some(active) = &mut self.transaction {
+                active.reply_while_idle(reply);
             }
         }
     }
--- a/crates/transport/src/caller/unit.rs
+++ b/crates/transport/src/caller/unit.rs
@@ -18,7 +18,7 @@
 use thiserror::Error;
 
 use crate::caller::answer::Step;
-use crate::caller::local::LocalStatement;
+use crate::caller::local::{self, LocalStatement};
 use crate::caller::statements::{Statement, StatementTable};
 
 /// A unit as it came from the caller.
@@ -171,10 +171,12 @@
         let text = extended::query_text(frame)?;
         let class = classifier.classify(&text);
         let mut plan = Self::empty(true);
-        plan.traits.execute(&class);
         match LocalStatement::of(&text, &class) {
             Some(local) => plan.run_locally(local, true),
-            None => plan.needs_connection = true,
+            None => {
+                plan.traits.execute(&class);
+                plan.relay_class(&text, &class);
+            }
         }
         plan.commands.push(frames(vec![frame.clone()]));
         Ok(plan)
@@ -297,14 +299,18 @@
     ) -> Result<Translation, UnitError> {
         let parse = Parse::read(message)?;
         let class = classifier.classify(&parse.query);
-        self.traits.mention(&class);
         let statement = Arc::new(Statement::new(&parse, class));
         statements
             .insert(&parse.name, Arc::clone(&statement))
             .map_err(|_| UnitError::TooManyStatements)?;
         self.answer_locally(reply::empty(backend::PARSE_COMPLETE));
-        self.has_local |= statement.local.is_some();
-        self.needs_connection |= statement.local.is_none();
+        match &statement.local {
+            Some(_) => self.has_local = true,
+            None => {
+                self.traits.mention(&statement.class);
+                self.relay_class(&statement.query, &statement.class);
+            }
+        }
         if parse.name.is_empty() {
             self.unnamed_parsed = true;
             return Ok(relayed(message.clone(), Step::Single));
@@ -351,7 +357,9 @@
         }
         let statement = statements.get(&named.name);
         if let Some(statement) = statement {
-            self.traits.mention(&statement.class);
+            if statement.local.is_none() {
+                self.traits.mention(&statement.class);
+            }
             self.answer_locally(reply::no_parameters());
         }
         self.describe_locally(statement);
@@ -397,13 +405,13 @@
         let portal = extended::execute_portal(message)?;
         self.answer_tags.push(backend::COMMAND_COMPLETE);
         match statements.portal(&portal) {
-            Some(statement) => {
-                self.traits.execute(&statement.class);
-                match &statement.local {
-                    Some(local) => self.run_locally(local.clone(), false),
-                    None => self.needs_connection = true,
+            Some(statement) => match &statement.local {
+                Some(local) => self.run_locally(local.clone(), false),
+                None => {
+                    self.traits.execute(&statement.class);
+                    self.needs_connection = true;
                 }
-            }
+            },
             None => {
                 self.traits.reads_only = false;
                 self.traits.may_commit = true;
@@ -415,6 +423,13 @@
         Ok(relayed(message.clone(), Step::Rows))
     }
 
+    /// A statement goes to a database. One that also changes the proxy's own
+    /// parameters must not: the database would take them and the proxy would not.
+    fn relay_class(&mut self, text: &str, class: &UnitClass) {
+        self.needs_connection = true;
+        self.has_local |= local::changes_own_setting(text, class);
+    }
+
     fn answer_locally(&mut self, frame: Frame) {
         self.answer_tags.push(frame.tag);
         self.local.push(LocalStep::Message(frame));
@@ -430,6 +445,8 @@
     /// A local statement runs; a simple query describes its rows unasked.
     fn run_locally(&mut self, local: LocalStatement, described: bool) {
         self.has_local = true;
+        self.traits.only_ends = false;
+        self.traits.only_opens = false;
         let description = local.description();
         if described && description.tag == backend::ROW_DESCRIPTION {
             self.answer_locally(description);
--- a/crates/transport/tests/caller_support/database.rs
+++ b/crates/transport/tests/caller_support/database.rs
@@ -348,7 +348,7 @@
                 break;
             }
         }
-        if self.copying || self.broken {
+        if self.copying || self.broken || self.skipping {
             return;
         }
         if !self.status.is_open() {
@@ -451,7 +451,9 @@
             *count -= 1;
             return Outcome::Broken;
         }
-        server.log.push((self.name.clone(), text.to_owned()));
+        if self.status != TransactionStatus::Failed {
+            server.log.push((self.name.clone(), text.to_owned()));
+        }
         let replica = server.nodes[&self.name].role == Role::Replica;
         let breaks = server
             .break_after
--- a/crates/transport/tests/caller_support/mod.rs
+++ b/crates/transport/tests/caller_support/mod.rs
@@ -46,6 +46,7 @@
     pub releases: Mutex<Vec<(String, bool, bool)>>,
     pub acquired: Mutex<Vec<String>>,
     pub verifications: Mutex<usize>,
+    kills: tokio::sync::watch::Sender<u64>,
     /// While set, no lease is granted.
     pub hold_leases: tokio::sync::watch::Sender<bool>,
 }
@@ -60,6 +61,7 @@
             releases: Mutex::default(),
             acquired: Mutex::default(),
             verifications: Mutex::default(),
+            kills: tokio::sync::watch::Sender::new(0),
             hold_leases: tokio::sync::watch::Sender::new(false),
         });
         group.shared.install_bundle(bundle());
@@ -90,6 +92,15 @@
         found.map(|entry| entry.0.clone()).collect()
     }
 
+    /// Breaks every connection, and waits until the sessions can have seen it.
+    pub async fn kill_connections(&self) {
+        self.kills.send_modify(|count| *count += 1);
+        while self.kills.receiver_count() > 0 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
     /// Waits until `condition` holds.
     pub async fn until(&self, what: &str, condition: impl Fn(&Self) -> bool) {
         let started = tokio::time::Instant::now();
@@ -155,7 +166,14 @@
         let (commands, command_receiver) = mpsc::channel(LEASE_COMMAND_BUFFER);
         let (reply_sender, replies) = mpsc::channel(LEASE_REPLY_BUFFER);
         let connection = Connection::new(name, Arc::clone(&self.server));
-        actix_rt::spawn(connection.run(command_receiver, reply_sender));
+        let mut kills = self.kills.subscribe();
+        kills.mark_unchanged();
+        actix_rt::spawn(async move {
+            tokio::select! {
+                () = connection.run(command_receiver, reply_sender) => {}
+                _ = kills.changed() => {}
+            }
+        });
         Ok(BackendLease {
             database: request.database,
             commands,
