Test the pools, and move work away from a replaced primary

Cause: requests that wait for a primary which has been replaced, or which does not answer, waited until their deadline; concurrent status queries to one database each took a connection; the decision logic had no tests. Change: a change of primary refuses what waits at the old one, so that it looks for a database again, and gives requests that run there half a second to say something. Status queries to a database run one at a time and are shared.

--- a/crates/coordination/src/observer/rounds.rs
+++ b/crates/coordination/src/observer/rounds.rs
@@ -1,31 +1,35 @@
-//! Sharing of verification rounds between concurrent callers.
+//! Sharing of rounds of queries between concurrent callers.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hookpoint_state::Timestamp;
 
-/// A round under way for longer than this does not hold the next one back.
-const PATIENCE: Duration = Duration::from_millis(60);
-/// Rounds of one group under way at the same time.
-const MAXIMUM_ROUNDS: usize = 4;
+/// How many rounds run at the same time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RoundPolicy {
+    /// A round under way for longer than this does not hold the next one back.
+    pub patience: Duration,
+    /// Rounds under way at the same time.
+    pub maximum: usize,
+}
 
 /// A round, numbered by the rounds' table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RoundNumber(pub u64);
 
-/// A caller that waits for a verification, numbered by the driver.
+/// A caller that waits for a result, numbered by the driver.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WaiterNumber(pub u64);
 
 /// What the driver tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RoundEvent {
-    /// A caller wants a verification that starts from now on.
+    /// A caller wants the result of a round that starts from now on.
     Called(WaiterNumber),
     /// A round is over.
     Finished(RoundNumber),
-    /// The time of [`VerificationRounds::next_timer`] has come.
+    /// The time of [`Rounds::next_timer`] has come.
     Timer,
 }
 
@@ -44,19 +48,25 @@
     waiters: Vec<WaiterNumber>,
 }
 
-/// The verification rounds of one group. A caller is answered only by a round that
-/// started after its call; callers that come while a round is under way share the next.
-#[derive(Clone, Debug, Default)]
-pub struct VerificationRounds {
+/// Rounds of the same queries. A caller is answered only by a round that started after
+/// its call; callers that come while a round is under way share the next.
+#[derive(Clone, Debug)]
+pub struct Rounds {
+    policy: RoundPolicy,
     rounds: BTreeMap<RoundNumber, Round>,
     gathered: Vec<WaiterNumber>,
     next: u64,
 }
 
-impl VerificationRounds {
+impl Rounds {
     /// No round is under way.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(policy: RoundPolicy) -> Self {
+        Self {
+            policy,
+            rounds: BTreeMap::new(),
+            gathered: Vec::new(),
+            next: 0,
+        }
     }
 
     /// Takes an event and appends the actions it causes to `actions`.
@@ -77,10 +87,10 @@
 
     /// When [`RoundEvent::Timer`] is due, if ever.
     pub fn next_timer(&self) -> Option<Timestamp> {
-        if self.gathered.is_empty() || self.rounds.len() >= MAXIMUM_ROUNDS {
+        if self.gathered.is_empty() || self.rounds.len() >= self.policy.maximum {
             return None;
         }
-        Some(self.latest_start()? + PATIENCE)
+        Some(self.latest_start()? + self.policy.patience)
     }
 
     /// Whether nobody waits.
@@ -95,8 +105,8 @@
     fn may_start(&self, now: Timestamp) -> bool {
         let patient = self
             .latest_start()
-            .is_some_and(|start| now < start + PATIENCE);
-        !patient && self.rounds.len() < MAXIMUM_ROUNDS
+            .is_some_and(|start| now < start + self.policy.patience);
+        !patient && self.rounds.len() < self.policy.maximum
     }
 
     fn start(&mut self, now: Timestamp) -> RoundNumber {
--- a/crates/coordination/src/observer/tests.rs
+++ b/crates/coordination/src/observer/tests.rs
@@ -1,1 +1,351 @@
-//! Tests.
+//! Tests of the probe schedule, the rounds and the verification.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hookpoint_state::bundle::ReadPreference;
+use hookpoint_state::{DatabaseName, GroupName, Lsn, Position, Term, Timestamp};
+use quickcheck::{Arbitrary, Gen};
+
+use super::*;
+use crate::status::{BackendStatus, Role};
+use crate::terms::{Member, Proximity, TermTable};
+
+fn status(role: Role, term: u32) -> BackendStatus {
+    BackendStatus {
+        role,
+        term: Term(term),
+        position: Lsn(u64::from(term) * 100),
+        flushed: Vec::new(),
+    }
+}
+
+const NAMES: [&str; 3] = ["books-0", "books-1", "books-2"];
+
+/// A clock, a schedule over one group and what is known of the group.
+struct Scene {
+    now: Timestamp,
+    schedule: ProbeSchedule,
+    terms: TermTable,
+    group: GroupName,
+    /// Probes asked for and not looked at yet.
+    asked: Vec<DatabaseName>,
+}
+
+impl Scene {
+    fn new(seed: u64) -> Self {
+        let group = GroupName::from("books");
+        let mut terms = TermTable::new();
+        let members = NAMES.map(|name| Member {
+            name: name.into(),
+            proximity: Proximity::SameZone,
+            draining: false,
+        });
+        terms.configure(&group, ReadPreference::Replica, members);
+        let mut scene = Self {
+            now: Timestamp::from_millis(1_000),
+            schedule: ProbeSchedule::new(ProbePace::default(), seed),
+            terms,
+            group: group.clone(),
+            asked: Vec::new(),
+        };
+        let observed = NAMES.map(|name| (group.clone(), name.into())).to_vec();
+        scene.event(ObserverEvent::Configured(observed));
+        scene
+    }
+
+    /// Probes asked for since the last timer, and the next due time.
+    fn tick(&mut self) -> (Vec<DatabaseName>, Option<Timestamp>) {
+        let due = self.event(ObserverEvent::Timer);
+        (std::mem::take(&mut self.asked), due)
+    }
+
+    fn event(&mut self, event: ObserverEvent) -> Option<Timestamp> {
+        let mut actions = Vec::new();
+        let terms = &self.terms;
+        let view = |group: &GroupName| terms.view(group).cloned();
+        let due = self.schedule.handle(self.now, event, view, &mut actions);
+        let probes = actions
+            .into_iter()
+            .map(|ObserverAction::Probe { database, .. }| database);
+        self.asked.extend(probes);
+        due
+    }
+
+    fn answer(&mut self, name: &str, answer: Option<BackendStatus>) {
+        let name = DatabaseName::from(name);
+        match answer {
+            Some(status) => {
+                self.terms.observe(self.now, &self.group, &name, &status);
+            }
+            None => self.terms.unreachable(&self.group, &name),
+        }
+        self.event(ObserverEvent::Probed(name));
+    }
+
+    /// Lets `time` pass; `answer` answers each probe at once. Returns the probes by name.
+    fn run(
+        &mut self,
+        time: Duration,
+        answer: impl Fn(&str) -> Option<BackendStatus>,
+    ) -> BTreeMap<String, usize> {
+        let end = self.now + time;
+        let mut counts = BTreeMap::new();
+        while self.now < end {
+            let (probes, _) = self.tick();
+            for probe in probes {
+                *counts.entry(probe.as_str().to_owned()).or_default() += 1;
+                self.answer(probe.as_str(), answer(probe.as_str()));
+            }
+            self.now = self.now + Duration::from_millis(1);
+        }
+        counts
+    }
+}
+
+/// What a database answers.
+type Script = fn(&str) -> Option<BackendStatus>;
+
+/// Least and most probes of each database.
+type Bounds = [(usize, usize); 3];
+
+fn healthy(name: &str) -> Option<BackendStatus> {
+    let role = if name == "books-0" {
+        Role::Primary
+    } else {
+        Role::Replica
+    };
+    Some(status(role, 1))
+}
+
+fn settled(seed: u64) -> Scene {
+    let mut scene = Scene::new(seed);
+    scene.run(Duration::from_secs(3), healthy);
+    scene
+}
+
+#[test]
+fn probes_are_slow_in_quiet_times_and_fast_without_a_primary() {
+    let answers: [(&str, Script, Bounds); 4] = [
+        ("quiet", healthy, [(25, 45), (8, 13), (8, 13)]),
+        (
+            "no primary",
+            |_| Some(status(Role::Replica, 1)),
+            [(150, 270); 3],
+        ),
+        (
+            "primary dead",
+            |name| healthy(name).filter(|_| name != "books-0"),
+            [(150, 270); 3],
+        ),
+        (
+            "replica dead",
+            |name| healthy(name).filter(|_| name != "books-1"),
+            [(25, 45), (8, 13), (8, 13)],
+        ),
+    ];
+    for (name, answer, bounds) in answers {
+        let mut scene = settled(3);
+        scene.run(Duration::from_millis(400), answer);
+        let counts = scene.run(Duration::from_secs(10), answer);
+        for (database, (least, most)) in NAMES.iter().zip(bounds) {
+            let count = counts.get(*database).copied().unwrap_or_default();
+            assert!(
+                (least..=most).contains(&count),
+                "{name}: {count} of {database}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_long_search_for_a_primary_slows_down() {
+    let mut scene = settled(4);
+    scene.run(Duration::from_secs(16), |_| Some(status(Role::Replica, 1)));
+    let counts = scene.run(Duration::from_secs(10), |_| Some(status(Role::Replica, 1)));
+    assert!(counts["books-1"] <= 55, "{counts:?}");
+}
+
+#[test]
+fn a_lost_connection_hurries_the_probes_for_a_while() {
+    let mut scene = settled(5);
+    scene.event(ObserverEvent::ConnectionLost("books-2".into()));
+    let alarmed = scene.run(Duration::from_secs(2), healthy);
+    assert!(alarmed["books-1"] >= 30, "{alarmed:?}");
+    scene.run(Duration::from_secs(1), healthy);
+    let calm = scene.run(Duration::from_secs(2), healthy);
+    assert!(calm["books-1"] <= 3, "{calm:?}");
+}
+
+#[test]
+fn a_silent_primary_hurries_the_probes_of_its_replicas() {
+    let mut scene = settled(6);
+    // The probe of the primary is asked for and never ends.
+    loop {
+        let (probes, _) = scene.tick();
+        let asked = probes.iter().any(|probe| probe.as_str() == "books-0");
+        for probe in probes.iter().filter(|probe| probe.as_str() != "books-0") {
+            scene.answer(probe.as_str(), healthy(probe.as_str()));
+        }
+        if asked {
+            break;
+        }
+        scene.now = scene.now + Duration::from_millis(1);
+    }
+    let counts = scene.run(Duration::from_secs(2), healthy);
+    assert!(counts["books-1"] >= 25, "{counts:?}");
+    assert!(!counts.contains_key("books-0"), "one probe at a time");
+}
+
+#[test]
+fn a_status_from_traffic_takes_the_place_of_a_probe() {
+    let mut scene = settled(7);
+    let mut probes = 0;
+    for _ in 0..100 {
+        for name in NAMES {
+            let status = healthy(name).unwrap();
+            scene
+                .terms
+                .observe(scene.now, &scene.group, &name.into(), &status);
+        }
+        probes += scene.tick().0.len();
+        scene.now = scene.now + Duration::from_millis(100);
+    }
+    assert_eq!(probes, 0);
+}
+
+#[test]
+fn the_due_time_is_never_missed_nor_in_the_past() {
+    for seed in 0..50 {
+        let mut random = Gen::from_size_and_seed(20, seed);
+        let mut scene = settled(seed);
+        for _ in 0..200 {
+            let (probes, due) = scene.tick();
+            assert!(due.is_none_or(|due| due > scene.now), "seed {seed}");
+            for probe in probes {
+                let answered = bool::arbitrary(&mut random);
+                let answer = healthy(probe.as_str()).filter(|_| answered);
+                scene.answer(probe.as_str(), answer);
+            }
+            let (_, due) = scene.tick();
+            let Some(due) = due else { continue };
+            // Nothing is due before the due time.
+            scene.now = Timestamp(due.0 - 1);
+            assert_eq!(scene.tick().0, Vec::new(), "seed {seed}");
+            scene.now = due;
+        }
+    }
+}
+
+#[test]
+fn a_round_verifies_only_a_primary_of_the_highest_term_within_a_majority() {
+    let primary = |term| Some(status(Role::Primary, term));
+    let replica = |term| Some(status(Role::Replica, term));
+    let at = |term: u32| {
+        VerificationState::Verified(Position {
+            term: Term(term),
+            lsn: Lsn(u64::from(term) * 100),
+        })
+    };
+    use VerificationState::{Failed, Open};
+    let cases = [
+        ("nobody", vec![], Open),
+        ("the primary alone", vec![primary(1)], Open),
+        ("primary and replica", vec![primary(1), replica(1)], at(1)),
+        ("replicas alone", vec![replica(1), replica(1)], Open),
+        (
+            "replicas and a silent primary",
+            vec![replica(1), replica(1), None],
+            Failed,
+        ),
+        (
+            "a deposed primary first",
+            vec![primary(1), replica(2)],
+            Open,
+        ),
+        (
+            "then the new one",
+            vec![primary(1), replica(2), primary(2)],
+            at(2),
+        ),
+        (
+            "a deposed primary and a silent new one",
+            vec![primary(1), replica(2), None],
+            Failed,
+        ),
+        ("two silent", vec![primary(1), None, None], Failed),
+        ("one silent", vec![None, replica(3), primary(3)], at(3)),
+    ];
+    for (name, answers, expected) in cases {
+        let mut verification = Verification::new(3);
+        for (index, answer) in answers.into_iter().enumerate() {
+            verification.answered(NAMES[index].into(), answer);
+        }
+        assert_eq!(verification.state(), expected, "{name}");
+    }
+    assert_eq!(
+        Verification::new(0).state(),
+        Failed,
+        "a group without databases"
+    );
+}
+
+/// Every caller is answered by exactly one round that started after its call, and no
+/// more rounds run than allowed.
+#[test]
+fn callers_share_the_next_round() {
+    let policies = [(60, 4), (u64::MAX / 2_000, 1)];
+    for (seed, (patience, maximum)) in (0..400).flat_map(|seed| policies.map(|p| (seed, p))) {
+        let policy = RoundPolicy {
+            patience: Duration::from_millis(patience),
+            maximum,
+        };
+        let mut random = Gen::from_size_and_seed(50, seed);
+        let mut rounds = Rounds::new(policy);
+        let mut now = Timestamp::default();
+        let mut called = BTreeMap::new();
+        let mut running: BTreeMap<RoundNumber, Timestamp> = BTreeMap::new();
+        let mut answered = 0;
+        for step in 0..200u64 {
+            let mut actions = Vec::new();
+            let mut finished = None;
+            let event = match u8::arbitrary(&mut random) % 3 {
+                0 => {
+                    called.insert(WaiterNumber(step), now);
+                    RoundEvent::Called(WaiterNumber(step))
+                }
+                1 if !running.is_empty() => {
+                    let index = usize::arbitrary(&mut random) % running.len();
+                    let (number, start) = running.iter().nth(index).map(|(n, s)| (*n, *s)).unwrap();
+                    running.remove(&number);
+                    finished = Some(start);
+                    RoundEvent::Finished(number)
+                }
+                _ => RoundEvent::Timer,
+            };
+            rounds.handle(now, event, &mut actions);
+            for action in actions {
+                match action {
+                    RoundAction::Start(number) => {
+                        assert!(running.insert(number, now).is_none());
+                    }
+                    RoundAction::Answer(waiters) => {
+                        for waiter in waiters {
+                            let call = called.remove(&waiter).expect("answered once");
+                            assert!(finished.unwrap() >= call, "seed {seed}");
+                            answered += 1;
+                        }
+                    }
+                }
+            }
+            assert!(running.len() <= maximum);
+            let waits = !called.is_empty();
+            assert!(
+                !waits || !running.is_empty(),
+                "seed {seed}: nobody runs for the callers"
+            );
+            now = now + Duration::from_millis(u64::arbitrary(&mut random) % 40);
+        }
+        assert!(answered > 0);
+    }
+}
--- a/crates/coordination/src/slots/event.rs
+++ b/crates/coordination/src/slots/event.rs
@@ -91,6 +91,10 @@
     Drain,
     /// The database gets work again.
     Undrain,
+    /// The database is not what it was when the requests came to wait: it does not
+    /// answer, or its group has another primary now. Waiting requests are refused, so
+    /// that they look for a database again.
+    Reroute,
     /// Whether this node is the database's home. One that is not keeps no idle
     /// connection, which leaves the slots to the home.
     Home(bool),
--- a/crates/coordination/src/slots/table.rs
+++ b/crates/coordination/src/slots/table.rs
@@ -124,6 +124,7 @@
             SlotEvent::Renew => self.renew(),
             SlotEvent::Drain => self.draining = true,
             SlotEvent::Undrain => self.draining = false,
+            SlotEvent::Reroute => self.refuse_work(actions),
             SlotEvent::Home(home) => self.home = home,
             SlotEvent::Timer => {}
         }
@@ -295,9 +296,7 @@
             refuse(request.number, Refusal::WaitDeadline, actions);
         }
         if self.draining {
-            while let Some(request) = self.queue.pop_lane(Lane::Work) {
-                refuse(request.number, Refusal::NoDatabase, actions);
-            }
+            self.refuse_work(actions);
         }
         self.close_outdated(actions);
         self.close_surplus(actions);
@@ -306,6 +305,12 @@
         self.close_idle(now, actions);
     }
 
+    fn refuse_work(&mut self, actions: &mut Vec<SlotAction>) {
+        while let Some(request) = self.queue.pop_lane(Lane::Work) {
+            refuse(request.number, Refusal::NoDatabase, actions);
+        }
+    }
+
     fn grant(&mut self, actions: &mut Vec<SlotAction>) {
         while !self.queue.is_empty() {
             let Some(number) = self.idle.pop() else {
--- a/crates/transport/src/backend/connection.rs
+++ b/crates/transport/src/backend/connection.rs
@@ -322,6 +322,7 @@
                             return end;
                         }
                     }
+                    Some(Order::Doubt) => {}
                     Some(Order::Close) | None => return LifeEnd::Ordered,
                 },
                 message = connection.reader.next() => {
@@ -338,12 +339,12 @@
         }
     }
 
-    async fn serve(&self, connection: &mut Connection, grant: Box<Grant>) -> Option<LifeEnd> {
-        let settings = &self.context.settings;
+    async fn serve(&mut self, connection: &mut Connection, grant: Box<Grant>) -> Option<LifeEnd> {
+        let settings = self.context.settings.clone();
         if connection.is_gone(settings.lapse()) {
             return Some(LifeEnd::Stale(grant));
         }
-        let end = serve::serve(connection, &self.context, *grant).await;
+        let end = serve::serve(connection, &self.context, *grant, &mut self.orders).await;
         let reusable = match end {
             ServeEnd::Lost => return Some(LifeEnd::Broken),
             ServeEnd::Unused => Ok(true),
--- a/crates/transport/src/backend/message.rs
+++ b/crates/transport/src/backend/message.rs
@@ -55,6 +55,15 @@
 #[rtype(result = "()")]
 pub(super) struct Home(pub bool);
 
+/// Waiting requests had better look for another database.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(super) struct Reroute {
+    /// Whether the database has lost the primary's role. Sessions that wait for it to
+    /// answer then wait only a little longer.
+    pub deposed: bool,
+}
+
 /// The database left the bundle or the process stops.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -96,6 +105,8 @@
     Serve(Box<Grant>),
     /// Close.
     Close,
+    /// Break the lease unless the database says something soon.
+    Doubt,
 }
 
 /// Orders a connection buffers: at most one of each kind is under way.
--- a/crates/transport/src/backend/pool.rs
+++ b/crates/transport/src/backend/pool.rs
@@ -15,7 +15,7 @@
 use super::connection::{ConnectionContext, ConnectionTask};
 use super::message::{
     Acquire, Cancelled, Configure, ConnectionEvent, FromConnection, Grant, Home, ORDER_BUFFER,
-    Order, OrderSender, PoolConfiguration, Retire,
+    Order, OrderSender, PoolConfiguration, Reroute, Retire,
 };
 use super::settings::BackendSettings;
 use crate::shared::Shared;
@@ -125,7 +125,7 @@
         match orders.try_send(Order::Serve(Box::new(grant))) {
             Err(TrySendError::Full(order) | TrySendError::Closed(order)) => match order {
                 Order::Serve(grant) => Some(self.grant_failed(connection, *grant)),
-                Order::Close => None,
+                Order::Close | Order::Doubt => None,
             },
             Ok(()) => None,
         }
@@ -250,6 +250,19 @@
     }
 }
 
+impl Handler<Reroute> for PoolActor {
+    type Result = ();
+
+    fn handle(&mut self, message: Reroute, context: &mut Context<Self>) {
+        self.handle(SlotEvent::Reroute, context);
+        if message.deposed {
+            for orders in self.connections.values() {
+                let _ended = orders.try_send(Order::Doubt);
+            }
+        }
+    }
+}
+
 impl Handler<Retire> for PoolActor {
     type Result = ();
 
--- a/crates/transport/src/backend/pools.rs
+++ b/crates/transport/src/backend/pools.rs
@@ -1,20 +1,24 @@
 //! All pools of a node.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use actix::{Actor, Addr, Arbiter, ArbiterHandle};
 use async_trait::async_trait;
 use hookpoint_coordination::slots::{Lane, RequestNumber, SlotCounts, SlotPolicy, WaitingRequest};
-use hookpoint_state::{Bundle, DatabaseName, Refusal, ZoneName};
+use hookpoint_coordination::terms::GroupView;
+use hookpoint_state::{Bundle, DatabaseName, GroupName, Refusal, ZoneName};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{mpsc, oneshot};
 
-use super::message::{Acquire, Cancelled, Configure, Home, PoolConfiguration, Retire, Target};
+use super::message::{
+    Acquire, Cancelled, Configure, Home, PoolConfiguration, Reroute, Retire, Target,
+};
 use super::pool::{LossSender, PoolActor, PoolParts};
 use super::settings::BackendSettings;
 use crate::lease::{AcquireRequest, BackendLease, LeaseSource};
+use crate::observe::{SharedStatuses, shared_statuses};
 use crate::shared::Shared;
 
 /// Says which databases this node is home for.
@@ -24,6 +28,7 @@
 const LOSS_BUFFER: usize = 256;
 
 struct PoolEntry {
+    group: GroupName,
     address: Addr<PoolActor>,
     counts: Arc<Mutex<SlotCounts>>,
 }
@@ -40,13 +45,16 @@
     next_request: AtomicU64,
     losses: LossSender,
     loss_receiver: Mutex<Option<mpsc::Receiver<DatabaseName>>>,
+    statuses: Arc<SharedStatuses>,
 }
 
 impl LocalPools {
     /// Empty pools that follow the bundle in force.
     pub fn new(shared: Arc<Shared>, settings: BackendSettings) -> Arc<Self> {
         let (losses, loss_receiver) = mpsc::channel(LOSS_BUFFER);
-        let pools = Arc::new(Self {
+        let arbiter = arbiter_of(&settings, 0);
+        let pools = Arc::new_cyclic(|itself| Self {
+            statuses: shared_statuses(shared.clone(), arbiter, itself.clone()),
             shared,
             settings: Arc::new(settings),
             pools: Mutex::new(BTreeMap::new()),
@@ -56,6 +64,7 @@
             loss_receiver: Mutex::new(Some(loss_receiver)),
         });
         pools.follow_bundles();
+        pools.follow_views();
         pools
     }
 
@@ -94,6 +103,18 @@
             .collect()
     }
 
+    /// Lets requests that wait for `database` look for another one, because it does not
+    /// answer.
+    pub fn reroute(&self, database: &DatabaseName) {
+        self.send_reroute(database, false);
+    }
+
+    fn send_reroute(&self, database: &DatabaseName, deposed: bool) {
+        if let Some(entry) = self.pools.lock().get(database) {
+            entry.address.do_send(Reroute { deposed });
+        }
+    }
+
     /// Refuses what waits, closes what is idle and lets the rest finish.
     pub fn retire(&self) {
         for entry in std::mem::take(&mut *self.pools.lock()).into_values() {
@@ -134,6 +155,10 @@
         result
     }
 
+    pub(crate) fn statuses(&self) -> &SharedStatuses {
+        &self.statuses
+    }
+
     /// The receiver of connections that broke; there is one.
     pub(crate) fn take_losses(&self) -> Option<mpsc::Receiver<DatabaseName>> {
         self.loss_receiver.lock().take()
@@ -158,7 +183,7 @@
         let parts = PoolParts {
             shared: self.shared.clone(),
             settings: self.settings.clone(),
-            group,
+            group: group.clone(),
             database: database.clone(),
             configuration: configuration_of(&bundle, database).ok_or(Refusal::NoDatabase)?,
             home: self.is_home(database),
@@ -166,24 +191,20 @@
             counts: counts.clone(),
             losses: self.losses.clone(),
         };
-        let arbiter = self.arbiter(index);
+        let arbiter = arbiter_of(&self.settings, index);
         let address = PoolActor::start_in_arbiter(&arbiter, move |_| PoolActor::new(parts));
-        Ok(PoolEntry { address, counts })
-    }
-
-    fn arbiter(&self, index: usize) -> ArbiterHandle {
-        let arbiters = &self.settings.arbiters;
-        match arbiters.get(index % arbiters.len().max(1)) {
-            Some(arbiter) => arbiter.clone(),
-            None => Arbiter::current(),
-        }
+        Ok(PoolEntry {
+            group,
+            address,
+            counts,
+        })
     }
 
     /// Starts the task that tells the pools of each new bundle.
     fn follow_bundles(self: &Arc<Self>) {
         let mut changes = self.shared.bundle_changes();
         let pools = Arc::downgrade(self);
-        self.arbiter(0).spawn(async move {
+        arbiter_of(&self.settings, 0).spawn(async move {
             while changes.changed().await.is_ok() {
                 let Some(pools) = pools.upgrade() else {
                     return;
@@ -193,6 +214,39 @@
         });
     }
 
+    /// Starts the task that reroutes what waits for a primary that has been replaced.
+    fn follow_views(self: &Arc<Self>) {
+        let mut changes = self.shared.view_changes();
+        let pools = Arc::downgrade(self);
+        let mut primaries = BTreeMap::new();
+        arbiter_of(&self.settings, 0).spawn(async move {
+            while changes.changed().await.is_ok() {
+                let Some(pools) = pools.upgrade() else {
+                    return;
+                };
+                pools.follow_primaries(&mut primaries);
+            }
+        });
+    }
+
+    fn follow_primaries(&self, primaries: &mut BTreeMap<GroupName, DatabaseName>) {
+        let groups: BTreeSet<GroupName> = {
+            let pools = self.pools.lock();
+            pools.values().map(|entry| entry.group.clone()).collect()
+        };
+        primaries.retain(|group, _| groups.contains(group));
+        for group in &groups {
+            let view = self.shared.view(group);
+            let Some(primary) = view.as_ref().and_then(GroupView::primary) else {
+                continue;
+            };
+            let before = primaries.insert(group.clone(), primary.name.clone());
+            if let Some(deposed) = before.filter(|before| *before != primary.name) {
+                self.send_reroute(&deposed, true);
+            }
+        }
+    }
+
     fn configure(&self) {
         let mut pools = self.pools.lock();
         let Some(bundle) = self.shared.bundle() else {
@@ -231,6 +285,14 @@
     }
 }
 
+fn arbiter_of(settings: &BackendSettings, index: usize) -> ArbiterHandle {
+    let arbiters = &settings.arbiters;
+    match arbiters.get(index % arbiters.len().max(1)) {
+        Some(arbiter) => arbiter.clone(),
+        None => Arbiter::current(),
+    }
+}
+
 fn configuration_of(bundle: &Bundle, database: &DatabaseName) -> Option<PoolConfiguration> {
     let entry = bundle.databases.get(database)?;
     let group = bundle.groups.get(&entry.group)?;
--- a/crates/transport/src/backend/serve.rs
+++ b/crates/transport/src/backend/serve.rs
@@ -1,14 +1,17 @@
 //! One lease of a connection: commands in, replies out, with back-pressure both ways.
 
+use std::time::Duration;
+
 use futures::{FutureExt, StreamExt};
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
 use hookpoint_protocol::frame::{Frame, FrameError};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::connection::{Connection, ConnectionContext};
 use super::ledger::Verdict;
-use super::message::Grant;
+use super::message::{Grant, Order};
 use super::outgoing;
 use super::prepared::Preparation;
 use super::run_settings;
@@ -19,6 +22,9 @@
 const OUTGOING_LIMIT: usize = 256 * 1024;
 /// Bytes of one reply, after which no more messages are read until it is taken.
 const BATCH_LIMIT: usize = 64 * 1024;
+/// How long a request may still run without a word on a database that is the primary
+/// no more.
+const DOUBT_TIME: Duration = Duration::from_millis(500);
 /// Command tags that leave state on the connection.
 const TAINTING_TAGS: [&[u8]; 7] = [
     b"SET\0",
@@ -49,6 +55,8 @@
     Written(bool),
     Message(Option<Result<Frame, FrameError>>),
     Delivered,
+    Doubted,
+    DoubtConfirmed,
     SessionGone,
 }
 
@@ -57,6 +65,9 @@
     context: &'a ConnectionContext,
     commands: mpsc::Receiver<BackendCommand>,
     replies: mpsc::Sender<BackendReply>,
+    orders: &'a mut mpsc::Receiver<Order>,
+    /// When the lease is broken unless the database says something.
+    doubted_until: Option<Instant>,
     batch: Vec<Frame>,
     batch_bytes: usize,
     used: bool,
@@ -67,6 +78,7 @@
     connection: &mut Connection,
     context: &ConnectionContext,
     grant: Grant,
+    orders: &mut mpsc::Receiver<Order>,
 ) -> ServeEnd {
     let (command_sender, commands) = mpsc::channel(LEASE_COMMAND_BUFFER);
     let (replies, reply_receiver) = mpsc::channel(LEASE_REPLY_BUFFER);
@@ -83,6 +95,8 @@
         context,
         commands,
         replies,
+        orders,
+        doubted_until: None,
         batch: Vec::new(),
         batch_bytes: 0,
         used: false,
@@ -118,6 +132,8 @@
                     }
                     Err(_) => Step::SessionGone,
                 },
+                Some(_) = self.orders.recv() => Step::Doubted,
+                () = sleep_until(self.doubted_until) => Step::DoubtConfirmed,
                 () = self.replies.closed() => Step::SessionGone,
             };
             if let Some(end) = self.step(step) {
@@ -137,6 +153,17 @@
                 }
             }
             Step::Delivered => self.batch_bytes = 0,
+            Step::Doubted => {
+                let waits = !self.connection.ledger.is_settled();
+                self.doubted_until = waits.then(|| Instant::now() + DOUBT_TIME);
+            }
+            Step::DoubtConfirmed => {
+                log::info!(
+                    "pool: {} is given up while it runs a request.",
+                    self.context.database
+                );
+                return Some(ServeEnd::Lost);
+            }
             Step::SessionGone => return Some(self.session_gone()),
         }
         None
@@ -240,6 +267,7 @@
 
     /// Takes a message and all others that are there already.
     fn messages_read(&mut self, first: Option<Result<Frame, FrameError>>) -> bool {
+        self.doubted_until = None;
         let mut next = first;
         loop {
             let Some(Ok(frame)) = next else {
@@ -311,3 +339,11 @@
     outgoing::close_statement(name).write_to(&mut connection.outgoing);
     connection.ledger.own_close(name.to_owned());
 }
+
+/// Sleeps until `time`, or for ever without one.
+async fn sleep_until(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/transport/src/observe/prober.rs
+++ b/crates/transport/src/observe/prober.rs
@@ -12,8 +12,9 @@
 use crate::backend::LocalPools;
 use crate::shared::Shared;
 
-/// Longest wait for a connection, and again for the answer on it.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time of a probe. The query itself gives up earlier, unless another one was
+/// under way when it was asked for.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest time between two looks at what this node is home for.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 /// Finished probes that wait to be noted.
@@ -130,6 +131,7 @@
         Err(StatusError::Timeout) => {
             log::warn!("observer: {database} does not answer.");
             shared.unreachable(&group, &database);
+            pools.reroute(&database);
         }
         Err(error) => log::debug!("observer: no status of {database}: {error}."),
     }
--- a/crates/transport/src/observe/status.rs
+++ b/crates/transport/src/observe/status.rs
@@ -1,8 +1,12 @@
 //! Asking one database for its status.
 
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
+use actix::ArbiterHandle;
 use async_trait::async_trait;
+use futures::FutureExt;
+use hookpoint_coordination::observer::RoundPolicy;
 use hookpoint_coordination::slots::Lane;
 use hookpoint_coordination::status::BackendStatus;
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
@@ -11,8 +15,10 @@
 use hookpoint_state::{DatabaseName, GroupName, Refusal, SessionId, TenantName};
 use thiserror::Error;
 
+use super::sharing::SharedRounds;
 use crate::backend::LocalPools;
 use crate::lease::{AcquireRequest, BackendLease};
+use crate::shared::Shared;
 
 /// Tag of a simple query.
 const QUERY: u8 = b'Q';
@@ -53,25 +59,63 @@
     ) -> Result<BackendStatus, StatusError>;
 }
 
+/// Status queries to local databases: one a database at a time, shared by all who ask.
+pub(crate) type SharedStatuses = SharedRounds<DatabaseName, Result<BackendStatus, StatusError>>;
+
+/// Longest wait for a connection, and again for the answer on it.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
+/// A status query waits for the one under way to end.
+const QUERY_POLICY: RoundPolicy = RoundPolicy {
+    patience: Duration::MAX,
+    maximum: 1,
+};
+
+/// The status queries of `pools`.
+pub(crate) fn shared_statuses(
+    shared: Arc<Shared>,
+    arbiter: ArbiterHandle,
+    pools: Weak<LocalPools>,
+) -> Arc<SharedStatuses> {
+    let round = move |database: DatabaseName| {
+        let pools = pools.clone();
+        let query = async move {
+            let pools = pools.upgrade().ok_or(Refusal::Stopping)?;
+            query_local(&pools, database).await
+        };
+        query.boxed()
+    };
+    SharedRounds::new(shared, arbiter, QUERY_POLICY, Box::new(round))
+}
+
+async fn query_local(
+    pools: &LocalPools,
+    database: DatabaseName,
+) -> Result<BackendStatus, StatusError> {
+    let request = AcquireRequest {
+        group: GroupName::new(""),
+        database,
+        session: OWN_SESSION,
+        tenant: TenantName::new(OWN_TENANT),
+        zone: pools.zone().clone(),
+        wait: QUERY_TIMEOUT,
+    };
+    let lease = pools.acquire_in(Lane::Observer, request).await?;
+    let answer = tokio::time::timeout(QUERY_TIMEOUT, ask(lease)).await;
+    answer.map_err(|_| StatusError::Timeout)?
+}
+
 #[async_trait]
 impl StatusSource for LocalPools {
     async fn query_status(
         &self,
-        group: &GroupName,
+        _group: &GroupName,
         database: &DatabaseName,
         wait: Duration,
     ) -> Result<BackendStatus, StatusError> {
-        let request = AcquireRequest {
-            group: group.clone(),
-            database: database.clone(),
-            session: OWN_SESSION,
-            tenant: TenantName::new(OWN_TENANT),
-            zone: self.zone().clone(),
-            wait,
-        };
-        let lease = self.acquire_in(Lane::Observer, request).await?;
-        let answer = tokio::time::timeout(wait, ask(lease)).await;
-        answer.map_err(|_| StatusError::Timeout)?
+        let answer = self.statuses().call(database.clone());
+        let answered = tokio::time::timeout(wait, answer).await;
+        let answered = answered.map_err(|_| StatusError::Timeout)?;
+        answered.unwrap_or(Err(StatusError::Refused(Refusal::Stopping)))
     }
 }
 
--- a/crates/transport/tests/backend_leases.rs
+++ b/crates/transport/tests/backend_leases.rs
@@ -5,41 +5,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use fake::session::{answer, query, release, tags};
 use fake::{FakeDatabase, PATIENCE, Script, Seen, bundle, eventually, pools, request};
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
 use hookpoint_protocol::frame::Frame;
 use hookpoint_state::Refusal;
-use hookpoint_transport::lease::{BackendLease, LeaseSource};
-
-fn query(text: &str) -> BackendCommand {
-    BackendCommand::Frames(vec![Frame::new(b'Q', format!("{text}\0").into_bytes())])
-}
-
-fn release(reusable: bool) -> BackendCommand {
-    BackendCommand::Release {
-        reusable,
-        discard: false,
-    }
-}
-
-/// Tags up to and including the next `ReadyForQuery`, or none if the connection is lost.
-async fn answer(lease: &mut BackendLease) -> Option<Vec<Frame>> {
-    let mut answer = Vec::new();
-    loop {
-        let reply = tokio::time::timeout(PATIENCE, lease.replies.recv()).await;
-        let BackendReply::Frames(frames) = reply.expect("no reply came")? else {
-            return None;
-        };
-        answer.extend(frames);
-        if answer.last().is_some_and(|frame| frame.tag == b'Z') {
-            return Some(answer);
-        }
-    }
-}
-
-fn tags(answer: &[Frame]) -> String {
-    answer.iter().map(|frame| char::from(frame.tag)).collect()
-}
+use hookpoint_transport::lease::LeaseSource;
 
 #[actix_rt::test]
 async fn a_connection_is_relayed_and_used_again() {
--- /dev/null
+++ b/crates/transport/tests/backend_observer.rs
@@ -0,0 +1,209 @@
+//! Probes and verification against scripted databases.
+
+mod fake;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fake::session::{answer, ask, query};
+use fake::{FakeDatabase, PATIENCE, Script, Seen, bundle, eventually, pools, request};
+use hookpoint_state::{GroupName, Lsn, Position, Refusal, Term};
+use hookpoint_transport::backend::LocalPools;
+use hookpoint_transport::lease::{LeaseSource, TermVerifier};
+use hookpoint_transport::observe::{MajorityVerifier, StatusSource, start_observer};
+use hookpoint_transport::shared::Shared;
+
+struct Scene {
+    databases: Vec<FakeDatabase>,
+    shared: Arc<Shared>,
+    pools: Arc<LocalPools>,
+    verifier: Arc<MajorityVerifier>,
+}
+
+impl Scene {
+    /// A primary on term 1 and two replicas.
+    async fn new(slots: u32) -> Self {
+        let mut databases = Vec::new();
+        for index in 0..3 {
+            let script = Script {
+                recovery: index > 0,
+                ..Script::default()
+            };
+            databases.push(FakeDatabase::start(script).await);
+        }
+        let addresses: Vec<_> = databases.iter().map(|database| database.address).collect();
+        let (shared, pools) = pools(bundle(1, slots, &addresses), |_| {});
+        let arbiter = actix::Arbiter::current();
+        let statuses: Arc<dyn StatusSource> = pools.clone();
+        let verifier = MajorityVerifier::new(shared.clone(), statuses, arbiter);
+        Self {
+            databases,
+            shared,
+            pools,
+            verifier,
+        }
+    }
+
+    fn observe(&self) {
+        let arbiter = actix::Arbiter::current();
+        start_observer(self.shared.clone(), self.pools.clone(), 1, &arbiter);
+    }
+
+    fn primary(&self) -> Option<(String, u32)> {
+        let view = self.shared.view(&"books".into())?;
+        let primary = view.primary()?;
+        let name = primary.name.as_str().to_owned();
+        primary.reachable.then_some((name, view.highest_term.0))
+    }
+
+    /// The second database takes over on `term`.
+    fn fail_over(&self, term: u32) {
+        self.databases[1].script(|script| {
+            script.recovery = false;
+            script.term = term;
+        });
+        self.databases[2].script(|script| script.term = term);
+    }
+
+    async fn verify(&self) -> Option<Position> {
+        let group = GroupName::from("books");
+        let verified = self.verifier.verify(&group);
+        let verified = tokio::time::timeout(PATIENCE, verified).await;
+        verified.expect("a verification always ends")
+    }
+}
+
+fn place(term: u32) -> Option<Position> {
+    Some(Position {
+        term: Term(term),
+        lsn: Lsn(16),
+    })
+}
+
+#[actix_rt::test]
+async fn the_observer_finds_the_primary_and_its_successor() {
+    let scene = Scene::new(2).await;
+    scene.observe();
+    eventually(|| scene.primary() == Some(("books-0".to_owned(), 1))).await;
+    scene.databases[0].script(|script| script.silent = true);
+    scene.fail_over(2);
+    eventually(|| scene.primary() == Some(("books-1".to_owned(), 2))).await;
+    // An older term changes nothing any more.
+    scene.databases[0].script(|script| script.silent = false);
+    let answered = || {
+        let view = scene.shared.view(&"books".into()).unwrap();
+        view.databases[0].reachable
+    };
+    eventually(answered).await;
+    assert_eq!(scene.primary(), Some(("books-1".to_owned(), 2)));
+}
+
+#[actix_rt::test]
+async fn a_draining_database_is_not_probed() {
+    let scene = Scene::new(2).await;
+    let addresses: Vec<_> = scene.databases.iter().map(|d| d.address).collect();
+    let mut draining = bundle(2, 2, &addresses);
+    draining.drain.insert("books-2".into());
+    scene.shared.install_bundle(draining);
+    scene.observe();
+    eventually(|| scene.primary().is_some()).await;
+    let probes = |index: usize| {
+        let database: &FakeDatabase = &scene.databases[index];
+        database.count(|seen| matches!(seen, Seen::Message(..)))
+    };
+    eventually(|| probes(0) >= 3 && probes(1) >= 2).await;
+    assert_eq!(probes(2), 0);
+}
+
+#[actix_rt::test]
+async fn work_that_waits_for_a_replaced_primary_is_told_to_look_elsewhere() {
+    let scene = Scene::new(1).await;
+    scene.observe();
+    eventually(|| scene.primary().is_some()).await;
+    let mut held = scene
+        .pools
+        .acquire(request("books-0", 1, PATIENCE))
+        .await
+        .unwrap();
+    assert_eq!(ask(&mut held, query("WHO")).await, "TDCZ");
+    held.commands.send(query("SLEEP")).await.unwrap();
+    let waiting = scene.pools.acquire(request("books-0", 2, PATIENCE));
+    let changed = async {
+        let waits = || scene.pools.counts()[&"books-0".into()].waiting > 0;
+        eventually(waits).await;
+        scene.fail_over(2);
+    };
+    let (refused, ()) = tokio::join!(waiting, changed);
+    assert_eq!(refused.unwrap_err(), Refusal::NoDatabase);
+    // What runs there without a word is given up too.
+    assert_eq!(answer(&mut held).await, None);
+}
+
+#[actix_rt::test]
+async fn a_term_is_verified_by_a_majority_with_its_primary() {
+    let scene = Scene::new(1).await;
+    assert_eq!(scene.verify().await, place(1));
+    scene.databases[2].script(|script| script.silent = true);
+    assert_eq!(
+        scene.verify().await,
+        place(1),
+        "a silent replica holds nobody up"
+    );
+    scene.fail_over(2);
+    assert_eq!(
+        scene.verify().await,
+        place(2),
+        "the old primary is outvoted"
+    );
+    scene.databases[1].script(|script| script.silent = true);
+    assert_eq!(scene.verify().await, None, "a minority proves nothing");
+}
+
+#[actix_rt::test]
+async fn concurrent_verifications_share_rounds() {
+    let scene = Scene::new(1).await;
+    assert_eq!(scene.verify().await, place(1));
+    let before = scene.databases[0].log().len();
+    let calls = (0..100).map(|_| scene.verify());
+    let results = futures::future::join_all(calls).await;
+    assert!(results.iter().all(|result| *result == place(1)));
+    let queries = scene.databases[0].log().len() - before;
+    assert!(
+        (1..=4).contains(&queries),
+        "{queries} queries for 100 calls"
+    );
+}
+
+#[actix_rt::test]
+async fn a_status_query_goes_ahead_of_waiting_work_and_takes_no_slot() {
+    let scene = Scene::new(1).await;
+    let lease = scene
+        .pools
+        .acquire(request("books-0", 1, PATIENCE))
+        .await
+        .unwrap();
+    let others: Vec<_> = (2..10)
+        .map(|session| {
+            let pools = scene.pools.clone();
+            actix_rt::spawn(async move {
+                let lease = pools.acquire(request("books-0", session, PATIENCE)).await;
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                lease.is_ok()
+            })
+        })
+        .collect();
+    eventually(|| scene.pools.counts()[&"books-0".into()].waiting == 8).await;
+    let group = GroupName::from("books");
+    let database = "books-0".into();
+    let asked = scene.pools.query_status(&group, &database, PATIENCE);
+    let freed = async {
+        eventually(|| scene.pools.counts()[&"books-0".into()].waiting == 9).await;
+        drop(lease);
+    };
+    let (status, ()) = tokio::join!(asked, freed);
+    assert_eq!(status.unwrap().term, Term(1));
+    for other in others {
+        assert!(other.await.unwrap());
+    }
+    assert_eq!(scene.databases[0].most_open(), 1);
+}
--- a/crates/transport/tests/fake/connection.rs
+++ b/crates/transport/tests/fake/connection.rs
@@ -34,6 +34,9 @@
     }
     let number = core.next.fetch_add(1, Ordering::SeqCst);
     let parameters = parameters_of(&body);
+    let idle = parameters
+        .get("idle_session_timeout")
+        .and_then(|text| text.parse().ok());
     core.log.lock().push(Seen::Started(number, parameters));
     let open = core.open.fetch_add(1, Ordering::SeqCst) + 1;
     core.most_open.fetch_max(open, Ordering::SeqCst);
@@ -48,6 +51,7 @@
         output: BytesMut::new(),
         status: b'I',
         cancels,
+        idle: Duration::from_millis(idle.unwrap_or(60_000)),
     };
     let _ended = connection.serve(open).await;
     core.cancels.lock().remove(&number);
@@ -84,6 +88,8 @@
     output: BytesMut,
     status: u8,
     cancels: watch::Receiver<u32>,
+    /// Idle time after which the connection is closed.
+    idle: Duration,
 }
 
 impl Connection {
@@ -105,7 +111,7 @@
         reply::ready(&mut self.output, b'I');
         self.flush().await?;
         let mut skipping = false;
-        while let Some(Ok(frame)) = self.reader.next().await {
+        while let Some(frame) = self.next().await {
             if frame.tag == b'X' {
                 return Some(());
             }
@@ -133,6 +139,11 @@
         None
     }
 
+    async fn next(&mut self) -> Option<Frame> {
+        let next = tokio::time::timeout(self.idle, self.reader.next()).await;
+        next.ok()??.ok()
+    }
+
     fn script(&self) -> Script {
         self.core.script.lock().clone()
     }
@@ -140,7 +151,8 @@
     fn note(&self, frame: &Frame) {
         let text = match frame.tag {
             b'C' => text_at(&Frame::new(b'C', frame.body.slice(1..)), 0),
-            b'Q' | b'P' | b'B' => text_at(frame, 0),
+            b'Q' | b'P' => text_at(frame, 0),
+            b'B' => text_at(frame, 1),
             _ => String::new(),
         };
         let seen = Seen::Message(self.number, frame.tag, text);
--- a/crates/transport/tests/fake/mod.rs
+++ b/crates/transport/tests/fake/mod.rs
@@ -4,6 +4,7 @@
 
 mod connection;
 mod reply;
+pub mod session;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
