Refuse changes of synchronous_commit by callers

Cause: the status query behind a commit tells the flushed position; a commit that is not flushed locally lies beyond it, so its evidence would be for less than the commit. Ruled out: asking for the inserted position instead, since a replica may get records of other transactions only up to 200 ms later, when the log writer flushes. Change: the classifier and the start-up refuse the parameter, also through set_config(). Conclusion: the flushed position covers each commit of a caller.

--- a/crates/protocol/src/classify/mod.rs
+++ b/crates/protocol/src/classify/mod.rs
@@ -13,6 +13,8 @@
 mod text;
 mod unit;
 
+pub use statement::FIXED_PARAMETERS;
+
 use std::sync::{Mutex, PoisonError};
 
 use hookpoint_coordination::request::{Access, Unit};
--- a/crates/protocol/src/classify/statement.rs
+++ b/crates/protocol/src/classify/statement.rs
@@ -10,6 +10,13 @@
 use super::text::StatementTokens;
 use super::{CopyDirection, SessionEffect, SettingChange, StatementKind, TransactionMode};
 
+/// Run-time parameters that callers may not change. With the old string syntax a text
+/// could hide a statement from this classifier; without a local flush the position
+/// behind a commit would not cover it.
+pub const FIXED_PARAMETERS: [&str; 2] = ["standard_conforming_strings", "synchronous_commit"];
+/// Function that sets a run-time parameter.
+const SET_CONFIG: &str = "set_config";
+
 /// Deepest nesting that is parsed.
 const RECURSION_LIMIT: usize = 64;
 
@@ -287,8 +294,11 @@
         "set" if settings::set_statement(statement) == SettingStatement::SessionAuthorization => {
             "SET SESSION AUTHORIZATION"
         }
-        "set" if changes_string_syntax(statement) => "standard_conforming_strings = off",
-        _ => return unsupported_call(statement),
+        _ => {
+            return fixed_parameter(statement)
+                .map(|name| format!("a change of {name}"))
+                .or_else(|| unsupported_call(statement));
+        }
     };
     Some(feature.to_owned())
 }
@@ -314,16 +324,36 @@
     })
 }
 
-/// With the old string syntax a text could hide a statement from this classifier.
-fn changes_string_syntax(statement: &StatementTokens) -> bool {
-    let SettingStatement::Changes(changes) = settings::set_statement(statement) else {
-        return false;
-    };
-    changes.iter().any(|change| {
-        matches!(change, SettingChange::Set { name, .. } if name == "standard_conforming_strings")
+/// The fixed parameter that `statement` may change, by `SET` or by a function. A name
+/// that is no literal could be any.
+fn fixed_parameter(statement: &StatementTokens) -> Option<&'static str> {
+    if statement.word(0) == "set"
+        && let SettingStatement::Changes(changes) = settings::set_statement(statement)
+    {
+        return changes.iter().find_map(|change| match change {
+            SettingChange::Set { name, .. } => fixed(name),
+            _ => None,
+        });
+    }
+    statement.tokens.windows(3).find_map(|window| match window {
+        [Token::Word(word), Token::LParen, argument]
+            if word.value.eq_ignore_ascii_case(SET_CONFIG) =>
+        {
+            match argument {
+                Token::SingleQuotedString(name) => fixed(name),
+                _ => Some("a parameter whose name is not a literal"),
+            }
+        }
+        _ => None,
     })
 }
 
+fn fixed(name: &str) -> Option<&'static str> {
+    FIXED_PARAMETERS
+        .into_iter()
+        .find(|fixed| name.eq_ignore_ascii_case(fixed))
+}
+
 fn unsupported_call(statement: &StatementTokens) -> Option<String> {
     let mut names = statement.called_names();
     names
--- a/crates/protocol/tests/classify.rs
+++ b/crates/protocol/tests/classify.rs
@@ -286,7 +286,19 @@
         ),
         (
             "SET standard_conforming_strings = off",
-            "standard_conforming_strings = off",
+            "a change of standard_conforming_strings",
+        ),
+        (
+            "SET LOCAL Synchronous_Commit TO off",
+            "a change of synchronous_commit",
+        ),
+        (
+            "SELECT set_config('synchronous_commit', 'off', false)",
+            "a change of synchronous_commit",
+        ),
+        (
+            "SELECT pg_catalog.set_config($1, 'off', false)",
+            "a change of a parameter whose name is not a literal",
         ),
     ];
     for (sql, feature) in refused {
@@ -305,6 +317,8 @@
         "SELECT 'LISTEN'",
         "SELECT pg_advisory_lock FROM t",
         "CLOSE ALL",
+        "SELECT set_config('work_mem', '1MB', true)",
+        "SHOW synchronous_commit",
     ];
     for sql in carried {
         assert_eq!(classify(sql).unsupported, None, "{sql}");
--- a/crates/transport/src/caller/startup.rs
+++ b/crates/transport/src/caller/startup.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hookpoint_protocol::classify::FIXED_PARAMETERS;
 use hookpoint_protocol::reply::{self, TransactionStatus};
 use hookpoint_protocol::startup::{
     self as packets, PROTOCOL_3_0, SessionParameters, StartupError, StartupPacket,
@@ -48,8 +49,8 @@
     /// It asked for a replication connection.
     #[error("replication connections are not supported")]
     Replication,
-    /// A run-time parameter has an impossible name.
-    #[error("`{name}` is no name of a run-time parameter")]
+    /// A run-time parameter has an impossible name, or may not be changed.
+    #[error("`{name}` is no run-time parameter that a session may set")]
     SettingName {
         /// The name, shortened.
         name: String,
@@ -224,7 +225,10 @@
 fn check_setting_names(parameters: &SessionParameters) -> Result<(), StartFailure> {
     for name in parameters.settings.keys() {
         let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'_' | b'.' | b'$');
-        if name.is_empty() || !name.bytes().all(allowed) {
+        let fixed = FIXED_PARAMETERS
+            .iter()
+            .any(|fixed| name.eq_ignore_ascii_case(fixed));
+        if name.is_empty() || fixed || !name.bytes().all(allowed) {
             return Err(StartFailure::SettingName {
                 name: name.chars().take(64).collect(),
             });
