Join proxies to a fleet and keep the rollout going

Cause: the rollout's driver ended at once, since nobody kept its handle, so no bundle came into force; and proxies knew no peers. Change: the proxy keeps the handle, forwards leases through the fleet, gives homes' changes to the pools and tells its metrics and members.

--- a/hookpoint/src/command/proxy.rs
+++ b/hookpoint/src/command/proxy.rs
@@ -67,6 +67,7 @@
     let line = json!({
         "node": proxy.node().to_string(),
         "callers": proxy.caller_address(),
+        "peers": proxy.peer_address(),
         "admin": proxy.admin_address(),
     });
     println!("{line}");
--- a/hookpoint/src/proxy/error.rs
+++ b/hookpoint/src/proxy/error.rs
@@ -3,6 +3,7 @@
 use hookpoint_state::bundle::KeyError;
 use hookpoint_transport::admin::AdminError;
 use hookpoint_transport::caller::CallerError;
+use hookpoint_transport::peer::FleetError;
 use thiserror::Error;
 
 /// Why a proxy did not start.
@@ -11,6 +12,9 @@
     /// The caller side.
     #[error("the caller side did not start: {0}")]
     Callers(#[from] CallerError),
+    /// The side towards other proxies.
+    #[error("the fleet side did not start: {0}")]
+    Fleet(#[from] FleetError),
     /// The operators' endpoint.
     #[error("the operators' endpoint did not start: {0}")]
     Admin(#[from] AdminError),
--- a/hookpoint/src/proxy/metrics.rs
+++ b/hookpoint/src/proxy/metrics.rs
@@ -5,6 +5,7 @@
 use hookpoint_transport::admin::SharedCollector;
 use hookpoint_transport::backend::LocalPools;
 use hookpoint_transport::caller::CallerHandle;
+use hookpoint_transport::peer::FleetHandle;
 use hookpoint_transport::shared::Shared;
 use prometheus::core::{Collector, Desc};
 use prometheus::proto::MetricFamily;
@@ -15,29 +16,38 @@
     shared: &Arc<Shared>,
     callers: &CallerHandle,
     pools: &Arc<LocalPools>,
+    fleet: &FleetHandle,
 ) -> prometheus::Result<Registry> {
     let registry = Registry::new();
     registry.register(Box::new(SharedCollector::new(Arc::clone(shared))?))?;
-    registry.register(Box::new(PartsCollector::new(callers, pools)?))?;
+    registry.register(Box::new(PartsCollector::new(callers, pools, fleet)?))?;
     Ok(registry)
 }
 
 struct PartsCollector {
     callers: CallerHandle,
     pools: Arc<LocalPools>,
+    fleet: FleetHandle,
     sessions: IntGauge,
     connections: IntGaugeVec,
     waiting: IntGaugeVec,
+    members: IntGaugeVec,
+    fleet_counters: IntGaugeVec,
 }
 
 impl PartsCollector {
-    fn new(callers: &CallerHandle, pools: &Arc<LocalPools>) -> prometheus::Result<Self> {
+    fn new(
+        callers: &CallerHandle,
+        pools: &Arc<LocalPools>,
+        fleet: &FleetHandle,
+    ) -> prometheus::Result<Self> {
         let vector = |name: &str, help: &str, labels: &[&str]| {
             IntGaugeVec::new(Opts::new(name, help), labels)
         };
         Ok(Self {
             callers: callers.clone(),
             pools: Arc::clone(pools),
+            fleet: fleet.clone(),
             sessions: IntGauge::new("hookpoint_sessions", "Sessions of callers.")?,
             connections: vector(
                 "hookpoint_pool_connections",
@@ -49,11 +59,26 @@
                 "Requests that wait for a connection on this node.",
                 &["database"],
             )?,
+            members: vector(
+                "hookpoint_fleet_members",
+                "Other nodes by their state, as this node sees them.",
+                &["state"],
+            )?,
+            fleet_counters: vector(
+                "hookpoint_fleet_traffic",
+                "What the node has sent and received among its peers since its start.",
+                &["kind"],
+            )?,
         })
     }
 
-    fn vectors(&self) -> [&IntGaugeVec; 2] {
-        [&self.connections, &self.waiting]
+    fn vectors(&self) -> [&IntGaugeVec; 4] {
+        [
+            &self.connections,
+            &self.waiting,
+            &self.members,
+            &self.fleet_counters,
+        ]
     }
 
     fn refresh(&self) {
@@ -62,6 +87,7 @@
             vector.reset();
         }
         self.refresh_pools();
+        self.refresh_fleet();
     }
 
     fn refresh_pools(&self) {
@@ -83,6 +109,28 @@
             self.waiting.with_label_values(&[name]).set(waiting);
         }
     }
+
+    fn refresh_fleet(&self) {
+        let status = self.fleet.status();
+        for member in &status.members {
+            let state = format!("{:?}", member.state).to_lowercase();
+            self.members.with_label_values(&[&state]).inc();
+        }
+        let counters = status.counters;
+        let values = [
+            ("datagrams_sent", counters.datagrams_sent),
+            ("datagram_bytes_sent", counters.datagram_bytes_sent),
+            ("datagrams_received", counters.datagrams_received),
+            ("datagrams_dropped", counters.datagrams_dropped),
+            ("links_refused", counters.links_refused),
+            ("leases_forwarded", counters.leases_forwarded),
+            ("leases_served", counters.leases_served),
+        ];
+        for (kind, value) in values {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            self.fleet_counters.with_label_values(&[kind]).set(value);
+        }
+    }
 }
 
 fn gauge(count: usize) -> i64 {
--- a/hookpoint/src/proxy/mod.rs
+++ b/hookpoint/src/proxy/mod.rs
@@ -3,26 +3,32 @@
 //! Several proxies may run in one process; they share nothing but the logs.
 
 mod error;
+mod fleet_source;
 mod metrics;
-mod own_node;
 mod parts;
 mod rollout;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use hookpoint_state::NodeId;
 use hookpoint_transport::admin::AdminHandle;
 use hookpoint_transport::backend::LocalPools;
 use hookpoint_transport::caller::CallerHandle;
+use hookpoint_transport::peer::FleetHandle;
 use hookpoint_transport::shared::Shared;
 
 pub use error::ProxyError;
-use parts::Arbiters;
+use parts::{Arbiters, PlatformSide};
 
 use crate::settings::ProxySettings;
 
+/// Longest wait, at a planned stop, for the work of other nodes that flows through
+/// this one.
+const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+
 /// Starts proxies.
 pub struct Proxy;
 
@@ -36,7 +42,8 @@
     shared: Arc<Shared>,
     callers: CallerHandle,
     pools: Arc<LocalPools>,
-    node: NodeId,
+    fleet: FleetHandle,
+    platform: PlatformSide,
     admin: AdminHandle,
     stopping: Arc<AtomicBool>,
     arbiters: Arbiters,
@@ -60,7 +67,7 @@
 impl ProxyHandle {
     /// This node.
     pub fn node(&self) -> NodeId {
-        self.inner.node
+        self.inner.fleet.node()
     }
 
     /// Address that callers connect to.
@@ -73,11 +80,21 @@
         self.inner.admin.address()
     }
 
+    /// Address that other proxies reach this one by.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.inner.fleet.address()
+    }
+
     /// The shared tables.
     pub fn shared(&self) -> &Arc<Shared> {
         &self.inner.shared
     }
 
+    /// This node as a member of its fleet.
+    pub fn fleet(&self) -> &FleetHandle {
+        &self.inner.fleet
+    }
+
     /// The caller side.
     pub fn callers(&self) -> &CallerHandle {
         &self.inner.callers
@@ -96,8 +113,15 @@
             return;
         }
         log::info!("proxy: node {} is stopping.", self.node());
+        running.platform.leave();
+        running.fleet.leave().await;
         running.callers.stop().await;
+        let left = running.fleet.drain(DRAIN_LIMIT).await;
+        if left > 0 {
+            log::warn!("proxy: {left} forwarded leases did not end in time.");
+        }
         running.pools.retire();
+        running.fleet.shutdown();
         running.admin.stop(true).await;
         running.arbiters.stop();
         log::info!("proxy: node {} has stopped.", self.node());
@@ -107,6 +131,7 @@
     pub async fn abort(&self) {
         let running = &self.inner;
         running.stopping.store(true, Ordering::Relaxed);
+        running.fleet.shutdown();
         running.arbiters.stop();
         running.callers.abort().await;
         running.admin.stop(false).await;
--- a/hookpoint/src/proxy/parts.rs
+++ b/hookpoint/src/proxy/parts.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use actix_rt::{Arbiter, ArbiterHandle};
-use hookpoint_state::NodeId;
+use hookpoint_protocol::peer::FleetKey;
+use hookpoint_protocol::platform::records::{MachineRecord, MachineState};
 use hookpoint_state::bundle::TrustedKeys;
 use hookpoint_transport::admin::{AdminState, start_admin};
 use hookpoint_transport::backend::{BackendSettings, LocalPools};
@@ -13,11 +14,15 @@
     CallerListener, CallerSettings, Credential, CredentialStore, TlsSettings,
 };
 use hookpoint_transport::observe::{MajorityVerifier, start_observer};
-use hookpoint_transport::platform::{PlatformClient, PlatformFollower};
+use hookpoint_transport::peer::{Fleet, FleetError, FleetHandle, FleetSettings};
+use hookpoint_transport::platform::{
+    PlatformClient, PlatformFollower, Registration, RolloutHandle, register,
+};
 use hookpoint_transport::shared::Shared;
-use tokio::sync::oneshot;
+use sha2::{Digest as _, Sha256};
+use tokio::sync::{mpsc, oneshot};
 
-use super::own_node::OwnNode;
+use super::fleet_source::MembershipSource;
 use super::rollout;
 use super::{ProxyError, Running, metrics};
 use crate::settings::{CallerSection, PlatformSection, ProxySettings, TlsSection};
@@ -58,7 +63,14 @@
     }
     let arbiters = Arbiters::start(settings.backends.workers);
     let pools = LocalPools::new(Arc::clone(&shared), backend_settings(&settings, &arbiters));
-    let node = NodeId(rand::random());
+    let fleet = Fleet::start(
+        fleet_settings(&settings)?,
+        Arc::clone(&shared),
+        Arc::clone(&pools) as _,
+    )?;
+    let of_fleet = fleet.clone();
+    pools.set_home(Arc::new(move |database| of_fleet.is_home(database)));
+    follow_homes(&fleet, Arc::clone(&pools));
     let probing = arbiters.backends[0].handle();
     start_observer(
         Arc::clone(&shared),
@@ -70,22 +82,21 @@
     let callers = CallerListener::start(
         caller_settings(&settings)?,
         Arc::clone(&shared),
-        Arc::clone(&pools) as _,
+        fleet.lease_source(),
         verifier,
     )
     .await?;
-    start_platform(&settings, trusted, &shared, &arbiters).await?;
+    let platform = start_platform(&settings, trusted, &shared, &fleet, &arbiters).await?;
     let stopping = Arc::new(AtomicBool::new(false));
-    let registry = metrics::registry(&shared, &callers, &pools)?;
+    let registry = metrics::registry(&shared, &callers, &pools, &fleet)?;
     let admin = start_admin(
         settings.admin.listen,
         Arc::new(AdminState {
-            node,
+            node: fleet.node(),
             shared: Arc::clone(&shared),
             registry,
-            fleet: Arc::new(OwnNode {
-                node,
-                settings: settings.node.clone(),
+            fleet: Arc::new(MembershipSource {
+                fleet: fleet.clone(),
                 shared: Arc::clone(&shared),
             }),
             stopping: Arc::clone(&stopping),
@@ -95,7 +106,8 @@
         shared,
         callers,
         pools,
-        node,
+        fleet,
+        platform,
         admin,
         stopping,
         arbiters,
@@ -117,6 +129,34 @@
     }
 }
 
+fn fleet_settings(settings: &ProxySettings) -> Result<FleetSettings, ProxyError> {
+    let keys = settings.peers.keys.iter();
+    let mut keys = keys
+        .map(|key| fleet_key(key.expose()))
+        .collect::<Result<Vec<_>, _>>()?;
+    // Without keys the node is a fleet of its own: nobody can have its random key.
+    let own = fleet_key(&rand::random::<[u8; 32]>())?;
+    if keys.is_empty() {
+        keys.push(own.clone());
+    }
+    let node = &settings.node;
+    Ok(FleetSettings {
+        listen: settings.peers.listen,
+        advertise: settings.peers.advertise,
+        seeds: settings.peers.seeds.clone(),
+        keys,
+        ..FleetSettings::on_loopback(node.zone.clone(), node.region.clone(), own)
+    })
+}
+
+/// A fleet key whose number follows from its secret, so that the order of keys may
+/// differ between nodes during a rotation.
+fn fleet_key(secret: &[u8]) -> Result<FleetKey, ProxyError> {
+    let digest = Sha256::digest(secret);
+    let number = u32::from_be_bytes([digest[0], digest[1], digest[2], digest[3]]);
+    FleetKey::new(number, secret).map_err(|error| FleetError::from(error).into())
+}
+
 fn caller_settings(settings: &ProxySettings) -> Result<CallerSettings, ProxyError> {
     let callers = &settings.callers;
     Ok(CallerSettings {
@@ -156,25 +196,78 @@
     }
 }
 
+/// Pools give connections back when their database has another home.
+fn follow_homes(fleet: &FleetHandle, pools: Arc<LocalPools>) {
+    let mut changes = fleet.home_changes();
+    actix_rt::spawn(async move {
+        while changes.changed().await.is_ok() {
+            pools.refresh_homes();
+        }
+    });
+}
+
+/// The side towards the platform, on a thread of its own.
+pub(super) struct PlatformSide {
+    leaving: mpsc::Sender<()>,
+    /// Keeps the rollout going.
+    _rollout: RolloutHandle,
+}
+
+impl PlatformSide {
+    /// Marks the node as leaving in the platform's list, as far as that goes.
+    pub fn leave(&self) {
+        let _already_told = self.leaving.try_send(());
+    }
+}
+
 async fn start_platform(
     settings: &ProxySettings,
     trusted: TrustedKeys,
     shared: &Arc<Shared>,
+    fleet: &FleetHandle,
     arbiters: &Arbiters,
-) -> Result<(), ProxyError> {
+) -> Result<PlatformSide, ProxyError> {
+    let (leaving, leave) = mpsc::channel(1);
     let (started, start) = oneshot::channel();
     let section = settings.platform.clone();
+    let machine = own_machine(settings, fleet);
     let shared = Arc::clone(shared);
+    let fleet = fleet.clone();
     arbiters.platform.spawn_fn(move || {
         let client = client_of(&section);
         let (commands, events) = PlatformFollower::start(client);
-        rollout::start(shared, trusted, commands, events);
-        let _start_given_up = started.send(());
+        let rollout = rollout::start(shared, trusted, commands, events, fleet);
+        if section.register && !section.urls.is_empty() {
+            let registration = register(client_of(&section), machine);
+            actix_rt::spawn(leave_when_told(registration, leave));
+        }
+        let _start_given_up = started.send(rollout);
     });
-    start.await.map_err(|_| ProxyError::ThreadEnded)?;
-    Ok(())
+    let rollout = start.await.map_err(|_| ProxyError::ThreadEnded)?;
+    Ok(PlatformSide {
+        leaving,
+        _rollout: rollout,
+    })
 }
 
 fn client_of(section: &PlatformSection) -> PlatformClient {
     PlatformClient::new(section.urls.clone(), section.timeout())
 }
+
+fn own_machine(settings: &ProxySettings, fleet: &FleetHandle) -> MachineRecord {
+    MachineRecord {
+        node: fleet.node().to_string(),
+        zone: settings.node.zone.to_string(),
+        region: settings.node.region.to_string(),
+        peer_address: fleet.address(),
+        state: MachineState::Live,
+    }
+}
+
+async fn leave_when_told(registration: Registration, mut leave: mpsc::Receiver<()>) {
+    if leave.recv().await.is_some() {
+        registration.leave();
+        // The registration lives on until the thread ends, so that the word gets out.
+        std::future::pending::<()>().await;
+    }
+}
