Simulate the request path with faults, a history and a checker

Cause: that sessions see their writes, that nothing acknowledged is lost and the other invariants hold under faults at any moment could not be shown by unit tests of single machines. Change: a deterministic simulator drives the request, node and rollout machines against model databases, a model platform and a model network; 15 kinds of faults, alone, together and twice; a checker for every invariant; shrinking to the fewest faults; 13 mutations as negative controls.

--- a/lab/sim/src/lib.rs
+++ b/lab/sim/src/lib.rs
@@ -1,1 +1,24 @@
-//! placeholder
+//! Simulator of hookpoint: the shipped decision code of `hookpoint-coordination`, driven in
+//! virtual time from a seed against model databases, a model platform and a model
+//! network, with faults, a history of what clients saw, and a checker.
+//!
+//! The same seed and settings give the same run, event by event; [`SimReport::trace`] is
+//! a digest of the whole run.
+#![forbid(unsafe_code)]
+
+mod checker;
+mod database;
+mod faults;
+mod network;
+mod platform;
+mod report;
+mod runner;
+mod schedule;
+mod settings;
+mod trace;
+mod world;
+
+pub use faults::{Fault, FaultKind};
+pub use report::{Counts, Invariant, MutationReport, RangeReport, SimReport, Violation};
+pub use runner::{replay, run_range, run_seed, search_mutation};
+pub use settings::{Mutation, SimDeployment, SimSettings};
--- /dev/null
+++ b/lab/sim/src/world/nodes.rs
@@ -0,0 +1,375 @@
+//! The fleet's side of a proxy: membership, homes, spread of terms and bundles.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hookpoint_coordination::membership::{Datagram, MemberState};
+use hookpoint_coordination::node::{LeadershipNews, NodeAction, NodeEvent};
+use hookpoint_coordination::rollout::{RolloutAction, RolloutEvent};
+use hookpoint_coordination::status::{BackendStatus, Role};
+use hookpoint_coordination::terms::{LeadershipChange, Member, Proximity};
+use hookpoint_state::bundle::{Bundle, Database, Group, ReadPreference};
+use hookpoint_state::{BundleVersion, NodeId, Position, RegionName, ZoneName};
+use rand::Rng as _;
+
+use super::World;
+use super::event::{Event, ProxyEvent, ProxyIndex};
+use crate::platform::NumberStore;
+use crate::report::Invariant;
+use crate::settings::Mutation;
+
+/// One-way latency to the platform.
+const PLATFORM_LATENCY: Duration = Duration::from_millis(8);
+/// Time between two looks at the pointer by a proxy that watches it.
+const PLATFORM_POLL: Duration = Duration::from_millis(500);
+/// Datagrams lost, one of so many.
+const LOSS: u32 = 200;
+/// How soon a bundle has to be in force on every proxy while nothing is amiss.
+const BUNDLE_ALLOWANCE: Duration = Duration::from_secs(4);
+
+impl World {
+    pub(crate) fn node_event(&mut self, proxy: ProxyIndex, event: NodeEvent) {
+        let now = self.now();
+        let mut actions = Vec::new();
+        self.proxies[proxy].machine.handle(now, event, &mut actions);
+        self.node_actions(proxy, actions);
+    }
+
+    pub(crate) fn node_actions(&mut self, proxy: ProxyIndex, actions: Vec<NodeAction>) {
+        for action in actions {
+            match action {
+                NodeAction::SendDatagram { to, datagram } => {
+                    if let Some(target) = self.addresses.get(&to).copied() {
+                        self.send_datagram(proxy, target, datagram);
+                    }
+                }
+                NodeAction::SendPeer { to, message } => {
+                    let from = self.proxies[proxy].node;
+                    self.send_peer(proxy, to, ProxyEvent::Peer { from, message });
+                }
+                NodeAction::LeadershipLearned(news) => self.leadership_learned(proxy, &news),
+                NodeAction::MemberChanged { info, state } => {
+                    self.member_changed(proxy, info.node, state);
+                }
+                NodeAction::PeerVersionSeen { node, version } => {
+                    self.rollout_event(proxy, RolloutEvent::PeerVersion { node, version });
+                }
+                NodeAction::HomeChanged(_) => {}
+            }
+        }
+        self.plan_node_timer(proxy);
+    }
+
+    fn plan_node_timer(&mut self, proxy: ProxyIndex) {
+        let wake = self.proxies[proxy].machine.next_wake().max(self.now());
+        let planned = self.proxies[proxy].timer_at;
+        if planned.is_none_or(|at| wake < at) {
+            self.proxies[proxy].timer_at = Some(wake);
+            let event = ProxyEvent::NodeTimer;
+            self.schedule.at(wake, Event::Proxy { proxy, event });
+        }
+    }
+
+    pub(crate) fn node_timer(&mut self, proxy: ProxyIndex) {
+        self.proxies[proxy].timer_at = None;
+        self.node_event(proxy, NodeEvent::Timer);
+    }
+
+    fn send_datagram(&mut self, from: ProxyIndex, to: ProxyIndex, datagram: Box<Datagram>) {
+        let zones = (self.proxies[from].zone, self.proxies[to].zone);
+        let lost = self.random.random_range(0..LOSS) == 0;
+        if lost || !self.network.zones_joined(zones.0, zones.1) {
+            return;
+        }
+        let jitter = Duration::from_micros(self.random.random_range(0..1_000));
+        let at = self.now() + self.network.latency(zones.0, zones.1) + jitter;
+        let event = ProxyEvent::Datagram(datagram);
+        self.schedule.at(at, Event::Proxy { proxy: to, event });
+    }
+
+    fn send_peer(&mut self, from: ProxyIndex, node: NodeId, event: ProxyEvent) {
+        let Some(to) = self.proxy_of(node) else {
+            return;
+        };
+        let zones = (self.proxies[from].zone, self.proxies[to].zone);
+        let latency = self.network.latency(zones.0, zones.1);
+        let now = self.now();
+        if self.proxies[to].up && self.network.zones_joined(zones.0, zones.1) {
+            self.schedule
+                .at(now + latency, Event::Proxy { proxy: to, event });
+        } else {
+            let event = ProxyEvent::PeerLost { node };
+            self.schedule
+                .at(now + latency * 2, Event::Proxy { proxy: from, event });
+        }
+    }
+
+    /// A link to a node broke.
+    pub(crate) fn peer_lost(&mut self, proxy: ProxyIndex, node: NodeId) {
+        self.node_event(proxy, NodeEvent::PeerLost(node));
+        self.rollout_event(proxy, RolloutEvent::PeerGone(node));
+    }
+
+    fn member_changed(&mut self, proxy: ProxyIndex, node: NodeId, state: MemberState) {
+        if state == MemberState::Dead {
+            self.rollout_event(proxy, RolloutEvent::PeerGone(node));
+        }
+        let rank = self.zone_rank(proxy);
+        self.rollout_event(proxy, RolloutEvent::ZoneRank(rank));
+    }
+
+    /// Place among the members of the zone that take work.
+    pub(crate) fn zone_rank(&self, proxy: ProxyIndex) -> usize {
+        let membership = self.proxies[proxy].machine.membership();
+        let own = membership.own();
+        let before = membership.members().filter(|member| {
+            member.state.takes_work() && member.info.zone == own.zone && member.info.node < own.node
+        });
+        before.count()
+    }
+
+    pub(crate) fn leadership_observed(&mut self, proxy: ProxyIndex, change: LeadershipChange) {
+        let view = self.proxies[proxy].terms.view(&change.group);
+        let place = view
+            .and_then(|view| view.primary())
+            .map(|primary| primary.place);
+        let news = LeadershipNews {
+            group: change.group,
+            term: change.term,
+            primary: change.primary,
+            place: place.unwrap_or(Position {
+                term: change.term,
+                ..Position::default()
+            }),
+        };
+        self.node_event(proxy, NodeEvent::LeadershipObserved(news));
+    }
+
+    fn leadership_learned(&mut self, proxy: ProxyIndex, news: &LeadershipNews) {
+        let Some(group) = self
+            .groups
+            .iter()
+            .position(|group| group.name == news.group)
+        else {
+            return;
+        };
+        if self.proxies[proxy].terms.learn_term(&news.group, news.term) {
+            self.view_changed(proxy);
+        }
+        let names = &self.database_names;
+        let primary = news.primary.as_ref();
+        let database = primary.and_then(|primary| names.iter().position(|name| name == primary));
+        if let Some(database) = database {
+            let status = BackendStatus {
+                role: Role::Primary,
+                term: news.term,
+                position: news.place.lsn,
+                flushed: Vec::new(),
+            };
+            self.observe(proxy, group, database, &status);
+        }
+    }
+
+    pub(crate) fn rollout_event(&mut self, proxy: ProxyIndex, event: RolloutEvent) {
+        let now = self.now();
+        let mut actions = Vec::new();
+        self.proxies[proxy].rollout.handle(now, event, &mut actions);
+        for action in actions {
+            self.rollout_action(proxy, action);
+        }
+        let Some(wake) = self.proxies[proxy].rollout.next_wake() else {
+            return;
+        };
+        let planned = self.proxies[proxy].rollout_timer_at;
+        if planned.is_none_or(|at| wake < at) {
+            self.proxies[proxy].rollout_timer_at = Some(wake);
+            let event = ProxyEvent::RolloutTimer;
+            self.schedule.at(wake, Event::Proxy { proxy, event });
+        }
+    }
+
+    pub(crate) fn rollout_timer(&mut self, proxy: ProxyIndex) {
+        self.proxies[proxy].rollout_timer_at = None;
+        self.rollout_event(proxy, RolloutEvent::Timer);
+    }
+
+    fn rollout_action(&mut self, proxy: ProxyIndex, action: RolloutAction) {
+        let now = self.now();
+        match action {
+            RolloutAction::WatchPlatform(watching) => {
+                let before = std::mem::replace(&mut self.proxies[proxy].watching, watching);
+                if watching && !before {
+                    let event = ProxyEvent::PlatformPoll;
+                    self.schedule.at(now, Event::Proxy { proxy, event });
+                }
+            }
+            RolloutAction::FetchFromPlatform => {
+                let version = self.platform.read(now);
+                let event = ProxyEvent::PlatformFetched { version };
+                self.schedule
+                    .at(now + PLATFORM_LATENCY * 2, Event::Proxy { proxy, event });
+            }
+            RolloutAction::SendPeer { to, message } => {
+                let from = self.proxies[proxy].node;
+                self.send_peer(proxy, to, ProxyEvent::RolloutPeer { from, message });
+            }
+            RolloutAction::Install(_) => self.install(proxy),
+            RolloutAction::Rejected { .. } => {}
+        }
+    }
+
+    pub(crate) fn platform_poll(&mut self, proxy: ProxyIndex) {
+        if !self.proxies[proxy].watching {
+            return;
+        }
+        let now = self.now();
+        let event = ProxyEvent::PlatformPoll;
+        self.schedule
+            .at(now + PLATFORM_POLL, Event::Proxy { proxy, event });
+        self.tell_pointer(proxy);
+    }
+
+    fn tell_pointer(&mut self, proxy: ProxyIndex) {
+        let now = self.now();
+        if let Some(version) = self.platform.read(now) {
+            let event = ProxyEvent::PlatformPointer { version };
+            self.schedule
+                .at(now + PLATFORM_LATENCY * 2, Event::Proxy { proxy, event });
+        }
+    }
+
+    pub(crate) fn platform_fetched(&mut self, proxy: ProxyIndex, version: Option<BundleVersion>) {
+        let event = match version {
+            Some(version) => RolloutEvent::PlatformChange(NumberStore::change(version)),
+            None => RolloutEvent::PlatformFailed,
+        };
+        self.rollout_event(proxy, event);
+    }
+
+    /// Puts the bundle that the store holds in force.
+    fn install(&mut self, proxy: ProxyIndex) {
+        let now = self.now();
+        let version = self.proxies[proxy].rollout.store().held();
+        let Some(bundle) = version
+            .0
+            .checked_sub(1)
+            .and_then(|index| self.bundles.get(index as usize))
+        else {
+            return;
+        };
+        let bundle = Arc::clone(bundle);
+        self.checker.installed(now, proxy, version);
+        self.configure_terms(proxy, &bundle);
+        self.proxies[proxy].bundle = (*bundle).clone();
+        self.node_event(proxy, NodeEvent::BundleInstalled(bundle));
+        self.view_changed(proxy);
+        self.pool_tick(proxy);
+    }
+
+    fn configure_terms(&mut self, proxy: ProxyIndex, bundle: &Bundle) {
+        let ignored = self.settings.mutated(Mutation::IgnoreDrain);
+        let zone = self.proxies[proxy].zone;
+        for group in &self.groups {
+            let members = group.members.iter().map(|id| Member {
+                name: self.database_names[*id].clone(),
+                proximity: if self.databases[*id].zone == zone {
+                    Proximity::SameZone
+                } else {
+                    Proximity::Remote
+                },
+                draining: !ignored && bundle.drain.contains(&self.database_names[*id]),
+            });
+            let members: Vec<Member> = members.collect();
+            let terms = &mut self.proxies[proxy].terms;
+            terms.configure(&group.name, ReadPreference::Replica, members);
+        }
+    }
+
+    /// Whether a proxy has a database marked as draining.
+    pub(crate) fn is_draining(&self, proxy: ProxyIndex, database: usize) -> bool {
+        let ignored = self.settings.mutated(Mutation::IgnoreDrain);
+        let drain = &self.proxies[proxy].bundle.drain;
+        !ignored && drain.contains(&self.database_names[database])
+    }
+
+    /// Rolls a bundle with the current drain marks.
+    pub(crate) fn roll_bundle(&mut self) {
+        let now = self.now();
+        let version = self.platform.roll();
+        let bundle = self.make_bundle(version);
+        self.bundles.push(Arc::new(bundle));
+        for proxy in 0..self.proxies.len() {
+            if self.proxies[proxy].watching && self.proxies[proxy].up {
+                self.tell_pointer(proxy);
+            }
+        }
+        let due = Event::BundleDue {
+            version,
+            rolled: now,
+        };
+        self.schedule.at(now + BUNDLE_ALLOWANCE, due);
+    }
+
+    fn make_bundle(&self, version: BundleVersion) -> Bundle {
+        let zones = self.settings.deployment.zones();
+        let mut bundle = Bundle {
+            version,
+            ..Bundle::default()
+        };
+        for (zone, region) in zones {
+            bundle
+                .zones
+                .insert(ZoneName::new(zone), RegionName::new(region));
+        }
+        for group in &self.groups {
+            let value = Group {
+                database: group.name.as_str().to_owned(),
+                user: "application".to_owned(),
+                reads: ReadPreference::Replica,
+                election_timeout_ms: 300,
+            };
+            bundle.groups.insert(group.name.clone(), value);
+        }
+        for database in &self.databases {
+            let value = Database {
+                group: self.group_name(database.group),
+                zone: ZoneName::new(zones[database.zone].0),
+                address: format!("10.9.0.{}:5432", database.id + 1),
+                slots: database.slots as u32,
+            };
+            bundle.databases.insert(database.name.clone(), value);
+        }
+        let drained = self
+            .draining
+            .iter()
+            .map(|id| self.database_names[*id].clone());
+        bundle.drain = drained.collect::<BTreeSet<_>>();
+        bundle
+    }
+
+    /// A bundle should be in force by now, unless something was amiss meanwhile.
+    pub(crate) fn bundle_due(
+        &mut self,
+        version: BundleVersion,
+        rolled: hookpoint_state::Timestamp,
+    ) {
+        if self.disturbed_until + BUNDLE_ALLOWANCE / 4 < rolled {
+            self.check_bundle(version);
+        }
+    }
+
+    /// Every proxy that is up has `version` or a newer one.
+    pub(crate) fn check_bundle(&mut self, version: BundleVersion) {
+        let now = self.now();
+        let behind = self
+            .proxies
+            .iter()
+            .find(|proxy| proxy.answers(now) && !proxy.stopping && proxy.bundle.version < version);
+        if let Some(proxy) = behind {
+            let held = proxy.bundle.version;
+            let detail = format!("proxy {} has {held:?} and not {version:?}", proxy.node);
+            self.checker.violate(now, Invariant::BundleInForce, detail);
+        }
+    }
+}
