--- a/crates/transport/tests/caller_protocol.rs
+++ b/crates/transport/tests/caller_protocol.rs
@@ -376,14 +376,16 @@
 async fn protocol_versions_and_options_are_negotiated() {
     let group = FakeGroup::new();
     let handle = start(&group).await;
-    let cases: [(u32, &[(&str, &str)], &str); 3] = [
-        (196_608, &[], "R"),
-        (196_610, &[], "v"),
-        (196_608, &[("_pq_.x", "1")], "v"),
+    let cases = [
+        (196_608, None, "R"),
+        (196_610, None, "v"),
+        (196_608, Some(("_pq_.x", "1")), "v"),
     ];
     for (version, parameters, first) in cases {
         let mut client = RawClient::open(&handle).await;
-        client.send_raw(&startup(version, parameters)).await;
+        client
+            .send_raw(&startup(version, parameters.as_slice()))
+            .await;
         let answer = client.until_ready().await;
         assert!(tags(&answer).starts_with(first), "{version} {parameters:?}");
         assert!(tags(&answer).ends_with("KZ"));
--- a/crates/transport/tests/caller_support/mod.rs
+++ b/crates/transport/tests/caller_support/mod.rs
@@ -101,6 +101,11 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 
+    /// Connections that are open.
+    pub fn open_connections(&self) -> usize {
+        self.kills.receiver_count()
+    }
+
     /// Waits until `condition` holds.
     pub async fn until(&self, what: &str, condition: impl Fn(&Self) -> bool) {
         let started = tokio::time::Instant::now();
