Ask for a database's status on its home node's connections

Cause: the verification of a term opened connections of its own on every node, which took slots beside those of the home. Change: status queries may go through any source of leases. A home node serves them ahead of all work, known by the session number that no caller has. The proxy's wiring still has to name it.

--- a/crates/transport/src/backend/pools.rs
+++ b/crates/transport/src/backend/pools.rs
@@ -18,7 +18,7 @@
 use super::pool::{LossSender, PoolActor, PoolParts};
 use super::settings::BackendSettings;
 use crate::lease::{AcquireRequest, BackendLease, LeaseSource};
-use crate::observe::{SharedStatuses, shared_statuses};
+use crate::observe::{OWN_SESSION, SharedStatuses, shared_statuses};
 use crate::shared::Shared;
 
 /// Says which databases this node is home for.
@@ -122,11 +122,7 @@
         }
     }
 
-    /// Waits for a connection in `lane`.
-    ///
-    /// # Errors
-    /// A [`Refusal`]; nothing was sent to the database.
-    pub async fn acquire_in(
+    async fn acquire_in(
         &self,
         lane: Lane,
         request: AcquireRequest,
@@ -267,7 +263,12 @@
 #[async_trait]
 impl LeaseSource for LocalPools {
     async fn acquire(&self, request: AcquireRequest) -> Result<BackendLease, Refusal> {
-        self.acquire_in(Lane::Work, request).await
+        let lane = if request.session == OWN_SESSION {
+            Lane::Observer
+        } else {
+            Lane::Work
+        };
+        self.acquire_in(lane, request).await
     }
 }
 
--- a/crates/transport/src/observe/mod.rs
+++ b/crates/transport/src/observe/mod.rs
@@ -7,6 +7,6 @@
 mod verifier;
 
 pub use prober::start_observer;
-pub(crate) use status::{SharedStatuses, shared_statuses};
-pub use status::{StatusError, StatusSource};
+pub use status::{FleetStatuses, StatusError, StatusSource};
+pub(crate) use status::{OWN_SESSION, SharedStatuses, shared_statuses};
 pub use verifier::MajorityVerifier;
--- a/crates/transport/src/observe/status.rs
+++ b/crates/transport/src/observe/status.rs
@@ -7,23 +7,23 @@
 use async_trait::async_trait;
 use futures::FutureExt;
 use hookpoint_coordination::observer::RoundPolicy;
-use hookpoint_coordination::slots::Lane;
 use hookpoint_coordination::status::BackendStatus;
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
 use hookpoint_protocol::frame::Frame;
 use hookpoint_protocol::status_query::{STATUS_QUERY, StatusCollector, StatusQueryError};
-use hookpoint_state::{DatabaseName, GroupName, Refusal, SessionId, TenantName};
+use hookpoint_state::{DatabaseName, GroupName, Refusal, SessionId, TenantName, ZoneName};
 use thiserror::Error;
 
 use super::sharing::SharedRounds;
 use crate::backend::LocalPools;
-use crate::lease::{AcquireRequest, BackendLease};
+use crate::lease::{AcquireRequest, BackendLease, LeaseSource};
 use crate::shared::Shared;
 
 /// Tag of a simple query.
 const QUERY: u8 = b'Q';
-/// Session number of the proxy's own status queries; callers' sessions count from 1.
-const OWN_SESSION: SessionId = SessionId(0);
+/// Session number of the proxies' own status queries; callers' sessions count from 1.
+/// Requests of this session go ahead of all work.
+pub(crate) const OWN_SESSION: SessionId = SessionId(0);
 /// Tenant of the proxy's own status queries.
 const OWN_TENANT: &str = "hookpoint";
 
@@ -80,28 +80,80 @@
         let pools = pools.clone();
         let query = async move {
             let pools = pools.upgrade().ok_or(Refusal::Stopping)?;
-            query_local(&pools, database).await
+            let zone = pools.zone().clone();
+            let request = own_request(GroupName::new(""), database, zone);
+            query_within(&*pools, request).await
         };
         query.boxed()
     };
     SharedRounds::new(shared, arbiter, QUERY_POLICY, Box::new(round))
 }
 
-async fn query_local(
-    pools: &LocalPools,
-    database: DatabaseName,
+/// Asks on a connection of `leases`.
+async fn query_within(
+    leases: &dyn LeaseSource,
+    request: AcquireRequest,
 ) -> Result<BackendStatus, StatusError> {
-    let request = AcquireRequest {
-        group: GroupName::new(""),
+    let lease = leases.acquire(request).await?;
+    let answer = tokio::time::timeout(QUERY_TIMEOUT, ask(lease)).await;
+    answer.map_err(|_| StatusError::Timeout)?
+}
+
+/// Status queries to any database of the fleet, on connections that its home node holds.
+pub struct FleetStatuses {
+    rounds: Arc<SharedRounds<(GroupName, DatabaseName), Result<BackendStatus, StatusError>>>,
+}
+
+impl FleetStatuses {
+    /// Queries on connections of `leases`, run on `arbiter`.
+    pub fn new(
+        shared: Arc<Shared>,
+        leases: Arc<dyn LeaseSource>,
+        arbiter: ArbiterHandle,
+    ) -> Arc<Self> {
+        let zone = shared.zone.clone();
+        let round = move |(group, database): (GroupName, DatabaseName)| {
+            let leases = leases.clone();
+            let request = own_request(group, database, zone.clone());
+            async move { query_within(&*leases, request).await }.boxed()
+        };
+        Arc::new(Self {
+            rounds: SharedRounds::new(shared, arbiter, QUERY_POLICY, Box::new(round)),
+        })
+    }
+}
+
+#[async_trait]
+impl StatusSource for FleetStatuses {
+    async fn query_status(
+        &self,
+        group: &GroupName,
+        database: &DatabaseName,
+        wait: Duration,
+    ) -> Result<BackendStatus, StatusError> {
+        let answer = self.rounds.call((group.clone(), database.clone()));
+        within(wait, answer).await
+    }
+}
+
+async fn within(
+    wait: Duration,
+    answer: impl Future<Output = Option<Result<BackendStatus, StatusError>>>,
+) -> Result<BackendStatus, StatusError> {
+    let answered = tokio::time::timeout(wait, answer).await;
+    let answered = answered.map_err(|_| StatusError::Timeout)?;
+    answered.unwrap_or(Err(StatusError::Refused(Refusal::Stopping)))
+}
+
+fn own_request(group: GroupName, database: DatabaseName, zone: ZoneName) -> AcquireRequest {
+    AcquireRequest {
+        group,
         database,
         session: OWN_SESSION,
         tenant: TenantName::new(OWN_TENANT),
-        zone: pools.zone().clone(),
+        zone,
         wait: QUERY_TIMEOUT,
-    };
-    let lease = pools.acquire_in(Lane::Observer, request).await?;
-    let answer = tokio::time::timeout(QUERY_TIMEOUT, ask(lease)).await;
-    answer.map_err(|_| StatusError::Timeout)?
+    }
 }
 
 #[async_trait]
@@ -113,9 +165,7 @@
         wait: Duration,
     ) -> Result<BackendStatus, StatusError> {
         let answer = self.statuses().call(database.clone());
-        let answered = tokio::time::timeout(wait, answer).await;
-        let answered = answered.map_err(|_| StatusError::Timeout)?;
-        answered.unwrap_or(Err(StatusError::Refused(Refusal::Stopping)))
+        within(wait, answer).await
     }
 }
 
--- a/crates/transport/tests/backend_observer.rs
+++ b/crates/transport/tests/backend_observer.rs
@@ -10,7 +10,7 @@
 use hookpoint_state::{GroupName, Lsn, Position, Refusal, Term};
 use hookpoint_transport::backend::LocalPools;
 use hookpoint_transport::lease::{LeaseSource, TermVerifier};
-use hookpoint_transport::observe::{MajorityVerifier, StatusSource, start_observer};
+use hookpoint_transport::observe::{FleetStatuses, MajorityVerifier, StatusSource, start_observer};
 use hookpoint_transport::shared::Shared;
 
 struct Scene {
@@ -34,7 +34,7 @@
         let addresses: Vec<_> = databases.iter().map(|database| database.address).collect();
         let (shared, pools) = pools(bundle(1, slots, &addresses), |_| {});
         let arbiter = actix::Arbiter::current();
-        let statuses: Arc<dyn StatusSource> = pools.clone();
+        let statuses = FleetStatuses::new(shared.clone(), pools.clone(), arbiter.clone());
         let verifier = MajorityVerifier::new(shared.clone(), statuses, arbiter);
         Self {
             databases,
