Keep pulling from holders that do not answer

Change: only the membership, an answer without news or a rejected change remove a holder; pulls back off, and without any holder the platform is asked. The tests run the machine against random events and in a small network.

--- a/crates/coordination/src/rollout/machine.rs
+++ b/crates/coordination/src/rollout/machine.rs
@@ -22,6 +22,8 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
 /// Longest wait for the answer to a pull.
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest pause after a pull without an answer; it doubles from [`BUSY_PAUSE`].
+const LONGEST_PULL_PAUSE: Duration = Duration::from_secs(2);
 /// Shortest and longest pause between attempts to read the platform.
 const FETCH_PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(5));
 /// Longest wait for the platform's answer before the attempt counts as failed.
@@ -59,9 +61,12 @@
     random: ChaCha8Rng,
     watching: bool,
     platform_version: BundleVersion,
+    /// Newest version that any member was heard to have.
+    heard_version: BundleVersion,
     holders: Holders,
     serving: ServeLimit,
     pull: Pull,
+    pull_failures: u32,
     /// Ask for the whole bundle next, since a change did not fit.
     pull_whole: bool,
     fetch: Fetch,
@@ -82,9 +87,11 @@
             random,
             watching: false,
             platform_version: BundleVersion(0),
+            heard_version: BundleVersion(0),
             holders: Holders::default(),
             serving: ServeLimit::default(),
             pull: Pull::Idle,
+            pull_failures: 0,
             pull_whole: false,
             fetch,
             fetch_failures: 0,
@@ -172,6 +179,10 @@
     ) {
         self.fetch = Fetch::Idle;
         let accepted = self.take_change(now, change, ChangeSource::Platform, actions);
+        if accepted && self.holders.is_empty() {
+            // Whoever had a newer version is gone, and the platform does not have it.
+            self.heard_version = self.store.version();
+        }
         if !accepted || self.platform_version > self.store.version() {
             self.plan_fetch_again(now);
         } else {
@@ -182,8 +193,8 @@
     /// Plans another reading of the platform as long as one is of use.
     fn plan_fetch_again(&mut self, now: Timestamp) {
         let held = self.store.version();
-        let needed = held == BundleVersion(0) || self.platform_version > held;
-        if !needed {
+        let known = self.platform_version.max(self.heard_version);
+        if held != BundleVersion(0) && known <= held {
             self.fetch = Fetch::Idle;
             self.fetch_failures = 0;
             return;
@@ -207,6 +218,7 @@
         if version <= self.store.version() {
             return;
         }
+        self.heard_version = version.max(self.heard_version);
         self.holders.note(node, version);
         if self.pull == Pull::Idle {
             self.plan_pull(now, PULL_SPREAD, None);
@@ -214,12 +226,25 @@
     }
 
     fn plan_pull(&mut self, now: Timestamp, spread: Duration, avoid: Option<NodeId>) {
-        self.pull = if self.holders.is_empty() {
-            Pull::Idle
-        } else {
+        if !self.holders.is_empty() {
             let at = now + spread.mul_f64(self.random.random());
-            Pull::Planned { at, avoid }
-        };
+            self.pull = Pull::Planned { at, avoid };
+            return;
+        }
+        self.pull = Pull::Idle;
+        if self.heard_version > self.store.version() && self.fetch == Fetch::Idle {
+            let at = now + LONELY_WAIT.mul_f64(self.random.random());
+            self.fetch = Fetch::Planned { at };
+        }
+    }
+
+    /// Plans another attempt after a pull without an answer. The holder stays known:
+    /// whether it is gone is the membership's to say.
+    fn plan_pull_after_silence(&mut self, now: Timestamp, node: NodeId) {
+        let factor = 1_u32 << self.pull_failures.min(8);
+        self.pull_failures += 1;
+        let spread = (BUSY_PAUSE * factor).min(LONGEST_PULL_PAUSE);
+        self.plan_pull(now, spread, Some(node));
     }
 
     fn lose_peer(&mut self, now: Timestamp, node: NodeId) {
@@ -321,9 +346,11 @@
         actions: &mut Vec<RolloutAction>,
     ) {
         self.pull_whole = false;
+        self.pull_failures = 0;
         self.holders.keep_newer_than(version);
         actions.push(RolloutAction::Install(version));
-        if matches!(self.fetch, Fetch::Planned { .. }) && self.platform_version <= version {
+        let newest = self.platform_version.max(self.heard_version);
+        if matches!(self.fetch, Fetch::Planned { .. }) && newest <= version {
             self.fetch = Fetch::Idle;
             self.fetch_failures = 0;
         }
@@ -336,8 +363,7 @@
         match self.pull {
             Pull::Planned { at, avoid } if at <= now => self.ask(now, avoid, actions),
             Pull::Asked { node, deadline } if deadline <= now => {
-                self.holders.remove(node);
-                self.plan_pull(now, Duration::ZERO, None);
+                self.plan_pull_after_silence(now, node);
             }
             Pull::Idle | Pull::Planned { .. } | Pull::Asked { .. } => {}
         }
@@ -350,7 +376,7 @@
 
     fn ask(&mut self, now: Timestamp, avoid: Option<NodeId>, actions: &mut Vec<RolloutAction>) {
         let Some(node) = self.holders.choose(avoid, &mut self.random) else {
-            self.pull = Pull::Idle;
+            self.plan_pull(now, Duration::ZERO, None);
             return;
         };
         let have = if self.pull_whole {
--- a/crates/coordination/src/rollout/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of the rollout machine.
--- /dev/null
+++ b/crates/coordination/src/rollout/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of the rollout: what is accepted, and how it spreads.
+
+mod accepting;
+mod network;
+mod spreading;
