Never tell a request to the platform as not run when its answer was lost

Cause: the HTTP library reports a connection that was closed in place of an answer as a failure to connect, and the platform client took every such failure as proof that nothing was sent. A write whose answer was lost after it took effect was told as not run. Change: only failures before sending count as such; a connection closed in place of an answer is an unknown outcome. Contract tests hold the client against the stand-in with each fault: lost, slow, hanging, refused, limited. Conclusion: an error of the client that says "not run" is true for each fault of the stand-in.

--- a/crates/transport/src/platform/client.rs
+++ b/crates/transport/src/platform/client.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode as HttpStatus;
 use awc::http::header::{CONTENT_TYPE, RETRY_AFTER};
 use hookpoint_protocol::platform::{
@@ -226,7 +226,11 @@
 pub(super) fn error_of_sending(url: &str, error: &SendRequestError) -> PlatformError {
     let reason = error.to_string();
     match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => PlatformError::Connect {
+        SendRequestError::Connect(error) if is_before_sending(error) => PlatformError::Connect {
+            url: url.to_owned(),
+            reason,
+        },
+        SendRequestError::Url(_) => PlatformError::Connect {
             url: url.to_owned(),
             reason,
         },
@@ -234,6 +238,20 @@
     }
 }
 
+/// Whether an error proves that nothing was sent. The library also gives
+/// `Disconnected` for a connection that was closed in place of an answer.
+fn is_before_sending(error: &ConnectError) -> bool {
+    matches!(
+        error,
+        ConnectError::SslIsNotSupported
+            | ConnectError::Resolver(_)
+            | ConnectError::NoRecords
+            | ConnectError::Timeout
+            | ConnectError::Unresolved
+            | ConnectError::Io(_)
+    )
+}
+
 /// An answer with an error status. Without a readable body only the statuses that a
 /// gateway gives before it passes a request on prove that nothing ran.
 pub(super) fn error_of_status(
--- a/lab/standin/src/platform/faults.rs
+++ b/lab/standin/src/platform/faults.rs
@@ -40,18 +40,28 @@
 
 impl RateLimit {
     fn new(per_second: f64, now: Instant) -> Self {
-        Self {
+        let mut limit = Self {
             per_second,
-            tokens: per_second.max(1.0),
+            tokens: 0.0,
             refilled: now,
+        };
+        limit.tokens = limit.capacity();
+        limit
+    }
+
+    /// One second's worth, and at least one request unless none is allowed.
+    fn capacity(&self) -> f64 {
+        match self.per_second {
+            rate if rate > 0.0 => rate.max(1.0),
+            _ => 0.0,
         }
     }
 
     fn take(&mut self, now: Instant) -> bool {
         let passed = now.saturating_duration_since(self.refilled).as_secs_f64();
         self.refilled = now;
-        let capacity = self.per_second.max(1.0);
-        self.tokens = (self.tokens + passed * self.per_second).min(capacity);
+        let refilled = self.tokens + passed * self.per_second;
+        self.tokens = refilled.min(self.capacity());
         if self.tokens < 1.0 {
             return false;
         }
@@ -78,7 +88,7 @@
 
 impl PlatformFaults {
     /// Limits requests to a number a second, with one second's worth of burst;
-    /// none lifts the limit.
+    /// 0 refuses all, none lifts the limit.
     pub fn set_rate_limit(&self, requests_per_second: Option<f64>) {
         let now = Instant::now();
         let limit = requests_per_second.map(|rate| RateLimit::new(rate.max(0.0), now));
