--- a/crates/coordination/src/rollout/tests/accepting.rs
+++ b/crates/coordination/src/rollout/tests/accepting.rs
@@ -158,6 +158,9 @@
         .quickcheck(property as fn(u64, Vec<AnyEvent>) -> bool);
 }
 
+/// Name, change and what its error must be.
+type RejectionCase = (&'static str, Bytes, fn(&ChangeError) -> bool);
+
 #[test]
 fn forged_and_damaged_changes_are_rejected() {
     let mut large = full(1).to_vec();
@@ -169,7 +172,7 @@
         let signatures = vec![key(1).sign(bundle.version, bundle.digest())];
         Change::Full(SignedBundle { bundle, signatures }).encode()
     };
-    let cases: Vec<(&str, Bytes, fn(&ChangeError) -> bool)> = vec![
+    let cases: Vec<RejectionCase> = vec![
         ("unsigned", forged(0, 1), |error| {
             *error == ChangeError::Signature(SignatureError::Unsigned)
         }),
