Verify terms through the home nodes' connections

Cause: the verifier asked on connections of the node's own, beside those of the databases' home nodes. Change: it is given status queries that go through the fleet's leases. Conclusion: the test of a write and its read through a proxy passes.

--- a/hookpoint/src/proxy/parts.rs
+++ b/hookpoint/src/proxy/parts.rs
@@ -13,7 +13,7 @@
 use hookpoint_transport::caller::{
     CallerListener, CallerSettings, Credential, CredentialStore, TlsSettings,
 };
-use hookpoint_transport::observe::{MajorityVerifier, start_observer};
+use hookpoint_transport::observe::{FleetStatuses, MajorityVerifier, start_observer};
 use hookpoint_transport::peer::{Fleet, FleetError, FleetHandle, FleetSettings};
 use hookpoint_transport::platform::{
     PlatformClient, PlatformFollower, Registration, RolloutHandle, register,
@@ -78,7 +78,8 @@
         rand::random(),
         &probing,
     );
-    let verifier = MajorityVerifier::new(Arc::clone(&shared), Arc::clone(&pools) as _, probing);
+    let statuses = FleetStatuses::new(Arc::clone(&shared), fleet.lease_source(), probing.clone());
+    let verifier = MajorityVerifier::new(Arc::clone(&shared), statuses, probing);
     let callers = CallerListener::start(
         caller_settings(&settings)?,
         Arc::clone(&shared),
