Run a whole deployment, end to end through real proxies

Cause: what the parts promise has to be seen through an ordinary client library. Conclusion: a write and a read on a replica pass through one proxy to a group of three databases, with the bundle read from the platform, and the checker finds nothing.

--- /dev/null
+++ b/lab/src/commands/demo.rs
@@ -0,0 +1,43 @@
+//! `hookpoint-lab demo`.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use crate::commands::{deployment_of, write_json};
+use crate::demo::{self, DemoSettings};
+use crate::flags;
+
+/// Seconds where none are given.
+const DEFAULT_SECONDS: u64 = 30;
+
+/// Runs the demo; the exit code is 1 on any violation.
+///
+/// # Errors
+/// When a part does not start or the history cannot be judged.
+pub async fn demo(arguments: flags::Demo) -> anyhow::Result<ExitCode> {
+    let deployment = deployment_of(arguments.deployment.as_deref())?;
+    let settings = DemoSettings {
+        length: Duration::from_secs(arguments.seconds.unwrap_or(DEFAULT_SECONDS)),
+        seed: arguments.seed.unwrap_or(1),
+        clients_per_database: arguments.clients.unwrap_or(deployment.clients_per_database),
+        replica_lag: arguments.lag_ms.map(Duration::from_millis),
+        faults: !arguments.calm,
+        baseline: true,
+        deployment,
+    };
+    let outcome = demo::run(&settings).await?;
+    println!("{}", outcome.report.table());
+    for violation in &outcome.report.violations {
+        println!("VIOLATION {}", serde_json::to_string(violation)?);
+    }
+    if let Some(path) = arguments.report {
+        write_json(&path, &outcome.report)?;
+    }
+    if let Some(path) = arguments.history {
+        write_json(&path, &outcome.history)?;
+    }
+    Ok(match outcome.report.violated {
+        true => ExitCode::FAILURE,
+        false => ExitCode::SUCCESS,
+    })
+}
--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! The commands of `hookpoint-lab`.
 
+pub mod demo;
 pub mod load;
+pub mod serve;
 pub mod stand_ins;
 
 use std::path::Path;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,12 +1,15 @@
 //! `hookpoint-lab`: stand-ins, workload, simulator and measurements of hookpoint.
 #![forbid(unsafe_code)]
 
+use std::process::ExitCode;
+
 use anyhow::Context;
 use hookpoint_lab::commands;
 use hookpoint_lab::flags::{HookpointLab, HookpointLabCmd};
 
-fn main() -> anyhow::Result<()> {
+fn main() -> anyhow::Result<ExitCode> {
     let flags = HookpointLab::from_env_or_exit();
+    hookpoint_lab::logs::start()?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -14,13 +17,13 @@
     runtime.block_on(run(flags))
 }
 
-async fn run(flags: HookpointLab) -> anyhow::Result<()> {
+async fn run(flags: HookpointLab) -> anyhow::Result<ExitCode> {
     match flags.subcommand {
-        HookpointLabCmd::Database(arguments) => commands::stand_ins::database(arguments).await,
-        HookpointLabCmd::Platform(arguments) => commands::stand_ins::platform(arguments).await,
-        HookpointLabCmd::Load(arguments) => commands::load::load(arguments).await,
-        HookpointLabCmd::Serve(_) | HookpointLabCmd::Demo(_) => {
-            anyhow::bail!("not there yet")
-        }
+        HookpointLabCmd::Database(arguments) => commands::stand_ins::database(arguments).await?,
+        HookpointLabCmd::Platform(arguments) => commands::stand_ins::platform(arguments).await?,
+        HookpointLabCmd::Load(arguments) => commands::load::load(arguments).await?,
+        HookpointLabCmd::Serve(arguments) => commands::serve::serve(arguments).await?,
+        HookpointLabCmd::Demo(arguments) => return commands::demo::demo(arguments).await,
     }
+    Ok(ExitCode::SUCCESS)
 }
--- /dev/null
+++ b/lab/tests/end_to_end.rs
@@ -0,0 +1,51 @@
+//! One proxy, one group of three databases, one write and one read on a replica,
+//! through an ordinary client library; the bundle comes from the platform.
+
+mod running;
+
+use hookpoint_lab::stack::database_credentials;
+use hookpoint_workload::audit::final_state;
+use hookpoint_workload::checker::check;
+use hookpoint_workload::history::{History, Recorder, WriteKind};
+
+/// Reads until one is answered by a replica, at most.
+const READS: usize = 50;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_and_a_replica_read_pass_through_a_proxy() -> anyhow::Result<()> {
+    let laboratory = running::laboratory(1).await?;
+    let recorder = Recorder::new();
+    let mut session = running::session(&laboratory, &recorder, 1, 0);
+    assert!(
+        session.write(WriteKind::Reminder).await,
+        "{:?}",
+        recorder.snapshot()
+    );
+    for _ in 0..READS {
+        session.read_own().await;
+        if running::last_read_on_replica(&recorder) {
+            break;
+        }
+    }
+    assert!(
+        running::last_read_on_replica(&recorder),
+        "{:?}",
+        recorder.snapshot()
+    );
+    drop(session);
+    laboratory.fleet.stop_proxy(0).await?;
+
+    let group = laboratory.stack.deployment.groups[0].name.clone();
+    let group_running = laboratory.stack.databases.group(&group).expect("the group");
+    let (_, _, primary) = group_running.primary().expect("a primary");
+    let application = laboratory.stack.deployment.application;
+    let state = final_state(primary, &database_credentials(&group), application).await?;
+    assert_eq!(state.entries.len(), 1);
+    let mut history = History {
+        records: recorder.snapshot(),
+        ..History::default()
+    };
+    history.final_states.insert(group, state);
+    assert_eq!(check(&history).violations, Vec::new());
+    Ok(())
+}
