--- a/crates/transport/src/admin/status.rs
+++ b/crates/transport/src/admin/status.rs
@@ -22,6 +22,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Health {
     /// The node.
+    #[serde(with = "node_text")]
     pub node: NodeId,
     /// Its zone.
     pub zone: ZoneName,
@@ -35,6 +36,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeStatus {
     /// The node.
+    #[serde(with = "node_text")]
     pub node: NodeId,
     /// Its zone.
     pub zone: ZoneName,
@@ -52,6 +54,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetStatus {
     /// The node that answers.
+    #[serde(with = "node_text")]
     pub answered_by: NodeId,
     /// The newest version that it knows of.
     pub newest: BundleVersion,
@@ -72,3 +75,19 @@
     /// The nodes, after the versions of those that seem behind were asked for again.
     async fn nodes(&self) -> Vec<NodeStatus>;
 }
+
+/// Nodes as hexadecimal digits, as logs write them.
+mod node_text {
+    use hookpoint_state::NodeId;
+    use serde::{Deserialize, Deserializer, Serializer, de};
+
+    pub fn serialize<S: Serializer>(node: &NodeId, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(node)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<NodeId, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let number = u64::from_str_radix(&text, 16).map_err(de::Error::custom)?;
+        Ok(NodeId(number))
+    }
+}
--- a/hookpoint/src/command/explain.rs
+++ b/hookpoint/src/command/explain.rs
@@ -2,6 +2,7 @@
 
 use anyhow::Result;
 use hookpoint_coordination::explain::Entry;
+use hookpoint_state::NodeId;
 use serde_json::Value;
 
 use super::{http, in_system};
@@ -32,8 +33,16 @@
         let kind = fields.get("kind").and_then(Value::as_str);
         text.push_str(&format!(" {}", kind.unwrap_or("decision")));
         for (key, value) in fields.iter().filter(|(key, _)| *key != "kind") {
-            text.push_str(&format!(" {key}={value}"));
+            text.push_str(&field(key, value));
         }
     }
     Ok(text)
 }
+
+/// One field. A node is written as everywhere else, in hexadecimal digits.
+fn field(key: &str, value: &Value) -> String {
+    match value.as_u64() {
+        Some(number) if key == "node" => format!(" {key}={}", NodeId(number)),
+        _ => format!(" {key}={value}"),
+    }
+}
--- a/hookpoint/src/command/logging.rs
+++ b/hookpoint/src/command/logging.rs
@@ -4,13 +4,15 @@
 use hookpoint::settings::{LogFormat, LogLevel, LogSection};
 use log::LevelFilter;
 use log4rs::append::console::{ConsoleAppender, Target};
-use log4rs::config::{Appender, Config, Root};
+use log4rs::config::{Appender, Config, Logger, Root};
 use log4rs::encode::Encode;
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
 
 /// Time, level and message.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.6fZ)(utc)} {l} {m}{n}";
+/// Target of the HTTP server's own lines, which have no prefix.
+const HTTP_SERVER_TARGET: &str = "actix_server";
 
 /// Starts the logs of this process.
 ///
@@ -33,6 +35,7 @@
     };
     let config = Config::builder()
         .appender(Appender::builder().build("console", Box::new(console)))
+        .logger(Logger::builder().build(HTTP_SERVER_TARGET, LevelFilter::Warn))
         .build(Root::builder().appender("console").build(level))
         .context("the logs cannot be set up")?;
     log4rs::init_config(config).context("the logs cannot be started")?;
--- a/hookpoint/src/command/mod.rs
+++ b/hookpoint/src/command/mod.rs
@@ -37,12 +37,26 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("hookpoint: {error:#}");
+            eprintln!("hookpoint: {}", text_of(&error));
             ExitCode::from(exit_code(&error))
         }
     }
 }
 
+/// The error and its causes, without those that the text before them tells already.
+fn text_of(error: &anyhow::Error) -> String {
+    let mut text = String::new();
+    for cause in error.chain() {
+        let cause = cause.to_string();
+        if text.is_empty() {
+            text = cause;
+        } else if !text.contains(&cause) {
+            text = format!("{text}: {cause}");
+        }
+    }
+    text
+}
+
 fn exit_code(error: &anyhow::Error) -> u8 {
     if let Some(error) = error.downcast_ref::<OperatorError>() {
         return error.exit_code();
