Let the retry policy decide about requests whose connection broke

Cause: the policy and its budgets were there, but a read whose connection broke was tried again for as long as its wait lasted. Change: a session asks the node's policy before it asks for the next connection. Attempts, the tenant's budget and the deadline end the retries with "not run".

--- a/crates/transport/src/caller/active.rs
+++ b/crates/transport/src/caller/active.rs
@@ -75,6 +75,10 @@
     pub finished: bool,
     /// Whether the connection broke between two units.
     pub lost_while_idle: bool,
+    /// Connections that broke while they served this transaction.
+    pub losses: u32,
+    /// Whether one broke since a connection was last asked for.
+    pub lost_last: bool,
     /// Identifier to be put into the ledger with the current unit.
     pub mark: Option<RequestId>,
     /// Identifiers already in the ledger by this transaction.
@@ -113,6 +117,8 @@
             failure: None,
             finished: false,
             lost_while_idle: false,
+            losses: 0,
+            lost_last: false,
             mark,
             marked: BTreeSet::new(),
             restarts: 0,
--- a/crates/transport/src/caller/drive.rs
+++ b/crates/transport/src/caller/drive.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hookpoint_coordination::request::{
     RequestAction, RequestEvent, RequestMachine, RequestProfile, Unit,
@@ -80,6 +81,10 @@
         let shared = &self.context.shared;
         let limits = shared.bundle().map(|bundle| bundle.limits.clone());
         let limits = limits.unwrap_or_default();
+        // Only a request's first machine is made while no transaction is open.
+        if self.transaction.is_none() {
+            shared.retries.requested(&self.tenant, limits.retry_percent);
+        }
         let profile = RequestProfile {
             session: self.guard.entry.id,
             tenant: self.tenant.clone(),
@@ -93,6 +98,13 @@
         RequestMachine::new(profile, limits.acknowledge())
     }
 
+    fn note_loss(&mut self) {
+        if let Some(active) = &mut self.transaction {
+            active.lost_last = true;
+            active.losses += 1;
+        }
+    }
+
     /// Begins a read anew whose connection broke before any of its answer was told.
     fn begin_anew(&mut self) -> RequestEvent {
         let unit = self
@@ -175,10 +187,34 @@
         };
         let leases = Arc::clone(&self.context.leases);
         self.guard.entry.waits();
+        let pause = self.retry_pause(deadline);
         if let Some(active) = &mut self.transaction {
             active.acquiring = Some(request.database.clone());
-            active.acquire = Some(Box::pin(async move { leases.acquire(request).await }));
+            active.acquire = Some(Box::pin(async move {
+                if let Some(pause) = pause? {
+                    tokio::time::sleep(pause).await;
+                }
+                leases.acquire(request).await
+            }));
+        }
+    }
+
+    /// How long to wait before the next connection is asked for: after a lost one the
+    /// retry policy decides.
+    fn retry_pause(&mut self, deadline: Timestamp) -> Result<Option<Duration>, Refusal> {
+        let Some(active) = &mut self.transaction else {
+            return Ok(None);
+        };
+        if !std::mem::take(&mut active.lost_last) {
+            return Ok(None);
         }
+        let attempts = active.losses;
+        let shared = &self.context.shared;
+        let now = shared.now();
+        let next = shared
+            .retries
+            .next_attempt(now, deadline, attempts, &self.tenant)?;
+        Ok(Some(next.since(now)))
     }
 
     fn send(&mut self, check: bool, probe: bool) {
@@ -322,10 +358,16 @@
         for item in observed {
             match item {
                 Observed::Event(RequestEvent::ConnectionLost) if anew => {
+                    self.note_loss();
                     let event = self.begin_anew();
                     events.push_back(event);
                 }
-                Observed::Event(event) => events.push_back(event),
+                Observed::Event(event) => {
+                    if event == RequestEvent::ConnectionLost {
+                        self.note_loss();
+                    }
+                    events.push_back(event);
+                }
                 Observed::Status(database, status) => {
                     self.context.shared.observe(&self.group, &database, &status);
                 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod observe;
 pub mod peer;
 pub mod platform;
+pub mod retries;
 pub mod shared;
--- a/crates/transport/src/shared.rs
+++ b/crates/transport/src/shared.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use crate::address::AddressTable;
+use crate::retries::Retries;
 
 /// Entries the explain record keeps.
 const EXPLAIN_CAPACITY: usize = 8_192;
@@ -25,6 +26,8 @@
     pub zone: ZoneName,
     /// Addresses that this node reaches by another address.
     pub addresses: AddressTable,
+    /// Retry policy and budgets of this node.
+    pub retries: Retries,
     origin: Instant,
     bundle: RwLock<Option<Arc<Bundle>>>,
     terms: RwLock<TermTable>,
@@ -39,6 +42,7 @@
         Self {
             zone,
             addresses: AddressTable::default(),
+            retries: Retries::default(),
             origin: Instant::now(),
             bundle: RwLock::new(None),
             terms: RwLock::new(TermTable::new()),
