--- a/lab/sim/src/world/nodes.rs
+++ b/lab/sim/src/world/nodes.rs
@@ -215,6 +215,8 @@
                 self.send_peer(proxy, to, ProxyEvent::RolloutPeer { from, message });
             }
             RolloutAction::Install(_) => self.install(proxy),
+            // The simulated platform has no list of machines that databases could leave.
+            RolloutAction::TellZone(_) | RolloutAction::DrainLeaving(_) => {}
             RolloutAction::Rejected { .. } => {}
         }
     }
