--- a/hookpoint/src/command/bundle.rs
+++ b/hookpoint/src/command/bundle.rs
@@ -55,7 +55,9 @@
     match flags.subcommand {
         BundleCmd::Check(check) => print_check(&check.file),
         BundleCmd::Prepare(prepare) => {
-            let record = operator.prepare(read(&prepare.file)?).await?;
+            let floor = BundleVersion(prepare.above.unwrap_or(0));
+            let bundle = read(&prepare.file)?;
+            let record = operator.prepare_above(bundle, floor).await?;
             let version = record.bundle.version.0;
             println!("prepared version {version} digest {}", record.digest);
             Ok(())
--- a/hookpoint/src/flags.rs
+++ b/hookpoint/src/flags.rs
@@ -66,6 +66,9 @@
             }
             /// Store a document under the next version.
             cmd prepare {
+                /// Give it a version above this one; needed once after the platform was
+                /// restored from a backup older than what the fleet has in force.
+                optional --above version: u64
                 required file: PathBuf
             }
             /// Sign a prepared version.
--- a/hookpoint/src/operator/prepare.rs
+++ b/hookpoint/src/operator/prepare.rs
@@ -26,6 +26,19 @@
     /// # Errors
     /// An [`OperatorError`].
     pub async fn prepare(&self, bundle: Bundle) -> Result<BundleRecord, OperatorError> {
+        self.prepare_above(bundle, BundleVersion(0)).await
+    }
+
+    /// Stores `bundle` under the next version that is above `floor`: needed once after
+    /// the platform was restored from a backup older than what the fleet has in force.
+    ///
+    /// # Errors
+    /// An [`OperatorError`].
+    pub async fn prepare_above(
+        &self,
+        bundle: Bundle,
+        floor: BundleVersion,
+    ) -> Result<BundleRecord, OperatorError> {
         let mut attempts = self.attempts();
         loop {
             let entry = attempts
@@ -34,7 +47,12 @@
             let counter: Versioned<VersionCounter> = decode(VERSION_COUNTER_KEY, entry)?;
             let active = self.read_pointer(&mut attempts).await?.value;
             let active = active.map(|pointer| pointer.version).unwrap_or_default();
-            let highest = counter.value.unwrap_or_default().highest.max(active);
+            let highest = counter
+                .value
+                .unwrap_or_default()
+                .highest
+                .max(active)
+                .max(floor);
             let version = BundleVersion(highest.0 + 1);
             let record = self.record_of(bundle.clone().with_version(version));
             let request = preparation(&record, counter.revision, active)?;
--- a/lab/tests/proxy.rs
+++ b/lab/tests/proxy.rs
@@ -2,12 +2,17 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use common::{bundle_of, connect, in_force, roll, settings};
-use hookpoint::proxy::Proxy;
+use common::{PATIENCE, bundle_of, connect, in_force, operator_key, roll, settings};
+use hookpoint::proxy::{Proxy, ProxyHandle};
+use hookpoint_coordination::explain::{Decision, Entry};
 use hookpoint_lab::stack::{DatabaseOptions, Stack};
-use hookpoint_state::ZoneName;
+use hookpoint_protocol::platform::records::{MachineRecord, MachineState};
+use hookpoint_state::bundle::{Bundle, BundleVersion, OperatorKey};
+use hookpoint_state::{SessionId, ZoneName};
+use hookpoint_transport::admin::{FleetStatus, Health, Readiness};
 use hookpoint_workload::deployment::costa_rica;
 
 #[actix_rt::test]
@@ -38,3 +43,213 @@
     let ended = client.query_one("SELECT 1", &[]).await;
     assert!(ended.is_err(), "a stopped proxy serves nothing");
 }
+
+/// Waits until `reached` holds; it is looked at again after every change of the bundle.
+async fn until(proxy: &ProxyHandle, name: &str, reached: impl Fn(&Bundle) -> bool) {
+    let mut changes = proxy.shared().bundle_changes();
+    let waiting = async {
+        while !proxy
+            .shared()
+            .bundle()
+            .is_some_and(|bundle| reached(&bundle))
+        {
+            changes.changed().await.expect("the proxy runs");
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting).await.expect(name);
+}
+
+async fn stack() -> Stack {
+    Stack::start(Arc::new(costa_rica()), DatabaseOptions::default())
+        .await
+        .expect("stand-ins")
+}
+
+fn put_machine(stack: &Stack, address: SocketAddr, state: MachineState) {
+    let machine = MachineRecord {
+        node: "machine-1".to_owned(),
+        zone: "sj-sala-a".to_owned(),
+        region: "san-jose".to_owned(),
+        peer_address: address,
+        state,
+    };
+    let value = serde_json::to_vec(&machine).expect("a record");
+    stack.platform.put(&machine.key(), &value);
+}
+
+#[actix_rt::test]
+async fn a_database_on_a_leaving_machine_is_drained_until_it_stays() {
+    let stack = stack().await;
+    let proxy = Proxy::start(settings(&stack, 0)).await.expect("a proxy");
+    let version = roll(&stack, bundle_of(&stack)).await;
+    in_force(&proxy, version).await;
+    let (name, _, address) = stack.databases.addresses().remove(0);
+    put_machine(&stack, address, MachineState::Leaving);
+    until(&proxy, "it is drained", |bundle| {
+        bundle.drain.contains(&name)
+    })
+    .await;
+    let bundle = proxy.shared().bundle().expect("a bundle");
+    assert_eq!((bundle.drain.len(), bundle.version), (1, version));
+    put_machine(&stack, address, MachineState::Live);
+    until(&proxy, "it is in use again", |bundle| {
+        bundle.drain.is_empty()
+    })
+    .await;
+    // A list that names a whole group is not believed.
+    let group = bundle.databases[&name].group.clone();
+    let members = bundle.databases_of(&group).count();
+    for (number, (_, database)) in bundle.databases_of(&group).enumerate() {
+        let address = database.address.parse().expect("an address");
+        let machine = MachineRecord {
+            node: format!("machine-{number}"),
+            zone: "z".to_owned(),
+            region: "r".to_owned(),
+            peer_address: address,
+            state: MachineState::Leaving,
+        };
+        let value = serde_json::to_vec(&machine).expect("a record");
+        stack.platform.put(&machine.key(), &value);
+        if number + 1 < members {
+            let count = number + 1;
+            until(&proxy, "more are drained", |bundle| {
+                bundle.drain.len() == count
+            })
+            .await;
+        }
+    }
+    until(&proxy, "none is drained", |bundle| bundle.drain.is_empty()).await;
+    proxy.stop().await;
+}
+
+#[actix_rt::test]
+async fn what_no_trusted_key_has_signed_never_comes_into_force() {
+    let stack = stack().await;
+    let proxy = Proxy::start(settings(&stack, 0)).await.expect("a proxy");
+    let first = roll(&stack, bundle_of(&stack)).await;
+    in_force(&proxy, first).await;
+    let operator = common::operator(&stack);
+    let stranger = OperatorKey::from_secret([66; 32]);
+    let record = operator.prepare(bundle_of(&stack)).await.expect("prepared");
+    let strangers = record.bundle.version;
+    operator
+        .approve(&stranger, strangers)
+        .await
+        .expect("approved");
+    operator.roll(strangers, None, None).await.expect("rolled");
+    // The one behind it is good; when it is in force, the other has been seen.
+    let third = roll(&stack, bundle_of(&stack)).await;
+    in_force(&proxy, third).await;
+    let explained = proxy.shared().explain(None);
+    let in_force: Vec<BundleVersion> = explained
+        .iter()
+        .filter_map(|entry| match entry.decision {
+            Decision::BundleInForce { version } => Some(version),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(in_force, vec![first, third]);
+    proxy.stop().await;
+}
+
+#[actix_rt::test]
+async fn a_platform_that_comes_back_with_an_old_state_changes_nothing() {
+    let stack = stack().await;
+    let proxy = Proxy::start(settings(&stack, 0)).await.expect("a proxy");
+    let first = roll(&stack, bundle_of(&stack)).await;
+    in_force(&proxy, first).await;
+    let revision = stack.platform.revision();
+    let second = roll(&stack, bundle_of(&stack)).await;
+    in_force(&proxy, second).await;
+    stack.platform.restore(revision).expect("an old state");
+    // The platform gives the second version out again; the fleet keeps the one it has.
+    let again = roll(&stack, bundle_of(&stack)).await;
+    assert_eq!(again, second);
+    let operator = common::operator(&stack);
+    let record = operator
+        .prepare_above(bundle_of(&stack), BundleVersion(40))
+        .await;
+    let third = record.expect("prepared").bundle.version;
+    assert_eq!(third, BundleVersion(41));
+    operator
+        .approve(&operator_key(), third)
+        .await
+        .expect("approved");
+    operator
+        .roll(third, Some(again), None)
+        .await
+        .expect("rolled");
+    in_force(&proxy, third).await;
+    let versions: Vec<BundleVersion> = proxy
+        .shared()
+        .explain(None)
+        .iter()
+        .filter_map(|entry| match entry.decision {
+            Decision::BundleInForce { version } => Some(version),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(versions, vec![first, second, third]);
+    proxy.stop().await;
+}
+
+async fn get(proxy: &ProxyHandle, path: &str) -> (u16, String) {
+    let url = format!("http://{}{path}", proxy.admin_address());
+    let mut response = awc::Client::default()
+        .get(url)
+        .send()
+        .await
+        .expect("an answer");
+    let body = response.body().await.expect("a body");
+    (
+        response.status().as_u16(),
+        String::from_utf8_lossy(&body).into_owned(),
+    )
+}
+
+#[actix_rt::test]
+async fn the_operators_endpoint_tells_what_is() {
+    let stack = stack().await;
+    let proxy = Proxy::start(settings(&stack, 0)).await.expect("a proxy");
+    let (status, body) = get(&proxy, "/health").await;
+    assert_eq!(status, 503);
+    let health: Health = serde_json::from_str(&body).expect("a health");
+    assert_eq!(
+        (health.node, health.readiness),
+        (proxy.node(), Readiness::Starting)
+    );
+    let version = roll(&stack, bundle_of(&stack)).await;
+    in_force(&proxy, version).await;
+    let (status, body) = get(&proxy, "/health").await;
+    let health: Health = serde_json::from_str(&body).expect("a health");
+    assert_eq!((status, health.readiness), (200, Readiness::Ready));
+    let group = stack.deployment.groups[0].name.to_string();
+    let client = connect(&proxy, &group).await;
+    client.query_one("SELECT 1", &[]).await.expect("a read");
+    let (_, metrics) = get(&proxy, "/metrics").await;
+    for line in [
+        "hookpoint_bundle_version 1".to_owned(),
+        "hookpoint_sessions 1".to_owned(),
+        format!("hookpoint_group_term{{group=\"{group}\"}} 1"),
+    ] {
+        assert!(
+            metrics.lines().any(|found| found == line),
+            "{line} in\n{metrics}"
+        );
+    }
+    let (_, explained) = get(&proxy, "/explain?session=1").await;
+    let entries: Vec<Entry> = serde_json::from_str(&explained).expect("entries");
+    let routed = |entry: &Entry| matches!(entry.decision, Decision::Routed { .. });
+    assert!(entries.iter().any(routed), "{explained}");
+    assert!(
+        entries
+            .iter()
+            .all(|entry| entry.session == Some(SessionId(1)))
+    );
+    let (_, body) = get(&proxy, "/fleet").await;
+    let fleet: FleetStatus = serde_json::from_str(&body).expect("a fleet");
+    assert_eq!((fleet.newest, fleet.nodes.len()), (version, 1));
+    assert_eq!(get(&proxy, "/explain?session=x").await.0, 400);
+    assert_eq!(get(&proxy, "/nothing").await.0, 404);
+    proxy.stop().await;
+}
