Keep read-only blocks read-only, and decide without copying a group's view

Cause: a block that began as READ ONLY is ended without the evidence a write needs; SET TRANSACTION READ WRITE, or a write behind COMMIT in one query, would have slipped through on a primary. A SET behind a savepoint may be undone unseen. Each event copied the group's view with all its samples.

Change: such units are refused as unsupported and put on the explain record, as are all other refusals and unknown outcomes; the machine decides on the view in place.

--- a/crates/transport/src/caller/active.rs
+++ b/crates/transport/src/caller/active.rs
@@ -51,6 +51,10 @@
     pub plan: UnitPlan,
     /// Its answer.
     pub answer: Answer,
+    /// Whether it began as a read and is carried as one to its end.
+    pub reads: bool,
+    /// Whether it has used savepoints.
+    pub savepoints: bool,
     /// What is in flight.
     pub flight: Flight,
     /// The connection, once granted.
@@ -102,6 +106,8 @@
     /// A transaction whose first unit is `plan`.
     pub fn new(machine: RequestMachine, plan: UnitPlan, mark: Option<RequestId>) -> Self {
         Self {
+            reads: plan.unit(false, mark.is_some()).access == Access::Read,
+            savepoints: plan.traits.savepoints,
             machine,
             plan,
             answer: Answer::default(),
@@ -131,6 +137,7 @@
 
     /// Takes the next unit of the transaction.
     pub fn next_unit(&mut self, plan: UnitPlan, mark: Option<RequestId>) {
+        self.savepoints |= plan.traits.savepoints;
         self.plan = plan;
         self.mark = mark.filter(|request| !self.marked.contains(request));
         self.answer = Answer::default();
--- a/crates/transport/src/caller/drive.rs
+++ b/crates/transport/src/caller/drive.rs
@@ -122,11 +122,13 @@
 
     fn handle(&mut self, event: RequestEvent) {
         let shared = &self.context.shared;
-        let view = shared.view(&self.group).unwrap_or_default();
         let now = shared.now();
         let mut actions = Vec::new();
         if let Some(active) = &mut self.transaction {
-            active.machine.handle(now, &view, event, &mut actions);
+            let machine = &mut active.machine;
+            shared.with_view(&self.group, |view| {
+                machine.handle(now, view, event, &mut actions);
+            });
         }
         for action in actions {
             self.perform(action);
@@ -407,7 +409,7 @@
                 }
                 if let Some(feature) = active.plan.traits.unsupported.clone() {
                     let refusal = Refusal::Unsupported { feature };
-                    self.stream.write(&error::refusal(&refusal));
+                    self.tell_refusal(&refusal);
                     self.abandon_unit();
                     return Ok(());
                 }
--- a/crates/transport/src/caller/finish.rs
+++ b/crates/transport/src/caller/finish.rs
@@ -1,8 +1,10 @@
 //! The end of a unit: its answer's end, the session's state after it, and errors in
 //! place of an answer.
 
+use hookpoint_coordination::explain::Decision;
 use hookpoint_protocol::reply::TransactionStatus;
-use hookpoint_state::Refusal;
+use hookpoint_state::outcome::UNKNOWN_SQLSTATE;
+use hookpoint_state::{Outcome, Refusal};
 
 use crate::caller::active::{ActiveTransaction, Failure};
 use crate::caller::error::{self, SessionEnd};
@@ -29,7 +31,7 @@
         }
         let end = active.answer.take_end();
         match &refusal {
-            Some(refusal) => self.stream.write(&error::refusal(refusal)),
+            Some(refusal) => self.tell_refusal(refusal),
             None => end.iter().for_each(|frame| self.stream.write(frame)),
         }
         for name in active.answer.take_parse_failures() {
@@ -44,6 +46,21 @@
         self.write_ready();
     }
 
+    /// Tells the caller that its request did not run, and keeps a record of it.
+    pub(super) fn tell_refusal(&mut self, refusal: &Refusal) {
+        self.record_failure(refusal.outcome(), refusal.sqlstate());
+        self.stream.write(&error::refusal(refusal));
+    }
+
+    fn record_failure(&self, outcome: Outcome, sqlstate: &str) {
+        let decision = Decision::Failed {
+            outcome,
+            sqlstate: sqlstate.to_owned(),
+        };
+        let session = Some(self.guard.entry.id);
+        self.context.shared.record(session, decision);
+    }
+
     /// Takes over what the unit changed in the session.
     fn settle(&mut self, active: ActiveTransaction, refused: bool) {
         let ending = active.answer.ending().cloned().unwrap_or_default();
@@ -69,14 +86,14 @@
     }
 
     fn finish_failed(&mut self, mut active: ActiveTransaction, failure: Failure) {
-        let frame = match &failure {
-            Failure::Refused(refusal) => Some(error::refusal(refusal)),
-            Failure::Unknown(cause) => Some(error::unknown(*cause)),
-            Failure::Cancelled => Some(error::cancelled()),
-            Failure::Told => None,
-        };
-        if let Some(frame) = frame {
-            self.stream.write(&frame);
+        match &failure {
+            Failure::Refused(refusal) => self.tell_refusal(refusal),
+            Failure::Unknown(cause) => {
+                self.record_failure(Outcome::Unknown, UNKNOWN_SQLSTATE);
+                self.stream.write(&error::unknown(*cause));
+            }
+            Failure::Cancelled => self.stream.write(&error::cancelled()),
+            Failure::Told => {}
         }
         active.release(false);
         let ended = active.plan.traits.ends_transaction;
--- a/crates/transport/src/caller/mod.rs
+++ b/crates/transport/src/caller/mod.rs
@@ -18,6 +18,7 @@
 mod local;
 mod marks;
 mod own_answers;
+mod refusals;
 mod registry;
 mod session;
 mod settings;
--- a/crates/transport/src/caller/session.rs
+++ b/crates/transport/src/caller/session.rs
@@ -10,7 +10,7 @@
 use hookpoint_protocol::reply::{self, TransactionStatus};
 use hookpoint_protocol::settings_tracking::SettingsTracker;
 use hookpoint_protocol::tags::frontend;
-use hookpoint_state::{GroupName, Position, Refusal, RequestId, TenantName};
+use hookpoint_state::{GroupName, Position, RequestId, TenantName};
 use tokio::sync::watch;
 
 use crate::caller::active::ActiveTransaction;
@@ -272,7 +272,7 @@
             return Ok(());
         }
         if let Some(refusal) = self.refusal_of(&plan) {
-            self.stream.write(&error::refusal(&refusal));
+            self.tell_refusal(&refusal);
             self.fail_transaction();
             self.end_refused(open);
             return Ok(());
@@ -284,29 +284,6 @@
         self.run_unit(plan).await
     }
 
-    /// Why the unit cannot be carried at all, if so.
-    fn refusal_of(&self, plan: &UnitPlan) -> Option<Refusal> {
-        if let Some(feature) = &plan.traits.unsupported {
-            return Some(Refusal::Unsupported {
-                feature: feature.clone(),
-            });
-        }
-        if plan.has_local && plan.needs_connection {
-            return Some(Refusal::Unsupported {
-                feature: "the proxy's own settings together with other statements".to_owned(),
-            });
-        }
-        let bundle = self.context.shared.bundle();
-        if !plan.needs_connection {
-            return None;
-        }
-        match bundle {
-            None => Some(Refusal::NoBundle),
-            Some(bundle) if !bundle.groups.contains_key(&self.group) => Some(Refusal::UnknownGroup),
-            Some(_) => self.mark_refusal(plan),
-        }
-    }
-
     /// Ends a unit that was refused: with `ReadyForQuery`, or by skipping what the
     /// caller still sends of it.
     pub(super) fn end_refused(&mut self, open: bool) {
--- a/crates/transport/src/caller/startup.rs
+++ b/crates/transport/src/caller/startup.rs
@@ -89,11 +89,11 @@
     let limit = context.settings.startup_timeout;
     let mut stop = context.stop.subscribe();
     let started = tokio::select! {
-        started = tokio::time::timeout(limit, begin(socket, &context)) => started,
+        started = tokio::time::timeout(limit, Box::pin(begin(socket, &context))) => started,
         _ = stop.wait_for(|mode| *mode >= StopMode::Graceful) => return,
     };
     match started {
-        Ok(Some(session)) => session.run().await,
+        Ok(Some(session)) => Box::pin(session.run()).await,
         Ok(None) => {}
         Err(_) => log::debug!("caller: a connection did not start up in {limit:?}."),
     }
--- a/crates/transport/src/caller/stream.rs
+++ b/crates/transport/src/caller/stream.rs
@@ -12,6 +12,10 @@
 
 /// Bytes read ahead of the unit that runs. Past this the caller is not read.
 const READ_AHEAD: usize = 64 * 1024;
+/// Room kept for the next read of a session that is idle.
+const SHORT_READ: usize = 512;
+/// Room for a read where the beginning of a message is there already.
+const LONG_READ: usize = 8 * 1024;
 /// Output buffer that is given back to the allocator when it is empty.
 const RETAINED_BUFFER: usize = 16 * 1024;
 
@@ -100,12 +104,23 @@
             if let Some(frame) = self.buffered()? {
                 return Ok(frame);
             }
+            self.make_room();
             if self.io.read_buf(&mut self.input).await? == 0 {
                 return Err(CallerGone::Closed);
             }
         }
     }
 
+    /// Room for a short message; more once a longer one is on its way.
+    fn make_room(&mut self) {
+        let room = if self.input.is_empty() {
+            SHORT_READ
+        } else {
+            LONG_READ
+        };
+        self.input.reserve(room);
+    }
+
     /// Reads what comes while a unit runs, to notice that the caller has gone. Waits
     /// for ever once enough was read ahead. Cancelling the future loses nothing.
     pub async fn read_ahead(&mut self) -> CallerGone {
@@ -113,6 +128,7 @@
             if self.input.len() >= READ_AHEAD {
                 std::future::pending::<()>().await;
             }
+            self.make_room();
             match self.io.read_buf(&mut self.input).await {
                 Ok(0) => return CallerGone::Closed,
                 Ok(_) => {}
--- a/crates/transport/src/caller/unit.rs
+++ b/crates/transport/src/caller/unit.rs
@@ -7,7 +7,8 @@
 use hookpoint_coordination::request::{Access, Unit};
 use hookpoint_protocol::backend_command::BackendCommand;
 use hookpoint_protocol::classify::{
-    Classifier, CopyDirection, SessionEffect, SettingChange, TransactionMode, UnitClass,
+    Classifier, CopyDirection, SessionEffect, SettingChange, StatementKind, TransactionMode,
+    UnitClass,
 };
 use hookpoint_protocol::extended::{self, Bind, MalformedMessage, Named, Parse, Target};
 use hookpoint_protocol::frame::Frame;
@@ -21,6 +22,9 @@
 use crate::caller::local::{self, LocalStatement};
 use crate::caller::statements::{Statement, StatementTable};
 
+/// Parameter that says whether the transaction is read-only.
+const READ_ONLY_SETTING: &str = "transaction_read_only";
+
 /// A unit as it came from the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallerUnit {
@@ -78,9 +82,20 @@
     pub only_opens: bool,
     /// Whether it executes anything.
     pub executes: bool,
+    /// Whether it may turn a read-only transaction into one that writes.
+    pub changes_mode: bool,
+    /// Whether it sets, rolls back to or releases a savepoint.
+    pub savepoints: bool,
 }
 
 impl UnitTraits {
+    /// Whether it changes a parameter for longer than its transaction.
+    pub fn sets_lasting(&self) -> bool {
+        let local =
+            |change: &SettingChange| matches!(change, SettingChange::Set { local: true, .. });
+        !self.settings.iter().all(local)
+    }
+
     fn new() -> Self {
         Self {
             reads_only: true,
@@ -93,6 +108,8 @@
     /// Adds a statement that is executed.
     fn execute(&mut self, class: &UnitClass) {
         self.executes = true;
+        self.changes_mode |= changes_mode(class);
+        self.savepoints |= class.statements.contains(&StatementKind::Savepoint);
         self.reads_only &= class.access == Access::Read;
         self.may_commit |= class.may_commit;
         self.may_commit_in_block |= class.may_commit_in_block;
@@ -251,21 +268,13 @@
             };
         }
         let read = self.traits.reads_only && !self.open && !marked;
-        let read_only = self
-            .traits
-            .opens_transaction
-            .is_some_and(|mode| mode.read_only);
         let may_commit = if in_transaction {
             self.traits.may_commit_in_block || self.open
         } else {
             self.traits.may_commit || self.open
         };
         Unit {
-            access: if read || (read_only && !marked) {
-                Access::Read
-            } else {
-                Access::Write
-            },
+            access: if read { Access::Read } else { Access::Write },
             may_commit,
         }
     }
@@ -477,6 +486,18 @@
     }
 }
 
+/// `SET TRANSACTION`, or `SET` of the parameter behind it.
+fn changes_mode(class: &UnitClass) -> bool {
+    let read_only = |change: &SettingChange| match change {
+        SettingChange::Set { name, .. } | SettingChange::Reset { name } => {
+            name == READ_ONLY_SETTING
+        }
+        SettingChange::ResetAll => false,
+    };
+    class.statements.contains(&StatementKind::Set)
+        && (class.settings.is_empty() || class.settings.iter().any(read_only))
+}
+
 fn is_relayed(statement: Option<&Arc<Statement>>) -> bool {
     statement.is_none_or(|statement| statement.local.is_none())
 }
--- a/crates/transport/src/shared.rs
+++ b/crates/transport/src/shared.rs
@@ -185,6 +185,16 @@
         }
     }
 
+    /// Runs `decide` on the view of `group` under the lock of the terms, without a copy;
+    /// on an empty view where the group is not known. `decide` takes no lock.
+    pub fn with_view<R>(&self, group: &GroupName, decide: impl FnOnce(&GroupView) -> R) -> R {
+        let terms = self.terms.read();
+        match terms.view(group) {
+            Some(view) => decide(view),
+            None => decide(&GroupView::default()),
+        }
+    }
+
     /// A copy of the view of `group`.
     pub fn view(&self, group: &GroupName) -> Option<GroupView> {
         self.terms.read().view(group).cloned()
--- a/crates/transport/tests/caller_faults.rs
+++ b/crates/transport/tests/caller_faults.rs
@@ -5,6 +5,7 @@
 
 use caller_support::raw::{RawClient, command_tags, first_error, tags};
 use caller_support::{DATABASES, FakeGroup, GROUP, start};
+use hookpoint_coordination::explain::Decision;
 use hookpoint_coordination::status::Role;
 use hookpoint_protocol::errors::BackendError;
 use hookpoint_protocol::frame::Frame;
@@ -123,6 +124,43 @@
     handle.stop().await;
 }
 
+#[actix_rt::test]
+async fn blocks_stay_what_they_began_as() {
+    let steps: &[Step] = &[
+        ("BEGIN READ ONLY", None, 'T'),
+        ("SET TRANSACTION READ WRITE", Some("0A000"), 'E'),
+        ("INSERT INTO t VALUES (1)", Some("25P02"), 'E'),
+        ("ROLLBACK", None, 'I'),
+        (
+            "BEGIN READ ONLY; SET TRANSACTION READ WRITE",
+            Some("0A000"),
+            'I',
+        ),
+        ("BEGIN READ ONLY", None, 'T'),
+        ("SET transaction_read_only = off", Some("0A000"), 'E'),
+        ("COMMIT", None, 'I'),
+        ("BEGIN READ ONLY", None, 'T'),
+        ("COMMIT; INSERT INTO t VALUES (1)", Some("0A000"), 'E'),
+        ("COMMIT", None, 'I'),
+        ("BEGIN", None, 'T'),
+        ("SAVEPOINT s", None, 'T'),
+        ("SET LOCAL timezone = 'UTC'", None, 'T'),
+        ("SET timezone = 'UTC'", Some("0A000"), 'E'),
+        ("ROLLBACK", None, 'I'),
+    ];
+    let group = FakeGroup::new();
+    let handle = start(&group).await;
+    let (mut client, _) = RawClient::begin(&handle, &[]).await;
+    walk(&mut client, "modes", steps).await;
+    assert!(group.ran_on("INSERT").is_empty());
+    let refused = group.shared.explain(None);
+    let refused = refused.iter().filter(
+        |entry| matches!(&entry.decision, Decision::Failed { sqlstate, .. } if sqlstate == "0A000"),
+    );
+    assert_eq!(refused.count(), 5, "each refusal is on record");
+    handle.stop().await;
+}
+
 #[actix_rt::test]
 async fn refused_leases_are_told_as_not_run() {
     let cases = [
--- a/crates/transport/tests/caller_support/database.rs
+++ b/crates/transport/tests/caller_support/database.rs
@@ -490,6 +490,7 @@
                 Outcome::Done("BEGIN".to_owned())
             }
             "COMMIT" | "ROLLBACK" => self.end_block(word),
+            "SAVEPOINT" => Outcome::Done("SAVEPOINT".to_owned()),
             "SET" => self.set(&upper, text),
             "RESET" => Outcome::Done("RESET".to_owned()),
             "SHOW" => {
