--- a/crates/coordination/src/rollout/machine.rs
+++ b/crates/coordination/src/rollout/machine.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use hookpoint_state::{BundleVersion, NodeId, Timestamp};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -11,31 +10,19 @@
 use super::holders::Holders;
 use super::leaving::LeavingList;
 use super::message::RolloutMessage;
+use super::pulling::PULL_SPREAD;
 use super::serving::ServeLimit;
 use super::store::{BundleStore, ChangeError};
 
 /// Nodes of a zone that watch the platform.
 pub const WATCHERS_PER_ZONE: usize = 2;
-/// Longest wait before the first pull of a version, so that its first holders are not
-/// asked by everyone at once.
-const PULL_SPREAD: Duration = Duration::from_millis(40);
-/// Longest wait before another holder is asked after a busy one.
-const BUSY_PAUSE: Duration = Duration::from_millis(60);
-/// Longest wait for the answer to a pull.
-const PULL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Longest pause after a pull without an answer; it doubles from [`BUSY_PAUSE`].
-const LONGEST_PULL_PAUSE: Duration = Duration::from_secs(2);
-/// Shortest and longest pause between attempts to read the platform.
-const FETCH_PAUSE: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(5));
-/// Longest wait for the platform's answer before the attempt counts as failed.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a node without any bundle waits for word from its peers before it asks the
 /// platform itself; the actual wait is between this and twice this.
-const LONELY_WAIT: Duration = Duration::from_millis(500);
+pub(super) const LONELY_WAIT: Duration = Duration::from_millis(500);
 
 /// The pull from a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Pull {
+pub(super) enum Pull {
     Idle,
     Planned {
         at: Timestamp,
@@ -49,7 +36,7 @@
 
 /// The reading of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fetch {
+pub(super) enum Fetch {
     Idle,
     Planned { at: Timestamp },
     Asked { deadline: Timestamp },
@@ -58,21 +45,21 @@
 /// One node's part in the spread of bundles.
 #[derive(Clone, Debug)]
 pub struct RolloutMachine<Store> {
-    store: Store,
-    random: ChaCha8Rng,
-    watching: bool,
-    platform_version: BundleVersion,
+    pub(super) store: Store,
+    pub(super) random: ChaCha8Rng,
+    pub(super) watching: bool,
+    pub(super) platform_version: BundleVersion,
     /// Newest version that any member was heard to have.
-    heard_version: BundleVersion,
-    holders: Holders,
-    serving: ServeLimit,
-    pull: Pull,
-    pull_failures: u32,
+    pub(super) heard_version: BundleVersion,
+    pub(super) holders: Holders,
+    pub(super) serving: ServeLimit,
+    pub(super) pull: Pull,
+    pub(super) pull_failures: u32,
     /// Ask for the whole bundle next, since a change did not fit.
-    pull_whole: bool,
-    fetch: Fetch,
-    fetch_failures: u32,
-    leaving: LeavingList,
+    pub(super) pull_whole: bool,
+    pub(super) fetch: Fetch,
+    pub(super) fetch_failures: u32,
+    pub(super) leaving: LeavingList,
 }
 
 impl<Store: BundleStore> RolloutMachine<Store> {
@@ -162,102 +149,6 @@
         }
     }
 
-    fn take_platform_version(
-        &mut self,
-        now: Timestamp,
-        version: BundleVersion,
-        actions: &mut Vec<RolloutAction>,
-    ) {
-        self.platform_version = version.max(self.platform_version);
-        let waiting = matches!(self.fetch, Fetch::Asked { .. });
-        if version > self.store.version() && !waiting {
-            self.fetch_now(now, actions);
-        }
-    }
-
-    fn take_platform_change(
-        &mut self,
-        now: Timestamp,
-        change: &[u8],
-        actions: &mut Vec<RolloutAction>,
-    ) {
-        self.fetch = Fetch::Idle;
-        let accepted = self.take_change(now, change, ChangeSource::Platform, actions);
-        if accepted && self.holders.is_empty() {
-            // Whoever had a newer version is gone, and the platform does not have it.
-            self.heard_version = self.store.version();
-        }
-        if !accepted || self.platform_version > self.store.version() {
-            self.plan_fetch_again(now);
-        } else {
-            self.fetch_failures = 0;
-        }
-    }
-
-    /// Plans another reading of the platform as long as one is of use.
-    fn plan_fetch_again(&mut self, now: Timestamp) {
-        let held = self.store.version();
-        let known = self.platform_version.max(self.heard_version);
-        if held != BundleVersion(0) && known <= held {
-            self.fetch = Fetch::Idle;
-            self.fetch_failures = 0;
-            return;
-        }
-        let (shortest, longest) = FETCH_PAUSE;
-        let factor = 1_u32 << self.fetch_failures.min(8);
-        let pause = (shortest * factor).min(longest);
-        self.fetch_failures += 1;
-        let at = now + pause.mul_f64(0.5 + self.random.random::<f64>());
-        self.fetch = Fetch::Planned { at };
-    }
-
-    fn fetch_now(&mut self, now: Timestamp, actions: &mut Vec<RolloutAction>) {
-        self.fetch = Fetch::Asked {
-            deadline: now + FETCH_TIMEOUT,
-        };
-        actions.push(RolloutAction::FetchFromPlatform);
-    }
-
-    fn take_peer_version(&mut self, now: Timestamp, node: NodeId, version: BundleVersion) {
-        if version <= self.store.version() {
-            return;
-        }
-        self.heard_version = version.max(self.heard_version);
-        self.holders.note(node, version);
-        if self.pull == Pull::Idle {
-            self.plan_pull(now, PULL_SPREAD, None);
-        }
-    }
-
-    fn plan_pull(&mut self, now: Timestamp, spread: Duration, avoid: Option<NodeId>) {
-        if !self.holders.is_empty() {
-            let at = now + spread.mul_f64(self.random.random());
-            self.pull = Pull::Planned { at, avoid };
-            return;
-        }
-        self.pull = Pull::Idle;
-        if self.heard_version > self.store.version() && self.fetch == Fetch::Idle {
-            let at = now + LONELY_WAIT.mul_f64(self.random.random());
-            self.fetch = Fetch::Planned { at };
-        }
-    }
-
-    /// Plans another attempt after a pull without an answer. The holder stays known:
-    /// whether it is gone is the membership's to say.
-    fn plan_pull_after_silence(&mut self, now: Timestamp, node: NodeId) {
-        let factor = 1_u32 << self.pull_failures.min(8);
-        self.pull_failures += 1;
-        let spread = (BUSY_PAUSE * factor).min(LONGEST_PULL_PAUSE);
-        self.plan_pull(now, spread, Some(node));
-    }
-
-    fn lose_peer(&mut self, now: Timestamp, node: NodeId) {
-        self.holders.remove(node);
-        if matches!(self.pull, Pull::Asked { node: asked, .. } if asked == node) {
-            self.plan_pull(now, Duration::ZERO, None);
-        }
-    }
-
     fn take_message(
         &mut self,
         now: Timestamp,
@@ -288,29 +179,6 @@
         }
     }
 
-    fn take_answer(
-        &mut self,
-        now: Timestamp,
-        from: NodeId,
-        answer: RolloutMessage,
-        actions: &mut Vec<RolloutAction>,
-    ) {
-        let expected = matches!(self.pull, Pull::Asked { node, .. } if node == from);
-        if !expected {
-            return;
-        }
-        match answer {
-            RolloutMessage::Change(change) => self.take_pulled(now, from, &change, actions),
-            RolloutMessage::Busy => self.plan_pull(now, BUSY_PAUSE, Some(from)),
-            RolloutMessage::NothingNewer
-            | RolloutMessage::Pull { .. }
-            | RolloutMessage::Leaving(_) => {
-                self.holders.remove(from);
-                self.plan_pull(now, BUSY_PAUSE, None);
-            }
-        }
-    }
-
     fn serve(
         &mut self,
         now: Timestamp,
@@ -333,27 +201,8 @@
         }
     }
 
-    fn take_pulled(
-        &mut self,
-        now: Timestamp,
-        from: NodeId,
-        change: &Bytes,
-        actions: &mut Vec<RolloutAction>,
-    ) {
-        self.pull = Pull::Idle;
-        let before = self.store.version();
-        let accepted = self.take_change(now, change, ChangeSource::Peer(from), actions);
-        let retry_whole = !accepted && self.pull_whole;
-        if self.store.version() == before && !retry_whole {
-            self.holders.remove(from);
-        }
-        if self.pull == Pull::Idle {
-            self.plan_pull(now, BUSY_PAUSE, None);
-        }
-    }
-
     /// Takes a change; false when it was rejected.
-    fn take_change(
+    pub(super) fn take_change(
         &mut self,
         now: Timestamp,
         change: &[u8],
@@ -409,22 +258,4 @@
             Fetch::Idle | Fetch::Planned { .. } | Fetch::Asked { .. } => {}
         }
     }
-
-    fn ask(&mut self, now: Timestamp, avoid: Option<NodeId>, actions: &mut Vec<RolloutAction>) {
-        let Some(node) = self.holders.choose(avoid, &mut self.random) else {
-            self.plan_pull(now, Duration::ZERO, None);
-            return;
-        };
-        let have = if self.pull_whole {
-            BundleVersion(0)
-        } else {
-            self.store.version()
-        };
-        self.pull = Pull::Asked {
-            node,
-            deadline: now + PULL_TIMEOUT,
-        };
-        let message = RolloutMessage::Pull { have };
-        actions.push(RolloutAction::SendPeer { to: node, message });
-    }
 }
--- a/crates/coordination/src/rollout/mod.rs
+++ b/crates/coordination/src/rollout/mod.rs
@@ -10,10 +10,12 @@
 //! bundle that no trusted key has signed never comes into force.
 
 mod event;
+mod fetching;
 mod holders;
 mod leaving;
 mod machine;
 mod message;
+mod pulling;
 mod serving;
 mod store;
 #[cfg(test)]
