Bound what slow callers, portals and late cancels can do

Cause: a caller that took one byte at a time could hold a connection for ever; a cancel that came after its request could hit the status query behind it and turn an acknowledged write into an unknown one; portals were not counted.

Change: a caller has to take 4 KiB within the write timeout; a cancel does nothing once the unit has ended, and a failed status query is asked again; portals of a transaction are limited; silent callers are asked for by TCP keepalive.

--- a/crates/transport/src/caller/active.rs
+++ b/crates/transport/src/caller/active.rs
@@ -27,6 +27,8 @@
 
 /// How often a read begins anew after its connection broke.
 const RESTART_LIMIT: u32 = 4;
+/// How often a status query behind a unit may fail.
+const PROBE_FAILURE_LIMIT: u32 = 3;
 /// SQLSTATE of a duplicate key.
 const UNIQUE_VIOLATION: &str = "23505";
 
@@ -88,6 +90,7 @@
     /// Identifiers already in the ledger by this transaction.
     pub marked: BTreeSet<RequestId>,
     restarts: u32,
+    failed_probes: u32,
     collector: StatusCollector,
     ledger_error: Option<String>,
     commit_error: Option<Frame>,
@@ -128,6 +131,7 @@
             mark,
             marked: BTreeSet::new(),
             restarts: 0,
+            failed_probes: 0,
             collector: StatusCollector::default(),
             ledger_error: None,
             commit_error: None,
@@ -246,6 +250,7 @@
                     log::warn!("caller: an answer is larger than what may be held back.");
                     self.lose_connection(observed);
                 }
+                self.hand_over();
             }
             Some(BackendReply::Lost) | None => self.lose_connection(observed),
         }
@@ -299,7 +304,7 @@
             return;
         };
         let Ok(status) = result else {
-            return self.lose_connection(observed);
+            return self.status_failed(section, observed);
         };
         if let Some(lease) = &self.lease {
             observed.push_back(Observed::Status(lease.database.clone(), status.clone()));
@@ -310,6 +315,17 @@
         }));
     }
 
+    /// A cancel request that came late may have hit the status query behind the unit;
+    /// it is asked again then.
+    fn status_failed(&mut self, section: Section, observed: &mut VecDeque<Observed>) {
+        if section == Section::Probe && self.failed_probes < PROBE_FAILURE_LIMIT {
+            self.failed_probes += 1;
+            self.flight.probe();
+        } else {
+            self.lose_connection(observed);
+        }
+    }
+
     fn ledger_frame(&mut self, frame: &Frame) {
         if self.ledger_error.is_none() {
             self.ledger_error = BackendError::from_frame(frame).map(|error| error.sqlstate);
--- a/crates/transport/src/caller/settings.rs
+++ b/crates/transport/src/caller/settings.rs
@@ -25,7 +25,7 @@
     pub arbiters: usize,
     /// Longest time from the connection to the end of the authentication.
     pub startup_timeout: Duration,
-    /// Longest time a caller may take none of the bytes sent to it.
+    /// Longest time a caller may take next to nothing of what is sent to it.
     pub write_timeout: Duration,
 }
 
--- a/crates/transport/src/caller/startup.rs
+++ b/crates/transport/src/caller/startup.rs
@@ -1,6 +1,7 @@
 //! The beginning of a connection: encryption, start-up packet, authentication.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hookpoint_protocol::classify::FIXED_PARAMETERS;
 use hookpoint_protocol::reply::{self, TransactionStatus};
@@ -8,6 +9,7 @@
     self as packets, PROTOCOL_3_0, SessionParameters, StartupError, StartupPacket,
 };
 use hookpoint_state::{GroupName, TenantName};
+use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::net::TcpStream;
 
@@ -22,6 +24,10 @@
 const STARTUP_MESSAGE_LIMIT: usize = 16 * 1024;
 /// Requests for encryption answered on one connection.
 const ENCRYPTION_REQUESTS: usize = 4;
+/// Time after which a silent caller is asked whether it is still there.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(60);
+/// Time between two such questions.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(15);
 /// Version of the server that callers are told.
 const SERVER_VERSION: &str = "16.0";
 
@@ -79,6 +85,10 @@
 pub async fn serve(socket: TcpStream, context: Arc<Context>) {
     let mut stop = context.stop.subscribe();
     let _best_effort = socket.set_nodelay(true);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_INTERVAL);
+    let _best_effort = SockRef::from(&socket).set_tcp_keepalive(&keepalive);
     tokio::select! {
         () = serve_session(socket, Arc::clone(&context)) => {}
         _ = stop.wait_for(|mode| *mode == StopMode::Abort) => {}
--- a/crates/transport/src/caller/statements.rs
+++ b/crates/transport/src/caller/statements.rs
@@ -13,7 +13,9 @@
 use crate::caller::local::LocalStatement;
 
 /// Bytes of statement text one session may keep.
-const STATEMENT_BYTES: usize = 16 * 1024 * 1024;
+const STATEMENT_BYTES: usize = 4 * 1024 * 1024;
+/// Portals one transaction may have at a time.
+const PORTALS: usize = 10_000;
 /// Bytes counted for a statement besides its text.
 const STATEMENT_OVERHEAD: usize = 256;
 
@@ -125,8 +127,19 @@
     }
 
     /// Notes that `portal` runs `statement`.
-    pub fn bind(&mut self, portal: &str, statement: Arc<Statement>) {
+    ///
+    /// # Errors
+    /// When the transaction has too many portals.
+    pub fn bind(
+        &mut self,
+        portal: &str,
+        statement: Arc<Statement>,
+    ) -> Result<(), TooManyStatements> {
+        if self.portals.len() >= PORTALS {
+            return Err(TooManyStatements);
+        }
         self.portals.insert(portal.to_owned(), statement);
+        Ok(())
     }
 
     /// The statement that `portal` runs.
--- a/crates/transport/src/caller/stream.rs
+++ b/crates/transport/src/caller/stream.rs
@@ -6,7 +6,7 @@
 use hookpoint_protocol::frame::{Frame, FrameCodec, FrameError};
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_rustls::TlsAcceptor;
 use tokio_util::codec::Decoder;
 
@@ -16,6 +16,8 @@
 const SHORT_READ: usize = 512;
 /// Room for a read where the beginning of a message is there already.
 const LONG_READ: usize = 8 * 1024;
+/// Bytes a caller has to take within the write timeout.
+const LEAST_PROGRESS: usize = 4 * 1024;
 /// Output buffer that is given back to the allocator when it is empty.
 const RETAINED_BUFFER: usize = 16 * 1024;
 
@@ -152,17 +154,25 @@
         self.output.len()
     }
 
-    /// Sends the output. A caller that takes nothing for the write timeout is given
-    /// up, so that it holds no connection to a database any longer.
+    /// Sends the output. A caller that takes next to nothing for the write timeout is
+    /// given up, so that it holds no connection to a database any longer.
     pub async fn flush(&mut self) -> Result<(), CallerGone> {
+        let mut deadline = Instant::now() + self.write_timeout;
+        let mut progress = 0;
         while self.output.has_remaining() {
-            let written = timeout(self.write_timeout, self.io.write(&self.output)).await;
-            match written {
+            match timeout_at(deadline, self.io.write(&self.output)).await {
                 Err(_) => return Err(CallerGone::Stalled(self.write_timeout)),
                 Ok(Ok(0)) => return Err(CallerGone::Closed),
-                Ok(Ok(count)) => self.output.advance(count),
+                Ok(Ok(count)) => {
+                    self.output.advance(count);
+                    progress += count;
+                }
                 Ok(Err(error)) => return Err(error.into()),
             }
+            if progress >= LEAST_PROGRESS {
+                deadline = Instant::now() + self.write_timeout;
+                progress = 0;
+            }
         }
         if self.output.capacity() > RETAINED_BUFFER {
             self.output = BytesMut::new();
--- a/crates/transport/src/caller/unit.rs
+++ b/crates/transport/src/caller/unit.rs
@@ -47,7 +47,7 @@
     #[error(transparent)]
     Malformed(#[from] MalformedMessage),
     /// The session keeps too much statement text.
-    #[error("the session keeps too many prepared statements")]
+    #[error("the session keeps too many prepared statements or portals")]
     TooManyStatements,
 }
 
@@ -341,7 +341,9 @@
         let bind = Bind::read(message)?;
         let statement = statements.get(&bind.statement).cloned();
         if let Some(statement) = &statement {
-            statements.bind(&bind.portal, Arc::clone(statement));
+            statements
+                .bind(&bind.portal, Arc::clone(statement))
+                .map_err(|_| UnitError::TooManyStatements)?;
         }
         self.answer_locally(reply::empty(backend::BIND_COMPLETE));
         let (mut commands, name) = self.refer(&bind.statement, statement.as_ref());
--- a/crates/transport/tests/caller_faults.rs
+++ b/crates/transport/tests/caller_faults.rs
@@ -288,6 +288,23 @@
     handle.stop().await;
 }
 
+#[actix_rt::test]
+async fn a_cancelled_status_query_is_asked_again() {
+    for (failing, expected) in [(1, None), (3, None), (4, Some("08007"))] {
+        let group = FakeGroup::new();
+        let handle = start(&group).await;
+        group.server.lock().failing_probes = failing;
+        let (mut client, _) = RawClient::begin(&handle, &[]).await;
+        let answer = client.query("INSERT INTO t VALUES (1)").await;
+        assert_eq!(
+            first_error(&answer).as_deref(),
+            expected,
+            "{failing} failures"
+        );
+        handle.stop().await;
+    }
+}
+
 #[actix_rt::test]
 async fn unknown_groups_are_refused() {
     let group = FakeGroup::new();
--- a/crates/transport/tests/caller_support/database.rs
+++ b/crates/transport/tests/caller_support/database.rs
@@ -47,6 +47,8 @@
     pub settings: Vec<BTreeMap<String, String>>,
     /// Statements a `Parse` was put on a connection for.
     pub prepared: Vec<String>,
+    /// Status queries behind a statement that fail, as if a late cancel had hit them.
+    pub failing_probes: usize,
     /// Cancel commands that reached a connection.
     pub cancels: usize,
 }
@@ -74,6 +76,7 @@
             copied: Vec::new(),
             settings: Vec::new(),
             prepared: Vec::new(),
+            failing_probes: 0,
             cancels: 0,
         }
     }
@@ -153,6 +156,7 @@
     copy_extended: bool,
     cancelled: bool,
     broken: bool,
+    ran: bool,
     output: VecDeque<Frame>,
 }
 
@@ -172,6 +176,7 @@
             copy_extended: false,
             cancelled: false,
             broken: false,
+            ran: false,
             output: VecDeque::new(),
         }
     }
@@ -362,7 +367,15 @@
             self.error("25P02", "current transaction is aborted");
             return self.ready();
         }
-        let status = self.server.lock().status(&self.name);
+        let mut server = self.server.lock();
+        if self.ran && server.failing_probes > 0 {
+            server.failing_probes -= 1;
+            drop(server);
+            self.error("57014", "canceling statement due to user request");
+            return self.ready();
+        }
+        let status = server.status(&self.name);
+        drop(server);
         let flushed: Vec<String> = status
             .flushed
             .iter()
@@ -443,6 +456,7 @@
     }
 
     fn run_statement(&mut self, text: &str, parameters: &[String]) -> Outcome {
+        self.ran = true;
         let mut server = self.server.lock();
         if let Some((needle, count)) = &mut server.break_before
             && *count > 0
