Wait a moment before watching the platform

Cause: a node that has just started knows nobody, takes itself for the first of its zone, and would open its watches at once: 1,500 nodes starting together would all meet the platform's rate limit.

--- a/crates/coordination/src/rollout/machine.rs
+++ b/crates/coordination/src/rollout/machine.rs
@@ -48,6 +48,8 @@
     pub(super) store: Store,
     pub(super) random: ChaCha8Rng,
     pub(super) watching: bool,
+    /// When to begin to watch, if the rank is still low enough then.
+    pub(super) watch_at: Option<Timestamp>,
     pub(super) platform_version: BundleVersion,
     /// Newest version that any member was heard to have.
     pub(super) heard_version: BundleVersion,
@@ -75,6 +77,7 @@
             store,
             random,
             watching: false,
+            watch_at: None,
             platform_version: BundleVersion(0),
             heard_version: BundleVersion(0),
             holders: Holders::default(),
@@ -106,7 +109,7 @@
         actions: &mut Vec<RolloutAction>,
     ) {
         match event {
-            RolloutEvent::ZoneRank(rank) => self.set_rank(rank, actions),
+            RolloutEvent::ZoneRank(rank) => self.set_rank(now, rank, actions),
             RolloutEvent::PlatformVersion(version) => {
                 self.take_platform_version(now, version, actions);
             }
@@ -138,14 +141,19 @@
             Fetch::Planned { at } => Some(at),
             Fetch::Asked { deadline } => Some(deadline),
         };
-        pull.into_iter().chain(fetch).min()
+        pull.into_iter().chain(fetch).chain(self.watch_at).min()
     }
 
-    fn set_rank(&mut self, rank: usize, actions: &mut Vec<RolloutAction>) {
-        let watching = rank < WATCHERS_PER_ZONE;
-        if watching != self.watching {
-            self.watching = watching;
-            actions.push(RolloutAction::WatchPlatform(watching));
+    /// A node that has just started knows nobody and takes itself for the first of its
+    /// zone, so it waits a little before it believes that.
+    fn set_rank(&mut self, now: Timestamp, rank: usize, actions: &mut Vec<RolloutAction>) {
+        if rank >= WATCHERS_PER_ZONE {
+            self.watch_at = None;
+            if std::mem::take(&mut self.watching) {
+                actions.push(RolloutAction::WatchPlatform(false));
+            }
+        } else if !self.watching && self.watch_at.is_none() {
+            self.watch_at = Some(now + LONELY_WAIT.mul_f64(self.random.random()));
         }
     }
 
@@ -245,6 +253,11 @@
     }
 
     fn run_timers(&mut self, now: Timestamp, actions: &mut Vec<RolloutAction>) {
+        if self.watch_at.is_some_and(|at| at <= now) {
+            self.watch_at = None;
+            self.watching = true;
+            actions.push(RolloutAction::WatchPlatform(true));
+        }
         match self.pull {
             Pull::Planned { at, avoid } if at <= now => self.ask(now, avoid, actions),
             Pull::Asked { node, deadline } if deadline <= now => {
--- a/crates/coordination/src/rollout/tests/network.rs
+++ b/crates/coordination/src/rollout/tests/network.rs
@@ -204,6 +204,11 @@
             RolloutAction::DrainLeaving(addresses) => {
                 self.drained.insert(node, addresses);
             }
+            RolloutAction::WatchPlatform(true) if self.weather.platform => {
+                let version = BundleVersion(self.platform_version);
+                let event = RolloutEvent::PlatformVersion(version);
+                self.put_after(10, Delivery::Event(node, event));
+            }
             RolloutAction::WatchPlatform(_) | RolloutAction::Rejected { .. } => {}
         }
     }
