Take a stopped proxy off the platform's list

Change: a planned stop marks the entry as leaving and revokes its lease at the end; stopping lets go of the filter that tied pools and fleet together. Conclusion: a test sees the entry live, leaving and gone; after a sudden end it stays until its lease lapses.

--- a/crates/transport/src/platform/registration.rs
+++ b/crates/transport/src/platform/registration.rs
@@ -1,12 +1,11 @@
 //! The node's own entry in the list of machines, under a lease.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
 use hookpoint_protocol::platform::PutRequest;
 use hookpoint_protocol::platform::records::{MachineRecord, MachineState};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::client::{PlatformClient, encode};
 use super::error::PlatformError;
@@ -20,24 +19,45 @@
 /// Shortest and longest pause after a failure.
 const PAUSE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
 
-/// Keeps the entry until it is told to leave.
+/// Longest wait for the entry's removal.
+const REMOVAL_LIMIT: Duration = Duration::from_secs(1);
+
+enum Request {
+    Leave,
+    Remove(oneshot::Sender<()>),
+}
+
+/// Keeps the entry as long as it lives.
 pub struct Registration {
-    states: mpsc::Sender<MachineState>,
+    requests: mpsc::Sender<Request>,
     task: JoinHandle<()>,
 }
 
 /// Enters `machine` into the list and keeps it there as long as the result lives. All
 /// of it is best effort: the list is a hint, and the membership is the truth.
 pub fn register(client: PlatformClient, machine: MachineRecord) -> Registration {
-    let (states, receiver) = mpsc::channel(1);
-    let task = actix_rt::spawn(keep(Rc::new(client), machine, receiver));
-    Registration { states, task }
+    let (requests, receiver) = mpsc::channel(2);
+    let keeper = Keeper {
+        client,
+        machine,
+        lease: None,
+    };
+    let task = actix_rt::spawn(keeper.run(receiver));
+    Registration { requests, task }
 }
 
 impl Registration {
-    /// Marks the entry as leaving; it lapses with its lease.
+    /// Marks the entry as leaving.
     pub fn leave(&self) {
-        let _queue_full_or_ended = self.states.try_send(MachineState::Leaving);
+        let _queue_full_or_ended = self.requests.try_send(Request::Leave);
+    }
+
+    /// Removes the entry. Without the platform it lapses with its lease.
+    pub async fn remove(&self) {
+        let (removed, removal) = oneshot::channel();
+        if self.requests.send(Request::Remove(removed)).await.is_ok() {
+            let _lapses_later = tokio::time::timeout(REMOVAL_LIMIT, removal).await;
+        }
     }
 }
 
@@ -47,55 +67,77 @@
     }
 }
 
-async fn keep(
-    client: Rc<PlatformClient>,
-    mut machine: MachineRecord,
-    mut states: mpsc::Receiver<MachineState>,
-) {
-    let (shortest, longest) = PAUSE;
-    let mut backoff = Backoff::new(shortest, longest);
-    let mut lease = None;
-    loop {
-        let pause = match renew(&client, &machine, &mut lease).await {
-            Ok(()) => {
-                backoff.reset();
-                RENEWAL_PERIOD
+struct Keeper {
+    client: PlatformClient,
+    machine: MachineRecord,
+    lease: Option<i64>,
+}
+
+impl Keeper {
+    async fn run(mut self, mut requests: mpsc::Receiver<Request>) {
+        let (shortest, longest) = PAUSE;
+        let mut backoff = Backoff::new(shortest, longest);
+        let mut written = false;
+        loop {
+            let pause = match self.renew(&mut written).await {
+                Ok(()) => {
+                    backoff.reset();
+                    RENEWAL_PERIOD
+                }
+                Err(error) => {
+                    log::debug!("platform: the node's entry cannot be renewed: {error}.");
+                    backoff.after(&error)
+                }
+            };
+            match tokio::time::timeout(pause, requests.recv()).await {
+                Ok(Some(Request::Leave)) => {
+                    self.machine.state = MachineState::Leaving;
+                    written = false;
+                }
+                Ok(Some(Request::Remove(removed))) => {
+                    self.remove().await;
+                    let _nobody_waits = removed.send(());
+                    return;
+                }
+                Ok(None) => return,
+                Err(_) => {}
             }
-            Err(error) => {
-                log::debug!("platform: the node's entry cannot be renewed: {error}.");
-                backoff.after(&error)
+        }
+    }
+
+    /// Renews the lease, or takes a new one, and writes the entry where it is not.
+    async fn renew(&mut self, written: &mut bool) -> Result<(), PlatformError> {
+        if let Some(id) = self.lease {
+            let kept = self.client.keep_lease_alive(id).await?;
+            if kept.time_to_live <= 0 {
+                self.lease = None;
             }
-        };
-        match tokio::time::timeout(pause, states.recv()).await {
-            Ok(Some(state)) => {
-                machine.state = state;
-                lease = None;
+        }
+        let lease = match self.lease {
+            Some(id) => id,
+            None => {
+                *written = false;
+                self.client.grant_lease(LEASE_TIME).await?.id
             }
-            Ok(None) => return,
-            Err(_) => {}
+        };
+        self.lease = Some(lease);
+        if !*written {
+            let request = PutRequest {
+                key: self.machine.key().as_str().into(),
+                value: encode(&self.machine)?.into(),
+                lease,
+            };
+            self.client.put(&request).await?;
+            *written = true;
         }
+        Ok(())
     }
-}
 
-async fn renew(
-    client: &PlatformClient,
-    machine: &MachineRecord,
-    lease: &mut Option<i64>,
-) -> Result<(), PlatformError> {
-    if let Some(id) = *lease {
-        let kept = client.keep_lease_alive(id).await?;
-        if kept.time_to_live > 0 {
-            return Ok(());
+    async fn remove(&mut self) {
+        if let Some(id) = self.lease.take()
+            && let Err(error) = self.client.revoke_lease(id).await
+        {
+            log::debug!("platform: the node's entry cannot be removed: {error}.");
         }
-        *lease = None;
     }
-    let granted = client.grant_lease(LEASE_TIME).await?;
-    let request = PutRequest {
-        key: machine.key().as_str().into(),
-        value: encode(machine)?.into(),
-        lease: granted.id,
-    };
-    client.put(&request).await?;
-    *lease = Some(granted.id);
-    Ok(())
 }
--- a/hookpoint/src/proxy/mod.rs
+++ b/hookpoint/src/proxy/mod.rs
@@ -49,6 +49,13 @@
     arbiters: Arbiters,
 }
 
+impl Running {
+    /// Lets go of the fleet, which the pools' filter holds and which holds the pools.
+    fn forget_homes(&self) {
+        self.pools.set_home(Arc::new(|_| false));
+    }
+}
+
 impl Proxy {
     /// Starts a proxy. Must be called inside an actix system. It takes sessions at
     /// once; until a bundle is in force, requests wait or are refused as not run.
@@ -121,6 +128,8 @@
             log::warn!("proxy: {left} forwarded leases did not end in time.");
         }
         running.pools.retire();
+        running.forget_homes();
+        running.platform.remove().await;
         running.fleet.shutdown();
         running.admin.stop(true).await;
         running.arbiters.stop();
@@ -135,6 +144,7 @@
         running.arbiters.stop();
         running.callers.abort().await;
         running.admin.stop(false).await;
+        running.forget_homes();
         log::info!("proxy: node {} was aborted.", self.node());
     }
 }
--- a/hookpoint/src/proxy/parts.rs
+++ b/hookpoint/src/proxy/parts.rs
@@ -20,7 +20,7 @@
 };
 use hookpoint_transport::shared::Shared;
 use sha2::{Digest as _, Sha256};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use super::fleet_source::MembershipSource;
 use super::rollout;
@@ -209,7 +209,7 @@
 
 /// The side towards the platform, on a thread of its own.
 pub(super) struct PlatformSide {
-    leaving: mpsc::Sender<()>,
+    registration: Option<Registration>,
     /// Keeps the rollout going.
     _rollout: RolloutHandle,
 }
@@ -217,7 +217,16 @@
 impl PlatformSide {
     /// Marks the node as leaving in the platform's list, as far as that goes.
     pub fn leave(&self) {
-        let _already_told = self.leaving.try_send(());
+        if let Some(registration) = &self.registration {
+            registration.leave();
+        }
+    }
+
+    /// Takes the node off the platform's list, as far as that goes.
+    pub async fn remove(&self) {
+        if let Some(registration) = &self.registration {
+            registration.remove().await;
+        }
     }
 }
 
@@ -228,7 +237,6 @@
     fleet: &FleetHandle,
     arbiters: &Arbiters,
 ) -> Result<PlatformSide, ProxyError> {
-    let (leaving, leave) = mpsc::channel(1);
     let (started, start) = oneshot::channel();
     let section = settings.platform.clone();
     let machine = own_machine(settings, fleet);
@@ -238,17 +246,14 @@
         let client = client_of(&section);
         let (commands, events) = PlatformFollower::start(client);
         let rollout = rollout::start(shared, trusted, commands, events, fleet);
-        if section.register && !section.urls.is_empty() {
-            let registration = register(client_of(&section), machine);
-            actix_rt::spawn(leave_when_told(registration, leave));
-        }
-        let _start_given_up = started.send(rollout);
+        let registers = section.register && !section.urls.is_empty();
+        let side = PlatformSide {
+            registration: registers.then(|| register(client_of(&section), machine)),
+            _rollout: rollout,
+        };
+        let _start_given_up = started.send(side);
     });
-    let rollout = start.await.map_err(|_| ProxyError::ThreadEnded)?;
-    Ok(PlatformSide {
-        leaving,
-        _rollout: rollout,
-    })
+    start.await.map_err(|_| ProxyError::ThreadEnded)
 }
 
 fn client_of(section: &PlatformSection) -> PlatformClient {
@@ -264,11 +269,3 @@
         state: MachineState::Live,
     }
 }
-
-async fn leave_when_told(registration: Registration, mut leave: mpsc::Receiver<()>) {
-    if leave.recv().await.is_some() {
-        registration.leave();
-        // The registration lives on until the thread ends, so that the word gets out.
-        std::future::pending::<()>().await;
-    }
-}
--- a/lab/tests/proxy.rs
+++ b/lab/tests/proxy.rs
@@ -4,12 +4,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use common::{PATIENCE, bundle_of, connect, in_force, operator_key, roll, settings};
 use hookpoint::proxy::{Proxy, ProxyHandle};
 use hookpoint_coordination::explain::{Decision, Entry};
 use hookpoint_lab::stack::{DatabaseOptions, Stack};
-use hookpoint_protocol::platform::records::{MachineRecord, MachineState};
+use hookpoint_protocol::platform::records::{MACHINE_PREFIX, MachineRecord, MachineState};
 use hookpoint_state::bundle::{Bundle, BundleVersion, OperatorKey};
 use hookpoint_state::{SessionId, ZoneName};
 use hookpoint_transport::admin::{FleetStatus, Health, Readiness};
@@ -253,3 +254,58 @@
     assert_eq!(get(&proxy, "/nothing").await.0, 404);
     proxy.stop().await;
 }
+
+/// The state of the only node in the platform's list, once it satisfies `reached`.
+async fn listed(stack: &Stack, name: &str, reached: impl Fn(Option<MachineState>) -> bool) {
+    let waiting = async {
+        loop {
+            let entries = stack.platform.list(MACHINE_PREFIX);
+            let states = entries.iter().map(|entry| {
+                let machine: MachineRecord = serde_json::from_slice(&entry.value).expect("one");
+                machine.state
+            });
+            if reached(states.last()) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting).await.expect(name);
+}
+
+#[actix_rt::test]
+async fn a_proxy_enters_itself_in_the_list_and_leaves_it() {
+    let stack = stack().await;
+    let proxy = Proxy::start(settings(&stack, 0)).await.expect("a proxy");
+    listed(&stack, "it is listed", |state| {
+        state == Some(MachineState::Live)
+    })
+    .await;
+    let leases = stack.platform.leases();
+    assert_eq!(leases.len(), 1);
+    let stopping = proxy.clone();
+    let stop = actix_rt::spawn(async move { stopping.stop().await });
+    listed(&stack, "it is leaving", |state| {
+        state == Some(MachineState::Leaving)
+    })
+    .await;
+    stop.await.expect("it stops");
+    listed(&stack, "it is gone", |state| state.is_none()).await;
+    assert_eq!(stack.platform.leases(), Vec::<i64>::new());
+    let sudden = Proxy::start(settings(&stack, 0)).await.expect("a proxy");
+    listed(&stack, "it is listed", |state| {
+        state == Some(MachineState::Live)
+    })
+    .await;
+    sudden.abort().await;
+    assert_eq!(
+        stack.platform.list(MACHINE_PREFIX).len(),
+        1,
+        "until its lease lapses"
+    );
+    stack
+        .platform
+        .expire_lease(stack.platform.leases()[0])
+        .expect("lapsed");
+    listed(&stack, "it is gone", |state| state.is_none()).await;
+}
