Fix two races in the replay of the database stand-in

Cause: a session that waited for a majority kept the lock of what it waited on while it took the group's, against the order of the thread that told it; on several threads both stood still for ever. And entries that were due when the log was cut below them could be replayed after the cut.

Change: the lock goes before anything else is taken; every cut of the log makes older work void. The failover tests run on four threads, with one more for many sessions at once. The delay of a connection uses the links' timer.

--- a/lab/standin/src/database/error.rs
+++ b/lab/standin/src/database/error.rs
@@ -11,15 +11,9 @@
     /// Two databases have the same name.
     #[error("database {0} is named twice")]
     DuplicateName(String),
-    /// No database of the group has this name.
-    #[error("the group has no database {0}")]
-    UnknownName(String),
     /// A listening socket could not be made.
     #[error("cannot listen on a loopback port")]
     Listen(#[source] io::Error),
-    /// The row store could not be opened.
-    #[error("cannot open the row store")]
-    Store(#[source] rusqlite::Error),
     /// A statement of the schema failed.
     #[error("a schema statement failed: {0}")]
     Schema(#[source] SqlError),
--- a/lab/standin/src/database/node.rs
+++ b/lab/standin/src/database/node.rs
@@ -44,8 +44,8 @@
     store: Store,
     applied: usize,
     position: Lsn,
-    /// How often the log was cut below what had been replayed.
-    rebuilds: u64,
+    /// How often the log was cut.
+    cuts: u64,
 }
 
 /// Entries that are to be replayed next.
@@ -53,7 +53,7 @@
     entries: Vec<Arc<Entry>>,
     /// Number of entries before them.
     start: usize,
-    rebuilds: u64,
+    cuts: u64,
     /// When there will be more, if that is known.
     next: Option<Instant>,
 }
@@ -61,7 +61,7 @@
 struct Inner {
     consensus: Consensus,
     received: Vec<Instant>,
-    rebuilds: u64,
+    cuts: u64,
     alive: bool,
     paused: bool,
     working: Option<Arc<Working>>,
@@ -122,7 +122,7 @@
             inner: Mutex::new(Inner {
                 consensus,
                 received: vec![Instant::now()],
-                rebuilds: 0,
+                cuts: 0,
                 alive: true,
                 paused: false,
                 working,
@@ -131,7 +131,7 @@
                 store,
                 applied: 1,
                 position: first.end,
-                rebuilds: 0,
+                cuts: 0,
             }),
             applied: AtomicUsize::new(1),
             replayed: AtomicU64::new(first.end.0),
@@ -247,7 +247,7 @@
             return due.next;
         }
         let mut committed = self.committed.lock();
-        if committed.rebuilds == due.rebuilds {
+        if committed.cuts == due.cuts {
             let done = committed.applied.saturating_sub(due.start);
             for entry in due.entries.iter().skip(done) {
                 committed.apply(entry);
@@ -265,7 +265,7 @@
         let mut due = Due {
             entries: Vec::new(),
             start,
-            rebuilds: inner.rebuilds,
+            cuts: inner.cuts,
             next: None,
         };
         if !inner.alive || inner.paused {
@@ -339,7 +339,10 @@
 
     fn truncate(&self, inner: &mut Inner, length: usize) {
         inner.received.truncate(length);
+        inner.cuts += 1;
         let mut committed = self.committed.lock();
+        // What is due of the old log must not be replayed any more.
+        committed.cuts = inner.cuts;
         if committed.applied <= length {
             return;
         }
@@ -349,8 +352,7 @@
             committed.applied - length
         );
         self.end_connections(false);
-        inner.rebuilds += 1;
-        match Committed::rebuild(&inner.consensus.log()[..length], inner.rebuilds) {
+        match Committed::rebuild(&inner.consensus.log()[..length], inner.cuts) {
             Ok(rebuilt) => {
                 *committed = rebuilt;
                 self.publish(&committed);
@@ -564,12 +566,12 @@
 }
 
 impl Committed {
-    fn rebuild(log: &[Arc<Entry>], rebuilds: u64) -> Result<Self, SqlError> {
+    fn rebuild(log: &[Arc<Entry>], cuts: u64) -> Result<Self, SqlError> {
         let mut rebuilt = Self {
             store: Store::open()?,
             applied: 0,
             position: Lsn(0),
-            rebuilds,
+            cuts,
         };
         for entry in log {
             rebuilt.apply(entry);
--- a/lab/standin/src/database/startup.rs
+++ b/lab/standin/src/database/startup.rs
@@ -1,7 +1,7 @@
 //! Opens client connections: start-up, authentication and cancel requests.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pgwire::api::auth::sasl::scram::{
     SCRAM_ITERATIONS, ScramSecret, ScramServerAuth, gen_salted_password,
@@ -20,6 +20,7 @@
 use super::session::{Identity, Session};
 use super::session_settings::SessionSettings;
 use super::wire::{Wire, WireError};
+use crate::links;
 
 /// The mechanism offered when a password is set.
 const MECHANISM: &str = "SCRAM-SHA-256";
@@ -112,7 +113,7 @@
         let message = NegotiateProtocolVersion::new(0, Vec::new());
         wire.push(PgWireBackendMessage::NegotiateProtocolVersion(message))?;
     }
-    tokio::time::sleep(node.group.connect_delay).await;
+    links::sleep_until(Instant::now() + node.group.connect_delay).await;
     if let Some(password) = &node.settings.password
         && let Err(error) = authenticate(wire, password).await?
     {
--- a/lab/standin/src/database/utility.rs
+++ b/lab/standin/src/database/utility.rs
@@ -224,16 +224,17 @@
     async fn wait_for_majority(&self, length: usize) -> Result<(), SqlError> {
         let mut majorities = self.node.majorities();
         let reached = majorities.wait_for(|majority| *majority >= length);
-        match tokio::time::timeout(self.node.group.commit_wait, reached).await {
-            Ok(Ok(_)) => {
-                self.node.catch_up_to(length);
-                Ok(())
-            }
-            _ => Err(SqlError::fatal(
+        let waited = tokio::time::timeout(self.node.group.commit_wait, reached).await;
+        // What the wait answers is a lock, which must go before anything else.
+        let reached = waited.is_ok_and(|majority| majority.is_ok());
+        if !reached {
+            return Err(SqlError::fatal(
                 SqlState::AdminShutdown,
                 "terminating connection: no majority confirmed the commit in time",
-            )),
+            ));
         }
+        self.node.catch_up_to(length);
+        Ok(())
     }
 
     /// Gives the open transaction up.
--- a/lab/standin/tests/database_failover.rs
+++ b/lab/standin/tests/database_failover.rs
@@ -89,7 +89,7 @@
     until_replayed(group).await;
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn no_acknowledged_write_is_lost() {
     for loss in LOSSES {
         let group = start(quick_group()).await;
@@ -125,7 +125,7 @@
     }
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn the_most_advanced_replica_is_elected() {
     for behind in ["b", "c"] {
         let group = start(quick_group()).await;
@@ -144,7 +144,7 @@
     }
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn isolated_primary_acknowledges_nothing_with_synchronous_commit() {
     let group = start(quick_group()).await;
     let client = connect(&group, "a").await;
@@ -157,7 +157,7 @@
     group.stop().await;
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn isolated_primary_gets_no_flush_positions() {
     let group = start(GroupSettings {
         synchronous_commit: false,
@@ -216,7 +216,7 @@
     Lsn(high << 32 | u64::from_str_radix(low, 16).expect("hexadecimal"))
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn without_a_majority_nobody_leads() {
     let group = start(quick_group()).await;
     group.kill("a");
@@ -239,7 +239,7 @@
     group.stop().await;
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn switchover_loses_nothing() {
     let group = start(quick_group()).await;
     let client = connect(&group, "a").await;
@@ -260,7 +260,7 @@
     group.stop().await;
 }
 
-#[tokio::test]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn replicas_lag_and_their_positions_only_grow() {
     let mut settings = quick_group();
     settings.databases.push(database("d"));
@@ -290,3 +290,37 @@
     assert_eq!(number(&lagging, "SELECT count(*) FROM notes").await, 50);
     group.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn many_sessions_share_a_group_on_many_threads() {
+    let group = start(quick_group()).await;
+    let mut writers = Vec::new();
+    for writer in 0..5_i64 {
+        let client = connect(&group, "a").await;
+        writers.push(tokio::spawn(async move {
+            for number in 0..100 {
+                let id = writer * 1000 + number;
+                let parameters: [&(dyn ToSql + Sync); 1] = [&id];
+                client
+                    .execute("INSERT INTO notes VALUES ($1, 'x')", &parameters)
+                    .await
+                    .expect("the write runs");
+                let read = "SELECT id FROM notes WHERE id = $1";
+                client
+                    .query_one(read, &parameters)
+                    .await
+                    .expect("the write is seen");
+                texts(&client, STATUS_QUERY).await;
+            }
+        }));
+    }
+    for writer in writers {
+        tokio::time::timeout(database_support::PATIENCE, writer)
+            .await
+            .expect("nobody waits for ever")
+            .expect("the writer ends");
+    }
+    until_same_logs(&group).await;
+    assert_eq!(stored_ids(&group, "b").await.len(), 500);
+    group.stop().await;
+}
