--- a/crates/transport/src/admin/status.rs
+++ b/crates/transport/src/admin/status.rs
@@ -6,6 +6,9 @@
 use hookpoint_state::{BundleVersion, NodeId, RegionName, ZoneName};
 use serde::{Deserialize, Serialize};
 
+/// State of a node that the membership takes for dead.
+const DEAD: &str = "dead";
+
 /// Whether the node takes sessions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -63,9 +66,14 @@
 }
 
 impl FleetStatus {
-    /// The nodes that do not have the newest version in force.
+    /// The nodes that are not known to be dead.
+    pub fn present(&self) -> impl Iterator<Item = &NodeStatus> {
+        self.nodes.iter().filter(|node| node.state != DEAD)
+    }
+
+    /// The present nodes that do not have the newest version in force.
     pub fn behind(&self) -> impl Iterator<Item = &NodeStatus> {
-        self.nodes.iter().filter(|node| node.bundle < self.newest)
+        self.present().filter(|node| node.bundle < self.newest)
     }
 }
 
--- a/hookpoint/src/command/fleet.rs
+++ b/hookpoint/src/command/fleet.rs
@@ -31,6 +31,6 @@
     println!(
         "newest bundle {}; {} nodes; {behind} not yet there",
         fleet.newest.0,
-        fleet.nodes.len()
+        fleet.present().count()
     );
 }
