--- a/lab/standin/src/database/consensus.rs
+++ b/lab/standin/src/database/consensus.rs
@@ -142,6 +142,11 @@
         &self.peers
     }
 
+    /// When a primary was last heard here.
+    pub fn heard_at(&self) -> Instant {
+        self.heard_at
+    }
+
     /// The primary that this replica heard within its election timeout.
     pub fn heard_primary(&self, now: Instant) -> Option<Member> {
         let heard = now.saturating_duration_since(self.heard_at) < self.timing.election_timeout;
--- a/lab/standin/src/database/error.rs
+++ b/lab/standin/src/database/error.rs
@@ -236,7 +236,11 @@
 }
 
 /// Message fragments of the embedded engine and the SQLSTATE they stand for.
-const FRAGMENTS: [(&str, SqlState); 15] = [
+const FRAGMENTS: [(&str, SqlState); 16] = [
+    (
+        "unrecognized configuration parameter",
+        SqlState::UndefinedObject,
+    ),
     ("invalid input syntax", SqlState::InvalidTextRepresentation),
     (
         "recovery is in progress",
--- a/lab/standin/src/database/execute.rs
+++ b/lab/standin/src/database/execute.rs
@@ -169,6 +169,10 @@
             .tokens
             .iter()
             .any(|token| token.is_any_word(&view::NAMES));
+        let asks_settings = statement
+            .tokens
+            .iter()
+            .any(|token| token.is_word("current_setting"));
         let seed = self.node.next_seed();
         let identity = &self.identity;
         let timestamp = self.transaction.timestamp;
@@ -188,6 +192,9 @@
             if reads_views {
                 store.fill_views(&view)?;
             }
+            if asks_settings {
+                store.set_settings(identity.settings.by_name());
+            }
             work(store)
         };
         match (&self.transaction.write, &mut self.transaction.rows) {
--- a/lab/standin/src/database/functions.rs
+++ b/lab/standin/src/database/functions.rs
@@ -1,5 +1,6 @@
 //! PostgreSQL's functions, defined in the embedded engine.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
@@ -34,6 +35,8 @@
     pub user: String,
     /// Database name that the session gave.
     pub database: String,
+    /// Settings of the session, when the statement asks for any.
+    pub settings: BTreeMap<String, String>,
     /// Results of the statement's advisory lock calls, last first.
     pub lock_results: Vec<bool>,
 }
@@ -50,6 +53,7 @@
             process: 0,
             user: String::new(),
             database: String::new(),
+            settings: BTreeMap::new(),
             lock_results: Vec::new(),
         }
     }
@@ -65,6 +69,8 @@
 enum FunctionError {
     #[error("recovery is in progress")]
     InRecovery,
+    #[error("unrecognized configuration parameter \"{0}\"")]
+    UnknownSetting(String),
     #[error("invalid input syntax for type {kind}: \"{text}\"")]
     InvalidInput { kind: &'static str, text: String },
 }
@@ -205,6 +211,21 @@
     define(connection, "current_schema", 0, shared, |_, _| {
         Ok(Value::Text("public".to_owned()))
     })?;
+    define(
+        connection,
+        "current_setting",
+        -1,
+        shared,
+        |context, call| {
+            let name: String = call.get(0)?;
+            let missing_ok = call.len() > 1 && call.get(1)?;
+            match context.settings.get(&name.to_lowercase()) {
+                Some(value) => Ok(Value::Text(value.clone())),
+                None if missing_ok => Ok(Value::Null),
+                None => Err(failed(FunctionError::UnknownSetting(name))),
+            }
+        },
+    )?;
     define(connection, "version", 0, shared, |_, _| {
         Ok(Value::Text(
             "PostgreSQL 16.0 (hookpoint stand-in)".to_owned(),
--- a/lab/standin/src/database/group.rs
+++ b/lab/standin/src/database/group.rs
@@ -122,7 +122,7 @@
         started.spawn(&network)?;
         started
             .history
-            .elected(first.term, &group.databases[0].name);
+            .elected(first.term, &group.databases[0].name, None);
         Ok(started)
     }
 
--- a/lab/standin/src/database/history.rs
+++ b/lab/standin/src/database/history.rs
@@ -13,8 +13,9 @@
     pub primary: String,
     /// When it began to lead.
     pub at: Instant,
-    /// When the primary before it was killed, paused, cut off or told to hand
-    /// over; none if it was lost otherwise.
+    /// When the primary before it was killed, paused, isolated or told to hand
+    /// over; if none of that was asked for, when the new primary last heard it.
+    /// None for the first primary.
     pub old_primary_lost_at: Option<Instant>,
 }
 
@@ -42,14 +43,14 @@
         self.events.lock().lost_at = None;
     }
 
-    /// Notes an election.
-    pub fn elected(&self, term: u64, primary: &str) {
+    /// Notes an election by a primary that last heard another at `heard_at`.
+    pub fn elected(&self, term: u64, primary: &str, heard_at: Option<Instant>) {
         let mut events = self.events.lock();
         let record = ElectionRecord {
             term,
             primary: primary.to_owned(),
             at: Instant::now(),
-            old_primary_lost_at: events.lost_at.take(),
+            old_primary_lost_at: events.lost_at.take().or(heard_at),
         };
         events.elections.push(record);
     }
--- a/lab/standin/src/database/session_settings.rs
+++ b/lab/standin/src/database/session_settings.rs
@@ -171,6 +171,17 @@
             .collect()
     }
 
+    /// All settings with their values, by name in lower case.
+    pub fn by_name(&self) -> BTreeMap<String, String> {
+        let mut values: BTreeMap<String, String> = KNOWN
+            .iter()
+            .map(|known| (known.name.to_lowercase(), known.default.to_owned()))
+            .collect();
+        values.extend(self.first.clone());
+        values.extend(self.changed.clone());
+        values
+    }
+
     /// The settings whose changes the client is told.
     pub fn reported(&self) -> Vec<(&'static str, String)> {
         KNOWN
--- a/lab/standin/src/database/statement.rs
+++ b/lab/standin/src/database/statement.rs
@@ -137,6 +137,13 @@
 
     /// Whether it needs a read-write transaction.
     pub fn writes(&self) -> bool {
+        const IGNORED_CHANGES: [&str; 6] =
+            ["CREATE", "DROP", "ALTER", "GRANT", "REVOKE", "COMMENT"];
+        let ignored_change =
+            self.kind == StatementKind::NoOperation && self.tokens[0].is_any_word(&IGNORED_CHANGES);
+        if ignored_change {
+            return true;
+        }
         matches!(
             self.kind,
             StatementKind::Write
--- a/lab/standin/src/database/store.rs
+++ b/lab/standin/src/database/store.rs
@@ -1,6 +1,6 @@
 //! The rows of one database, kept by an embedded SQL engine in memory.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -121,6 +121,11 @@
         context.lock_results = locks;
     }
 
+    /// Sets what `current_setting` answers.
+    pub fn set_settings(&mut self, settings: BTreeMap<String, String>) {
+        self.context.lock().settings = settings;
+    }
+
     /// Sets the time and the source of chance of the next statement.
     pub fn set_chance(&mut self, timestamp: i64, seed: u64) {
         let mut context = self.context.lock();
--- a/lab/standin/tests/database_sql.rs
+++ b/lab/standin/tests/database_sql.rs
@@ -111,6 +111,7 @@
         ("INSERT INTO notes VALUES (3, 'z')", "25006"),
         ("UPDATE notes SET body = 'z'", "25006"),
         ("CREATE TABLE more (id INT)", "25006"),
+        ("CREATE SCHEMA more", "25006"),
         ("SELECT * FROM notes FOR UPDATE", "25006"),
         (
             "WITH gone AS (DELETE FROM notes RETURNING id) SELECT * FROM gone",
