Let prepared statements be flushed without holding a connection

Cause: a driver that prepares with Parse, Describe and Flush, and sends Sync only with the execution, kept a connection of the primary from the flush on, and its reads never reached a replica. A simple query behind extended messages without Sync was refused.

Change: messages that only prepare and describe are a unit of their own also behind a Flush. A simple query ends what stands before it. A unit that stays open is ended by the limit of idle transactions.

--- a/crates/transport/src/caller/active.rs
+++ b/crates/transport/src/caller/active.rs
@@ -9,6 +9,7 @@
 use hookpoint_coordination::status::BackendStatus;
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
 use hookpoint_protocol::errors::BackendError;
+use hookpoint_protocol::extended;
 use hookpoint_protocol::frame::Frame;
 use hookpoint_protocol::reply::{self, TransactionStatus};
 use hookpoint_protocol::status_query::StatusCollector;
@@ -16,7 +17,7 @@
 use hookpoint_state::{DatabaseName, Position, Refusal, RequestId, Timestamp, UnknownCause};
 use tokio::sync::mpsc;
 
-use crate::caller::answer::Answer;
+use crate::caller::answer::{Answer, Step};
 use crate::caller::drain;
 use crate::caller::flight::{Flight, Section};
 use crate::caller::unit::{Translation, UnitPlan};
@@ -182,6 +183,7 @@
     pub fn follow(&mut self, tag: u8, translation: Translation) {
         if tag == frontend::SYNC {
             self.plan.open = false;
+            self.plan.ready = true;
         }
         let traits = &self.plan.traits;
         self.dirty |= traits.leaves_state || !traits.settings.is_empty();
@@ -210,6 +212,15 @@
         self.release(false);
     }
 
+    /// A simple query ends the messages of a unit that is open, as a `Sync` would, but
+    /// without an answer of its own.
+    pub fn end_by_query(&mut self) {
+        self.plan.open = false;
+        self.plan.ready = false;
+        self.answer.expect(Step::Sync);
+        self.relay(&extended::sync());
+    }
+
     /// Whether the machine waits for something although the answer is complete.
     pub fn machine_is_busy(&self) -> bool {
         self.acquire.is_some() || self.verify.is_some() || self.timer.is_some()
--- a/crates/transport/src/caller/answer.rs
+++ b/crates/transport/src/caller/answer.rs
@@ -171,6 +171,11 @@
         self.complete.then_some(&self.ending)
     }
 
+    /// Whether it holds an error.
+    pub fn has_failed(&self) -> bool {
+        self.ending.sqlstate.is_some()
+    }
+
     /// Names of statements whose `ParseComplete` was never given.
     pub fn take_parse_failures(&mut self) -> Vec<String> {
         std::mem::take(&mut self.parse_failures)
--- a/crates/transport/src/caller/drive.rs
+++ b/crates/transport/src/caller/drive.rs
@@ -34,6 +34,7 @@
     Room,
     Message(Frame),
     Gone(CallerGone),
+    Idle,
     Cancelled,
 }
 
@@ -270,6 +271,7 @@
     }
 
     async fn next_input(&mut self) -> Input {
+        let idle_limit = self.idle_limit();
         let Session {
             stream,
             transaction,
@@ -302,6 +304,7 @@
             reply = reply_of(&mut active.lease), if has_room => Input::Reply(reply),
             () = room_of(commands), if blocked => Input::Room,
             input = caller_input(stream, takes_input) => input,
+            () = tokio::time::sleep(idle_limit), if takes_input => Input::Idle,
             () = guard.entry.cancelled(), if unsent => Input::Cancelled,
         }
     }
@@ -340,6 +343,10 @@
                 self.handle(RequestEvent::CallerGone);
                 return Err(gone.into());
             }
+            Input::Idle => {
+                self.handle(RequestEvent::CallerGone);
+                return Err(SessionEnd::IdleTransaction);
+            }
             Input::Cancelled => {
                 self.handle(RequestEvent::CallerGone);
                 if let Some(active) = &mut self.transaction {
@@ -394,6 +401,10 @@
                 active.relay(frame);
             }
             frontend::FLUSH => active.relay(frame),
+            frontend::QUERY if !active.answer.is_copying() => {
+                self.stream.put_back(frame.clone());
+                active.end_by_query();
+            }
             _ => {
                 let translated =
                     active
--- a/crates/transport/src/caller/finish.rs
+++ b/crates/transport/src/caller/finish.rs
@@ -42,8 +42,12 @@
         {
             self.spend_mark(request);
         }
+        let failed = refusal.is_some() || active.answer.has_failed();
+        let ready = active.plan.ready;
         self.settle(active, refusal.is_some());
-        self.write_ready();
+        if ready || failed {
+            self.end_refused(ready);
+        }
     }
 
     /// Tells the caller that its request did not run, and keeps a record of it.
@@ -97,7 +101,7 @@
         }
         active.release(false);
         let ended = active.plan.traits.ends_transaction;
-        let open = active.plan.open;
+        let ready = active.plan.ready && !active.plan.open;
         self.settings.roll_back();
         self.statements.end_transaction();
         if self.status.is_open() && !ended {
@@ -106,6 +110,6 @@
         } else {
             self.status = TransactionStatus::Idle;
         }
-        self.end_refused(open);
+        self.end_refused(ready);
     }
 }
--- a/crates/transport/src/caller/mod.rs
+++ b/crates/transport/src/caller/mod.rs
@@ -26,6 +26,7 @@
 mod statements;
 mod stream;
 mod tls;
+mod traits;
 mod unit;
 
 pub use listener::{CallerHandle, CallerListener};
--- a/crates/transport/src/caller/own_answers.rs
+++ b/crates/transport/src/caller/own_answers.rs
@@ -32,7 +32,7 @@
                 }
             }
         }
-        if !plan.open {
+        if plan.ready {
             self.write_ready();
         } else if failed {
             self.skipping = true;
@@ -139,7 +139,7 @@
         let empty = !plan.needs_connection && !plan.has_local;
         if !empty && !plan.traits.only_ends {
             self.stream.write(&error::aborted_transaction());
-            self.end_refused(plan.open);
+            self.end_refused(plan.ready);
             return;
         }
         if plan.simple {
@@ -150,7 +150,7 @@
                 self.answer_aborted_step(*tag);
             }
         }
-        if !plan.open {
+        if plan.ready {
             self.write_ready();
         }
     }
--- a/crates/transport/src/caller/session.rs
+++ b/crates/transport/src/caller/session.rs
@@ -20,7 +20,7 @@
 use crate::caller::registry::{SessionGuard, StopMode};
 use crate::caller::statements::StatementTable;
 use crate::caller::stream::CallerStream;
-use crate::caller::unit::{CallerUnit, UnitPlan};
+use crate::caller::unit::{CallerUnit, UnitEnd, UnitPlan};
 
 /// A session after its start-up.
 pub struct Session {
@@ -154,13 +154,17 @@
         match frame.tag {
             frontend::SYNC => {
                 self.skipping = false;
-                Ok(Some(self.take_batch(false)))
+                Ok(Some(self.take_batch(UnitEnd::Sync)))
             }
             frontend::FLUSH if self.batch.is_empty() => Ok(None),
-            frontend::FLUSH => Ok(Some(self.take_batch(true))),
+            frontend::FLUSH => Ok(Some(self.take_batch(UnitEnd::Flush))),
             frontend::QUERY | frontend::FUNCTION_CALL if self.batch.is_empty() => {
                 Ok(Some(CallerUnit::Simple(frame)))
             }
+            frontend::QUERY | frontend::FUNCTION_CALL => {
+                self.stream.put_back(frame);
+                Ok(Some(self.take_batch(UnitEnd::Query)))
+            }
             frontend::TERMINATE => Err(SessionEnd::Terminated),
             frontend::COPY_DATA | frontend::COPY_DONE | frontend::COPY_FAIL => Ok(None),
             frontend::PARSE
@@ -179,11 +183,11 @@
         }
     }
 
-    fn take_batch(&mut self, open: bool) -> CallerUnit {
+    fn take_batch(&mut self, end: UnitEnd) -> CallerUnit {
         self.batch_bytes = 0;
         CallerUnit::Extended {
             frames: std::mem::take(&mut self.batch),
-            open,
+            end,
         }
     }
 
@@ -226,7 +230,7 @@
         }
     }
 
-    fn idle_limit(&self) -> Duration {
+    pub(super) fn idle_limit(&self) -> Duration {
         let limits = self
             .context
             .shared
@@ -237,13 +241,16 @@
 
     /// Has a unit answered.
     async fn answer(&mut self, unit: CallerUnit) -> Result<(), SessionEnd> {
-        let open = matches!(unit, CallerUnit::Extended { open: true, .. });
+        let ready = match &unit {
+            CallerUnit::Simple(_) => true,
+            CallerUnit::Extended { end, .. } => *end == UnitEnd::Sync,
+        };
         match self.plan(&unit) {
             Ok(plan) => self.answer_plan(plan).await?,
             Err(error) => {
                 self.stream.write(&error::unit_error(&error));
                 self.fail_transaction();
-                self.end_refused(open);
+                self.end_refused(ready);
             }
         }
         if self.stream.pending() > 0 {
@@ -259,14 +266,14 @@
                 Err(MalformedMessage { tag: frame.tag }.into())
             }
             CallerUnit::Simple(frame) => UnitPlan::simple(frame, classifier),
-            CallerUnit::Extended { frames, open } => {
-                UnitPlan::extended(frames, *open, &mut self.statements, classifier)
+            CallerUnit::Extended { frames, end } => {
+                UnitPlan::extended(frames, *end, &mut self.statements, classifier)
             }
         }
     }
 
     async fn answer_plan(&mut self, plan: UnitPlan) -> Result<(), SessionEnd> {
-        let open = plan.open;
+        let ready = plan.ready;
         if self.aborted {
             self.answer_aborted(&plan);
             return Ok(());
@@ -274,7 +281,7 @@
         if let Some(refusal) = self.refusal_of(&plan) {
             self.tell_refusal(&refusal);
             self.fail_transaction();
-            self.end_refused(open);
+            self.end_refused(ready);
             return Ok(());
         }
         if !plan.needs_connection {
@@ -286,11 +293,11 @@
 
     /// Ends a unit that was refused: with `ReadyForQuery`, or by skipping what the
     /// caller still sends of it.
-    pub(super) fn end_refused(&mut self, open: bool) {
-        if open {
-            self.skipping = true;
-        } else {
+    pub(super) fn end_refused(&mut self, ready: bool) {
+        if ready {
             self.write_ready();
+        } else {
+            self.skipping = true;
         }
     }
 
--- a/crates/transport/src/caller/stream.rs
+++ b/crates/transport/src/caller/stream.rs
@@ -50,6 +50,7 @@
 pub struct CallerStream {
     io: Box<dyn ByteStream>,
     input: BytesMut,
+    returned: Option<Frame>,
     output: BytesMut,
     codec: FrameCodec,
     write_timeout: Duration,
@@ -61,6 +62,7 @@
         Self {
             io,
             input: BytesMut::new(),
+            returned: None,
             output: BytesMut::new(),
             codec: FrameCodec::new(message_limit),
             write_timeout,
@@ -95,8 +97,16 @@
         Ok(self.input.split_to(length))
     }
 
+    /// Puts a frame back to be read again.
+    pub fn put_back(&mut self, frame: Frame) {
+        self.returned = Some(frame);
+    }
+
     /// A frame that has already arrived whole.
     pub fn buffered(&mut self) -> Result<Option<Frame>, CallerGone> {
+        if let Some(frame) = self.returned.take() {
+            return Ok(Some(frame));
+        }
         Ok(self.codec.decode(&mut self.input)?)
     }
 
--- /dev/null
+++ b/crates/transport/src/caller/traits.rs
@@ -0,0 +1,108 @@
+//! What a unit may do, over all its statements.
+
+use hookpoint_coordination::request::Access;
+use hookpoint_protocol::classify::{
+    CopyDirection, SessionEffect, SettingChange, StatementKind, TransactionMode, UnitClass,
+};
+use hookpoint_state::RequestId;
+
+/// Parameter that says whether the transaction is read-only.
+const READ_ONLY_SETTING: &str = "transaction_read_only";
+
+/// What a unit may do, over all its statements.
+#[derive(Clone, Debug, Default)]
+pub struct UnitTraits {
+    /// Whether every statement is a proved read.
+    pub reads_only: bool,
+    /// Whether its end may commit when it runs outside a transaction block.
+    pub may_commit: bool,
+    /// Whether it may commit when it runs inside a transaction block.
+    pub may_commit_in_block: bool,
+    /// Whether it leaves a transaction block open, and which.
+    pub opens_transaction: Option<TransactionMode>,
+    /// Whether it ends a transaction block.
+    pub ends_transaction: bool,
+    /// Whether it may leave state on the connection.
+    pub leaves_state: bool,
+    /// Changes of run-time parameters.
+    pub settings: Vec<SettingChange>,
+    /// A feature that pooling cannot carry.
+    pub unsupported: Option<String>,
+    /// Identifier of a request that is not repeatable.
+    pub request_id: Option<RequestId>,
+    /// Whether the caller has to send COPY data.
+    pub copies_in: bool,
+    /// Whether it is made of statements that end a transaction block, and of nothing
+    /// else.
+    pub only_ends: bool,
+    /// Whether it is made of statements that open a transaction block, and of nothing
+    /// else.
+    pub only_opens: bool,
+    /// Whether it executes anything.
+    pub executes: bool,
+    /// Whether it may turn a read-only transaction into one that writes.
+    pub changes_mode: bool,
+    /// Whether it sets, rolls back to or releases a savepoint.
+    pub savepoints: bool,
+}
+
+impl UnitTraits {
+    /// Whether it changes a parameter for longer than its transaction.
+    pub fn sets_lasting(&self) -> bool {
+        let local =
+            |change: &SettingChange| matches!(change, SettingChange::Set { local: true, .. });
+        !self.settings.iter().all(local)
+    }
+
+    /// Traits of a unit without statements.
+    pub fn new() -> Self {
+        Self {
+            reads_only: true,
+            only_ends: true,
+            only_opens: true,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a statement that is executed.
+    pub fn execute(&mut self, class: &UnitClass) {
+        self.executes = true;
+        self.changes_mode |= changes_mode(class);
+        self.savepoints |= class.statements.contains(&StatementKind::Savepoint);
+        self.reads_only &= class.access == Access::Read;
+        self.may_commit |= class.may_commit;
+        self.may_commit_in_block |= class.may_commit_in_block;
+        if class.opens_transaction.is_some() {
+            self.opens_transaction = class.opens_transaction;
+        }
+        self.ends_transaction |= class.ends_transaction.is_some();
+        self.leaves_state |= class.session_effect != SessionEffect::None;
+        self.settings.extend(class.settings.iter().cloned());
+        self.copies_in |= class.copy == Some(CopyDirection::FromCaller);
+        if self.request_id.is_none() {
+            self.request_id.clone_from(&class.request_id);
+        }
+        self.mention(class);
+    }
+
+    /// Adds a statement that is only prepared or described.
+    pub fn mention(&mut self, class: &UnitClass) {
+        self.only_ends &= class.ends_transaction.is_some() && class.statements.len() == 1;
+        self.only_opens &= class.opens_transaction.is_some() && class.statements.len() == 1;
+        if self.unsupported.is_none() {
+            self.unsupported.clone_from(&class.unsupported);
+        }
+    }
+}
+
+/// `SET TRANSACTION`, or `SET` of the parameter behind it.
+fn changes_mode(class: &UnitClass) -> bool {
+    let read_only = |change: &SettingChange| match change {
+        SettingChange::Set { name, .. } | SettingChange::Reset { name } => {
+            name == READ_ONLY_SETTING
+        }
+        SettingChange::ResetAll => false,
+    };
+    class.statements.contains(&StatementKind::Set)
+        && (class.settings.is_empty() || class.settings.iter().any(read_only))
+}
--- a/crates/transport/src/caller/unit.rs
+++ b/crates/transport/src/caller/unit.rs
@@ -6,24 +6,18 @@
 
 use hookpoint_coordination::request::{Access, Unit};
 use hookpoint_protocol::backend_command::BackendCommand;
-use hookpoint_protocol::classify::{
-    Classifier, CopyDirection, SessionEffect, SettingChange, StatementKind, TransactionMode,
-    UnitClass,
-};
+use hookpoint_protocol::classify::{Classifier, UnitClass};
 use hookpoint_protocol::extended::{self, Bind, MalformedMessage, Named, Parse, Target};
 use hookpoint_protocol::frame::Frame;
 use hookpoint_protocol::prepared::MISSING_STATEMENT;
 use hookpoint_protocol::reply;
 use hookpoint_protocol::tags::{backend, frontend};
-use hookpoint_state::RequestId;
 use thiserror::Error;
 
 use crate::caller::answer::Step;
 use crate::caller::local::{self, LocalStatement};
 use crate::caller::statements::{Statement, StatementTable};
-
-/// Parameter that says whether the transaction is read-only.
-const READ_ONLY_SETTING: &str = "transaction_read_only";
+use crate::caller::traits::UnitTraits;
 
 /// A unit as it came from the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,12 +28,22 @@
     Extended {
         /// The messages.
         frames: Vec<Frame>,
-        /// Whether the unit goes on: the caller asked to flush, and its `Sync` is yet
-        /// to come.
-        open: bool,
+        /// What ended them.
+        end: UnitEnd,
     },
 }
 
+/// What ends a series of extended messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnitEnd {
+    /// `Sync`: the caller waits for `ReadyForQuery`.
+    Sync,
+    /// `Flush`: the caller waits for the answers so far, and its `Sync` is yet to come.
+    Flush,
+    /// A simple query: it ends them as well, but is answered for itself.
+    Query,
+}
+
 /// A unit that cannot be made ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum UnitError {
@@ -51,91 +55,6 @@
     TooManyStatements,
 }
 
-/// What a unit may do, over all its statements.
-#[derive(Clone, Debug, Default)]
-pub struct UnitTraits {
-    /// Whether every statement is a proved read.
-    pub reads_only: bool,
-    /// Whether its end may commit when it runs outside a transaction block.
-    pub may_commit: bool,
-    /// Whether it may commit when it runs inside a transaction block.
-    pub may_commit_in_block: bool,
-    /// Whether it leaves a transaction block open, and which.
-    pub opens_transaction: Option<TransactionMode>,
-    /// Whether it ends a transaction block.
-    pub ends_transaction: bool,
-    /// Whether it may leave state on the connection.
-    pub leaves_state: bool,
-    /// Changes of run-time parameters.
-    pub settings: Vec<SettingChange>,
-    /// A feature that pooling cannot carry.
-    pub unsupported: Option<String>,
-    /// Identifier of a request that is not repeatable.
-    pub request_id: Option<RequestId>,
-    /// Whether the caller has to send COPY data.
-    pub copies_in: bool,
-    /// Whether it is made of statements that end a transaction block, and of nothing
-    /// else.
-    pub only_ends: bool,
-    /// Whether it is made of statements that open a transaction block, and of nothing
-    /// else.
-    pub only_opens: bool,
-    /// Whether it executes anything.
-    pub executes: bool,
-    /// Whether it may turn a read-only transaction into one that writes.
-    pub changes_mode: bool,
-    /// Whether it sets, rolls back to or releases a savepoint.
-    pub savepoints: bool,
-}
-
-impl UnitTraits {
-    /// Whether it changes a parameter for longer than its transaction.
-    pub fn sets_lasting(&self) -> bool {
-        let local =
-            |change: &SettingChange| matches!(change, SettingChange::Set { local: true, .. });
-        !self.settings.iter().all(local)
-    }
-
-    fn new() -> Self {
-        Self {
-            reads_only: true,
-            only_ends: true,
-            only_opens: true,
-            ..Self::default()
-        }
-    }
-
-    /// Adds a statement that is executed.
-    fn execute(&mut self, class: &UnitClass) {
-        self.executes = true;
-        self.changes_mode |= changes_mode(class);
-        self.savepoints |= class.statements.contains(&StatementKind::Savepoint);
-        self.reads_only &= class.access == Access::Read;
-        self.may_commit |= class.may_commit;
-        self.may_commit_in_block |= class.may_commit_in_block;
-        if class.opens_transaction.is_some() {
-            self.opens_transaction = class.opens_transaction;
-        }
-        self.ends_transaction |= class.ends_transaction.is_some();
-        self.leaves_state |= class.session_effect != SessionEffect::None;
-        self.settings.extend(class.settings.iter().cloned());
-        self.copies_in |= class.copy == Some(CopyDirection::FromCaller);
-        if self.request_id.is_none() {
-            self.request_id.clone_from(&class.request_id);
-        }
-        self.mention(class);
-    }
-
-    /// Adds a statement that is only prepared or described.
-    fn mention(&mut self, class: &UnitClass) {
-        self.only_ends &= class.ends_transaction.is_some() && class.statements.len() == 1;
-        self.only_opens &= class.opens_transaction.is_some() && class.statements.len() == 1;
-        if self.unsupported.is_none() {
-            self.unsupported.clone_from(&class.unsupported);
-        }
-    }
-}
-
 /// A unit ready to be sent, again if need be.
 #[derive(Debug)]
 pub struct UnitPlan {
@@ -145,8 +64,10 @@
     pub commands: Vec<BackendCommand>,
     /// Parts of the answer to extended messages.
     pub steps: VecDeque<Step>,
-    /// Whether the caller's `Sync` is yet to come.
+    /// Whether more messages of the caller belong to it: its `Sync` is yet to come.
     pub open: bool,
+    /// Whether `ReadyForQuery` ends its answer.
+    pub ready: bool,
     /// What it may do.
     pub traits: UnitTraits,
     /// How the proxy answers by itself, if no connection is needed.
@@ -157,6 +78,7 @@
     pub has_local: bool,
     /// Whether something in it needs a connection.
     pub needs_connection: bool,
+    uses_portals: bool,
     ensured: BTreeSet<String>,
     unnamed_parsed: bool,
 }
@@ -199,19 +121,21 @@
         Ok(plan)
     }
 
-    /// A plan of extended messages. Statements they prepare are kept in `statements`
+    /// A plan of extended messages. Messages that only prepare and describe statements
+    /// leave nothing open, so they are a unit of their own also when a `Flush` ends them;
+    /// others keep their connection until the `Sync`. Statements they prepare are kept in `statements`
     /// at once; those that fail are removed when the answer tells so.
     ///
     /// # Errors
     /// When a message is malformed or too much would have to be kept.
     pub fn extended(
         messages: &[Frame],
-        open: bool,
+        end: UnitEnd,
         statements: &mut StatementTable,
         classifier: &Classifier,
     ) -> Result<Self, UnitError> {
         let mut plan = Self::empty(false);
-        plan.open = open;
+        plan.ready = end == UnitEnd::Sync;
         let mut batch = Vec::new();
         for message in messages {
             let translation = plan.translate(message, statements, classifier)?;
@@ -226,7 +150,8 @@
             }
             plan.steps.extend(translation.step);
         }
-        if open {
+        plan.open = end == UnitEnd::Flush && plan.uses_portals;
+        if plan.open {
             batch.push(Frame::new(frontend::FLUSH, Vec::new()));
         } else {
             batch.push(extended::sync());
@@ -242,6 +167,8 @@
             commands: Vec::new(),
             steps: VecDeque::new(),
             open: false,
+            ready: true,
+            uses_portals: false,
             traits: UnitTraits::new(),
             local: Vec::new(),
             answer_tags: Vec::new(),
@@ -339,6 +266,7 @@
         statements: &mut StatementTable,
     ) -> Result<Translation, UnitError> {
         let bind = Bind::read(message)?;
+        self.uses_portals = true;
         let statement = statements.get(&bind.statement).cloned();
         if let Some(statement) = &statement {
             statements
@@ -361,6 +289,7 @@
     ) -> Result<Translation, UnitError> {
         let named = Named::read(message)?;
         if named.target == Target::Portal {
+            self.uses_portals = true;
             let statement = statements.portal(&named.name);
             self.needs_connection |= is_relayed(statement);
             self.describe_locally(statement);
@@ -401,6 +330,7 @@
                 })
             }
             Target::Portal => {
+                self.uses_portals = true;
                 self.needs_connection |= is_relayed(statements.portal(&named.name));
                 statements.close_portal(&named.name);
                 Ok(relayed(message.clone(), Step::Single))
@@ -414,6 +344,7 @@
         statements: &StatementTable,
     ) -> Result<Translation, UnitError> {
         let portal = extended::execute_portal(message)?;
+        self.uses_portals = true;
         self.answer_tags.push(backend::COMMAND_COMPLETE);
         match statements.portal(&portal) {
             Some(statement) => match &statement.local {
@@ -488,18 +419,6 @@
     }
 }
 
-/// `SET TRANSACTION`, or `SET` of the parameter behind it.
-fn changes_mode(class: &UnitClass) -> bool {
-    let read_only = |change: &SettingChange| match change {
-        SettingChange::Set { name, .. } | SettingChange::Reset { name } => {
-            name == READ_ONLY_SETTING
-        }
-        SettingChange::ResetAll => false,
-    };
-    class.statements.contains(&StatementKind::Set)
-        && (class.settings.is_empty() || class.settings.iter().any(read_only))
-}
-
 fn is_relayed(statement: Option<&Arc<Statement>>) -> bool {
     statement.is_none_or(|statement| statement.local.is_none())
 }
--- a/crates/transport/tests/caller_ends.rs
+++ b/crates/transport/tests/caller_ends.rs
@@ -5,9 +5,14 @@
 
 use std::time::Duration;
 
-use caller_support::raw::{RawClient, command_tags, first_error, reported, tags};
+use caller_support::raw::{
+    RawClient, bind, command_tags, execute, first_error, parse, reported, tags,
+};
 use caller_support::{FakeGroup, settings, start, start_with};
 use hookpoint_protocol::extended::query;
+use hookpoint_protocol::frame::Frame;
+use hookpoint_protocol::tags::frontend;
+use hookpoint_state::Position;
 use hookpoint_transport::caller::CallerSettings;
 
 #[actix_rt::test]
@@ -113,6 +118,18 @@
     let farewell = client.until_ready().await;
     assert_eq!(first_error(&farewell).as_deref(), Some("25P03"));
     assert!(client.next().await.is_none());
+    let (mut client, _) = RawClient::begin(&handle, &[]).await;
+    let flush = Frame::new(frontend::FLUSH, Vec::new());
+    let write = parse("", "INSERT INTO t VALUES (1)");
+    client
+        .send(&[write, bind("", ""), execute(""), flush])
+        .await;
+    let farewell = client.until_ready().await;
+    assert_eq!(first_error(&farewell).as_deref(), Some("25P03"));
+    assert_eq!(
+        group.server.lock().nodes["db-a"].place,
+        Position::new(1, 100)
+    );
     group
         .until("its session is gone", |_| handle.sessions() == 1)
         .await;
--- a/crates/transport/tests/caller_protocol.rs
+++ b/crates/transport/tests/caller_protocol.rs
@@ -201,6 +201,68 @@
     handle.stop().await;
 }
 
+#[actix_rt::test]
+async fn preparing_with_a_flush_holds_no_connection_and_reads_go_to_replicas() {
+    let group = FakeGroup::new();
+    let handle = start(&group).await;
+    let (mut client, _) = RawClient::begin(&handle, &[]).await;
+    for number in 0..3 {
+        let (name, text) = (format!("s{number}"), format!("SELECT 'n{number}'"));
+        client
+            .send(&[parse(&name, &text), describe('S', &name), FLUSH])
+            .await;
+        for expected in ["1", "t", "T"] {
+            assert_eq!(tags(&[client.next().await.expect("an answer")]), expected);
+        }
+        group
+            .until("the connection is given back", |group| {
+                group.open_connections() == 0
+            })
+            .await;
+        client.send(&[bind("", &name), execute(""), sync()]).await;
+        let answer = client.until_ready().await;
+        assert_eq!(command_tags(&answer), ["SELECT 1"]);
+        assert_ne!(group.ran_on(&text), [DATABASES[0]], "it ran on a replica");
+    }
+    client.send(&[parse("f", "syntax error"), FLUSH]).await;
+    assert_eq!(tags(&[client.next().await.expect("an answer")]), "E");
+    client.send(&[sync()]).await;
+    assert_eq!(tags(&client.until_ready().await), "Z");
+    handle.stop().await;
+}
+
+#[actix_rt::test]
+async fn a_simple_query_ends_extended_messages() {
+    let group = FakeGroup::new();
+    let handle = start(&group).await;
+    let (mut client, _) = RawClient::begin(&handle, &[]).await;
+    let insert = "INSERT INTO t VALUES (1)";
+    let cases = [
+        (
+            vec![parse("", insert), bind("", ""), execute("")],
+            "12CTDCZ",
+        ),
+        (
+            vec![parse("", insert), bind("", ""), execute(""), FLUSH],
+            "12CTDCZ",
+        ),
+        (vec![parse("a", "SELECT 1"), FLUSH], "1TDCZ"),
+        (vec![parse("a", "SELECT 1")], "1TDCZ"),
+    ];
+    for (mut messages, expected) in cases {
+        messages.push(query("SELECT 'q'"));
+        client.send(&messages).await;
+        let answer = client.until_ready().await;
+        assert_eq!(tags(&answer).replace('S', ""), expected);
+    }
+    client
+        .send(&[parse("", "syntax error"), query("SELECT 'skipped'"), sync()])
+        .await;
+    assert_eq!(tags(&client.until_ready().await), "EZ");
+    assert!(group.ran_on("skipped").is_empty());
+    handle.stop().await;
+}
+
 #[actix_rt::test]
 async fn what_pooling_cannot_carry_is_refused_and_not_sent() {
     let group = FakeGroup::new();
--- a/crates/transport/tests/caller_support/mod.rs
+++ b/crates/transport/tests/caller_support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod database;
 pub mod raw;
+pub mod server;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -26,7 +27,8 @@
 use tokio::sync::mpsc;
 use tokio_postgres::{Client, Config, NoTls};
 
-use self::database::{Connection, Server};
+use self::database::Connection;
+use self::server::Server;
 
 /// Name of the group in every test.
 pub const GROUP: &str = "orders";
--- /dev/null
+++ b/crates/transport/tests/caller_support/server.rs
@@ -0,0 +1,119 @@
+//! What the fake databases of one group share: their roles and logs, and faults.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hookpoint_coordination::status::{BackendStatus, FlushedReplica, Role};
+use hookpoint_state::{Lsn, Position, Term};
+
+/// One database of the group.
+#[derive(Debug)]
+pub struct Node {
+    pub role: Role,
+    pub place: Position,
+}
+
+/// What all fake databases of a group share.
+pub struct Server {
+    pub nodes: BTreeMap<String, Node>,
+    /// Whether replicas confirm what the primary writes.
+    pub replicas_confirm: bool,
+    /// Whether replicas follow the primary at once.
+    pub replicas_follow: bool,
+    /// Statements that ran: database, text.
+    pub log: Vec<(String, String)>,
+    /// Identifiers in the request ledger.
+    pub ledger: BTreeSet<String>,
+    /// Whether the ledger's table exists.
+    pub has_ledger: bool,
+    /// A connection breaks when a statement holding this text arrives, that often.
+    pub break_before: Option<(String, usize)>,
+    /// A connection breaks after a statement holding this text ran, before its answer.
+    pub break_after: Option<String>,
+    /// COPY data received.
+    pub copied: Vec<u8>,
+    /// Settings put on connections before their first statement.
+    pub settings: Vec<BTreeMap<String, String>>,
+    /// Statements a `Parse` was put on a connection for.
+    pub prepared: Vec<String>,
+    /// Status queries behind a statement that fail, as if a late cancel had hit them.
+    pub failing_probes: usize,
+    /// Cancel commands that reached a connection.
+    pub cancels: usize,
+}
+
+impl Server {
+    pub fn new(names: &[&str]) -> Self {
+        let nodes = names.iter().enumerate().map(|(index, name)| {
+            let role = if index == 0 {
+                Role::Primary
+            } else {
+                Role::Replica
+            };
+            let place = Position::new(1, 100);
+            ((*name).to_owned(), Node { role, place })
+        });
+        Self {
+            nodes: nodes.collect(),
+            replicas_confirm: true,
+            replicas_follow: true,
+            log: Vec::new(),
+            ledger: BTreeSet::new(),
+            has_ledger: true,
+            break_before: None,
+            break_after: None,
+            copied: Vec::new(),
+            settings: Vec::new(),
+            prepared: Vec::new(),
+            failing_probes: 0,
+            cancels: 0,
+        }
+    }
+
+    pub fn status(&self, name: &str) -> BackendStatus {
+        let node = &self.nodes[name];
+        let replicas = self
+            .nodes
+            .iter()
+            .filter(|(_, node)| node.role == Role::Replica);
+        let flushed = replicas.map(|(name, _)| FlushedReplica {
+            name: name.clone(),
+            position: if self.replicas_confirm {
+                node.place.lsn
+            } else {
+                Lsn(0)
+            },
+        });
+        BackendStatus {
+            role: node.role,
+            term: node.place.term,
+            position: node.place.lsn,
+            flushed: match node.role {
+                Role::Primary => flushed.collect(),
+                Role::Replica => Vec::new(),
+            },
+        }
+    }
+
+    /// Another database leads from now on.
+    pub fn promote(&mut self, name: &str) {
+        let term = self.nodes.values().map(|node| node.place.term.0).max();
+        let term = Term(term.unwrap_or_default() + 1);
+        for (other, node) in &mut self.nodes {
+            node.role = if other == name {
+                Role::Primary
+            } else {
+                Role::Replica
+            };
+            node.place.term = term;
+        }
+    }
+
+    pub fn advance(&mut self, name: &str) {
+        let lsn = self.nodes[name].place.lsn.0 + 1;
+        for (other, node) in &mut self.nodes {
+            if other == name || self.replicas_follow {
+                node.place.lsn = Lsn(lsn);
+            }
+        }
+    }
+}
