Tell a stopped session that what it was sending did not run

A close with unread input could also reset the connection and take the farewell away. Change: the farewell says not_run in its detail, and the proxy reads what still comes for up to a second before it closes. One not-repeatable write in ten is given up early by its caller and asked again elsewhere.

--- a/crates/coordination/src/request/checks.rs
+++ b/crates/coordination/src/request/checks.rs
@@ -9,6 +9,9 @@
     pub position: bool,
     /// A commit needs the evidence of a majority on its term.
     pub evidence: bool,
+    /// A request that is not repeatable is entered into the ledger of its group. The
+    /// machine itself makes no use of this; its session does.
+    pub guard: bool,
 }
 
 impl Default for SafetyChecks {
@@ -16,6 +19,7 @@
         Self {
             position: true,
             evidence: true,
+            guard: true,
         }
     }
 }
--- a/crates/protocol/src/errors/report.rs
+++ b/crates/protocol/src/errors/report.rs
@@ -96,10 +96,16 @@
         Self::new(Severity::Fatal, INVALID_PASSWORD, message)
     }
 
-    /// The proxy is stopping and the idle session ends.
+    /// The proxy is stopping and the idle session ends. A request that the caller was
+    /// sending at that moment is not read and does not run.
     pub fn shutdown() -> Self {
         let message = "terminating connection because the proxy is stopping";
-        Self::new(Severity::Fatal, ADMIN_SHUTDOWN, message)
+        Self {
+            reason: Some(refusal_reason(&Refusal::Stopping).to_owned()),
+            outcome: Some(Outcome::NotRun),
+            retry_after: Refusal::Stopping.retry_after(),
+            ..Self::new(Severity::Fatal, ADMIN_SHUTDOWN, message)
+        }
     }
 
     /// The same error, ending the session.
--- a/crates/transport/src/caller/drive.rs
+++ b/crates/transport/src/caller/drive.rs
@@ -96,7 +96,7 @@
             repeatable,
             deadline: shared.now() + limits.wait(),
         };
-        RequestMachine::new(profile, limits.acknowledge())
+        RequestMachine::with_checks(profile, limits.acknowledge(), self.context.settings.checks)
     }
 
     fn note_loss(&mut self) {
--- a/crates/transport/src/caller/error.rs
+++ b/crates/transport/src/caller/error.rs
@@ -14,7 +14,6 @@
 const PROTOCOL_VIOLATION: &str = "08P01";
 const PROGRAM_LIMIT_EXCEEDED: &str = "54000";
 const FEATURE_NOT_SUPPORTED: &str = "0A000";
-const ADMIN_SHUTDOWN: &str = "57P01";
 const QUERY_CANCELLED: &str = "57014";
 const IDLE_IN_TRANSACTION: &str = "25P03";
 const FAILED_TRANSACTION: &str = "25P02";
@@ -61,7 +60,7 @@
             | SessionEnd::Malformed(_) => PROTOCOL_VIOLATION,
             SessionEnd::Gone(_) => return None,
             SessionEnd::UnitTooLarge => PROGRAM_LIMIT_EXCEEDED,
-            SessionEnd::Stopping => ADMIN_SHUTDOWN,
+            SessionEnd::Stopping => return Some(ErrorReport::shutdown().to_frame()),
             SessionEnd::IdleTransaction => IDLE_IN_TRANSACTION,
         };
         Some(fatal(sqlstate, &self.to_string()))
--- a/crates/transport/src/caller/marks.rs
+++ b/crates/transport/src/caller/marks.rs
@@ -16,6 +16,9 @@
         if !traits.executes || traits.only_opens || traits.only_ends {
             return None;
         }
+        if !self.context.settings.checks.guard {
+            return None;
+        }
         if let Some(request) = &traits.request_id {
             return Some(request.clone());
         }
--- a/crates/transport/src/caller/settings.rs
+++ b/crates/transport/src/caller/settings.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use hookpoint_coordination::request::SafetyChecks;
 use hookpoint_protocol::scram::Verifier;
 use thiserror::Error;
 
@@ -27,6 +28,8 @@
     pub startup_timeout: Duration,
     /// Longest time a caller may take next to nothing of what is sent to it.
     pub write_timeout: Duration,
+    /// Safety checks; the lab alone switches one off.
+    pub checks: SafetyChecks,
 }
 
 impl CallerSettings {
@@ -41,6 +44,7 @@
             arbiters: 1,
             startup_timeout: Duration::from_secs(10),
             write_timeout: Duration::from_secs(30),
+            checks: SafetyChecks::default(),
         }
     }
 }
--- a/crates/transport/src/caller/stream.rs
+++ b/crates/transport/src/caller/stream.rs
@@ -21,6 +21,9 @@
 /// Output buffer that is given back to the allocator when it is empty.
 const RETAINED_BUFFER: usize = 16 * 1024;
 
+/// Longest wait for a caller to close its side after the last message.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// A connection with or without TLS.
 pub trait ByteStream: AsyncRead + AsyncWrite + Unpin + Send {}
 
@@ -205,8 +208,18 @@
 
     /// Sends what is left and closes the connection; failures no longer matter.
     pub async fn close(mut self) {
-        if self.flush().await.is_ok() {
-            let _closed = timeout(self.write_timeout, self.io.shutdown()).await;
+        if self.flush().await.is_err() {
+            return;
         }
+        let _closed = timeout(self.write_timeout, self.io.shutdown()).await;
+        // Closing with unread input would reset the connection, and a reset may take
+        // the last message from the caller.
+        let _drained = timeout(LINGER, self.drain()).await;
+    }
+
+    /// Reads and drops what still comes, until the caller closes its side.
+    async fn drain(&mut self) {
+        let mut scrap = [0; 512];
+        while matches!(self.io.read(&mut scrap).await, Ok(length) if length > 0) {}
     }
 }
--- a/hookpoint/src/proxy/parts.rs
+++ b/hookpoint/src/proxy/parts.rs
@@ -170,6 +170,7 @@
             .map(|key| key.expose().to_vec())
             .collect(),
         arbiters: callers.workers,
+        checks: settings.checks,
         ..CallerSettings::new(callers.listen)
     })
 }
--- a/hookpoint/src/settings/mod.rs
+++ b/hookpoint/src/settings/mod.rs
@@ -9,6 +9,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use hookpoint_coordination::request::SafetyChecks;
 use hookpoint_state::{GroupName, RegionName, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -53,6 +54,11 @@
     /// translating router.
     #[serde(default)]
     pub reached_at: BTreeMap<SocketAddr, SocketAddr>,
+    /// Safety checks. No file and no flag can set them; the lab switches one off to
+    /// show that its checker notices.
+    #[doc(hidden)]
+    #[serde(skip)]
+    pub checks: SafetyChecks,
 }
 
 /// Where the node stands.
@@ -271,6 +277,7 @@
             bundles: BundleSection::default(),
             log: LogSection::default(),
             reached_at: BTreeMap::new(),
+            checks: SafetyChecks::default(),
         }
     }
 }
--- a/lab/sim/src/world/session.rs
+++ b/lab/sim/src/world/session.rs
@@ -128,6 +128,7 @@
         let checks = SafetyChecks {
             position: !self.settings.mutated(Mutation::SkipPositionCheck),
             evidence: !self.settings.mutated(Mutation::SkipEvidence),
+            ..SafetyChecks::default()
         };
         let machine = RequestMachine::with_checks(profile, ACKNOWLEDGE_WITHIN, checks);
         session.machine = Some(machine);
--- a/lab/src/commands/demo.rs
+++ b/lab/src/commands/demo.rs
@@ -3,8 +3,10 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use anyhow::anyhow;
+
 use crate::commands::{deployment_of, write_json};
-use crate::demo::{self, DemoSettings};
+use crate::demo::{self, DemoSettings, Protection};
 use crate::flags;
 
 /// Seconds where none are given.
@@ -16,6 +18,13 @@
 /// When a part does not start or the history cannot be judged.
 pub async fn demo(arguments: flags::Demo) -> anyhow::Result<ExitCode> {
     let deployment = deployment_of(arguments.deployment.as_deref())?;
+    let without = match &arguments.without {
+        Some(name) => Some(
+            Protection::by_name(name)
+                .ok_or_else(|| anyhow!("--without takes check, term or guard, not {name}"))?,
+        ),
+        None => None,
+    };
     let settings = DemoSettings {
         length: Duration::from_secs(arguments.seconds.unwrap_or(DEFAULT_SECONDS)),
         seed: arguments.seed.unwrap_or(1),
@@ -23,6 +32,7 @@
         replica_lag: arguments.lag_ms.map(Duration::from_millis),
         faults: !arguments.calm,
         baseline: true,
+        without,
         deployment,
     };
     let outcome = demo::run(&settings).await?;
--- a/lab/src/commands/serve.rs
+++ b/lab/src/commands/serve.rs
@@ -41,7 +41,7 @@
             seed: arguments.seed.unwrap_or(1),
             ..DatabaseOptions::default()
         },
-        proxies: None,
+        ..LaboratoryOptions::default()
     };
     let laboratory = Arc::new(Laboratory::start(deployment, options).await?);
     print_line(&line_of(&laboratory))?;
--- a/lab/src/demo/mod.rs
+++ b/lab/src/demo/mod.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, anyhow};
+use hookpoint_coordination::request::SafetyChecks;
 use hookpoint_state::GroupName;
 use hookpoint_workload::audit::final_state;
 use hookpoint_workload::checker::check;
@@ -57,6 +58,39 @@
     pub faults: bool,
     /// Whether added latency is measured first.
     pub baseline: bool,
+    /// A protection to switch off, as a negative control.
+    pub without: Option<Protection>,
+}
+
+/// What a negative control switches off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protection {
+    /// The check that a read's database holds what the session requires.
+    Check,
+    /// The evidence of a majority, on the same term, behind a commit.
+    Term,
+    /// The ledger of requests that are not repeatable.
+    Guard,
+}
+
+impl Protection {
+    /// The protection of that name.
+    pub fn by_name(name: &str) -> Option<Self> {
+        match name {
+            "check" => Some(Protection::Check),
+            "term" => Some(Protection::Term),
+            "guard" => Some(Protection::Guard),
+            _ => None,
+        }
+    }
+}
+
+fn checks_without(protection: Option<Protection>) -> SafetyChecks {
+    SafetyChecks {
+        position: protection != Some(Protection::Check),
+        evidence: protection != Some(Protection::Term),
+        guard: protection != Some(Protection::Guard),
+    }
 }
 
 /// What a demo leaves.
@@ -87,6 +121,7 @@
             ..DatabaseOptions::default()
         },
         proxies: None,
+        checks: checks_without(settings.without),
     };
     say("starting stand-ins and proxies");
     let laboratory = Laboratory::start(settings.deployment.clone(), options).await?;
@@ -129,7 +164,9 @@
         seed: settings.seed,
         seconds: settings.length.as_secs_f64(),
         sessions: count,
-        without: None,
+        without: settings
+            .without
+            .map(|check| format!("{check:?}").to_lowercase()),
     };
     let slowest = notes.bundle_in_force.iter().max();
     let measurements = Measurements {
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -7,6 +7,7 @@
 use anyhow::{Context, anyhow};
 use hookpoint::proxy::Proxy;
 use hookpoint::settings::{HexKey, ProxySettings};
+use hookpoint_coordination::request::SafetyChecks;
 use hookpoint_standin::links::{
     CLIENTS, LinkProxy, LinkSettings, UdpLink, UdpLinkSettings, ZoneLinks,
 };
@@ -27,6 +28,7 @@
 pub struct ProxyFleet {
     links: ZoneLinks,
     platform_url: String,
+    checks: SafetyChecks,
     slots: Vec<ProxySlot>,
 }
 
@@ -72,7 +74,11 @@
     ///
     /// # Errors
     /// When a proxy or a relay does not start.
-    pub async fn start(stack: &Stack, proxies: usize) -> anyhow::Result<Self> {
+    pub async fn start(
+        stack: &Stack,
+        proxies: usize,
+        checks: SafetyChecks,
+    ) -> anyhow::Result<Self> {
         let addresses = stack.databases.addresses();
         let slots = stack
             .deployment
@@ -84,6 +90,7 @@
         let fleet = Self {
             links: stack.links.clone(),
             platform_url: stack.platform.url(),
+            checks,
             slots,
         };
         for index in 0..fleet.slots.len() {
@@ -217,6 +224,7 @@
         settings.reached_at = databases
             .map(|(address, relay)| (*address, relay.address()))
             .collect();
+        settings.checks = self.checks;
         Ok(settings)
     }
 
--- a/lab/src/laboratory.rs
+++ b/lab/src/laboratory.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{anyhow, bail};
+use hookpoint_coordination::request::SafetyChecks;
 use hookpoint_standin::platform::OutageMode;
 use hookpoint_state::{BundleVersion, DatabaseName};
 use hookpoint_workload::deployment::Deployment;
@@ -27,6 +28,8 @@
     pub databases: DatabaseOptions,
     /// Number of proxies; one a zone where none is given.
     pub proxies: Option<usize>,
+    /// Safety checks of the proxies, one of which may be off as a negative control.
+    pub checks: SafetyChecks,
 }
 
 /// A running deployment.
@@ -49,7 +52,7 @@
     ) -> anyhow::Result<Self> {
         let proxies = options.proxies.unwrap_or(deployment.zones.len());
         let stack = Stack::start(deployment, options.databases).await?;
-        let fleet = ProxyFleet::start(&stack, proxies).await?;
+        let fleet = ProxyFleet::start(&stack, proxies, options.checks).await?;
         let laboratory = Self { stack, fleet };
         laboratory.roll("first").await?;
         laboratory.wait_until_ready().await?;
--- a/lab/tests/running/mod.rs
+++ b/lab/tests/running/mod.rs
@@ -31,6 +31,7 @@
             ..DatabaseOptions::default()
         },
         proxies: Some(proxies),
+        ..LaboratoryOptions::default()
     };
     Ok(Arc::new(Laboratory::start(small(), options).await?))
 }
--- a/lab/workload/src/connection.rs
+++ b/lab/workload/src/connection.rs
@@ -169,8 +169,20 @@
     /// # Errors
     /// A [`Failure`].
     pub async fn simple(&mut self, statement: &str) -> Result<Vec<SimpleQueryMessage>, Failure> {
+        self.simple_within(statement, self.patience).await
+    }
+
+    /// Like [`ClientConnection::simple`] with a patience of its own.
+    ///
+    /// # Errors
+    /// A [`Failure`].
+    pub async fn simple_within(
+        &mut self,
+        statement: &str,
+        patience: Duration,
+    ) -> Result<Vec<SimpleQueryMessage>, Failure> {
         let answer = self.client.simple_query(statement);
-        match tokio::time::timeout(self.patience, answer).await {
+        match tokio::time::timeout(patience, answer).await {
             Ok(Ok(messages)) => Ok(messages),
             Ok(Err(error)) => Err(self.failure_of(&error).await),
             Err(_) => Err(Failure::TimedOut),
--- a/lab/workload/src/session.rs
+++ b/lab/workload/src/session.rs
@@ -24,6 +24,10 @@
 const MAXIMUM_ATTEMPTS: u32 = 30;
 /// Pause between two tries to connect.
 const CONNECT_PAUSE: Duration = Duration::from_millis(50);
+/// Share of not-repeatable writes whose caller gives up early and asks again elsewhere.
+const IMPATIENT_SHARE: f64 = 0.1;
+/// Longest patience of such a caller, in microseconds.
+const IMPATIENCE_MICROS: u64 = 200_000;
 /// Share of moves to another proxy on which the token is left behind.
 const FORGETFUL_SHARE: f64 = 0.1;
 
@@ -108,8 +112,9 @@
             }
             .statement(self.settings.application);
             self.ensure_connected().await;
+            let patience = self.patience_with(kind, attempt);
             let started = self.recorder.now();
-            let answer = self.simple(&statement).await;
+            let answer = self.simple_within(&statement, patience).await;
             let result = answer.as_ref().map(|messages| written(messages));
             let operation = Operation::Write {
                 kind,
@@ -263,12 +268,30 @@
     }
 
     async fn simple(&mut self, statement: &str) -> Result<Vec<SimpleQueryMessage>, Failure> {
+        self.simple_within(statement, self.settings.patience).await
+    }
+
+    async fn simple_within(
+        &mut self,
+        statement: &str,
+        patience: Duration,
+    ) -> Result<Vec<SimpleQueryMessage>, Failure> {
         match &mut self.connection {
-            Some(connection) => connection.simple(statement).await,
+            Some(connection) => connection.simple_within(statement, patience).await,
             None => Err(Failure::ConnectionLost),
         }
     }
 
+    /// How long to wait for the answer to a write.
+    fn patience_with(&mut self, kind: WriteKind, attempt: u32) -> Duration {
+        let impatient =
+            attempt == 1 && kind.not_repeatable() && self.random.random_bool(IMPATIENT_SHARE);
+        if impatient {
+            return Duration::from_micros(self.random.random_range(1_000..IMPATIENCE_MICROS));
+        }
+        self.settings.patience
+    }
+
     /// Prepares for another attempt after `failure`. Returns whether there may be one:
     /// what may have run is only sent again when it cannot do harm.
     async fn may_ask_again(&mut self, failure: &Failure, harmless: bool) -> bool {
