Measure fleets of hollow nodes in the simulator

Cause: how membership, bundles and terms spread was only tested at small sizes and one at a time. Change: `fleet::run` drives the shipped node and rollout machines of a whole fleet in virtual time and measures start, traffic, false deaths, bundles, changes of primary, a zone cut off and simultaneous deaths.

--- a/lab/sim/src/lib.rs
+++ b/lab/sim/src/lib.rs
@@ -9,6 +9,7 @@
 mod checker;
 mod database;
 mod faults;
+pub mod fleet;
 mod network;
 mod platform;
 mod report;
--- a/lab/sim/src/platform.rs
+++ b/lab/sim/src/platform.rs
@@ -21,9 +21,9 @@
         BundleVersion(self.active)
     }
 
-    /// The version it would answer with, if it is reachable.
+    /// The version it would answer with, if it is reachable and has one.
     pub(crate) fn read(&mut self, now: Timestamp) -> Option<BundleVersion> {
-        if now < self.down_until {
+        if now < self.down_until || self.active == 0 {
             return None;
         }
         self.requests += 1;
