Let databases end the transactions of proxies that died

Cause: a transaction left open by a dead proxy kept its slot, since the timeout of idle sessions does not count for it. Change: connections are opened with idle_in_transaction_session_timeout, 5 s above the bundle's own limit.

--- a/crates/transport/src/backend/handshake.rs
+++ b/crates/transport/src/backend/handshake.rs
@@ -1,5 +1,8 @@
 //! From an address to a connection that is ready for queries.
 
+use std::time::Duration;
+
+use futures::StreamExt;
 use hookpoint_protocol::errors::BackendError;
 use hookpoint_protocol::frame::{Frame, FrameCodec};
 use hookpoint_protocol::scram::{ClientExchange, MECHANISM};
@@ -8,8 +11,6 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio_util::codec::FramedRead;
 
-use futures::StreamExt;
-
 use super::cancel::CancelKey;
 use super::connection::{Connection, ConnectionContext};
 use super::error::ConnectError;
@@ -77,18 +78,18 @@
 impl Handshake<'_> {
     async fn start_up(&mut self) -> Result<(), ConnectError> {
         let target = &self.context.target;
-        let timeout = self
-            .context
-            .settings
-            .idle_session_timeout
-            .as_millis()
-            .to_string();
+        let idle_session = milliseconds(self.context.settings.idle_session_timeout);
+        let idle_transaction = milliseconds(target.idle_transaction_timeout);
         let message = outgoing::startup([
             ("user", target.user.as_str()),
             ("database", target.database.as_str()),
             ("application_name", APPLICATION_NAME),
             ("client_encoding", "UTF8"),
-            ("idle_session_timeout", timeout.as_str()),
+            ("idle_session_timeout", idle_session.as_str()),
+            (
+                "idle_in_transaction_session_timeout",
+                idle_transaction.as_str(),
+            ),
         ]);
         self.writer.write_all(&message).await?;
         Ok(())
@@ -179,6 +180,13 @@
     }
 }
 
+/// A time as the database reads it in a start-up parameter; the longest one it knows
+/// where it is longer.
+fn milliseconds(time: Duration) -> String {
+    let bounded = i32::try_from(time.as_millis()).unwrap_or(i32::MAX);
+    bounded.to_string()
+}
+
 /// Process and secret of a `BackendKeyData`.
 fn key_of(frame: &Frame) -> Option<(u32, u32)> {
     let (process, rest) = frame.body.split_first_chunk::<4>()?;
--- a/crates/transport/src/backend/message.rs
+++ b/crates/transport/src/backend/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix::Message;
 use hookpoint_coordination::slots::{
@@ -22,6 +23,10 @@
     pub address: Result<SocketAddr, String>,
     pub user: String,
     pub database: String,
+    /// After this time in an open transaction without a query the database ends the
+    /// connection. The proxy ends such a transaction earlier; this is for the ones
+    /// whose proxy has died.
+    pub idle_transaction_timeout: Duration,
 }
 
 /// What a bundle says about one database.
--- a/crates/transport/src/backend/pools.rs
+++ b/crates/transport/src/backend/pools.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use actix::{Actor, Addr, Arbiter, ArbiterHandle};
 use async_trait::async_trait;
@@ -24,6 +25,9 @@
 /// Says which databases this node is home for.
 pub type HomeFilter = Arc<dyn Fn(&DatabaseName) -> bool + Send + Sync>;
 
+/// How much longer than the proxy's own limit a database waits before it ends an idle
+/// transaction.
+const IDLE_TRANSACTION_GRACE: Duration = Duration::from_secs(5);
 /// Losses that wait to be looked at; more of them say nothing new.
 const LOSS_BUFFER: usize = 256;
 
@@ -303,6 +307,8 @@
             address: entry.address.parse().map_err(|_| entry.address.clone()),
             user: group.user.clone(),
             database: group.database.clone(),
+            idle_transaction_timeout: Duration::from_millis(bundle.limits.idle_transaction_ms)
+                + IDLE_TRANSACTION_GRACE,
         }),
         draining: bundle.drain.contains(database),
     })
--- a/crates/transport/tests/backend_leases.rs
+++ b/crates/transport/tests/backend_leases.rs
@@ -36,6 +36,8 @@
     assert_eq!(parameters["user"], "proxy");
     assert_eq!(parameters["database"], "library");
     assert_eq!(parameters["idle_session_timeout"], "10000");
+    let idle_transaction = &parameters["idle_in_transaction_session_timeout"];
+    assert_eq!(idle_transaction, "65000");
 }
 
 #[actix_rt::test]
