Part the connections from the slot table

Change: connections and their order have a type of their own. Conclusion: the 19 tests of the slots pass unchanged.

--- a/crates/coordination/src/slots/mod.rs
+++ b/crates/coordination/src/slots/mod.rs
@@ -6,6 +6,7 @@
 //! weighted deficit round robin over tenants, then over the zones of a tenant in turn,
 //! then in the order of arrival.
 
+mod connections;
 mod event;
 mod policy;
 mod queue;
@@ -13,9 +14,10 @@
 #[cfg(test)]
 mod tests;
 
+pub use connections::SlotCounts;
 pub use event::{
     ConnectionNumber, Lane, OpenFailure, RequestNumber, SlotAction, SlotEvent, WaitingRequest,
 };
 pub use policy::SlotPolicy;
 pub use queue::FairQueue;
-pub use table::{SlotCounts, SlotTable};
+pub use table::SlotTable;
--- a/crates/coordination/src/slots/table.rs
+++ b/crates/coordination/src/slots/table.rs
@@ -1,10 +1,10 @@
 //! The slot table of one database.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hookpoint_state::{Refusal, Timestamp};
 
+use super::connections::{Connections, SlotCounts};
 use super::event::{
     ConnectionNumber, Lane, OpenFailure, RequestNumber, SlotAction, SlotEvent, WaitingRequest,
 };
@@ -21,42 +21,6 @@
     maximum: Duration::from_millis(500),
 };
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ConnectionState {
-    Opening,
-    Idle { since: Timestamp },
-    Held,
-    Closing,
-}
-
-#[derive(Clone, Debug)]
-struct Connection {
-    state: ConnectionState,
-    outdated: bool,
-}
-
-/// Numbers of connections and waiting requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct SlotCounts {
-    /// Connections being opened.
-    pub opening: usize,
-    /// Connections nobody holds.
-    pub idle: usize,
-    /// Connections a session holds.
-    pub held: usize,
-    /// Connections whose end is not confirmed.
-    pub closing: usize,
-    /// Requests that wait.
-    pub waiting: usize,
-}
-
-impl SlotCounts {
-    /// Connections that take a slot.
-    pub fn connections(&self) -> usize {
-        self.opening + self.idle + self.held + self.closing
-    }
-}
-
 /// Why opening is held back.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct OpenHold {
@@ -68,10 +32,8 @@
 #[derive(Clone, Debug)]
 pub struct SlotTable {
     policy: SlotPolicy,
-    connections: BTreeMap<ConnectionNumber, Connection>,
-    idle: Vec<ConnectionNumber>,
+    connections: Connections,
     queue: FairQueue,
-    next_connection: u64,
     draining: bool,
     home: bool,
     backoff: Backoff,
@@ -84,10 +46,8 @@
     pub fn new(policy: SlotPolicy, seed: u64) -> Self {
         Self {
             policy,
-            connections: BTreeMap::new(),
-            idle: Vec::new(),
+            connections: Connections::default(),
             queue: FairQueue::new(),
-            next_connection: 0,
             draining: false,
             home: true,
             backoff: Backoff::new(OPEN_BACKOFF, seed),
@@ -112,12 +72,12 @@
                 connection,
                 reusable,
             } => self.returned(now, connection, reusable, actions),
-            SlotEvent::ConnectionClosed(connection) => self.closed(connection),
+            SlotEvent::ConnectionClosed(connection) => self.connections.remove(connection),
             SlotEvent::GrantFailed {
                 connection,
                 request,
             } => {
-                self.closed(connection);
+                self.connections.remove(connection);
                 self.queue.push_front(request);
             }
             SlotEvent::PolicyChanged(policy) => self.policy = policy,
@@ -147,19 +107,10 @@
 
     /// How many connections and requests there are.
     pub fn counts(&self) -> SlotCounts {
-        let mut counts = SlotCounts {
+        SlotCounts {
             waiting: self.queue.len(),
-            ..SlotCounts::default()
-        };
-        for connection in self.connections.values() {
-            match connection.state {
-                ConnectionState::Opening => counts.opening += 1,
-                ConnectionState::Idle { .. } => counts.idle += 1,
-                ConnectionState::Held => counts.held += 1,
-                ConnectionState::Closing => counts.closing += 1,
-            }
+            ..self.connections.counts()
         }
-        counts
     }
 
     fn request(&mut self, now: Timestamp, request: WaitingRequest, actions: &mut Vec<SlotAction>) {
@@ -190,7 +141,7 @@
         if let Some(refusal) = self.outage(now) {
             return Err(refusal);
         }
-        if self.queue.is_empty() && !self.idle.is_empty() {
+        if self.queue.is_empty() && self.connections.idle() > 0 {
             return Ok(());
         }
         self.queue_state(request).admit()
@@ -212,30 +163,17 @@
     /// proxy, and no connection to it is left.
     fn outage(&self, now: Timestamp) -> Option<Refusal> {
         let hold = self.hold.as_ref().filter(|hold| now < hold.until)?;
-        if self.usable_connections() > 0 {
+        if self.connections.counts().usable() > 0 {
             return None;
         }
         outage_refusal(&hold.failure)
     }
 
-    fn usable_connections(&self) -> usize {
-        self.connections
-            .values()
-            .filter(|connection| connection.state != ConnectionState::Closing)
-            .count()
-    }
-
     fn opened(&mut self, now: Timestamp, number: ConnectionNumber) {
-        let Some(connection) = self.connections.get_mut(&number) else {
-            return;
-        };
-        if connection.state != ConnectionState::Opening {
-            return;
+        if self.connections.opened(now, number) {
+            self.backoff.succeeded();
+            self.hold = None;
         }
-        connection.state = ConnectionState::Idle { since: now };
-        self.idle.push(number);
-        self.backoff.succeeded();
-        self.hold = None;
     }
 
     fn failed(
@@ -245,10 +183,10 @@
         failure: OpenFailure,
         actions: &mut Vec<SlotAction>,
     ) {
-        self.closed(connection);
+        self.connections.remove(connection);
         let until = now + self.backoff.failed();
         if let Some(refusal) = outage_refusal(&failure)
-            && self.usable_connections() == 0
+            && self.connections.counts().usable() == 0
         {
             while let Some(request) = self.queue.pop() {
                 refuse(request.number, refusal.clone(), actions);
@@ -264,30 +202,13 @@
         reusable: bool,
         actions: &mut Vec<SlotAction>,
     ) {
-        let Some(connection) = self.connections.get_mut(&number) else {
-            return;
-        };
-        if connection.state != ConnectionState::Held {
-            return;
-        }
-        if reusable && !connection.outdated {
-            connection.state = ConnectionState::Idle { since: now };
-            self.idle.push(number);
-        } else {
-            connection.state = ConnectionState::Closing;
+        if self.connections.returned(now, number, reusable) == Some(true) {
             actions.push(SlotAction::CloseConnection(number));
         }
     }
 
-    fn closed(&mut self, number: ConnectionNumber) {
-        self.connections.remove(&number);
-        self.idle.retain(|candidate| *candidate != number);
-    }
-
     fn renew(&mut self) {
-        for connection in self.connections.values_mut() {
-            connection.outdated = true;
-        }
+        self.connections.outdate();
         self.hold = None;
     }
 
@@ -313,18 +234,15 @@
 
     fn grant(&mut self, actions: &mut Vec<SlotAction>) {
         while !self.queue.is_empty() {
-            let Some(number) = self.idle.pop() else {
+            let Some(connection) = self.connections.take_idle() else {
                 return;
             };
             let Some(request) = self.queue.pop() else {
                 return;
             };
-            if let Some(connection) = self.connections.get_mut(&number) {
-                connection.state = ConnectionState::Held;
-            }
             actions.push(SlotAction::Grant {
                 request: request.number,
-                connection: number,
+                connection,
             });
         }
     }
@@ -342,35 +260,19 @@
             number = number.min(limit);
         }
         for _ in 0..number {
-            let connection = ConnectionNumber(self.next_connection);
-            self.next_connection += 1;
-            self.connections.insert(
-                connection,
-                Connection {
-                    state: ConnectionState::Opening,
-                    outdated: false,
-                },
-            );
-            actions.push(SlotAction::OpenConnection(connection));
+            actions.push(SlotAction::OpenConnection(self.connections.open()));
         }
     }
 
     fn close_outdated(&mut self, actions: &mut Vec<SlotAction>) {
-        let outdated: Vec<ConnectionNumber> = self
-            .idle
-            .iter()
-            .filter(|number| self.connections.get(number).is_some_and(|c| c.outdated))
-            .copied()
-            .collect();
-        for number in outdated {
+        while let Some(number) = self.connections.outdated_idle() {
             self.close(number, actions);
         }
     }
 
     fn close_surplus(&mut self, actions: &mut Vec<SlotAction>) {
-        let live = self.usable_connections();
-        for _ in self.policy.slots..live {
-            let Some(number) = self.idle.first().copied() else {
+        for _ in self.policy.slots..self.connections.counts().usable() {
+            let Some((number, _)) = self.connections.oldest_idle() else {
                 return;
             };
             self.close(number, actions);
@@ -379,10 +281,10 @@
 
     fn close_idle(&mut self, now: Timestamp, actions: &mut Vec<SlotAction>) {
         let keeps_idle = self.home && !self.draining;
-        while let Some(number) = self.idle.first().copied() {
-            let expired = self.idle_expiry(number).is_some_and(|expiry| expiry <= now);
-            let above_minimum = self.idle.len() > self.policy.minimum_idle;
-            if keeps_idle && !(expired && above_minimum) {
+        while let Some((number, since)) = self.connections.oldest_idle() {
+            let expired = since + self.policy.idle_time <= now;
+            let spare = self.connections.idle() > self.policy.minimum_idle;
+            if keeps_idle && !(expired && spare) {
                 return;
             }
             self.close(number, actions);
@@ -390,27 +292,15 @@
     }
 
     fn close(&mut self, number: ConnectionNumber, actions: &mut Vec<SlotAction>) {
-        self.idle.retain(|candidate| *candidate != number);
-        if let Some(connection) = self.connections.get_mut(&number) {
-            connection.state = ConnectionState::Closing;
-            actions.push(SlotAction::CloseConnection(number));
-        }
+        self.connections.close(number);
+        actions.push(SlotAction::CloseConnection(number));
     }
 
-    /// When the connection that has been idle longest may be closed. Connections are
-    /// taken from the end of the list, so the first has been idle longest.
+    /// When the connection that has been idle longest may be closed.
     fn first_idle_expiry(&self) -> Option<Timestamp> {
-        if self.idle.len() <= self.policy.minimum_idle {
-            return None;
-        }
-        self.idle_expiry(*self.idle.first()?)
-    }
-
-    fn idle_expiry(&self, number: ConnectionNumber) -> Option<Timestamp> {
-        match self.connections.get(&number)?.state {
-            ConnectionState::Idle { since } => Some(since + self.policy.idle_time),
-            _ => None,
-        }
+        let spare = self.connections.idle() > self.policy.minimum_idle;
+        let (_, since) = self.connections.oldest_idle().filter(|_| spare)?;
+        Some(since + self.policy.idle_time)
     }
 }
 
--- a/lab/standin/tests/database_sessions.rs
+++ b/lab/standin/tests/database_sessions.rs
@@ -184,7 +184,10 @@
     assert_eq!(failure(&client, "DELETE FROM notes").await, "25006");
     let asked = "SELECT current_setting('TimeZone'), current_setting('hookpoint.none', true)";
     assert_eq!(texts(&client, asked).await, ["UTC", "NULL"]);
-    assert_eq!(failure(&client, "SELECT current_setting('none')").await, "42704");
+    assert_eq!(
+        failure(&client, "SELECT current_setting('none')").await,
+        "42704"
+    );
     let replica = connect(&group, "b").await;
     assert_eq!(texts(&replica, "SHOW in_hot_standby").await, ["on"]);
     let mut options = config(&group, "a");
