Test the spread of terms and the faults of links

Cause: neither had tests. One was found wanting: a user of a group that heard news from a home passed them on to all other homes.

Change: only homes, and whoever observed a change itself, pass news on to the homes. Suspicions, denials, deaths and leavings are passed on three times as often as joins, since a missed denial costs a life and a missed join nothing; the many joins of a starting fleet are dropped from the queue once tables agree.

--- a/crates/coordination/src/membership/gossip.rs
+++ b/crates/coordination/src/membership/gossip.rs
@@ -17,9 +17,11 @@
 const ANNOUNCEMENT_FANOUT: usize = 4;
 /// Bursts of gossip that tell a few more of it.
 const ANNOUNCEMENTS: u32 = 3;
-/// Incarnations at which a claim carries zone, region and address: those of joining
-/// members. Who misses them asks.
-const INTRODUCING_INCARNATIONS: u32 = 0;
+/// Queued changes from which on joins are left to the comparison of tables.
+const MANY_CHANGES: usize = 64;
+/// Incarnation at which a claim carries zone, region and address: that of a joining
+/// member. Who misses them asks.
+const INTRODUCING_INCARNATION: u32 = 0;
 
 /// A bucket of bytes that fills at a constant rate.
 #[derive(Clone, Debug)]
@@ -120,9 +122,15 @@
                 sent.push(node);
             }
         }
-        let limit = self.retransmissions();
+        let once = self.transmissions_of_joins();
         for node in sent {
-            self.queue.sent(node, limit);
+            let joining = self.is_joining(node);
+            let factor = if joining {
+                1
+            } else {
+                self.settings.retransmit_factor
+            };
+            self.queue.sent(node, once * factor);
         }
         updates
     }
@@ -132,16 +140,40 @@
             return Some(self.own_update());
         }
         let member = self.table.get(node)?;
-        let introduce = member.incarnation == INTRODUCING_INCARNATIONS
+        let introduce = member.incarnation == INTRODUCING_INCARNATION
             && matches!(member.state, MemberState::Alive | MemberState::Leaving);
         Some(member.update(introduce))
     }
 
-    /// How often a change is passed on by one node.
-    fn retransmissions(&self) -> u32 {
+    /// Stops passing on the many joins of a fleet that has just started, once another
+    /// member is found to know them all.
+    pub(super) fn drop_known_joins(&mut self) {
+        if self.queue.len() <= MANY_CHANGES {
+            return;
+        }
+        let joins: Vec<NodeId> = self
+            .queue
+            .iter()
+            .filter(|node| self.is_joining(*node))
+            .collect();
+        for node in joins {
+            self.queue.remove(node);
+        }
+    }
+
+    /// Whether all there is to tell of a node is that it has joined. Who misses that
+    /// learns it when tables are compared, and is none the worse meanwhile.
+    fn is_joining(&self, node: NodeId) -> bool {
+        let member = self.table.get(node);
+        member.is_some_and(|member| {
+            member.incarnation == INTRODUCING_INCARNATION && member.state == MemberState::Alive
+        })
+    }
+
+    /// How often the news of a join is passed on by one node: log2 of the members.
+    fn transmissions_of_joins(&self) -> u32 {
         let members = self.table.present() as u32 + 1;
-        let logarithm = u32::BITS - members.leading_zeros();
-        self.settings.retransmit_factor * logarithm
+        u32::BITS - members.leading_zeros()
     }
 
     /// Sends queued claims to a few members at random, within the budget.
--- a/crates/coordination/src/membership/settings.rs
+++ b/crates/coordination/src/membership/settings.rs
@@ -15,7 +15,8 @@
     pub indirect_probes: usize,
     /// Time to refute a suspicion among ten members or fewer; it grows with log10 of the members.
     pub suspicion: Duration,
-    /// Transmissions of a change per log2 of the members.
+    /// Transmissions of a suspicion, a denial, a death or a leaving by one node, per
+    /// log2 of the members. The news of a join is passed on log2 of the members times.
     pub retransmit_factor: u32,
     /// Time between two bursts of gossip while there are changes to pass on.
     pub gossip_period: Duration,
@@ -64,7 +65,7 @@
             probe_deadline: Duration::from_millis(900),
             indirect_probes: 3,
             suspicion: Duration::from_millis(2_000),
-            retransmit_factor: 1,
+            retransmit_factor: 3,
             gossip_period: Duration::from_millis(250),
             gossip_fanout: 3,
             gossip_bytes_per_second: 3_000,
--- a/crates/coordination/src/membership/updates.rs
+++ b/crates/coordination/src/membership/updates.rs
@@ -52,4 +52,9 @@
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
+
+    /// Members in the queue.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
 }
--- a/crates/coordination/src/node/machine.rs
+++ b/crates/coordination/src/node/machine.rs
@@ -281,6 +281,14 @@
         self.update_candidate(&own, MemberState::Leaving, actions);
     }
 
+    /// Whether this node is home of any of the group's databases.
+    fn is_home_in(&self, group: &GroupName) -> bool {
+        let databases = self.groups.get(group).map_or(&[][..], Vec::as_slice);
+        databases
+            .iter()
+            .any(|database| self.homes.is_home(database))
+    }
+
     fn homes_of_group(&mut self, group: &GroupName) -> BTreeSet<NodeId> {
         let own = self.membership.own().node;
         let databases = self.groups.get(group).map_or(&[][..], Vec::as_slice);
@@ -384,7 +392,10 @@
         if !self.groups.contains_key(&news.group) || !self.spread.learn(news) {
             return;
         }
-        let mut receivers = self.homes_of_group(&news.group);
+        let mut receivers = BTreeSet::new();
+        if from.is_none() || self.is_home_in(&news.group) {
+            receivers = self.homes_of_group(&news.group);
+        }
         receivers.extend(self.spread.subscribers(now, &news.group));
         for to in receivers.into_iter().filter(|to| Some(*to) != from) {
             let message = PeerMessage::LeadershipChange(news.clone());
--- /dev/null
+++ b/crates/transport/tests/peer_faults.rs
@@ -0,0 +1,208 @@
+//! Links that fall silent, forwarders that die, and strangers at the sockets.
+
+mod peer_support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use hookpoint_coordination::membership::{Datagram, DatagramBody, MemberInfo, Sender};
+use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
+use hookpoint_protocol::frame::Frame;
+use hookpoint_protocol::peer::{DatagramSealer, HANDSHAKE_BYTES};
+use hookpoint_state::{BundleVersion, NodeId, RegionName, ZoneName};
+use hookpoint_transport::lease::BackendLease;
+use peer_support::{Ending, alive, home_of, key, request, soon, start_fleet, start_with, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+
+/// Passes bytes between a port of its own and `target` until it is frozen; then it keeps
+/// its connections open and passes nothing.
+async fn relay(target: SocketAddr) -> (SocketAddr, Arc<AtomicBool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let frozen = Arc::new(AtomicBool::new(false));
+    let shared = frozen.clone();
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let Ok(far) = TcpStream::connect(target).await else {
+                continue;
+            };
+            let (near_reader, near_writer) = near.into_split();
+            let (far_reader, far_writer) = far.into_split();
+            tokio::spawn(pass(near_reader, far_writer, shared.clone()));
+            tokio::spawn(pass(far_reader, near_writer, shared.clone()));
+        }
+    });
+    (address, frozen)
+}
+
+async fn pass(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    frozen: Arc<AtomicBool>,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    while let Ok(length) = from.read(&mut buffer).await {
+        if length == 0 {
+            return;
+        }
+        while frozen.load(Ordering::SeqCst) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        if to.write_all(&buffer[..length]).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn echo(lease: &mut BackendLease) {
+    let frames = vec![Frame::new(b'Q', "select 1")];
+    let command = BackendCommand::Frames(frames.clone());
+    soon(lease.commands.send(command))
+        .await
+        .expect("it is taken");
+    let reply = soon(lease.replies.recv()).await;
+    assert_eq!(reply, Some(BackendReply::Frames(frames)));
+}
+
+#[actix_rt::test]
+async fn a_link_that_falls_silent_loses_its_leases_at_both_ends() {
+    let nodes = start_fleet(2).await;
+    let (by_relay, frozen) = relay(nodes[1].fleet.address()).await;
+    let direct = nodes[1].fleet.address();
+    nodes[0].shared.addresses.replace(direct, by_relay);
+    let remote = home_of(&nodes[1]);
+    let leasing = nodes[0].leases.acquire(request(remote.clone()));
+    let mut lease = soon(leasing).await.expect("it is granted");
+    echo(&mut lease).await;
+    frozen.store(true, Ordering::SeqCst);
+    assert_eq!(soon(lease.replies.recv()).await, Some(BackendReply::Lost));
+    let endings = nodes[1].echo.endings.clone();
+    until(|| *endings.lock() == [Ending::Dropped]).await;
+    // Datagrams still pass, so the home seems alive; the request is served here instead.
+    let leasing = nodes[0].leases.acquire(request(remote));
+    let mut lease = soon(leasing).await.expect("it is granted");
+    echo(&mut lease).await;
+    assert_eq!(nodes[0].echo.granted.load(Ordering::SeqCst), 1);
+}
+
+#[actix_rt::test]
+async fn a_home_drops_the_leases_of_a_dead_forwarder() {
+    let nodes = start_fleet(2).await;
+    let leasing = nodes[0].leases.acquire(request(home_of(&nodes[1])));
+    let mut lease = soon(leasing).await.expect("it is granted");
+    echo(&mut lease).await;
+    nodes[0].fleet.shutdown();
+    let endings = nodes[1].echo.endings.clone();
+    until(|| *endings.lock() == [Ending::Dropped]).await;
+    until(|| nodes[1].fleet.status().streams == 0).await;
+}
+
+#[actix_rt::test]
+async fn strangers_at_the_port_of_links_are_turned_away() {
+    let nodes = start_fleet(2).await;
+    let address = nodes[1].fleet.address();
+    let greetings: [&[u8]; 3] = [
+        b"GET / HTTP/1.1\r\nHost: hookpoint.example\r\nAccept: everything\r\n\r\n",
+        &[0; HANDSHAKE_BYTES],
+        b"short",
+    ];
+    for greeting in greetings {
+        let mut stranger = soon(TcpStream::connect(address))
+            .await
+            .expect("a connection");
+        soon(stranger.write_all(greeting))
+            .await
+            .expect("it is sent");
+        let mut answer = Vec::new();
+        let _ = soon(stranger.read_to_end(&mut answer)).await;
+        assert!(answer.is_empty(), "{answer:?}");
+    }
+    until(|| nodes[1].fleet.status().counters.links_refused == 3).await;
+    let leasing = nodes[0].leases.acquire(request(home_of(&nodes[1])));
+    let mut lease = soon(leasing).await.expect("it is granted");
+    echo(&mut lease).await;
+}
+
+fn datagram(sender: NodeId, receiver: Option<NodeId>, address: SocketAddr) -> Datagram {
+    let info = MemberInfo {
+        node: sender,
+        zone: ZoneName::new("zone"),
+        region: RegionName::new("region"),
+        address,
+    };
+    Datagram {
+        sender: Sender {
+            node: sender,
+            incarnation: 0,
+            leaving: false,
+            bundle: BundleVersion(0),
+            digest: 0,
+            info: Some(Arc::new(info)),
+        },
+        receiver,
+        body: DatagramBody::Gossip,
+        updates: Vec::new(),
+    }
+}
+
+#[actix_rt::test]
+async fn datagrams_that_are_not_meant_for_a_node_change_nothing() {
+    let node = start_with("zone", Vec::new(), vec![key(1)]);
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let own = socket.local_addr().expect("an address");
+    let meant_for = node.fleet.node();
+    let mut sealer = DatagramSealer::default();
+    let mut seal =
+        |number, datagram: &Datagram| sealer.seal(&key(number), datagram).expect("it fits");
+    let good = seal(1, &datagram(NodeId(1), Some(meant_for), own));
+    let mut garbled = good.clone();
+    garbled[40] ^= 1;
+    // (what it is, the datagram, how many are dropped as not authentic so far)
+    let cases = [
+        ("nonsense", vec![7; 200], 1),
+        ("too large", vec![1; 1_401], 2),
+        ("garbled", garbled, 3),
+        (
+            "of another key",
+            seal(2, &datagram(NodeId(2), Some(meant_for), own)),
+            4,
+        ),
+        (
+            "for another node",
+            seal(1, &datagram(NodeId(3), Some(NodeId(9)), own)),
+            4,
+        ),
+        ("for nobody", seal(1, &datagram(NodeId(4), None, own)), 4),
+    ];
+    for (name, bytes, dropped) in cases {
+        let before = node.fleet.status().counters;
+        socket
+            .send_to(&bytes, node.fleet.address())
+            .await
+            .expect("it is sent");
+        until(|| {
+            let counters = node.fleet.status().counters;
+            let sum = counters.datagrams_dropped + counters.datagrams_received;
+            sum > before.datagrams_dropped + before.datagrams_received
+        })
+        .await;
+        assert_eq!(
+            node.fleet.status().counters.datagrams_dropped,
+            dropped,
+            "{name}"
+        );
+        assert!(node.fleet.members().is_empty(), "{name}");
+    }
+    // The good one counts, but only once.
+    for dropped in [4, 5] {
+        socket
+            .send_to(&good, node.fleet.address())
+            .await
+            .expect("it is sent");
+        until(|| alive(&node) == 1).await;
+        until(|| node.fleet.status().counters.datagrams_dropped == dropped).await;
+    }
+}
