--- a/lab/tests/proxy.rs
+++ b/lab/tests/proxy.rs
@@ -260,11 +260,11 @@
     let waiting = async {
         loop {
             let entries = stack.platform.list(MACHINE_PREFIX);
-            let states = entries.iter().map(|entry| {
+            let mut states = entries.iter().map(|entry| {
                 let machine: MachineRecord = serde_json::from_slice(&entry.value).expect("one");
                 machine.state
             });
-            if reached(states.last()) {
+            if reached(states.next_back()) {
                 return;
             }
             tokio::time::sleep(Duration::from_millis(5)).await;
