Add cursors and SQL-level PREPARE to the database stand-in

Cause: clients that declare cursors or prepare by SQL could not be tried.

Change: DECLARE, FETCH, CLOSE, PREPARE and EXECUTE. The random runs of the agreement also cut links in one direction.

--- a/lab/standin/src/database/consensus/tests.rs
+++ b/lab/standin/src/database/consensus/tests.rs
@@ -1,7 +1,7 @@
 //! Random runs of whole groups in virtual time, with losses, delays, cuts and
 //! restarts; each run follows from its seed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -24,6 +24,8 @@
     random: ChaCha8Rng,
     members: Vec<Consensus>,
     cut: Vec<bool>,
+    /// Links cut in one direction.
+    cut_links: BTreeSet<(Member, Member)>,
     links: BTreeMap<(Member, Member), Vec<(Instant, Message)>>,
     /// Who led each term.
     primaries: BTreeMap<u64, Member>,
@@ -51,6 +53,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             members: (0..members).map(new).collect(),
             cut: vec![false; members],
+            cut_links: BTreeSet::new(),
             links: BTreeMap::new(),
             primaries: BTreeMap::from([(1, 0)]),
             safe: BTreeMap::new(),
@@ -126,7 +129,8 @@
             );
         }
         for (from, to, message) in due {
-            let lost = self.cut[from] || self.cut[to] || self.random.random_bool(0.02);
+            let cut = self.cut[from] || self.cut[to] || self.cut_links.contains(&(from, to));
+            let lost = cut || self.random.random_bool(0.02);
             if !lost {
                 let actions = self.members[to].receive(self.now, from, message, Lsn(0));
                 self.act(to, actions);
@@ -153,10 +157,13 @@
 
     fn disturb(&mut self) {
         let member = self.random.random_range(0..self.members.len());
-        match self.random.random_range(0..4) {
+        let other = self.random.random_range(0..self.members.len());
+        match self.random.random_range(0..6) {
             0 => self.cut[member] = true,
             1 => self.cut[member] = false,
-            2 => self.cut.fill(false),
+            2 => drop(self.cut_links.insert((member, other))),
+            3 => drop(self.cut_links.remove(&(member, other))),
+            4 => self.mend(),
             _ => {
                 let actions = self.members[member].restart(self.now);
                 self.act(member, actions);
@@ -164,9 +171,14 @@
         }
     }
 
+    fn mend(&mut self) {
+        self.cut.fill(false);
+        self.cut_links.clear();
+    }
+
     /// With all links whole, everybody ends with the same log.
     fn settle(&mut self) {
-        self.cut.fill(false);
+        self.mend();
         for _ in 0..3000 {
             self.now += STEP;
             for member in 0..self.members.len() {
--- a/lab/standin/src/database/execute.rs
+++ b/lab/standin/src/database/execute.rs
@@ -43,6 +43,7 @@
             StatementKind::CopyIn { table, columns } => {
                 return self.copy_in(statement, table, columns).await;
             }
+            StatementKind::Cursor(cursor) => return self.run_cursor(statement, cursor).await,
             StatementKind::CopyOut => return self.copy_out(statement).await,
             _ => return Ok(self.run_utility(statement).await?),
         };
@@ -74,7 +75,7 @@
         Ok(())
     }
 
-    async fn run_read(
+    pub(super) async fn run_read(
         &mut self,
         statement: &Statement,
         parameters: &[Value],
--- a/lab/standin/src/database/extended.rs
+++ b/lab/standin/src/database/extended.rs
@@ -15,7 +15,7 @@
 use super::error::{SqlError, SqlState};
 use super::execute::known_columns;
 use super::infer::parameter_types;
-use super::lexer;
+use super::lexer::{self, RawStatement};
 use super::outcome::{self, Column, Outcome, columns_of, format_of};
 use super::session::{Failure, Session};
 use super::statement::{Statement, StatementKind};
@@ -30,9 +30,9 @@
 /// A prepared statement.
 pub struct Prepared {
     /// The statement; none for an empty query.
-    statement: Option<Statement>,
-    parameters: Vec<Type>,
-    columns: Option<Vec<Column>>,
+    pub(super) statement: Option<Statement>,
+    pub(super) parameters: Vec<Type>,
+    pub(super) columns: Option<Vec<Column>>,
 }
 
 /// A bound statement, with what is left of its answer once it has run.
@@ -46,24 +46,34 @@
 impl Session {
     pub(super) async fn parse(&mut self, parse: Parse) -> Result<(), Failure> {
         let name = parse.name.unwrap_or_default();
+        let prepared = self.prepare(&parse.query, &parse.type_oids)?;
+        self.keep_statement(name, prepared)?;
+        let complete = ParseComplete::new();
+        Ok(self
+            .wire
+            .push(PgWireBackendMessage::ParseComplete(complete))?)
+    }
+
+    /// Keeps a prepared statement under its name.
+    pub(super) fn keep_statement(
+        &mut self,
+        name: String,
+        prepared: Prepared,
+    ) -> Result<(), SqlError> {
         if !name.is_empty() && self.statements.contains_key(&name) {
-            return Err(Failure::Sql(SqlError::new(
+            return Err(SqlError::new(
                 SqlState::DuplicatePreparedStatement,
                 format!("prepared statement \"{name}\" already exists"),
-            )));
+            ));
         }
         if self.statements.len() >= MAXIMUM_STATEMENTS {
-            return Err(Failure::Sql(SqlError::new(
+            return Err(SqlError::new(
                 SqlState::ProgramLimitExceeded,
                 "too many prepared statements",
-            )));
+            ));
         }
-        let prepared = self.prepare(&parse.query, &parse.type_oids)?;
         self.statements.insert(name, Arc::new(prepared));
-        let complete = ParseComplete::new();
-        Ok(self
-            .wire
-            .push(PgWireBackendMessage::ParseComplete(complete))?)
+        Ok(())
     }
 
     fn prepare(&mut self, sql: &str, oids: &[u32]) -> Result<Prepared, SqlError> {
@@ -81,6 +91,15 @@
                 columns: None,
             });
         };
+        self.prepare_statement(raw, oids)
+    }
+
+    /// Prepares one statement; `oids` are the types that the client named.
+    pub(super) fn prepare_statement(
+        &mut self,
+        raw: RawStatement,
+        oids: &[u32],
+    ) -> Result<Prepared, SqlError> {
         let statement = Statement::prepare(raw)?;
         if self.transaction.stage == Stage::Failed && !statement.ends_failure() {
             return Err(SqlError::new(
@@ -119,6 +138,7 @@
                     Column::new("setting", Type::TEXT),
                 ]),
             )),
+            StatementKind::Cursor(cursor) => Ok((Vec::new(), self.cursor_columns(cursor))),
             StatementKind::Definition => Ok((vec![Type::TEXT; count], None)),
             _ if !statement.runs_in_store() || statement.kind == StatementKind::CopyOut => {
                 Ok((vec![Type::TEXT; count], None))
@@ -179,7 +199,7 @@
             .push(PgWireBackendMessage::BindComplete(complete))?)
     }
 
-    fn statement(&self, name: &str) -> Result<Arc<Prepared>, SqlError> {
+    pub(super) fn statement(&self, name: &str) -> Result<Arc<Prepared>, SqlError> {
         self.statements.get(name).cloned().ok_or_else(|| {
             SqlError::new(
                 SqlState::InvalidSqlStatementName,
--- a/lab/standin/src/database/mod.rs
+++ b/lab/standin/src/database/mod.rs
@@ -10,6 +10,7 @@
 mod connections;
 mod consensus;
 mod copy;
+mod cursor;
 mod definition;
 mod entry;
 mod error;
--- a/lab/standin/src/database/session.rs
+++ b/lab/standin/src/database/session.rs
@@ -55,6 +55,7 @@
     pub(super) transaction: Transaction,
     pub(super) statements: HashMap<String, Arc<Prepared>>,
     pub(super) portals: HashMap<String, Portal>,
+    pub(super) cursors: HashMap<String, Outcome>,
     reported: Vec<(&'static str, String)>,
     skipping: bool,
 }
@@ -71,6 +72,7 @@
             transaction: Transaction::default(),
             statements: HashMap::new(),
             portals: HashMap::new(),
+            cursors: HashMap::new(),
             skipping: false,
         }
     }
--- a/lab/standin/src/database/statement.rs
+++ b/lab/standin/src/database/statement.rs
@@ -1,5 +1,6 @@
 //! Tells what a statement does.
 
+use super::cursor::CursorStatement;
 use super::error::{SqlError, SqlState};
 use super::lexer::{RawStatement, Token, TokenKind};
 use super::rewrite;
@@ -69,6 +70,8 @@
     },
     /// COPY ... TO STDOUT; the statement's SQL reads the rows.
     CopyOut,
+    /// Works with cursors or prepared statements.
+    Cursor(CursorStatement),
     /// Accepted and ignored.
     NoOperation,
 }
@@ -193,6 +196,16 @@
             }
             "DEALLOCATE" => self.classify_deallocate()?,
             "COPY" => self.classify_copy()?,
+            "DECLARE" | "FETCH" | "CLOSE" | "PREPARE" | "EXECUTE" => {
+                let cursor = CursorStatement::parse(&self.text, &self.tokens)?;
+                if matches!(
+                    cursor,
+                    CursorStatement::Declare { .. } | CursorStatement::Close(_)
+                ) {
+                    self.tag.push_str(" CURSOR");
+                }
+                self.kind = StatementKind::Cursor(cursor);
+            }
             "EXPLAIN" => {
                 self.kind = StatementKind::Read;
                 self.sql = "SELECT 'Result' AS \"QUERY PLAN\"".to_owned();
--- a/lab/standin/src/database/utility.rs
+++ b/lab/standin/src/database/utility.rs
@@ -248,6 +248,7 @@
 
     fn end_transaction(&mut self) {
         self.portals.clear();
+        self.cursors.clear();
         self.node
             .advisory
             .unlock_transaction(self.identity.slot.process);
--- a/lab/standin/tests/database_sessions.rs
+++ b/lab/standin/tests/database_sessions.rs
@@ -222,6 +222,56 @@
     group.stop().await;
 }
 
+#[tokio::test]
+async fn cursors_and_prepared_statements_work_by_sql() {
+    let group = start(group_of_three()).await;
+    let client = connect(&group, "a").await;
+    run(
+        &client,
+        "PREPARE write (bigint, text) AS INSERT INTO notes VALUES ($1, $2)",
+    )
+    .await;
+    for id in 1..=5 {
+        run(&client, &format!("EXECUTE write ({id}, 'x')")).await;
+    }
+    assert_eq!(failure(&client, "EXECUTE write (6)").await, "42601");
+    assert_eq!(
+        failure(&client, "PREPARE loop AS EXECUTE loop").await,
+        "42601"
+    );
+    assert_eq!(
+        failure(&client, "DECLARE some CURSOR FOR SELECT 1").await,
+        "25P01"
+    );
+    run(
+        &client,
+        "BEGIN; DECLARE some CURSOR FOR SELECT id FROM notes ORDER BY id",
+    )
+    .await;
+    // Statements, and the first and the number of the rows they return.
+    let cases = [
+        ("FETCH some", 1, 1),
+        ("FETCH 2 FROM some", 2, 2),
+        ("FETCH FORWARD ALL FROM some", 4, 2),
+    ];
+    for (sql, first, count) in cases {
+        let rows = client.query(sql, &[]).await.expect("rows come");
+        assert_eq!(
+            (rows[0].get::<_, i64>(0), rows.len()),
+            (first, count),
+            "{sql}"
+        );
+    }
+    run(&client, "CLOSE some; COMMIT; DEALLOCATE write").await;
+    assert_eq!(failure(&client, "EXECUTE write (7, 'x')").await, "26000");
+    until_replayed(&group).await;
+    assert_eq!(
+        number(&connect(&group, "b").await, "SELECT count(*) FROM notes").await,
+        5
+    );
+    group.stop().await;
+}
+
 #[tokio::test]
 async fn copies_go_both_ways() {
     let group = start(group_of_three()).await;
