Give up a silent database's check, and refuse marks behind a flush

Cause: a read on a replica that is cut off waited for its status query without end. A request identifier that came behind a Flush was not put into the ledger, since the insert has to stand ahead of the unit.

Change: a read whose status query is not answered in 1 s goes elsewhere under the retry policy; such identifiers are refused; a unit that waits for nothing is ended as unknown in place of hanging. Actions and inputs of a session stand in files of their own.

--- /dev/null
+++ b/crates/transport/src/caller/actions.rs
@@ -0,0 +1,153 @@
+//! Carrying out what a request machine asks for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hookpoint_coordination::request::{Access, RequestAction, RequestEvent};
+use hookpoint_protocol::backend_command::BackendCommand;
+use hookpoint_state::{DatabaseName, Refusal, Timestamp};
+
+use crate::caller::active::Failure;
+use crate::caller::flight::Wrapping;
+use crate::caller::session::Session;
+use crate::lease::AcquireRequest;
+
+/// Longest wait for the status query ahead of a read. A database that is cut off says
+/// nothing at all, and a read can go elsewhere.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Session {
+    /// Hands an event to the machine and carries out its actions.
+    pub(super) fn handle(&mut self, event: RequestEvent) {
+        let shared = &self.context.shared;
+        let now = shared.now();
+        let mut actions = Vec::new();
+        if let Some(active) = &mut self.transaction {
+            let machine = &mut active.machine;
+            shared.with_view(&self.group, |view| {
+                machine.handle(now, view, event, &mut actions);
+            });
+        }
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    fn perform(&mut self, action: RequestAction) {
+        match &action {
+            RequestAction::Record(decision) => {
+                let session = Some(self.guard.entry.id);
+                self.context.shared.record(session, decision.clone());
+            }
+            RequestAction::Require { position }
+            | RequestAction::Acknowledge {
+                position: Some(position),
+            } => self.require(*position),
+            RequestAction::Release { .. } => self.guard.entry.rests(),
+            _ => {}
+        }
+        let Some(active) = &mut self.transaction else {
+            return;
+        };
+        match action {
+            RequestAction::VerifyTerm => self.verify_term(),
+            RequestAction::Acquire { database, deadline } => self.acquire(database, deadline),
+            RequestAction::Send { check, probe } => self.send(check, probe),
+            RequestAction::Deliver => active.answer.deliver(),
+            RequestAction::Discard => active.begin_attempt(false),
+            RequestAction::Probe { after } => {
+                active.probe_at = Some(self.context.shared.now() + after);
+            }
+            RequestAction::Acknowledge { .. } => active.answer.release_end(),
+            RequestAction::Release { reusable } => active.release(reusable),
+            RequestAction::Wait { until } => active.timer = Some(until),
+            RequestAction::Refuse { refusal } => active.failure = Some(Failure::Refused(refusal)),
+            RequestAction::Unknown { cause } => active.failure = Some(Failure::Unknown(cause)),
+            RequestAction::Finished => active.finished = true,
+            RequestAction::Record(_) | RequestAction::Require { .. } => {}
+        }
+    }
+
+    fn verify_term(&mut self) {
+        let verifier = Arc::clone(&self.context.verifier);
+        let group = self.group.clone();
+        if let Some(active) = &mut self.transaction {
+            active.verify = Some(Box::pin(async move { verifier.verify(&group).await }));
+        }
+    }
+
+    fn acquire(&mut self, database: DatabaseName, deadline: Timestamp) {
+        let request = AcquireRequest {
+            group: self.group.clone(),
+            database,
+            session: self.guard.entry.id,
+            tenant: self.tenant.clone(),
+            zone: self.context.shared.zone.clone(),
+            wait: deadline.since(self.context.shared.now()),
+        };
+        let leases = Arc::clone(&self.context.leases);
+        self.guard.entry.waits();
+        let pause = self.retry_pause(deadline);
+        if let Some(active) = &mut self.transaction {
+            active.acquiring = Some(request.database.clone());
+            active.acquire = Some(Box::pin(async move {
+                if let Some(pause) = pause? {
+                    tokio::time::sleep(pause).await;
+                }
+                leases.acquire(request).await
+            }));
+        }
+    }
+
+    /// How long to wait before the next connection is asked for: after a lost one the
+    /// retry policy decides.
+    fn retry_pause(&mut self, deadline: Timestamp) -> Result<Option<Duration>, Refusal> {
+        let Some(active) = &mut self.transaction else {
+            return Ok(None);
+        };
+        if !std::mem::take(&mut active.lost_last) {
+            return Ok(None);
+        }
+        let attempts = active.losses;
+        let shared = &self.context.shared;
+        let now = shared.now();
+        let next = shared
+            .retries
+            .next_attempt(now, deadline, attempts, &self.tenant)?;
+        Ok(Some(next.since(now)))
+    }
+
+    fn send(&mut self, check: bool, probe: bool) {
+        let Some(active) = &mut self.transaction else {
+            return;
+        };
+        let block = active.mark.is_some() && !self.status.is_open();
+        let wrapping = Wrapping {
+            check,
+            probe,
+            ledger: active.mark.clone(),
+            block,
+            defer: active.plan.open || active.plan.traits.copies_in,
+        };
+        active.begin_attempt(probe || block);
+        active.marked.extend(active.mark.clone());
+        let traits = &active.plan.traits;
+        active.dirty |= traits.leaves_state || !traits.settings.is_empty();
+        if !std::mem::replace(&mut active.settled, true) {
+            let settings = self.settings.current().clone();
+            let command = BackendCommand::EnsureSettings(settings);
+            active.flight.outgoing.push_back(command);
+        }
+        let unit = active
+            .plan
+            .unit(self.status.is_open(), active.mark.is_some());
+        if check && unit.access == Access::Read {
+            active.check_due = Some(self.context.shared.now() + CHECK_TIMEOUT);
+        }
+        active.flight.launch(&active.plan.commands, &wrapping);
+        if let Some(lease) = &active.lease {
+            self.guard.entry.runs(lease.commands.clone());
+        }
+        active.hand_over();
+    }
+}
--- a/crates/transport/src/caller/active.rs
+++ b/crates/transport/src/caller/active.rs
@@ -76,6 +76,8 @@
     pub timer: Option<Timestamp>,
     /// When the next status query is sent.
     pub probe_at: Option<Timestamp>,
+    /// When the status query ahead of a read has to be answered.
+    pub check_due: Option<Timestamp>,
     /// How it ended without an answer.
     pub failure: Option<Failure>,
     /// Whether the machine has ended.
@@ -124,6 +126,7 @@
             verify: None,
             timer: None,
             probe_at: None,
+            check_due: None,
             failure: None,
             finished: false,
             lost_while_idle: false,
@@ -221,6 +224,11 @@
         self.relay(&extended::sync());
     }
 
+    /// Whether nothing that is still to come could move the unit on.
+    pub fn waits_for_nothing(&self) -> bool {
+        self.lease.is_none() && !self.machine_is_busy()
+    }
+
     /// Whether the machine waits for something although the answer is complete.
     pub fn machine_is_busy(&self) -> bool {
         self.acquire.is_some() || self.verify.is_some() || self.timer.is_some()
@@ -286,6 +294,7 @@
 
     fn lose_connection(&mut self, observed: &mut VecDeque<Observed>) {
         self.lease = None;
+        self.check_due = None;
         self.flight = Flight::default();
         observed.push_back(Observed::Event(RequestEvent::ConnectionLost));
     }
@@ -314,6 +323,7 @@
         let Some(result) = self.collector.push(frame) else {
             return;
         };
+        self.check_due = None;
         let Ok(status) = result else {
             return self.status_failed(section, observed);
         };
@@ -423,6 +433,7 @@
     /// Gives the connection back. What is still in flight on it is read to its end
     /// first, by a task of its own.
     pub fn release(&mut self, reusable: bool) {
+        self.check_due = None;
         let flight = std::mem::take(&mut self.flight);
         self.settled = false;
         self.collector = StatusCollector::default();
--- a/crates/transport/src/caller/drive.rs
+++ b/crates/transport/src/caller/drive.rs
@@ -1,43 +1,22 @@
 //! Carrying one unit through its request machine: events in, actions out.
 
 use std::collections::VecDeque;
-use std::sync::Arc;
-use std::time::Duration;
 
-use hookpoint_coordination::request::{
-    RequestAction, RequestEvent, RequestMachine, RequestProfile, Unit,
-};
-use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
+use hookpoint_coordination::request::{RequestEvent, RequestMachine, RequestProfile, Unit};
+use hookpoint_protocol::backend_command::BackendReply;
 use hookpoint_protocol::frame::Frame;
 use hookpoint_protocol::tags::frontend;
-use hookpoint_state::{DatabaseName, Position, Refusal, Timestamp};
+use hookpoint_state::UnknownCause;
 
 use crate::caller::active::{ActiveTransaction, Failure, Observed};
 use crate::caller::error::{self, SessionEnd};
-use crate::caller::flight::Wrapping;
+use crate::caller::input::Input;
 use crate::caller::session::Session;
-use crate::caller::stream::{CallerGone, CallerStream};
 use crate::caller::unit::UnitPlan;
-use crate::lease::{AcquireRequest, BackendLease};
 
 /// Output that is sent even while more of a short answer may still come.
 const FLUSH_THRESHOLD: usize = 8 * 1024;
 
-/// Something that happened while a unit is in progress.
-enum Input {
-    Lease(Result<BackendLease, Refusal>),
-    Verified(Option<Position>),
-    Timer,
-    ProbeDue,
-    ViewChanged,
-    Reply(Option<BackendReply>),
-    Room,
-    Message(Frame),
-    Gone(CallerGone),
-    Idle,
-    Cancelled,
-}
-
 impl Session {
     /// Runs a unit that needs a connection and writes its answer.
     pub(super) async fn run_unit(&mut self, plan: UnitPlan) -> Result<(), SessionEnd> {
@@ -121,133 +100,6 @@
         RequestEvent::Begin
     }
 
-    fn handle(&mut self, event: RequestEvent) {
-        let shared = &self.context.shared;
-        let now = shared.now();
-        let mut actions = Vec::new();
-        if let Some(active) = &mut self.transaction {
-            let machine = &mut active.machine;
-            shared.with_view(&self.group, |view| {
-                machine.handle(now, view, event, &mut actions);
-            });
-        }
-        for action in actions {
-            self.perform(action);
-        }
-    }
-
-    fn perform(&mut self, action: RequestAction) {
-        match &action {
-            RequestAction::Record(decision) => {
-                let session = Some(self.guard.entry.id);
-                self.context.shared.record(session, decision.clone());
-            }
-            RequestAction::Require { position }
-            | RequestAction::Acknowledge {
-                position: Some(position),
-            } => self.require(*position),
-            RequestAction::Release { .. } => self.guard.entry.rests(),
-            _ => {}
-        }
-        let Some(active) = &mut self.transaction else {
-            return;
-        };
-        match action {
-            RequestAction::VerifyTerm => self.verify_term(),
-            RequestAction::Acquire { database, deadline } => self.acquire(database, deadline),
-            RequestAction::Send { check, probe } => self.send(check, probe),
-            RequestAction::Deliver => active.answer.deliver(),
-            RequestAction::Discard => active.begin_attempt(false),
-            RequestAction::Probe { after } => {
-                active.probe_at = Some(self.context.shared.now() + after);
-            }
-            RequestAction::Acknowledge { .. } => active.answer.release_end(),
-            RequestAction::Release { reusable } => active.release(reusable),
-            RequestAction::Wait { until } => active.timer = Some(until),
-            RequestAction::Refuse { refusal } => active.failure = Some(Failure::Refused(refusal)),
-            RequestAction::Unknown { cause } => active.failure = Some(Failure::Unknown(cause)),
-            RequestAction::Finished => active.finished = true,
-            RequestAction::Record(_) | RequestAction::Require { .. } => {}
-        }
-    }
-
-    fn verify_term(&mut self) {
-        let verifier = Arc::clone(&self.context.verifier);
-        let group = self.group.clone();
-        if let Some(active) = &mut self.transaction {
-            active.verify = Some(Box::pin(async move { verifier.verify(&group).await }));
-        }
-    }
-
-    fn acquire(&mut self, database: DatabaseName, deadline: Timestamp) {
-        let request = AcquireRequest {
-            group: self.group.clone(),
-            database,
-            session: self.guard.entry.id,
-            tenant: self.tenant.clone(),
-            zone: self.context.shared.zone.clone(),
-            wait: deadline.since(self.context.shared.now()),
-        };
-        let leases = Arc::clone(&self.context.leases);
-        self.guard.entry.waits();
-        let pause = self.retry_pause(deadline);
-        if let Some(active) = &mut self.transaction {
-            active.acquiring = Some(request.database.clone());
-            active.acquire = Some(Box::pin(async move {
-                if let Some(pause) = pause? {
-                    tokio::time::sleep(pause).await;
-                }
-                leases.acquire(request).await
-            }));
-        }
-    }
-
-    /// How long to wait before the next connection is asked for: after a lost one the
-    /// retry policy decides.
-    fn retry_pause(&mut self, deadline: Timestamp) -> Result<Option<Duration>, Refusal> {
-        let Some(active) = &mut self.transaction else {
-            return Ok(None);
-        };
-        if !std::mem::take(&mut active.lost_last) {
-            return Ok(None);
-        }
-        let attempts = active.losses;
-        let shared = &self.context.shared;
-        let now = shared.now();
-        let next = shared
-            .retries
-            .next_attempt(now, deadline, attempts, &self.tenant)?;
-        Ok(Some(next.since(now)))
-    }
-
-    fn send(&mut self, check: bool, probe: bool) {
-        let Some(active) = &mut self.transaction else {
-            return;
-        };
-        let block = active.mark.is_some() && !self.status.is_open();
-        let wrapping = Wrapping {
-            check,
-            probe,
-            ledger: active.mark.clone(),
-            block,
-            defer: active.plan.open || active.plan.traits.copies_in,
-        };
-        active.begin_attempt(probe || block);
-        active.marked.extend(active.mark.clone());
-        let traits = &active.plan.traits;
-        active.dirty |= traits.leaves_state || !traits.settings.is_empty();
-        if !std::mem::replace(&mut active.settled, true) {
-            let settings = self.settings.current().clone();
-            let command = BackendCommand::EnsureSettings(settings);
-            active.flight.outgoing.push_back(command);
-        }
-        active.flight.launch(&active.plan.commands, &wrapping);
-        if let Some(lease) = &active.lease {
-            self.guard.entry.runs(lease.commands.clone());
-        }
-        active.hand_over();
-    }
-
     /// Writes what may flow.
     async fn pump(&mut self) -> Result<(), SessionEnd> {
         let Some(active) = &mut self.transaction else {
@@ -270,45 +122,6 @@
         })
     }
 
-    async fn next_input(&mut self) -> Input {
-        let idle_limit = self.idle_limit();
-        let Session {
-            stream,
-            transaction,
-            guard,
-            context,
-            views,
-            ..
-        } = self;
-        let Some(active) = transaction else {
-            return Input::Timer;
-        };
-        let now = context.shared.now();
-        let takes_input = active.takes_input() && active.flight.outgoing.is_empty();
-        let has_room = active.answer.has_room();
-        let unsent = active.lease.is_none() && !active.answer.has_flowed();
-        let blocked = !active.flight.outgoing.is_empty();
-        let commands = active.lease.as_ref().map(|lease| lease.commands.clone());
-        tokio::select! {
-            lease = pending(&mut active.acquire) => {
-                active.acquire = None;
-                Input::Lease(lease)
-            }
-            position = pending(&mut active.verify) => {
-                active.verify = None;
-                Input::Verified(position)
-            }
-            () = sleep_until(now, active.timer) => Input::Timer,
-            () = sleep_until(now, active.probe_at) => Input::ProbeDue,
-            _ = views.changed(), if active.timer.is_some() => Input::ViewChanged,
-            reply = reply_of(&mut active.lease), if has_room => Input::Reply(reply),
-            () = room_of(commands), if blocked => Input::Room,
-            input = caller_input(stream, takes_input) => input,
-            () = tokio::time::sleep(idle_limit), if takes_input => Input::Idle,
-            () = guard.entry.cancelled(), if unsent => Input::Cancelled,
-        }
-    }
-
     fn take_input(
         &mut self,
         input: Input,
@@ -337,6 +150,16 @@
                 active.hand_over();
             }
             Input::Room => active.hand_over(),
+            Input::CheckLate => {
+                let database = active.lease.as_ref().map(|lease| lease.database.clone());
+                log::info!("caller: {database:?} did not answer a status query in time.");
+                self.observe(None, events);
+            }
+            Input::Stuck => {
+                log::error!("caller: a unit waits for nothing; its outcome is told as unknown.");
+                self.handle(RequestEvent::CallerGone);
+                self.fail_with(Failure::Unknown(UnknownCause::Deadline));
+            }
             Input::Reply(reply) => self.observe(reply, events),
             Input::Message(frame) => self.take_message(&frame)?,
             Input::Gone(gone) => {
@@ -349,9 +172,7 @@
             }
             Input::Cancelled => {
                 self.handle(RequestEvent::CallerGone);
-                if let Some(active) = &mut self.transaction {
-                    active.failure = Some(Failure::Cancelled);
-                }
+                self.fail_with(Failure::Cancelled);
             }
         }
         Ok(())
@@ -418,15 +239,16 @@
                         return Ok(());
                     }
                 }
-                if let Some(feature) = active.plan.traits.unsupported.clone() {
-                    let refusal = Refusal::Unsupported { feature };
+                if let Some(refusal) = self.open_refusal() {
                     self.tell_refusal(&refusal);
                     self.abandon_unit();
                     return Ok(());
                 }
             }
         }
-        active.hand_over();
+        if let Some(active) = &mut self.transaction {
+            active.hand_over();
+        }
         Ok(())
     }
 
@@ -434,53 +256,12 @@
     /// what it did so far.
     fn abandon_unit(&mut self) {
         self.handle(RequestEvent::CallerGone);
-        if let Some(active) = &mut self.transaction {
-            active.failure = Some(Failure::Told);
-        }
-    }
-}
-
-/// Waits for the caller's next message where it belongs to the unit in progress, and
-/// otherwise only for its going away.
-async fn caller_input(stream: &mut CallerStream, takes_input: bool) -> Input {
-    if !takes_input {
-        return Input::Gone(stream.read_ahead().await);
-    }
-    match stream.frame().await {
-        Ok(frame) => Input::Message(frame),
-        Err(gone) => Input::Gone(gone),
+        self.fail_with(Failure::Told);
     }
-}
 
-/// Waits for a pending result; for ever if there is none.
-async fn pending<T>(slot: &mut crate::caller::active::Pending<T>) -> T {
-    match slot {
-        Some(future) => future.await,
-        None => std::future::pending().await,
-    }
-}
-
-async fn sleep_until(now: Timestamp, until: Option<Timestamp>) {
-    match until {
-        Some(until) => tokio::time::sleep(until.since(now)).await,
-        None => std::future::pending().await,
-    }
-}
-
-async fn reply_of(lease: &mut Option<BackendLease>) -> Option<BackendReply> {
-    match lease {
-        Some(lease) => lease.replies.recv().await,
-        None => std::future::pending().await,
-    }
-}
-
-async fn room_of(commands: Option<tokio::sync::mpsc::Sender<BackendCommand>>) {
-    match commands {
-        Some(commands) => {
-            if commands.reserve().await.is_err() {
-                std::future::pending::<()>().await;
-            }
+    fn fail_with(&mut self, failure: Failure) {
+        if let Some(active) = &mut self.transaction {
+            active.failure = Some(failure);
         }
-        None => std::future::pending().await,
     }
 }
--- /dev/null
+++ b/crates/transport/src/caller/input.rs
@@ -0,0 +1,130 @@
+//! What a session waits for while a unit is in progress.
+
+use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
+use hookpoint_protocol::frame::Frame;
+use hookpoint_state::{Position, Refusal, Timestamp};
+use tokio::sync::mpsc;
+
+use crate::caller::active::Pending;
+use crate::caller::session::Session;
+use crate::caller::stream::{CallerGone, CallerStream};
+use crate::lease::BackendLease;
+
+/// Something that happened while a unit is in progress.
+pub(super) enum Input {
+    /// The wait for a connection is over.
+    Lease(Result<BackendLease, Refusal>),
+    /// The verification of the term is over.
+    Verified(Option<Position>),
+    /// The machine's timer has fired.
+    Timer,
+    /// The next status query is due.
+    ProbeDue,
+    /// The status query ahead of a read was not answered in time.
+    CheckLate,
+    /// The view of a group has changed.
+    ViewChanged,
+    /// The connection replied, or has ended.
+    Reply(Option<BackendReply>),
+    /// The connection takes commands again.
+    Room,
+    /// The caller sent a message of the unit.
+    Message(Frame),
+    /// The caller has gone.
+    Gone(CallerGone),
+    /// The caller sent nothing more of its unit for too long.
+    Idle,
+    /// The caller cancelled the request before it was sent.
+    Cancelled,
+    /// There is nothing to wait for, although the unit is not over.
+    Stuck,
+}
+
+impl Session {
+    /// Waits for whatever comes first. Cancelling the future loses nothing.
+    pub(super) async fn next_input(&mut self) -> Input {
+        let idle_limit = self.idle_limit();
+        let Session {
+            stream,
+            transaction,
+            guard,
+            context,
+            views,
+            ..
+        } = self;
+        let Some(active) = transaction else {
+            return Input::Timer;
+        };
+        let now = context.shared.now();
+        let takes_input = active.takes_input() && active.flight.outgoing.is_empty();
+        let has_room = active.answer.has_room();
+        let unsent = active.lease.is_none() && !active.answer.has_flowed();
+        let blocked = !active.flight.outgoing.is_empty();
+        let commands = active.lease.as_ref().map(|lease| lease.commands.clone());
+        tokio::select! {
+            lease = pending(&mut active.acquire) => {
+                active.acquire = None;
+                Input::Lease(lease)
+            }
+            position = pending(&mut active.verify) => {
+                active.verify = None;
+                Input::Verified(position)
+            }
+            () = sleep_until(now, active.timer) => Input::Timer,
+            () = sleep_until(now, active.probe_at) => Input::ProbeDue,
+            () = sleep_until(now, active.check_due) => Input::CheckLate,
+            () = std::future::ready(()), if active.waits_for_nothing() => Input::Stuck,
+            _ = views.changed(), if active.timer.is_some() => Input::ViewChanged,
+            reply = reply_of(&mut active.lease), if has_room => Input::Reply(reply),
+            () = room_of(commands), if blocked => Input::Room,
+            input = caller_input(stream, takes_input) => input,
+            () = tokio::time::sleep(idle_limit), if takes_input => Input::Idle,
+            () = guard.entry.cancelled(), if unsent => Input::Cancelled,
+        }
+    }
+}
+
+/// Waits for the caller's next message where it belongs to the unit in progress, and
+/// otherwise only for its going away.
+async fn caller_input(stream: &mut CallerStream, takes_input: bool) -> Input {
+    if !takes_input {
+        return Input::Gone(stream.read_ahead().await);
+    }
+    match stream.frame().await {
+        Ok(frame) => Input::Message(frame),
+        Err(gone) => Input::Gone(gone),
+    }
+}
+
+/// Waits for a pending result; for ever if there is none.
+async fn pending<T>(slot: &mut Pending<T>) -> T {
+    match slot {
+        Some(future) => future.await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn sleep_until(now: Timestamp, until: Option<Timestamp>) {
+    match until {
+        Some(until) => tokio::time::sleep(until.since(now)).await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn reply_of(lease: &mut Option<BackendLease>) -> Option<BackendReply> {
+    match lease {
+        Some(lease) => lease.replies.recv().await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn room_of(commands: Option<mpsc::Sender<BackendCommand>>) {
+    match commands {
+        Some(commands) => {
+            if commands.reserve().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+        None => std::future::pending().await,
+    }
+}
--- a/crates/transport/src/caller/mod.rs
+++ b/crates/transport/src/caller/mod.rs
@@ -5,6 +5,7 @@
 //! [`hookpoint_coordination::request::RequestMachine`]: the machine decides, the
 //! session waits, sends, holds back and delivers.
 
+mod actions;
 mod active;
 mod answer;
 mod authentication;
@@ -14,6 +15,7 @@
 mod error;
 mod finish;
 mod flight;
+mod input;
 mod listener;
 mod local;
 mod marks;
--- a/crates/transport/src/caller/refusals.rs
+++ b/crates/transport/src/caller/refusals.rs
@@ -28,6 +28,26 @@
         }
     }
 
+    /// Why an open unit cannot go on with the message that was just added to it.
+    pub(super) fn open_refusal(&self) -> Option<Refusal> {
+        let active = self.transaction.as_ref()?;
+        let plan = &active.plan;
+        if let Some(feature) = &plan.traits.unsupported {
+            return Some(unsupported(feature));
+        }
+        if plan.has_local {
+            return Some(unsupported(
+                "the proxy's own settings in messages behind a flush",
+            ));
+        }
+        if active.mark.is_none() && self.mark_of(plan).is_some() {
+            return Some(unsupported(
+                "a request identifier in messages behind a flush",
+            ));
+        }
+        None
+    }
+
     /// What the unit does inside its transaction block that could not be followed.
     ///
     /// A read-only block is routed, and ended, without the evidence that a write needs,
--- a/crates/transport/tests/caller_faults.rs
+++ b/crates/transport/tests/caller_faults.rs
@@ -288,6 +288,27 @@
     handle.stop().await;
 }
 
+#[actix_rt::test]
+async fn a_read_does_not_wait_for_a_replica_that_is_cut_off() {
+    let group = FakeGroup::new();
+    let mut bundle = caller_support::bundle();
+    bundle.version.0 = 2;
+    bundle.limits.wait_ms = 20_000;
+    group.shared.install_bundle(bundle);
+    let handle = start(&group).await;
+    let silent = DATABASES[1..].iter().map(|name| (*name).to_owned());
+    group.server.lock().silent = silent.collect();
+    let (mut client, _) = RawClient::begin(&handle, &[]).await;
+    let answer = client.query("SELECT 'x'").await;
+    assert_eq!(command_tags(&answer), ["SELECT 1"]);
+    assert_eq!(tags(&answer).matches('D').count(), 1);
+    assert_eq!(
+        group.ran_on("SELECT 'x'").last().expect("it ran"),
+        DATABASES[0]
+    );
+    handle.stop().await;
+}
+
 #[actix_rt::test]
 async fn a_cancelled_status_query_is_asked_again() {
     for (failing, expected) in [(1, None), (3, None), (4, Some("08007"))] {
--- a/crates/transport/tests/caller_requests.rs
+++ b/crates/transport/tests/caller_requests.rs
@@ -4,8 +4,11 @@
 
 use std::sync::Arc;
 
-use caller_support::raw::{RawClient, command_tags, first_error};
+use caller_support::raw::{RawClient, bind, command_tags, execute, first_error, parse};
 use caller_support::{FakeGroup, connect, sqlstate, start};
+use hookpoint_protocol::extended::sync;
+use hookpoint_protocol::frame::Frame;
+use hookpoint_protocol::tags::frontend;
 
 const NOTICE: &str = "INSERT INTO notices VALUES (1) /*request_id='n1'*/";
 
@@ -195,6 +198,24 @@
         .await;
     let answer = client.query("INSERT INTO t VALUES (1)").await;
     assert_eq!(first_error(&answer).as_deref(), Some("0A000"));
+    client.query("RESET hookpoint.request_id").await;
+    let flush = Frame::new(frontend::FLUSH, Vec::new());
+    let opening = [parse("", "SELECT 1"), bind("", ""), execute(""), flush];
+    for marked in [
+        vec![parse("", NOTICE), bind("", ""), execute(""), sync()],
+        vec![
+            parse("", "SET hookpoint.request_id = 'x'"),
+            bind("", ""),
+            execute(""),
+            sync(),
+        ],
+    ] {
+        client.send(&opening).await;
+        client.send(&marked).await;
+        let answer = client.until_ready().await;
+        assert_eq!(first_error(&answer).as_deref(), Some("0A000"));
+    }
     assert!(group.ran_on("INSERT").is_empty());
+    assert!(group.ran_on("SET").is_empty());
     handle.stop().await;
 }
--- a/crates/transport/tests/caller_support/database.rs
+++ b/crates/transport/tests/caller_support/database.rs
@@ -98,6 +98,9 @@
     }
 
     async fn send(&mut self, replies: &Replies) -> bool {
+        if self.server.lock().silent.contains(&self.name) {
+            self.output.clear();
+        }
         while !self.output.is_empty() {
             let count = self.output.len().min(8);
             let batch: Vec<Frame> = self.output.drain(..count).collect();
--- a/crates/transport/tests/caller_support/server.rs
+++ b/crates/transport/tests/caller_support/server.rs
@@ -37,6 +37,8 @@
     pub prepared: Vec<String>,
     /// Status queries behind a statement that fail, as if a late cancel had hit them.
     pub failing_probes: usize,
+    /// Databases that say nothing at all, as if cut off.
+    pub silent: BTreeSet<String>,
     /// Cancel commands that reached a connection.
     pub cancels: usize,
 }
@@ -65,6 +67,7 @@
             settings: Vec::new(),
             prepared: Vec::new(),
             failing_probes: 0,
+            silent: BTreeSet::new(),
             cancels: 0,
         }
     }
