Test that an older term's entry alone is never safe

Cause: the random runs didn't find the fault of counting a majority of an older term's entry without one of the present term.

Change: a table of flushed and safe entries after an election.

Conclusion: the test fails with that fault and passes without.

--- a/lab/standin/src/database/consensus/tests.rs
+++ b/lab/standin/src/database/consensus/tests.rs
@@ -219,3 +219,39 @@
     assert!(terms > 5 * RUNS as usize, "{terms} terms");
     assert!(safe > 500 * RUNS as usize, "{safe} safe entries");
 }
+
+/// Has member 0 elected by a vote of member 1.
+fn elect_first(consensus: &mut Consensus, now: Instant) {
+    consensus.tick(now);
+    for trial in [true, false] {
+        let vote = Message::Vote {
+            term: consensus.term() + u64::from(trial),
+            trial,
+            granted: true,
+        };
+        consensus.receive(now, 1, vote, Lsn(0));
+    }
+    assert_eq!(consensus.role(), Role::Primary);
+}
+
+#[test]
+fn an_older_terms_entry_is_safe_only_with_one_of_the_present_term() {
+    let mut run = Run::new(3, 1);
+    let consensus = &mut run.members[0];
+    consensus.append(0, Vec::new());
+    let later = run.now + Duration::from_secs(1);
+    consensus.restart(run.now);
+    elect_first(consensus, later);
+    assert_eq!((consensus.term(), consensus.log().len()), (2, 3));
+    // How many entries member 1 has flushed, and how many are safe then.
+    for (flushed, safe) in [(1, 1), (2, 1), (3, 3)] {
+        let answer = Message::Appended {
+            term: 2,
+            flushed: Some(flushed),
+            hint: 0,
+            replayed: Lsn(0),
+        };
+        consensus.receive(later, 1, answer, Lsn(0));
+        assert_eq!(consensus.majority(), safe, "{flushed} flushed");
+    }
+}
