Do not take what has just become due for a pause

Cause: a node compared the time with its next timer as it stands after an event. A timer that only matters once there is a dead member, or news, stood in the past by then; the first death heard of after a quiet hour made the node take itself for paused and put off its verdicts by that hour.

Change: it compares with the timer as it was promised to its driver before. Changes that a member with the same digest knows are no longer passed on when there are many, and gossip keeps within 2,500 bytes/s.

Conclusion: verdicts no longer depend on how long the fleet was quiet.

--- a/crates/coordination/src/membership/gossip.rs
+++ b/crates/coordination/src/membership/gossip.rs
@@ -17,7 +17,7 @@
 const ANNOUNCEMENT_FANOUT: usize = 4;
 /// Bursts of gossip that tell a few more of it.
 const ANNOUNCEMENTS: u32 = 3;
-/// Queued changes from which on joins are left to the comparison of tables.
+/// Queued changes from which on those that a member knows need not be passed on.
 const MANY_CHANGES: usize = 64;
 /// Incarnation at which a claim carries zone, region and address: that of a joining
 /// member. Who misses them asks.
@@ -145,18 +145,24 @@
         Some(member.update(introduce))
     }
 
-    /// Stops passing on the many joins of a fleet that has just started, once another
-    /// member is found to know them all.
-    pub(super) fn drop_known_joins(&mut self) {
+    /// Stops passing on the many changes of a fleet that has just started or merged,
+    /// once another member is found to have the same digest, and so to know them all.
+    /// Suspicions, which a digest does not tell, stay.
+    pub(super) fn drop_known_changes(&mut self) {
         if self.queue.len() <= MANY_CHANGES {
             return;
         }
-        let joins: Vec<NodeId> = self
+        let table = &self.table;
+        let is_suspect = |node: NodeId| {
+            let member = table.get(node);
+            member.is_some_and(|member| member.state == MemberState::Suspect)
+        };
+        let known: Vec<NodeId> = self
             .queue
             .iter()
-            .filter(|node| self.is_joining(*node))
+            .filter(|node| !is_suspect(*node))
             .collect();
-        for node in joins {
+        for node in known {
             self.queue.remove(node);
         }
     }
--- a/crates/coordination/src/membership/machine.rs
+++ b/crates/coordination/src/membership/machine.rs
@@ -101,6 +101,7 @@
     pub(super) sync_allowed_at: Timestamp,
     pub(super) differs_since: Option<Timestamp>,
     pub(super) heard_at: Timestamp,
+    expected_wake: Timestamp,
     caution: u32,
 }
 
@@ -139,6 +140,7 @@
             sync_allowed_at: now,
             differs_since: None,
             heard_at: now,
+            expected_wake: now,
             caution: 0,
             settings,
         }
@@ -165,6 +167,8 @@
             MembershipEvent::RefreshVersions(version) => self.refresh_versions(now, version),
             MembershipEvent::Leave => self.leave(now, actions),
         }
+        // What has only now become due is not late.
+        self.expected_wake = self.next_wake().max(now);
     }
 
     /// When [`MembershipEvent::Timer`] is due.
@@ -252,7 +256,7 @@
     /// A node whose own timer is late was paused. Answers may have come and gone, so
     /// it judges nobody by what it missed.
     fn notice_pause(&mut self, now: Timestamp) {
-        let late = now.since(self.next_wake());
+        let late = now.since(self.expected_wake);
         if late <= self.settings.pause {
             return;
         }
--- a/crates/coordination/src/membership/receive.rs
+++ b/crates/coordination/src/membership/receive.rs
@@ -60,7 +60,7 @@
     ) {
         if sender.digest == self.digest() {
             self.differs_since = None;
-            self.drop_known_joins();
+            self.drop_known_changes();
             return;
         }
         let since = *self.differs_since.get_or_insert(now);
--- a/crates/coordination/src/membership/settings.rs
+++ b/crates/coordination/src/membership/settings.rs
@@ -68,7 +68,7 @@
             retransmit_factor: 3,
             gossip_period: Duration::from_millis(250),
             gossip_fanout: 3,
-            gossip_bytes_per_second: 3_000,
+            gossip_bytes_per_second: 2_500,
             gossip_burst_bytes: 12_000,
             own_zone_percent: 70,
             own_region_percent: 20,
--- a/crates/coordination/tests/membership.rs
+++ b/crates/coordination/tests/membership.rs
@@ -232,3 +232,35 @@
         .filter(|node| node.membership.bundle() < version);
     assert_eq!(behind.count(), 0);
 }
+
+/// What becomes due after a long time is not late: a node must not take itself for
+/// paused, and put off its verdicts, because it hears of the first death in an hour.
+#[test]
+fn a_death_after_a_long_quiet_delays_no_other() {
+    for seed in 0..8 {
+        let (mut network, nodes) = fleet(seed, 4, 2);
+        network.run_until_agreed(seconds(20)).expect("they agree");
+        network.run(seconds(900));
+        network.kill(nodes[2]);
+        network.run(Duration::from_millis(1_500));
+        network.kill(nodes[3]);
+        let dead = Some(MemberState::Dead);
+        while [0, 1]
+            .iter()
+            .any(|node| network.state(nodes[*node], nodes[2]) != dead)
+        {
+            network.run(Duration::from_millis(50));
+        }
+        let first = |node: usize| network.nodes[&nodes[node]].deaths[0];
+        let (judge, hearer) = if first(0) < first(1) { (0, 1) } else { (1, 0) };
+        network.kill(nodes[judge]);
+        network.run(seconds(20));
+        for other in [2, 3, judge] {
+            assert_eq!(
+                network.state(nodes[hearer], nodes[other]),
+                dead,
+                "seed {seed}"
+            );
+        }
+    }
+}
