Decide an operator's roll in a machine, and explore it breadth first

Cause: the roll's decisions stood between its requests, where no search reaches them, and preparing took bundles that proxies then reject. Change: RollMachine decides; the operator's command only reads and sends. The test visits every order of up to three rolls with up to four lost or late answers and operators who give up at any moment.

--- a/crates/coordination/src/rollout/mod.rs
+++ b/crates/coordination/src/rollout/mod.rs
@@ -16,6 +16,7 @@
 mod machine;
 mod message;
 mod pulling;
+mod roll;
 mod serving;
 mod store;
 #[cfg(test)]
@@ -25,4 +26,5 @@
 pub use leaving::LeavingList;
 pub use machine::{RolloutMachine, WATCHERS_PER_ZONE};
 pub use message::{Change, MAXIMUM_CHANGE_BYTES, RolloutMessage};
+pub use roll::{PointerView, RollEvent, RollMachine, RollResult, RollStep};
 pub use store::{BundleStore, ChangeError, SignedStore};
--- a/crates/coordination/src/rollout/tests/mod.rs
+++ b/crates/coordination/src/rollout/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the rollout: what is accepted, and how it spreads.
 
 mod accepting;
+mod exploring;
 mod network;
 mod spreading;
--- a/crates/state/src/document.rs
+++ b/crates/state/src/document.rs
@@ -70,9 +70,9 @@
 
 /// A problem of a document: where it is and what it is.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("line {line}: {}{reason}", prefix(key))]
+#[error("{}{reason}", prefix(*line, key))]
 pub struct Problem<Reason: fmt::Debug + fmt::Display> {
-    /// Line, from 1.
+    /// Line, from 1; 0 where there is no text.
     pub line: usize,
     /// Key concerned; the root when the document as a whole is.
     pub key: KeyPath,
@@ -80,12 +80,15 @@
     pub reason: Reason,
 }
 
-fn prefix(key: &KeyPath) -> String {
-    if key.0.is_empty() {
-        String::new()
-    } else {
-        format!("{key}: ")
+fn prefix(line: usize, key: &KeyPath) -> String {
+    let mut prefix = String::new();
+    if line > 0 {
+        prefix.push_str(&format!("line {line}: "));
     }
+    if !key.0.is_empty() {
+        prefix.push_str(&format!("{key}: "));
+    }
+    prefix
 }
 
 /// Why a document cannot be read at all.
--- a/hookpoint/src/operator/error.rs
+++ b/hookpoint/src/operator/error.rs
@@ -1,8 +1,9 @@
 //! Why an operator's command failed.
 
-use hookpoint_protocol::platform::records::ActivePointer;
+use hookpoint_coordination::rollout::PointerView;
+use hookpoint_protocol::platform::records::Stamp;
 use hookpoint_state::BundleVersion;
-use hookpoint_state::bundle::SignatureError;
+use hookpoint_state::bundle::{BundleProblem, SignatureError};
 use hookpoint_transport::platform::PlatformError;
 use thiserror::Error;
 
@@ -15,15 +16,21 @@
     pub by: String,
 }
 
-impl From<Option<&ActivePointer>> for Winner {
-    fn from(pointer: Option<&ActivePointer>) -> Self {
+impl Winner {
+    pub(super) fn of(pointer: Option<&PointerView<Stamp>>) -> Self {
         Self {
             version: pointer.map(|pointer| pointer.version).unwrap_or_default(),
-            by: pointer.map_or_else(String::new, |pointer| pointer.rolled.by.clone()),
+            by: pointer.map_or_else(String::new, |pointer| pointer.attempt.by.clone()),
         }
     }
 }
 
+/// Why the last request failed, for people.
+fn cause(failure: &Option<PlatformError>) -> String {
+    let cause = failure.as_ref().map(ToString::to_string);
+    cause.unwrap_or_else(|| "the time is over".to_owned())
+}
+
 /// A failed command.
 #[derive(Debug, Error)]
 pub enum OperatorError {
@@ -61,6 +68,9 @@
         /// What is wrong with its approvals.
         source: SignatureError,
     },
+    /// The bundle breaks a rule. Nothing was changed.
+    #[error("the bundle breaks a rule: {0}")]
+    BadBundle(BundleProblem),
     /// What the store holds is not what it should be. Nothing was changed.
     #[error("the record under `{key}` is damaged: {reason}")]
     DamagedRecord {
@@ -70,17 +80,18 @@
         reason: String,
     },
     /// The platform did not take the request in time. Nothing was changed.
-    #[error("nothing was changed: {0}")]
-    NotRun(#[source] PlatformError),
+    #[error("nothing was changed: {}", cause(.0))]
+    NotRun(Option<PlatformError>),
     /// The answer was lost and the store could not be read back in time.
-    #[error("outcome unknown, look at the status later: {0}")]
-    Unknown(#[source] PlatformError),
+    #[error("outcome unknown, look at the status later: {}", cause(.0))]
+    Unknown(Option<PlatformError>),
 }
 
 impl OperatorError {
     /// Exit code of the command.
     pub fn exit_code(&self) -> u8 {
         match self {
+            Self::BadBundle(_) => 2,
             Self::Conflict { .. } | Self::NotNewer { .. } => 3,
             Self::Unknown(_) => 4,
             Self::NotRun(_) => 5,
--- a/hookpoint/src/operator/prepare.rs
+++ b/hookpoint/src/operator/prepare.rs
@@ -39,6 +39,7 @@
         bundle: Bundle,
         floor: BundleVersion,
     ) -> Result<BundleRecord, OperatorError> {
+        bundle.check().map_err(OperatorError::BadBundle)?;
         let mut attempts = self.attempts();
         loop {
             let entry = attempts
--- a/hookpoint/src/operator/roll.rs
+++ b/hookpoint/src/operator/roll.rs
@@ -1,15 +1,21 @@
-//! Rolling a bundle: moving the pointer.
+//! Rolling a bundle: moving the pointer, as [`RollMachine`] says.
 
+use hookpoint_coordination::rollout::{PointerView, RollEvent, RollMachine, RollResult, RollStep};
 use hookpoint_protocol::platform::records::{
-    ACTIVE_KEY, ActivePointer, AttemptId, BundleRecord, history_key,
+    ACTIVE_KEY, ActivePointer, BundleRecord, Stamp, history_key,
 };
-use hookpoint_protocol::platform::{Compare, RequestOperation, TransactionRequest};
+use hookpoint_protocol::platform::{Compare, KeyValue, RequestOperation, TransactionRequest};
 use hookpoint_state::BundleVersion;
 use hookpoint_state::bundle::{SignatureError, TrustedKeys};
+use hookpoint_transport::platform::PlatformError;
 
-use super::store::{Versioned, decode, encode, read_by};
+use super::error::Winner;
+use super::store::{Attempts, Versioned, decode, encode, read_by};
 use super::{Operator, OperatorError};
 
+/// What a request of a roll brought.
+type Answer = Result<RollEvent<Stamp>, PlatformError>;
+
 /// A roll that took effect.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rolled {
@@ -35,31 +41,102 @@
         let mut attempts = self.attempts();
         let (record, _) = self.read_bundle(&mut attempts, version).await?;
         check_approval(&record, trusted)?;
-        let active = self.read_pointer(&mut attempts).await?;
-        let active_version = check_seen(&active, seen)?;
-        if version <= active_version {
-            return Err(OperatorError::NotNewer {
-                version,
-                active: active_version,
-            });
-        }
+        let stamp = self.stamp();
+        let machine = RollMachine::new(version, seen, stamp.clone());
         let pointer = ActivePointer {
             version,
             digest: record.digest,
-            previous: active_version,
-            rolled: self.stamp(),
+            previous: BundleVersion(0),
+            rolled: stamp,
+        };
+        self.drive(machine, pointer, &mut attempts).await
+    }
+
+    /// Carries out the machine's steps until it has finished.
+    async fn drive(
+        &self,
+        mut machine: RollMachine<Stamp>,
+        mut pointer: ActivePointer,
+        attempts: &mut Attempts,
+    ) -> Result<Rolled, OperatorError> {
+        let mut failure = None;
+        loop {
+            let answer = match machine.step() {
+                RollStep::ReadPointer => self.read_for_roll().await?,
+                RollStep::MovePointer {
+                    unchanged_since,
+                    previous,
+                } => {
+                    pointer.previous = *previous;
+                    self.move_pointer(&pointer, *unchanged_since).await?
+                }
+                RollStep::Finished(result) => return finish(pointer, result, failure),
+            };
+            match answer {
+                Ok(event) => machine.handle(event),
+                Err(error) => {
+                    let outcome = error.outcome();
+                    machine.handle(RollEvent::Failed { outcome });
+                    if !attempts.wait_after(&error).await {
+                        machine.handle(RollEvent::GaveUp);
+                    }
+                    failure = Some(error);
+                }
+            }
+        }
+    }
+
+    async fn read_for_roll(&self) -> Result<Answer, OperatorError> {
+        let entry = match self.client.get(ACTIVE_KEY).await {
+            Ok(entry) => entry,
+            Err(error) => return Ok(Err(error)),
+        };
+        let found: Versioned<ActivePointer> = decode(ACTIVE_KEY, entry)?;
+        Ok(Ok(RollEvent::PointerRead {
+            pointer: found.value.map(view),
+            revision: found.revision,
+        }))
+    }
+
+    async fn move_pointer(
+        &self,
+        pointer: &ActivePointer,
+        unchanged_since: i64,
+    ) -> Result<Answer, OperatorError> {
+        let request = roll_of(pointer, unchanged_since)?;
+        let answer = match self.client.transaction(&request).await {
+            Ok(answer) => answer,
+            Err(error) => return Ok(Err(error)),
         };
-        let request = roll_of(&pointer, active.revision)?;
-        let answer = self.settle(&mut attempts, &request).await?;
         if answer.succeeded {
-            return Ok(Rolled {
-                pointer,
-                superseded: false,
-            });
+            return Ok(Ok(RollEvent::Moved));
         }
-        let found = decode(ACTIVE_KEY, read_by(&answer.responses, 0))?;
-        let past = decode(&history_key(version), read_by(&answer.responses, 1))?;
-        resolve(pointer, &found, &past)
+        Ok(Ok(RollEvent::NotMoved {
+            pointer: view_of(ACTIVE_KEY, read_by(&answer.responses, 0))?,
+            past: view_of(&history_key(pointer.version), read_by(&answer.responses, 1))?,
+        }))
+    }
+}
+
+fn finish(
+    pointer: ActivePointer,
+    result: &RollResult<Stamp>,
+    failure: Option<PlatformError>,
+) -> Result<Rolled, OperatorError> {
+    match result {
+        RollResult::Rolled { superseded, .. } => Ok(Rolled {
+            pointer,
+            superseded: *superseded,
+        }),
+        RollResult::Conflict { winner } => Err(OperatorError::Conflict {
+            winner: Winner::of(winner.as_ref()),
+        }),
+        RollResult::NotNewer { active } => Err(OperatorError::NotNewer {
+            version: pointer.version,
+            active: *active,
+        }),
+        RollResult::NotRun => Err(OperatorError::NotRun(failure)),
+        RollResult::Unknown => Err(OperatorError::Unknown(failure)),
     }
 }
 
@@ -78,20 +155,6 @@
     })
 }
 
-fn check_seen(
-    active: &Versioned<ActivePointer>,
-    seen: Option<BundleVersion>,
-) -> Result<BundleVersion, OperatorError> {
-    let pointer = active.value.as_ref();
-    let version = pointer.map(|pointer| pointer.version).unwrap_or_default();
-    match seen {
-        Some(seen) if seen != version => Err(OperatorError::Conflict {
-            winner: pointer.into(),
-        }),
-        _ => Ok(version),
-    }
-}
-
 fn roll_of(pointer: &ActivePointer, revision: i64) -> Result<TransactionRequest, OperatorError> {
     let value = encode(ACTIVE_KEY, pointer)?;
     let history = history_key(pointer.version);
@@ -108,26 +171,17 @@
     })
 }
 
-/// The comparison failed: either an earlier sending of this attempt took effect, or
-/// another roll came first. In both cases this attempt cannot take effect any more.
-fn resolve(
-    pointer: ActivePointer,
-    found: &Versioned<ActivePointer>,
-    past: &Versioned<ActivePointer>,
-) -> Result<Rolled, OperatorError> {
-    let own = |entry: &Versioned<ActivePointer>| attempt_of(entry) == Some(&pointer.rolled.attempt);
-    let in_force = own(found);
-    if in_force || own(past) {
-        return Ok(Rolled {
-            pointer,
-            superseded: !in_force,
-        });
+fn view(pointer: ActivePointer) -> PointerView<Stamp> {
+    PointerView {
+        version: pointer.version,
+        attempt: pointer.rolled,
     }
-    Err(OperatorError::Conflict {
-        winner: found.value.as_ref().into(),
-    })
 }
 
-fn attempt_of(entry: &Versioned<ActivePointer>) -> Option<&AttemptId> {
-    entry.value.as_ref().map(|pointer| &pointer.rolled.attempt)
+fn view_of(
+    key: &str,
+    entry: Option<KeyValue>,
+) -> Result<Option<PointerView<Stamp>>, OperatorError> {
+    let found: Versioned<ActivePointer> = decode(key, entry)?;
+    Ok(found.value.map(view))
 }
--- a/hookpoint/src/operator/store.rs
+++ b/hookpoint/src/operator/store.rs
@@ -42,21 +42,24 @@
         }
     }
 
-    /// Waits before the next attempt, or says what the command came to.
-    async fn pause(&mut self, error: PlatformError) -> Result<(), OperatorError> {
-        let pause = self.backoff.after(&error);
+    /// Waits before the next attempt; false when there is to be none.
+    pub async fn wait_after(&mut self, error: &PlatformError) -> bool {
+        let pause = self.backoff.after(error);
         if !error.is_transient() || Instant::now() + pause >= self.deadline {
-            return Err(self.give_up(error));
+            return false;
         }
         tokio::time::sleep(pause).await;
-        Ok(())
+        true
     }
 
-    fn give_up(&self, error: PlatformError) -> OperatorError {
-        if self.uncertain {
-            OperatorError::Unknown(error)
+    /// Waits before the next attempt, or says what the command came to.
+    async fn pause(&mut self, error: PlatformError) -> Result<(), OperatorError> {
+        if self.wait_after(&error).await {
+            Ok(())
+        } else if self.uncertain {
+            Err(OperatorError::Unknown(Some(error)))
         } else {
-            OperatorError::NotRun(error)
+            Err(OperatorError::NotRun(Some(error)))
         }
     }
 
--- a/lab/tests/operator.rs
+++ b/lab/tests/operator.rs
@@ -129,6 +129,10 @@
         assert_eq!(error.exit_code(), code, "{name}: {error}");
         assert_eq!(pointer(&platform), before, "{name}");
     }
+    let mut broken = small_bundle();
+    broken.zones.clear();
+    let error = operator.prepare(broken).await.expect_err("a broken rule");
+    assert_eq!(error.exit_code(), 2, "{error}");
     let refused = operator.roll(strangers, None, Some(&trusted)).await;
     assert!(matches!(
         refused,
