Probe a group's other databases when its primary is in doubt

Cause: when a primary dies, its home node alone sees the connections break; the homes of the other databases went on at their quiet pace, so that the successor of a primary in a quiet group could go unnoticed for a second. A node that once failed to reach a database of another home kept it for unreachable with nobody to correct that. Change: in a hurry the observer asks the group's other databases through their homes, and so it does, once a second, for what it takes for unreachable.

--- a/crates/coordination/src/observer/mod.rs
+++ b/crates/coordination/src/observer/mod.rs
@@ -11,5 +11,5 @@
 mod verification;
 
 pub use rounds::{RoundAction, RoundEvent, RoundNumber, RoundPolicy, Rounds, WaiterNumber};
-pub use schedule::{ObserverAction, ObserverEvent, ProbePace, ProbeSchedule};
+pub use schedule::{ObservedDatabase, ObserverAction, ObserverEvent, ProbePace, ProbeSchedule};
 pub use verification::{Verification, VerificationState};
--- a/crates/coordination/src/observer/schedule.rs
+++ b/crates/coordination/src/observer/schedule.rs
@@ -46,11 +46,24 @@
     }
 }
 
+/// A database to observe.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ObservedDatabase {
+    /// Its group.
+    pub group: GroupName,
+    /// The database.
+    pub database: DatabaseName,
+    /// Whether this node is its home. Others are probed, through their homes, only
+    /// while their group is in a hurry, which their homes may not know of, or while this
+    /// node takes them for unreachable, which nobody else could correct.
+    pub home: bool,
+}
+
 /// What the driver tells the schedule.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ObserverEvent {
-    /// The databases to observe, by group. What was known of others is forgotten.
-    Configured(Vec<(GroupName, DatabaseName)>),
+    /// The databases to observe. What was known of others is forgotten.
+    Configured(Vec<ObservedDatabase>),
     /// A status query was answered or given up.
     Probed(DatabaseName),
     /// A connection to the database was lost.
@@ -69,12 +82,15 @@
         group: GroupName,
         /// The database.
         database: DatabaseName,
+        /// Whether this node is its home.
+        home: bool,
     },
 }
 
 #[derive(Clone, Debug)]
 struct Observed {
     group: GroupName,
+    home: bool,
     probed_at: Option<Timestamp>,
     in_flight: bool,
     jitter_percent: u64,
@@ -133,18 +149,25 @@
             .min()
     }
 
-    fn configure(&mut self, databases: Vec<(GroupName, DatabaseName)>) {
+    fn configure(&mut self, databases: Vec<ObservedDatabase>) {
         let mut known = std::mem::take(&mut self.databases);
         let mut moods = std::mem::take(&mut self.moods);
-        for (group, database) in databases {
+        for ObservedDatabase {
+            group,
+            database,
+            home,
+        } in databases
+        {
             let mood = moods.remove(&group).unwrap_or_default();
             self.moods.entry(group.clone()).or_insert(mood);
-            let observed = known.remove(&database).unwrap_or(Observed {
+            let mut observed = known.remove(&database).unwrap_or(Observed {
                 group,
+                home,
                 probed_at: None,
                 in_flight: false,
                 jitter_percent: 100,
             });
+            observed.home = home;
             self.databases.insert(database, observed);
         }
     }
@@ -169,10 +192,12 @@
         let hurried = self.update_mood(now, group, primary, suspicion);
         let mut next = suspicion.filter(|at| *at > now);
         for (name, observed) in &mut self.databases {
-            if &observed.group != group || observed.in_flight {
+            let known = view.and_then(|view| view.databases.iter().find(|d| &d.name == name));
+            let doubted = known.is_some_and(|known| !known.reachable);
+            let asked = observed.home || doubted || hurried.is_some();
+            if &observed.group != group || observed.in_flight || !asked {
                 continue;
             }
-            let known = view.and_then(|view| view.databases.iter().find(|d| &d.name == name));
             let interval = match hurried {
                 Some(interval) => interval,
                 None if primary.is_some_and(|primary| &primary.name == name) => self.pace.primary,
@@ -191,6 +216,7 @@
             actions.push(ObserverAction::Probe {
                 group: group.clone(),
                 database: name.clone(),
+                home: observed.home,
             });
         }
         next
--- a/crates/coordination/src/observer/tests.rs
+++ b/crates/coordination/src/observer/tests.rs
@@ -33,7 +33,7 @@
 }
 
 impl Scene {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, homes: &[&str]) -> Self {
         let group = GroupName::from("books");
         let mut terms = TermTable::new();
         let members = NAMES.map(|name| Member {
@@ -49,7 +49,12 @@
             group: group.clone(),
             asked: Vec::new(),
         };
-        let observed = NAMES.map(|name| (group.clone(), name.into())).to_vec();
+        let observed = NAMES.map(|name| ObservedDatabase {
+            group: group.clone(),
+            database: name.into(),
+            home: homes.contains(&name),
+        });
+        let observed = observed.to_vec();
         scene.event(ObserverEvent::Configured(observed));
         scene
     }
@@ -119,7 +124,7 @@
 }
 
 fn settled(seed: u64) -> Scene {
-    let mut scene = Scene::new(seed);
+    let mut scene = Scene::new(seed, &NAMES);
     scene.run(Duration::from_secs(3), healthy);
     scene
 }
@@ -177,6 +182,25 @@
     assert!(calm["books-1"] <= 3, "{calm:?}");
 }
 
+#[test]
+fn databases_of_other_homes_are_probed_only_in_a_hurry_or_in_doubt() {
+    let mut scene = Scene::new(8, &["books-0"]);
+    scene.run(Duration::from_secs(3), healthy);
+    let quiet = scene.run(Duration::from_secs(5), healthy);
+    assert_eq!(quiet.keys().collect::<Vec<_>>(), ["books-0"]);
+    let doubted = DatabaseName::from("books-2");
+    scene.terms.unreachable(&scene.group, &doubted);
+    let doubt = scene.run(Duration::from_secs(5), healthy);
+    assert_eq!(doubt.get("books-2"), Some(&1), "it answered");
+    assert_eq!(doubt.get("books-1"), None);
+    scene.event(ObserverEvent::ConnectionLost("books-0".into()));
+    let hurry = scene.run(Duration::from_secs(1), healthy);
+    assert!(
+        hurry["books-1"] >= 10 && hurry["books-2"] >= 10,
+        "{hurry:?}"
+    );
+}
+
 #[test]
 fn a_silent_primary_hurries_the_probes_of_its_replicas() {
     let mut scene = settled(6);
--- a/crates/coordination/src/slots/connections.rs
+++ b/crates/coordination/src/slots/connections.rs
@@ -93,25 +93,13 @@
         opening
     }
 
-    /// A held connection came back. Returns whether it has to be closed; none if it was
-    /// not held.
-    pub fn returned(
-        &mut self,
-        now: Timestamp,
-        number: ConnectionNumber,
-        reusable: bool,
-    ) -> Option<bool> {
-        let connection = self.all.get_mut(&number)?;
-        if connection.state != State::Held {
-            return None;
-        }
-        let ends = !reusable || connection.outdated;
-        if ends {
-            connection.state = State::Closing;
-        } else {
+    /// A connection came back. Whether it was held at all; it is idle then.
+    pub fn returned(&mut self, now: Timestamp, number: ConnectionNumber) -> bool {
+        let held = self.state(number) == Some(State::Held);
+        if held {
             self.rest(now, number);
         }
-        Some(ends)
+        held
     }
 
     /// Takes the connection that became idle last.
--- a/crates/coordination/src/slots/table.rs
+++ b/crates/coordination/src/slots/table.rs
@@ -202,8 +202,8 @@
         reusable: bool,
         actions: &mut Vec<SlotAction>,
     ) {
-        if self.connections.returned(now, number, reusable) == Some(true) {
-            actions.push(SlotAction::CloseConnection(number));
+        if self.connections.returned(now, number) && !reusable {
+            self.close(number, actions);
         }
     }
 
--- a/crates/transport/src/observe/prober.rs
+++ b/crates/transport/src/observe/prober.rs
@@ -1,10 +1,13 @@
 //! Probes the databases this node is home for.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix::ArbiterHandle;
-use hookpoint_coordination::observer::{ObserverAction, ObserverEvent, ProbePace, ProbeSchedule};
+use hookpoint_coordination::observer::{
+    ObservedDatabase, ObserverAction, ObserverEvent, ProbePace, ProbeSchedule,
+};
 use hookpoint_state::{DatabaseName, GroupName, Timestamp};
 use tokio::sync::mpsc;
 
@@ -20,11 +23,12 @@
 /// Finished probes that wait to be noted.
 const RESULT_BUFFER: usize = 64;
 
-/// Starts the observer of `pools` on `arbiter`. It ends with the pools. Only the first
-/// call does anything.
+/// Starts the observer of `pools` on `arbiter`; databases of other homes are asked
+/// through `fleet`. It ends with the pools. Only the first call does anything.
 pub fn start_observer(
     shared: Arc<Shared>,
     pools: Arc<LocalPools>,
+    fleet: Arc<dyn StatusSource>,
     seed: u64,
     arbiter: &ArbiterHandle,
 ) {
@@ -35,6 +39,7 @@
     let prober = Prober {
         shared,
         pools,
+        fleet,
         schedule: ProbeSchedule::new(ProbePace::default(), seed),
         results,
     };
@@ -44,6 +49,7 @@
 struct Prober {
     shared: Arc<Shared>,
     pools: Arc<LocalPools>,
+    fleet: Arc<dyn StatusSource>,
     schedule: ProbeSchedule,
     results: mpsc::Sender<DatabaseName>,
 }
@@ -77,17 +83,34 @@
         }
     }
 
-    /// All databases of the bundle that this node is home for and that are not draining.
+    /// The databases, draining ones aside, of each group that this node is home for a
+    /// part of or takes a part of for unreachable.
     fn configuration(&self) -> ObserverEvent {
         let Some(bundle) = self.shared.bundle() else {
             return ObserverEvent::Configured(Vec::new());
         };
-        let observed = bundle.databases.iter().filter(|(name, _)| {
-            let draining = bundle.drain.contains(*name);
-            !draining && self.pools.is_home(name)
+        let mut groups: BTreeMap<&GroupName, Vec<ObservedDatabase>> = BTreeMap::new();
+        for (name, entry) in &bundle.databases {
+            if bundle.drain.contains(name) {
+                continue;
+            }
+            let observed = ObservedDatabase {
+                group: entry.group.clone(),
+                database: name.clone(),
+                home: self.pools.is_home(name),
+            };
+            groups.entry(&entry.group).or_default().push(observed);
+        }
+        groups.retain(|group, databases| {
+            databases.iter().any(|database| database.home) || self.doubts(group)
         });
-        let databases = observed.map(|(name, entry)| (entry.group.clone(), name.clone()));
-        ObserverEvent::Configured(databases.collect())
+        ObserverEvent::Configured(groups.into_values().flatten().collect())
+    }
+
+    fn doubts(&self, group: &GroupName) -> bool {
+        self.shared.with_view(group, |view| {
+            view.databases.iter().any(|database| !database.reachable)
+        })
     }
 
     fn handle(&mut self, event: ObserverEvent) -> Option<Timestamp> {
@@ -96,18 +119,28 @@
         let now = shared.now();
         let view = |group: &GroupName| shared.view(group);
         let due = self.schedule.handle(now, event, view, &mut actions);
-        for ObserverAction::Probe { group, database } in actions {
-            let probe = probe(
-                self.shared.clone(),
-                self.pools.clone(),
-                group,
-                database,
-                self.results.clone(),
-            );
-            actix_rt::spawn(probe);
+        for action in actions {
+            self.probe(action);
         }
         due
     }
+
+    fn probe(&self, action: ObserverAction) {
+        let ObserverAction::Probe {
+            group,
+            database,
+            home,
+        } = action;
+        let shared = self.shared.clone();
+        let results = self.results.clone();
+        if home {
+            let probe = probe_own(shared, self.pools.clone(), group, database.clone());
+            actix_rt::spawn(report(probe, database, results));
+        } else {
+            let probe = probe_other(shared, self.fleet.clone(), group, database.clone());
+            actix_rt::spawn(report(probe, database, results));
+        }
+    }
 }
 
 /// Sleeps until `due`, or for ever without one.
@@ -118,15 +151,22 @@
     }
 }
 
-async fn probe(
+async fn report(
+    probe: impl Future<Output = ()>,
+    database: DatabaseName,
+    results: mpsc::Sender<DatabaseName>,
+) {
+    probe.await;
+    let _stopped = results.send(database).await;
+}
+
+async fn probe_own(
     shared: Arc<Shared>,
     pools: Arc<LocalPools>,
     group: GroupName,
     database: DatabaseName,
-    results: mpsc::Sender<DatabaseName>,
 ) {
-    let answer = pools.query_status(&group, &database, PROBE_TIMEOUT).await;
-    match answer {
+    match pools.query_status(&group, &database, PROBE_TIMEOUT).await {
         Ok(status) => shared.observe(&group, &database, &status),
         Err(StatusError::Timeout) => {
             log::warn!("observer: {database} does not answer.");
@@ -135,5 +175,17 @@
         }
         Err(error) => log::debug!("observer: no status of {database}: {error}."),
     }
-    let _stopped = results.send(database).await;
+}
+
+/// No answer says nothing of the database: the way to its home may be cut.
+async fn probe_other(
+    shared: Arc<Shared>,
+    fleet: Arc<dyn StatusSource>,
+    group: GroupName,
+    database: DatabaseName,
+) {
+    match fleet.query_status(&group, &database, PROBE_TIMEOUT).await {
+        Ok(status) => shared.observe(&group, &database, &status),
+        Err(error) => log::debug!("observer: no status of {database}: {error}."),
+    }
 }
--- a/crates/transport/tests/backend_observer.rs
+++ b/crates/transport/tests/backend_observer.rs
@@ -46,7 +46,9 @@
 
     fn observe(&self) {
         let arbiter = actix::Arbiter::current();
-        start_observer(self.shared.clone(), self.pools.clone(), 1, &arbiter);
+        let fleet: Arc<dyn StatusSource> =
+            FleetStatuses::new(self.shared.clone(), self.pools.clone(), arbiter.clone());
+        start_observer(self.shared.clone(), self.pools.clone(), fleet, 1, &arbiter);
     }
 
     fn primary(&self) -> Option<(String, u32)> {
@@ -98,6 +100,37 @@
     assert_eq!(scene.primary(), Some(("books-1".to_owned(), 2)));
 }
 
+/// A node that is home for the primary alone finds the successor through the others'
+/// homes, and a database that it once failed to reach.
+#[actix_rt::test]
+async fn other_homes_databases_are_probed_only_when_it_matters() {
+    let scene = Scene::new(2).await;
+    scene
+        .pools
+        .set_home(Arc::new(|name| name.as_str() == "books-0"));
+    scene.observe();
+    eventually(|| scene.primary() == Some(("books-0".to_owned(), 1))).await;
+    let heard = |index: usize| {
+        let database: &FakeDatabase = &scene.databases[index];
+        database.count(|seen| matches!(seen, Seen::Message(..)))
+    };
+    let reachable = |index: usize| {
+        let view = scene.shared.view(&"books".into()).unwrap();
+        view.databases[index].reachable
+    };
+    // What was under way when the primary was found comes to its end.
+    let found = heard(0);
+    eventually(|| heard(0) >= found + 3).await;
+    let before = [0, 1, 2].map(heard);
+    eventually(|| heard(0) >= before[0] + 3).await;
+    assert_eq!([heard(1), heard(2)], before[1..]);
+    scene.shared.unreachable(&"books".into(), &"books-2".into());
+    eventually(|| reachable(2)).await;
+    scene.databases[0].script(|script| script.silent = true);
+    scene.fail_over(2);
+    eventually(|| scene.primary() == Some(("books-1".to_owned(), 2))).await;
+}
+
 #[actix_rt::test]
 async fn a_draining_database_is_not_probed() {
     let scene = Scene::new(2).await;
--- a/hookpoint/src/proxy/parts.rs
+++ b/hookpoint/src/proxy/parts.rs
@@ -72,13 +72,14 @@
     pools.set_home(Arc::new(move |database| of_fleet.is_home(database)));
     follow_homes(&fleet, Arc::clone(&pools));
     let probing = arbiters.backends[0].handle();
+    let statuses = FleetStatuses::new(Arc::clone(&shared), fleet.lease_source(), probing.clone());
     start_observer(
         Arc::clone(&shared),
         Arc::clone(&pools),
+        Arc::clone(&statuses) as _,
         rand::random(),
         &probing,
     );
-    let statuses = FleetStatuses::new(Arc::clone(&shared), fleet.lease_source(), probing.clone());
     let verifier = MajorityVerifier::new(Arc::clone(&shared), statuses, probing);
     let callers = CallerListener::start(
         caller_settings(&settings)?,
