--- a/lab/src/commands/demo.rs
+++ b/lab/src/commands/demo.rs
@@ -6,7 +6,7 @@
 use anyhow::anyhow;
 
 use crate::commands::{deployment_of, write_json};
-use crate::demo::{self, DemoSettings, Protection};
+use crate::demo::{self, DemoSettings, Protection, Script};
 use crate::flags;
 
 /// Seconds where none are given.
@@ -30,7 +30,10 @@
         seed: arguments.seed.unwrap_or(1),
         clients_per_database: arguments.clients.unwrap_or(deployment.clients_per_database),
         replica_lag: arguments.lag_ms.map(Duration::from_millis),
-        faults: !arguments.calm,
+        script: match arguments.calm {
+            true => Script::Calm,
+            false => Script::Full,
+        },
         baseline: true,
         without,
         deployment,
--- a/lab/src/demo/mod.rs
+++ b/lab/src/demo/mod.rs
@@ -54,14 +54,25 @@
     pub clients_per_database: usize,
     /// How far replicas run behind, if not as the deployment says.
     pub replica_lag: Option<Duration>,
-    /// Whether anything goes wrong.
-    pub faults: bool,
+    /// What goes wrong, and when.
+    pub script: Script,
     /// Whether added latency is measured first.
     pub baseline: bool,
     /// A protection to switch off, as a negative control.
     pub without: Option<Protection>,
 }
 
+/// What goes wrong in a run.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Script {
+    /// Nothing.
+    Calm,
+    /// The demo's own timeline, on three groups and three proxies.
+    Full,
+    /// These steps.
+    Steps(Vec<TimedStep>),
+}
+
 /// What a negative control switches off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Protection {
@@ -186,9 +197,10 @@
     recorder: &Recorder,
 ) -> anyhow::Result<Notes> {
     let begin = Instant::now();
-    let steps = match settings.faults {
-        true => timeline(&laboratory.stack),
-        false => Vec::new(),
+    let steps = match &settings.script {
+        Script::Calm => Vec::new(),
+        Script::Full => timeline(&laboratory.stack),
+        Script::Steps(steps) => steps.clone(),
     };
     let notes = Arc::new(Mutex::new(Notes::default()));
     let mut running = JoinSet::new();
