Let idle transactions of the database stand-in give way

Cause: a transaction that had written kept all others from writing until it ended. One whose client was cut off mid-way kept a whole group still.

Change: a transaction that waits for its client is suspended as soon as another wants to write, and runs its statements again when it goes on; it fails with 40001 if a result differs. A message is no longer lost when a wait for it ends just as it comes. A restart ends a pause.

--- a/lab/standin/src/database/entry.rs
+++ b/lab/standin/src/database/entry.rs
@@ -3,6 +3,7 @@
 use rusqlite::types::Value;
 
 use super::position::Lsn;
+use super::statement::Statement;
 use super::value;
 
 /// One statement of a committed transaction.
@@ -19,6 +20,16 @@
 }
 
 impl LoggedStatement {
+    /// A statement as it ran.
+    pub fn new(statement: &Statement, parameters: &[Value], seed: u64) -> Self {
+        Self {
+            text: statement.text.clone(),
+            sql: statement.sql.clone(),
+            parameters: parameters.to_vec(),
+            seed,
+        }
+    }
+
     /// Size in the log, in bytes.
     fn size(&self) -> u64 {
         let values: usize = self
--- a/lab/standin/src/database/node/control.rs
+++ b/lab/standin/src/database/node/control.rs
@@ -22,10 +22,10 @@
             return;
         }
         inner.alive = true;
+        inner.paused = false;
         inner.consensus.restart(Instant::now());
         drop(inner);
-        self.replay_wake.notify_one();
-        self.tick_wake.notify_one();
+        self.set_gate(false);
     }
 
     /// Stops or continues all work, with sockets kept open.
--- a/lab/standin/src/database/session.rs
+++ b/lab/standin/src/database/session.rs
@@ -19,6 +19,7 @@
 use super::statement::Statement;
 use super::transaction::{Stage, Transaction};
 use super::wire::{Wire, WireError};
+use super::working::WriteTransaction;
 
 /// Who a session is.
 pub struct Identity {
@@ -117,7 +118,25 @@
         }
     }
 
+    /// The next message. While the client is waited for, a transaction gives
+    /// way to others that want to write.
     async fn next_message(&mut self) -> Result<Option<PgWireFrontendMessage>, End> {
+        let write = self.transaction.write.as_ref();
+        let contention = write.and_then(WriteTransaction::contention);
+        if let Some(mut waiting) = contention {
+            tokio::select! {
+                biased;
+                message = self.read_message() => return message,
+                _ = waiting.wait_for(|count| *count > 0) => {}
+            }
+            if let Some(write) = &mut self.transaction.write {
+                write.suspend();
+            }
+        }
+        self.read_message().await
+    }
+
+    async fn read_message(&mut self) -> Result<Option<PgWireFrontendMessage>, End> {
         let (name, state, message) = match self.transaction.stage {
             Stage::Implicit => return Ok(self.wire.read().await?),
             Stage::Idle => (
--- a/lab/standin/src/database/store.rs
+++ b/lab/standin/src/database/store.rs
@@ -146,6 +146,11 @@
         });
     }
 
+    /// Lets the next statements run to their end.
+    pub fn clear_limit(&mut self) {
+        *self.limit.lock() = None;
+    }
+
     /// Runs one statement.
     pub fn run(&mut self, sql: &str, parameters: &[Value]) -> Result<RowSet, SqlError> {
         let before = self.connection.total_changes();
@@ -227,7 +232,7 @@
         if entry.statements.is_empty() {
             return Ok(());
         }
-        *self.limit.lock() = None;
+        self.clear_limit();
         self.run_batch("BEGIN")?;
         let result = entry.statements.iter().try_for_each(|statement| {
             self.set_chance(entry.timestamp, statement.seed);
--- a/lab/standin/src/database/utility.rs
+++ b/lab/standin/src/database/utility.rs
@@ -203,6 +203,7 @@
     /// Commits the open transaction; returns once it is as safe as the group's
     /// settings ask.
     async fn commit(&mut self) -> Result<(), SqlError> {
+        self.resume_write().await?;
         let transaction = std::mem::take(&mut self.transaction);
         self.identity.settings = transaction.after_commit;
         self.end_transaction();
--- a/lab/standin/src/database/wire.rs
+++ b/lab/standin/src/database/wire.rs
@@ -82,8 +82,10 @@
     pub async fn read(&mut self) -> Result<Option<PgWireFrontendMessage>, WireError> {
         loop {
             self.check_length()?;
+            // Nothing is waited for between decoding a message and returning
+            // it, so that a caller that gives up waiting loses none.
+            self.pass_gate().await;
             if let Some(message) = PgWireFrontendMessage::decode(&mut self.input, &self.context)? {
-                self.pass_gate().await;
                 return Ok(Some(message));
             }
             if self.stream.read_buf(&mut self.input).await? == 0 {
