--- a/crates/transport/tests/caller_ends.rs
+++ b/crates/transport/tests/caller_ends.rs
@@ -63,6 +63,26 @@
     assert_eq!((handle.sessions(), handle.connections()), (0, 0));
 }
 
+#[actix_rt::test]
+async fn a_request_that_meets_the_stop_is_told_as_not_run() {
+    let group = FakeGroup::new();
+    let handle = start(&group).await;
+    let (mut client, _) = RawClient::begin(&handle, &[]).await;
+    let stopping = handle.clone();
+    let stopped = actix_rt::spawn(async move { stopping.stop().await });
+    let mut first = [0; 1];
+    client.socket.peek(&mut first).await.expect("a farewell");
+    client.send(&[query("INSERT INTO t VALUES (1)")]).await;
+    let farewell = client.until_ready().await;
+    assert_eq!(first_error(&farewell).as_deref(), Some("57P01"));
+    let error = farewell.last().expect("an error");
+    let text = String::from_utf8_lossy(&error.body).into_owned();
+    assert!(text.contains("hookpoint.outcome=not_run"), "{text}");
+    drop(client);
+    stopped.await.expect("the stop ends");
+    assert!(group.ran_on("INSERT").is_empty());
+}
+
 #[actix_rt::test]
 async fn a_stopped_session_goes_on_elsewhere_with_its_token() {
     let group = FakeGroup::new();
