--- a/crates/transport/tests/peer_support/mod.rs
+++ b/crates/transport/tests/peer_support/mod.rs
@@ -1,5 +1,8 @@
 //! Nodes of a fleet in one process, with connections that only echo.
 
+// Each test file uses a part of it.
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -159,14 +162,15 @@
     GroupName::new("group")
 }
 
-fn bundle() -> Bundle {
+/// A bundle of one group.
+pub fn bundle() -> Bundle {
     let zone = ZoneName::new("zone");
     let databases: BTreeMap<DatabaseName, Database> = (0..DATABASES)
         .map(|index| {
             let entry = Database {
                 group: group(),
                 zone: zone.clone(),
-                address: "127.0.0.1:1".to_owned(),
+                address: format!("127.0.0.1:{}", index + 1),
                 slots: 5,
             };
             (database(index), entry)
