--- a/hookpoint/src/proxy/mod.rs
+++ b/hookpoint/src/proxy/mod.rs
@@ -21,6 +21,7 @@
 use hookpoint_transport::shared::Shared;
 
 pub use error::ProxyError;
+pub use parts::fleet_key;
 use parts::{Arbiters, PlatformSide};
 
 use crate::settings::ProxySettings;
--- a/hookpoint/src/proxy/parts.rs
+++ b/hookpoint/src/proxy/parts.rs
@@ -153,7 +153,10 @@
 
 /// A fleet key whose number follows from its secret, so that the order of keys may
 /// differ between nodes during a rotation.
-fn fleet_key(secret: &[u8]) -> Result<FleetKey, ProxyError> {
+///
+/// # Errors
+/// [`ProxyError::Fleet`] when the secret is too short.
+pub fn fleet_key(secret: &[u8]) -> Result<FleetKey, ProxyError> {
     let digest = Sha256::digest(secret);
     let number = u32::from_be_bytes([digest[0], digest[1], digest[2], digest[3]]);
     FleetKey::new(number, secret).map_err(|error| FleetError::from(error).into())
--- a/lab/src/bundles.rs
+++ b/lab/src/bundles.rs
@@ -102,7 +102,10 @@
 }
 
 /// Runs a task of the actix family on a thread of its own.
-async fn on_actix<Task, Running, Output>(task: Task) -> anyhow::Result<Output>
+///
+/// # Errors
+/// That of the task, or one when its thread ends early.
+pub async fn on_actix<Task, Running, Output>(task: Task) -> anyhow::Result<Output>
 where
     Task: FnOnce() -> Running + Send + 'static,
     Running: Future<Output = anyhow::Result<Output>>,
--- a/lab/src/commands/load.rs
+++ b/lab/src/commands/load.rs
@@ -8,13 +8,18 @@
 
 use anyhow::{Context, anyhow, bail};
 use hookpoint_workload::connection::Credentials;
-use hookpoint_workload::load::{self, LoadSettings, Mix, Pacing, Progress};
+use hookpoint_workload::load::{self, LoadReport, LoadSettings, Mix, Pacing, Progress};
+use serde::Serialize;
+use tokio::task::JoinHandle;
 
 use crate::commands::{deployment_of, write_json};
 use crate::flags;
+use crate::process::ProcessUse;
 
 /// Sessions where none are given.
 const DEFAULT_SESSIONS: usize = 10;
+/// Pause between two looks at how many sessions are connected.
+const OBSERVE_PAUSE: Duration = Duration::from_millis(20);
 /// Seconds where none are given.
 const DEFAULT_SECONDS: u64 = 10;
 
@@ -24,19 +29,99 @@
 /// When the arguments do not fit or the sessions cannot connect.
 pub async fn load(arguments: flags::Load) -> anyhow::Result<()> {
     let report_path = arguments.report.clone();
+    let observe = arguments.observe;
     let settings = settings_of(arguments)?;
     let progress = Arc::new(Progress::default());
     let reporter = tokio::spawn(show_progress(progress.clone()));
+    let observed = observe.map(|pid| Observer::start(pid, &settings, progress.clone()));
+    let sessions = settings.sessions + settings.idle_sessions;
     let report = load::run(settings, progress).await;
     reporter.abort();
     let report = report?;
     println!("{}", report.table());
+    let observed = match observed {
+        Some(observer) => Some(observer?.finish(sessions, &report).await?),
+        None => None,
+    };
+    if let Some(observed) = &observed {
+        println!("{}", serde_json::to_string(observed)?);
+    }
     if let Some(path) = report_path {
-        write_json(&path, &report)?;
+        write_json(&path, &Observed { report, observed })?;
     }
     Ok(())
 }
 
+/// A report with what another process used meanwhile.
+#[derive(Serialize)]
+struct Observed {
+    #[serde(flatten)]
+    report: LoadReport,
+    observed: Option<ObservedUse>,
+}
+
+/// What the observed process used.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct ObservedUse {
+    /// Resident memory before any session, in bytes.
+    resident_before: u64,
+    /// Resident memory with all sessions connected, at the start of the measurement.
+    resident_connected: u64,
+    /// Memory for each session, in bytes.
+    bytes_per_session: f64,
+    /// Processor seconds during the measurement.
+    processor_seconds: f64,
+    /// Answers for each second of processor time.
+    answered_per_processor_second: f64,
+}
+
+/// Readings of another process around a load.
+struct Observer {
+    pid: u32,
+    before: ProcessUse,
+    readings: JoinHandle<anyhow::Result<(ProcessUse, ProcessUse)>>,
+}
+
+impl Observer {
+    fn start(pid: u32, settings: &LoadSettings, progress: Arc<Progress>) -> anyhow::Result<Self> {
+        let sessions = (settings.sessions + settings.idle_sessions) as u64;
+        let (warm_up, duration) = (settings.warm_up, settings.duration);
+        let before = ProcessUse::read(pid)?;
+        let readings = tokio::spawn(async move {
+            while progress.connected.load(Ordering::Relaxed) < sessions {
+                tokio::time::sleep(OBSERVE_PAUSE).await;
+            }
+            tokio::time::sleep(warm_up).await;
+            let first = ProcessUse::read(pid)?;
+            tokio::time::sleep(duration).await;
+            Ok((first, ProcessUse::read(pid)?))
+        });
+        Ok(Self {
+            pid,
+            before,
+            readings,
+        })
+    }
+
+    async fn finish(self, sessions: usize, report: &LoadReport) -> anyhow::Result<ObservedUse> {
+        let readings = self.readings.await.context("the readings broke")?;
+        let (first, last) =
+            readings.with_context(|| format!("process {} cannot be read", self.pid))?;
+        let grown = first
+            .resident_bytes
+            .saturating_sub(self.before.resident_bytes);
+        let used = last.processor_time.saturating_sub(first.processor_time);
+        Ok(ObservedUse {
+            resident_before: self.before.resident_bytes,
+            resident_connected: first.resident_bytes,
+            bytes_per_session: grown as f64 / sessions.max(1) as f64,
+            processor_seconds: used.as_secs_f64(),
+            answered_per_processor_second: report.all.count as f64
+                / used.as_secs_f64().max(f64::MIN_POSITIVE),
+        })
+    }
+}
+
 fn settings_of(arguments: flags::Load) -> anyhow::Result<LoadSettings> {
     let deployment = deployment_of(arguments.deployment.as_deref())?;
     let addresses = arguments
--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod demo;
 pub mod load;
+pub mod relay;
+pub mod scale;
 pub mod serve;
 pub mod stand_ins;
 
--- a/lab/src/commands/serve.rs
+++ b/lab/src/commands/serve.rs
@@ -1,5 +1,6 @@
 //! `hookpoint-lab serve`: a deployment that runs until stopped, with faults on demand.
 
+use std::collections::BTreeMap;
 use std::io::BufRead;
 use std::path::Path;
 use std::sync::Arc;
@@ -8,6 +9,7 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 
+use crate::bundles::operator_key;
 use crate::commands::{deployment_of, print_line};
 use crate::fault::{ScheduledFault, parse_schedule};
 use crate::flags;
@@ -24,6 +26,10 @@
     platform: String,
     groups: Vec<String>,
     zones: Vec<String>,
+    /// Databases with their own addresses.
+    databases: BTreeMap<String, String>,
+    /// Public key of the operator who approved the bundle.
+    trusted_key: String,
 }
 
 /// Runs a deployment until the process is stopped.
@@ -41,6 +47,7 @@
             seed: arguments.seed.unwrap_or(1),
             ..DatabaseOptions::default()
         },
+        proxies: arguments.proxies,
         ..LaboratoryOptions::default()
     };
     let laboratory = Arc::new(Laboratory::start(deployment, options).await?);
@@ -72,6 +79,14 @@
             .collect(),
         platform: laboratory.stack.platform.url(),
         groups: groups.map(|(name, _)| name.to_string()).collect(),
+        databases: laboratory
+            .stack
+            .databases
+            .addresses()
+            .into_iter()
+            .map(|(name, _, address)| (name.to_string(), address.to_string()))
+            .collect(),
+        trusted_key: operator_key().public_text(),
         zones: laboratory
             .fleet
             .zones()
--- a/lab/src/flags.rs
+++ b/lab/src/flags.rs
@@ -28,6 +28,13 @@
             optional --faults faults: PathBuf
             /// Seed of all chance; 1 by default.
             optional --seed seed: u64
+            /// Number of proxies, at most one a zone; 0 for stand-ins and a bundle.
+            optional --proxies proxies: usize
+        }
+        /// Relays bytes between callers and one address, to compare a proxy with.
+        cmd relay {
+            /// Address as ip:port.
+            required --target target: String
         }
         /// Runs a deployment with its workload and faults, and checks the history.
         cmd demo {
@@ -51,6 +58,17 @@
             /// No faults: only the workload.
             optional --calm
         }
+        /// Measures what control costs a node, over the size of the fleet.
+        cmd scale {
+            /// costa-rica (default) or greece: whose proxies are real.
+            optional --deployment deployment: String
+            /// Numbers of hollow nodes, rising, as `20,50,100,200,300`.
+            optional --sizes sizes: String
+            /// Seconds of each measurement; 10 by default.
+            optional --seconds seconds: u64
+            /// File for the JSON report.
+            optional --report report: PathBuf
+        }
         /// Puts load on any PostgreSQL address and measures latencies.
         cmd load {
             /// Address as ip:port; may be given several times.
@@ -79,6 +97,8 @@
             optional --warm-up warm_up: u64
             /// Seed of all chance; 1 by default.
             optional --seed seed: u64
+            /// Process whose memory and processor time are measured meanwhile.
+            optional --observe pid: u32
             /// File for the JSON report.
             optional --report report: PathBuf
         }
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -20,8 +20,9 @@
 use crate::bundles::operator_key;
 use crate::stack::Stack;
 
-/// Keys of the laboratory's fleet; they protect nothing.
-const FLEET_KEY: [u8; 32] = [11; 32];
+/// Key of the laboratory's fleet; it protects nothing.
+pub const FLEET_KEY: [u8; 32] = [11; 32];
+/// Key of the laboratory's tokens.
 const TOKEN_KEY: [u8; 32] = [13; 32];
 
 /// The proxies of a deployment.
@@ -180,6 +181,11 @@
         self.running(|running| running.caller_address)
     }
 
+    /// Addresses that other nodes reach the proxies by.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        self.running(|running| running.peer_address)
+    }
+
     /// Addresses of the operators' endpoints.
     pub fn admin_addresses(&self) -> Vec<SocketAddr> {
         self.running(|running| running.admin_address)
--- a/lab/src/laboratory.rs
+++ b/lab/src/laboratory.rs
@@ -55,7 +55,9 @@
         let fleet = ProxyFleet::start(&stack, proxies, options.checks).await?;
         let laboratory = Self { stack, fleet };
         laboratory.roll("first").await?;
-        laboratory.wait_until_ready().await?;
+        if proxies > 0 {
+            laboratory.wait_until_ready().await?;
+        }
         Ok(laboratory)
     }
 
@@ -69,7 +71,8 @@
         let bundle = bundle_of(&self.stack.deployment, &addresses, description);
         let version = roll(&self.stack.platform.url(), bundle).await?;
         let rolled = Instant::now();
-        while self.fleet.version_in_force() < Some(version) {
+        let any = !self.fleet.shared().is_empty();
+        while any && self.fleet.version_in_force() < Some(version) {
             if rolled.elapsed() > BUNDLE_WAIT {
                 bail!("bundle {} is not in force everywhere", version.0);
             }
--- a/lab/src/logs.rs
+++ b/lab/src/logs.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use log::LevelFilter;
 use log4rs::append::console::{ConsoleAppender, Target};
-use log4rs::config::{Appender, Config, Root};
+use log4rs::config::{Appender, Config, Logger, Root};
 use log4rs::encode::pattern::PatternEncoder;
 
 /// One line a message, with milliseconds.
@@ -29,6 +29,8 @@
         .build();
     let config = Config::builder()
         .appender(Appender::builder().build("console", Box::new(console)))
+        // The stand-in's watches end with their watchers, which its library calls errors.
+        .logger(Logger::builder().build("actix_http", LevelFilter::Off))
         .build(Root::builder().appender("console").build(level))?;
     log4rs::init_config(config)?;
     Ok(())
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -22,6 +22,8 @@
         HookpointLabCmd::Database(arguments) => commands::stand_ins::database(arguments).await?,
         HookpointLabCmd::Platform(arguments) => commands::stand_ins::platform(arguments).await?,
         HookpointLabCmd::Load(arguments) => commands::load::load(arguments).await?,
+        HookpointLabCmd::Relay(arguments) => commands::relay::relay(arguments).await?,
+        HookpointLabCmd::Scale(arguments) => commands::scale::scale(arguments).await?,
         HookpointLabCmd::Serve(arguments) => commands::serve::serve(arguments).await?,
         HookpointLabCmd::Demo(arguments) => return commands::demo::demo(arguments).await,
     }
