Send a request's commands along with the request for a forwarded lease

Cause: a request forwarded to the home node of its database waited one round trip for the grant before its first command left; between regions that is 40 ms. Change: a forwarded lease is handed out at once. What is sent on it waits at the home, bounded by the stream's credit, until the lease is granted; a refusal says that none of it ran. A link lost before the grant leaves the outcome of a write unknown, where it could be sent again before: the home may have granted meanwhile.

--- a/crates/coordination/src/request/event.rs
+++ b/crates/coordination/src/request/event.rs
@@ -35,7 +35,9 @@
         /// Database the connection leads to.
         database: DatabaseName,
     },
-    /// No connection was granted; nothing was sent.
+    /// No connection was granted; nothing ran. It may come after
+    /// [`RequestEvent::LeaseGranted`] and before any answer, when the lease is held by
+    /// another node and the unit was sent along with the request for it.
     LeaseRefused {
         /// Database that was asked for.
         database: DatabaseName,
--- a/crates/coordination/src/request/machine.rs
+++ b/crates/coordination/src/request/machine.rs
@@ -133,6 +133,10 @@
             (Stage::Acquiring, Event::LeaseRefused { database, refusal }) => {
                 self.lease_refused(now, view, database, refusal, actions);
             }
+            (Stage::Checking, Event::LeaseRefused { database, refusal }) => {
+                self.forget_lease(actions);
+                self.lease_refused(now, view, database, refusal, actions);
+            }
             (Stage::Checking, Event::CheckAnswered { status }) => {
                 self.checked(now, view, &status, actions);
             }
@@ -273,6 +277,13 @@
         }
     }
 
+    /// A lease on which the unit was sent early was refused; nothing of it ran.
+    fn forget_lease(&mut self, actions: &mut Vec<RequestAction>) {
+        actions.push(RequestAction::Discard);
+        self.release(false, actions);
+        self.database = None;
+    }
+
     fn checked(
         &mut self,
         now: Timestamp,
--- a/crates/coordination/src/request/tests.rs
+++ b/crates/coordination/src/request/tests.rs
@@ -379,6 +379,28 @@
     }
 }
 
+#[test]
+fn a_lease_refused_after_the_unit_was_sent_early_is_no_doubt() {
+    // (refusal, whether the request goes on waiting)
+    let cases = [(Refusal::NoDatabase, true), (Refusal::QueueFull, false)];
+    for (refusal, goes_on) in cases {
+        for unit in [WRITE, READ, BEGIN] {
+            let mut life = Life::new(unit, at(1, 10));
+            let database = life.acquire(RequestEvent::Begin);
+            life.grant(&database);
+            let actions = life.feed(RequestEvent::LeaseRefused {
+                database: DatabaseName::new(&database),
+                refusal: refusal.clone(),
+            });
+            let told = RequestAction::Refuse {
+                refusal: refusal.clone(),
+            };
+            assert_eq!(actions.contains(&told), !goes_on, "{unit:?}");
+            assert_eq!(life.machine.is_finished(), !goes_on, "{unit:?}");
+        }
+    }
+}
+
 #[test]
 fn a_write_refused_by_a_replica_moves_to_the_new_primary() {
     let mut life = Life::new(WRITE, at(1, 10));
--- a/crates/protocol/src/backend_command.rs
+++ b/crates/protocol/src/backend_command.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use hookpoint_state::Refusal;
 use serde::{Deserialize, Serialize};
 
 use crate::frame::Frame;
@@ -41,6 +42,8 @@
 pub enum BackendReply {
     /// Backend messages in order.
     Frames(Vec<Frame>),
+    /// The lease was not granted after all. Nothing sent on it ran. Nothing follows.
+    Refused(Refusal),
     /// The connection is gone. Nothing follows.
     Lost,
 }
--- a/crates/protocol/src/peer/frame.rs
+++ b/crates/protocol/src/peer/frame.rs
@@ -40,12 +40,11 @@
         /// What is asked for.
         request: OpenRequest,
     },
-    /// The connection is there; commands and replies may flow.
+    /// The connection is there: commands go to it from now on, also those that came
+    /// before.
     Granted {
         /// The stream.
         stream: u32,
-        /// Database the connection leads to.
-        database: DatabaseName,
     },
     /// No connection; nothing ran. The stream is closed.
     Refused {
--- a/crates/transport/src/caller/active.rs
+++ b/crates/transport/src/caller/active.rs
@@ -271,6 +271,7 @@
                 }
                 self.hand_over();
             }
+            Some(BackendReply::Refused(refusal)) => self.lose_lease(refusal, observed),
             Some(BackendReply::Lost) | None => self.lose_connection(observed),
         }
     }
@@ -292,6 +293,16 @@
             && self.flight.sections.front() == Some(&Section::Unit)
     }
 
+    /// The home refused a lease on which commands were sent early; none of them ran.
+    fn lose_lease(&mut self, refusal: Refusal, observed: &mut VecDeque<Observed>) {
+        let lease = self.lease.take();
+        self.flight = Flight::default();
+        observed.push_back(Observed::Event(RequestEvent::LeaseRefused {
+            database: lease.map(|lease| lease.database).unwrap_or_default(),
+            refusal,
+        }));
+    }
+
     fn lose_connection(&mut self, observed: &mut VecDeque<Observed>) {
         self.lease = None;
         self.check_due = None;
--- a/crates/transport/src/lease.rs
+++ b/crates/transport/src/lease.rs
@@ -30,7 +30,9 @@
     pub wait: std::time::Duration,
 }
 
-/// A connection held by one session. Dropping it without
+/// A connection held by one session. A lease of another node's connection may be
+/// handed out before that node has granted it: what is sent on it waits there, and
+/// [`BackendReply::Refused`] says that none of it ran. Dropping it without
 /// [`BackendCommand::Release`] closes the connection.
 #[derive(Debug)]
 pub struct BackendLease {
--- a/crates/transport/src/peer/error.rs
+++ b/crates/transport/src/peer/error.rs
@@ -1,7 +1,7 @@
 //! Why the fleet did not start or a peer was not reached.
 
 use hookpoint_protocol::peer::{FleetKeyError, LinkError};
-use hookpoint_state::{NodeId, Refusal};
+use hookpoint_state::NodeId;
 use thiserror::Error;
 
 /// Why this node could not join a fleet.
@@ -38,13 +38,7 @@
     Protocol,
 }
 
-/// Why no stream was opened. Nothing ran in either case.
-#[derive(Debug, Error)]
-pub(super) enum OpenError {
-    /// The home refused.
-    #[error("refused: {0}")]
-    Refused(Refusal),
-    /// The link was lost before the home answered, or could not be had.
-    #[error("the home was not reached")]
-    Unreachable,
-}
+/// The home could not be reached; nothing was sent to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the home was not reached")]
+pub(super) struct HomeUnreachable;
--- a/crates/transport/src/peer/forward.rs
+++ b/crates/transport/src/peer/forward.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use super::core::Core;
-use super::error::OpenError;
+use super::error::HomeUnreachable;
 use super::link::{self, StreamEvent, StreamReceiver, StreamSender};
 use super::status::count;
 use crate::lease::{
@@ -47,10 +47,8 @@
             let Some(Route::Peer { node, .. }) = route else {
                 return self.core.local.acquire(request).await;
             };
-            match self.acquire_from(node, &request).await {
-                Ok(lease) => return Ok(lease),
-                Err(OpenError::Refused(Refusal::Stopping) | OpenError::Unreachable) => {}
-                Err(OpenError::Refused(refusal)) => return Err(refusal),
+            if let Ok(lease) = self.acquire_from(node, &request).await {
+                return Ok(lease);
             }
             // Nothing was sent to the database, so another node may take the request.
             failed.push(node);
@@ -75,35 +73,30 @@
         &self,
         node: NodeId,
         request: &AcquireRequest,
-    ) -> Result<BackendLease, OpenError> {
+    ) -> Result<BackendLease, HomeUnreachable> {
         let started = Instant::now();
         let limit = request.wait + ANSWER_GRACE;
         let link = tokio::time::timeout(limit, link::connect(&self.core, node))
             .await
-            .map_err(|_| OpenError::Unreachable)?
-            .map_err(|_| OpenError::Unreachable)?;
-        let (sender, mut receiver) = link.open_stream().ok_or(OpenError::Unreachable)?;
+            .map_err(|_| HomeUnreachable)?
+            .map_err(|_| HomeUnreachable)?;
+        let (sender, receiver) = link.open_stream().ok_or(HomeUnreachable)?;
         let wait = request.wait.saturating_sub(started.elapsed());
         sender
             .open(open_request(request, wait))
             .await
-            .map_err(|_| OpenError::Unreachable)?;
-        let answer = tokio::time::timeout(wait + ANSWER_GRACE, receiver.next()).await;
-        let database = match answer {
-            Ok(Some(StreamEvent::Granted(database))) => database,
-            Ok(Some(StreamEvent::Refused(refusal))) => return Err(OpenError::Refused(refusal)),
-            Ok(Some(StreamEvent::Data { .. } | StreamEvent::Closed) | None) => {
-                self.core.tell(NodeEvent::PeerLost(node));
-                return Err(OpenError::Unreachable);
-            }
-            Err(_) => return Err(OpenError::Refused(Refusal::WaitDeadline)),
-        };
-        count(&self.core.counters.leases_forwarded, 1);
+            .map_err(|_| HomeUnreachable)?;
         let (commands, command_queue) = mpsc::channel(LEASE_COMMAND_BUFFER);
         let (reply_queue, replies) = mpsc::channel(LEASE_REPLY_BUFFER);
-        tokio::spawn(relay(sender, receiver, command_queue, reply_queue));
+        let answers = Answers {
+            core: self.core.clone(),
+            home: node,
+            limit: wait + ANSWER_GRACE,
+            replies: reply_queue,
+        };
+        tokio::spawn(relay(sender, receiver, command_queue, answers));
         Ok(BackendLease {
-            database,
+            database: request.database.clone(),
             commands,
             replies,
         })
@@ -126,11 +119,11 @@
     sender: StreamSender,
     receiver: StreamReceiver,
     commands: mpsc::Receiver<BackendCommand>,
-    replies: mpsc::Sender<BackendReply>,
+    answers: Answers,
 ) {
     tokio::select! {
         () = relay_commands(commands, sender) => {}
-        () = relay_replies(receiver, replies) => {}
+        () = answers.relay(receiver) => {}
     }
 }
 
@@ -144,26 +137,63 @@
     }
 }
 
-/// Hands replies to the session until the stream ends.
-async fn relay_replies(mut receiver: StreamReceiver, replies: mpsc::Sender<BackendReply>) {
-    let mut assembler = Assembler::default();
-    loop {
-        let Some(StreamEvent::Data { last, bytes }) = receiver.next().await else {
-            let _ = replies.send(BackendReply::Lost).await;
-            return;
-        };
-        let reply = match assembler.push::<BackendReply>(last, &bytes) {
-            Ok(Some(reply)) => reply,
-            Ok(None) => continue,
-            Err(error) => {
-                log::warn!("fleet: a forwarded reply cannot be read: {error}.");
-                let _ = replies.send(BackendReply::Lost).await;
-                return;
+/// The way of a forwarded lease's answers to its session.
+struct Answers {
+    core: Arc<Core>,
+    home: NodeId,
+    /// Longest time until the home says whether the lease is granted.
+    limit: Duration,
+    replies: mpsc::Sender<BackendReply>,
+}
+
+impl Answers {
+    /// Hands the home's answers to the session until the stream ends.
+    async fn relay(self, mut receiver: StreamReceiver) {
+        let first = tokio::time::timeout(self.limit, receiver.next()).await;
+        let last = match first {
+            Ok(Some(StreamEvent::Granted)) => {
+                count(&self.core.counters.leases_forwarded, 1);
+                self.relay_replies(receiver).await
+            }
+            Ok(Some(StreamEvent::Refused(refusal))) => Some(refused_by_home(refusal)),
+            Ok(Some(StreamEvent::Data { .. } | StreamEvent::Closed) | None) | Err(_) => {
+                self.core.tell(NodeEvent::PeerLost(self.home));
+                Some(BackendReply::Lost)
             }
         };
-        let lost = reply == BackendReply::Lost;
-        if replies.send(reply).await.is_err() || lost {
-            return;
+        if let Some(last) = last {
+            let _gone = self.replies.send(last).await;
         }
     }
+
+    /// Hands on replies; returns what is left to say when the stream has ended.
+    async fn relay_replies(&self, mut receiver: StreamReceiver) -> Option<BackendReply> {
+        let mut assembler = Assembler::default();
+        loop {
+            let Some(StreamEvent::Data { last, bytes }) = receiver.next().await else {
+                return Some(BackendReply::Lost);
+            };
+            let reply = match assembler.push::<BackendReply>(last, &bytes) {
+                Ok(Some(reply)) => reply,
+                Ok(None) => continue,
+                Err(error) => {
+                    log::warn!("fleet: a forwarded reply cannot be read: {error}.");
+                    return Some(BackendReply::Lost);
+                }
+            };
+            let lost = reply == BackendReply::Lost;
+            if self.replies.send(reply).await.is_err() || lost {
+                return None;
+            }
+        }
+    }
+}
+
+/// The home's refusal as the session is told. A home that is stopping is no reason to
+/// refuse the caller: the request looks for the database again, at its next home.
+fn refused_by_home(refusal: Refusal) -> BackendReply {
+    BackendReply::Refused(match refusal {
+        Refusal::Stopping => Refusal::NoDatabase,
+        other => other,
+    })
 }
--- a/crates/transport/src/peer/link/reader.rs
+++ b/crates/transport/src/peer/link/reader.rs
@@ -111,8 +111,8 @@
             }
             serve::open(core, link, stream, request);
         }
-        LinkFrame::Granted { stream, database } => {
-            deliver(link, stream, StreamEvent::Granted(database))?;
+        LinkFrame::Granted { stream } => {
+            deliver(link, stream, StreamEvent::Granted)?;
         }
         LinkFrame::Refused { stream, refusal } => {
             deliver(link, stream, StreamEvent::Refused(refusal))?;
--- a/crates/transport/src/peer/link/stream.rs
+++ b/crates/transport/src/peer/link/stream.rs
@@ -8,7 +8,7 @@
 use hookpoint_protocol::peer::{
     CREDIT_STEP, INITIAL_CREDIT, LinkFrame, OpenRequest, StreamError, fragments,
 };
-use hookpoint_state::{DatabaseName, Refusal};
+use hookpoint_state::Refusal;
 use serde::Serialize;
 use thiserror::Error;
 use tokio::sync::{Semaphore, mpsc};
@@ -22,7 +22,7 @@
 #[derive(Debug)]
 pub(in crate::peer) enum StreamEvent {
     /// The connection is there.
-    Granted(DatabaseName),
+    Granted,
     /// No connection.
     Refused(Refusal),
     /// A piece of a message.
@@ -181,9 +181,9 @@
     }
 
     /// Tells that the connection is there.
-    pub async fn grant(&self, database: DatabaseName) -> Result<(), StreamLost> {
+    pub async fn grant(&self) -> Result<(), StreamLost> {
         let stream = self.shared.number;
-        self.send(LinkFrame::Granted { stream, database }).await
+        self.send(LinkFrame::Granted { stream }).await
     }
 
     /// Tells that there is none, which ends the stream.
@@ -233,17 +233,28 @@
 impl StreamReceiver {
     /// The next event; none when the link is lost.
     pub async fn next(&mut self) -> Option<StreamEvent> {
+        let event = self.next_unacknowledged().await?;
+        if let StreamEvent::Data { bytes, .. } = &event {
+            self.acknowledge(bytes).await;
+        }
+        Some(event)
+    }
+
+    /// The next event; data is not counted as taken before
+    /// [`StreamReceiver::acknowledge`]. Dropping the future loses no event.
+    pub async fn next_unacknowledged(&mut self) -> Option<StreamEvent> {
         let event = self.events.recv().await?;
-        match &event {
-            StreamEvent::Data { bytes, .. } => self.take(bytes.len() as u32).await,
-            StreamEvent::Closed | StreamEvent::Refused(_) => {
-                self.shared.ended.store(true, Ordering::Release);
-            }
-            StreamEvent::Granted(_) => {}
+        if matches!(event, StreamEvent::Closed | StreamEvent::Refused(_)) {
+            self.shared.ended.store(true, Ordering::Release);
         }
         Some(event)
     }
 
+    /// Counts data as taken, so that the other side may send more.
+    pub async fn acknowledge(&mut self, bytes: &Bytes) {
+        self.take(bytes.len() as u32).await;
+    }
+
     /// Counts bytes taken, and lets the other side send as many more now and then.
     async fn take(&mut self, bytes: u32) {
         self.taken += bytes;
--- a/crates/transport/src/peer/serve.rs
+++ b/crates/transport/src/peer/serve.rs
@@ -1,8 +1,10 @@
 //! The home's side of a forwarded lease.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hookpoint_protocol::backend_command::BackendCommand;
 use hookpoint_protocol::peer::{Assembler, OpenRequest};
 use hookpoint_state::Refusal;
@@ -18,6 +20,34 @@
 /// How long a connection may refuse a command before the lease is dropped.
 const COMMAND_PATIENCE: Duration = Duration::from_secs(30);
 
+/// Commands that came before the lease was granted. Credit bounds them: none is given
+/// back before the lease is granted.
+#[derive(Default)]
+struct EarlyCommands {
+    pieces: VecDeque<(bool, Bytes)>,
+}
+
+impl EarlyCommands {
+    /// Takes commands until the stream ends.
+    async fn collect(&mut self, receiver: &mut StreamReceiver) {
+        while let Some(StreamEvent::Data { last, bytes }) = receiver.next_unacknowledged().await {
+            self.pieces.push_back((last, bytes));
+        }
+    }
+
+    /// The next piece, of the early ones first.
+    async fn next(&mut self, receiver: &mut StreamReceiver) -> Option<(bool, Bytes)> {
+        if let Some((last, bytes)) = self.pieces.pop_front() {
+            receiver.acknowledge(&bytes).await;
+            return Some((last, bytes));
+        }
+        match receiver.next().await {
+            Some(StreamEvent::Data { last, bytes }) => Some((last, bytes)),
+            _ => None,
+        }
+    }
+}
+
 /// Serves a stream that a peer has opened.
 pub(super) fn open(core: &Arc<Core>, link: &Arc<Link>, stream: u32, request: OpenRequest) {
     let Some((sender, receiver)) = link.accept_stream(stream) else {
@@ -50,10 +80,11 @@
         return;
     }
     let acquiring = core.local.acquire(acquire_request(request));
+    let mut early = EarlyCommands::default();
     let acquired = tokio::select! {
         acquired = acquiring => acquired,
         // The peer has given up, is lost, or has broken the protocol.
-        _ = receiver.next() => return,
+        () = early.collect(&mut receiver) => return,
     };
     let lease = match acquired {
         Ok(lease) => lease,
@@ -63,19 +94,24 @@
         }
     };
     count(&core.counters.leases_served, 1);
-    relay(sender, receiver, lease).await;
+    relay(sender, receiver, early, lease).await;
 }
 
-async fn relay(sender: StreamSender, receiver: StreamReceiver, lease: BackendLease) {
+async fn relay(
+    sender: StreamSender,
+    receiver: StreamReceiver,
+    early: EarlyCommands,
+    lease: BackendLease,
+) {
     let BackendLease {
-        database,
         commands,
         mut replies,
+        ..
     } = lease;
-    let granted = sender.grant(database).await.is_ok();
+    let granted = sender.grant().await.is_ok();
     let used = if granted {
         tokio::select! {
-            used = relay_commands(receiver, &commands) => used,
+            used = relay_commands(receiver, early, &commands) => used,
             () = relay_replies(&mut replies, sender) => true,
         }
     } else {
@@ -94,11 +130,12 @@
 /// Hands on commands until the stream ends. Returns whether there were any.
 async fn relay_commands(
     mut receiver: StreamReceiver,
+    mut early: EarlyCommands,
     commands: &mpsc::Sender<BackendCommand>,
 ) -> bool {
     let mut assembler = Assembler::default();
     let mut used = false;
-    while let Some(StreamEvent::Data { last, bytes }) = receiver.next().await {
+    while let Some((last, bytes)) = early.next(&mut receiver).await {
         used = true;
         let command = match assembler.push::<BackendCommand>(last, &bytes) {
             Ok(Some(command)) => command,
