--- a/crates/transport/src/backend/connection.rs
+++ b/crates/transport/src/backend/connection.rs
@@ -1,37 +1,31 @@
-//! One connection and the task that owns it.
+//! One connection and its state.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::Addr;
 use bytes::BytesMut;
 use futures::{FutureExt, StreamExt};
-use hookpoint_coordination::slots::ConnectionNumber;
-use hookpoint_coordination::slots::OpenFailure;
+use hookpoint_protocol::extended;
 use hookpoint_protocol::frame::{Frame, FrameCodec, FrameError};
-use hookpoint_protocol::status_query::{STATUS_QUERY, StatusCollector};
+use hookpoint_protocol::status_query::STATUS_QUERY;
 use hookpoint_state::{DatabaseName, GroupName};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::codec::FramedRead;
 
 use super::cancel::{self, CancelKey};
 use super::error::ConnectError;
-use super::handshake;
 use super::ledger::{Ledger, Verdict};
-use super::message::{ConnectionEvent, FromConnection, Grant, Order, Target};
+use super::message::Target;
 use super::outgoing;
-use super::pool::PoolActor;
 use super::prepared::PreparedStatements;
-use super::serve::{self, ServeEnd};
 use super::settings::BackendSettings;
-use super::tags::backend;
 use crate::shared::Shared;
+use hookpoint_protocol::tags::backend;
 
 /// Status of a connection outside a transaction block.
 const STATUS_IDLE: u8 = b'I';
@@ -106,6 +100,11 @@
         self.last_used = Instant::now();
     }
 
+    /// When it has to be used again to be kept, if it is not used for `interval`.
+    pub fn due(&self, interval: Duration) -> Instant {
+        self.last_used + interval
+    }
+
     /// Whether another session may have it as it is.
     pub fn is_clean(&self) -> bool {
         self.ledger.is_settled()
@@ -146,7 +145,7 @@
         limit: Duration,
         look: impl FnMut(&Frame),
     ) -> Result<bool, ConnectError> {
-        outgoing::query(text).write_to(&mut self.outgoing);
+        extended::query(text).write_to(&mut self.outgoing);
         self.ledger.own_query();
         self.used();
         tokio::time::timeout(limit, self.answer(look))
@@ -177,7 +176,7 @@
     }
 
     /// Makes the connection ready for another session, if that can be done.
-    async fn restore(&mut self, discard: bool, limit: Duration) -> Result<bool, ConnectError> {
+    pub async fn restore(&mut self, discard: bool, limit: Duration) -> Result<bool, ConnectError> {
         tokio::time::timeout(limit, self.settle())
             .await
             .map_err(|_| ConnectError::Timeout)??;
@@ -210,7 +209,7 @@
     }
 
     /// Whether the database has closed it, or will have by its idle timeout.
-    fn is_gone(&mut self, lapse: Duration) -> bool {
+    pub fn is_gone(&mut self, lapse: Duration) -> bool {
         if self.last_used.elapsed() >= lapse {
             return true;
         }
@@ -223,7 +222,7 @@
     }
 
     /// Whether an idle connection may go on after this message.
-    fn is_harmless(&mut self, message: Option<Result<Frame, FrameError>>) -> bool {
+    pub fn is_harmless(&mut self, message: Option<Result<Frame, FrameError>>) -> bool {
         let Some(Ok(frame)) = message else {
             return false;
         };
@@ -233,7 +232,7 @@
 
     /// Ends the connection and waits until the database has ended it too, so that the
     /// slot is free afterwards.
-    async fn close(mut self, limit: Duration) {
+    pub async fn close(mut self, limit: Duration) {
         self.cancel(limit);
         self.outgoing.clear();
         outgoing::terminate().write_to(&mut self.outgoing);
@@ -246,148 +245,3 @@
         let _ended = tokio::time::timeout(limit, goodbye).await;
     }
 }
-
-/// The task of one connection.
-pub(super) struct ConnectionTask {
-    pub context: Arc<ConnectionContext>,
-    pub number: ConnectionNumber,
-    pub pool: Addr<PoolActor>,
-    pub orders: mpsc::Receiver<Order>,
-}
-
-/// How the life of a connection ended.
-enum LifeEnd {
-    Ordered,
-    Broken,
-    Stale(Box<Grant>),
-}
-
-impl ConnectionTask {
-    /// Opens the connection and serves until it ends.
-    pub async fn run(mut self) {
-        let connection = match handshake::connect(&self.context).await {
-            Ok(connection) => connection,
-            Err(error) => return self.failed(&error),
-        };
-        self.tell(ConnectionEvent::Opened);
-        let limit = self.context.settings.answer_timeout;
-        let mut connection = connection;
-        let end = self.live(&mut connection).await;
-        connection.close(limit).await;
-        let last_grant = self.last_grant();
-        self.tell(match (end, last_grant) {
-            (LifeEnd::Stale(grant), _) | (_, Some(grant)) => ConnectionEvent::GrantFailed(grant),
-            (LifeEnd::Ordered, None) => ConnectionEvent::Closed,
-            (LifeEnd::Broken, None) => ConnectionEvent::Broken,
-        });
-    }
-
-    /// A grant that came too late to be served.
-    fn last_grant(&mut self) -> Option<Box<Grant>> {
-        self.orders.close();
-        while let Ok(order) = self.orders.try_recv() {
-            if let Order::Serve(grant) = order {
-                return Some(grant);
-            }
-        }
-        None
-    }
-
-    fn failed(&self, error: &ConnectError) {
-        let failure = error.open_failure();
-        log::warn!("pool: no connection to {}: {error}.", self.context.database);
-        if failure == OpenFailure::Unreachable {
-            let ConnectionContext {
-                group, database, ..
-            } = &*self.context;
-            self.context.shared.unreachable(group, database);
-        }
-        self.tell(ConnectionEvent::Failed(failure));
-    }
-
-    fn tell(&self, event: ConnectionEvent) {
-        self.pool.do_send(FromConnection {
-            connection: self.number,
-            event,
-        });
-    }
-
-    async fn live(&mut self, connection: &mut Connection) -> LifeEnd {
-        loop {
-            let heartbeat = connection.last_used + self.context.settings.heartbeat_interval();
-            tokio::select! {
-                order = self.orders.recv() => match order {
-                    Some(Order::Serve(grant)) => {
-                        if let Some(end) = self.serve(connection, grant).await {
-                            return end;
-                        }
-                    }
-                    Some(Order::Doubt) => {}
-                    Some(Order::Close) | None => return LifeEnd::Ordered,
-                },
-                message = connection.reader.next() => {
-                    if !connection.is_harmless(message) {
-                        return LifeEnd::Broken;
-                    }
-                }
-                () = tokio::time::sleep_until(heartbeat) => {
-                    if !self.heartbeat(connection).await {
-                        return LifeEnd::Broken;
-                    }
-                }
-            }
-        }
-    }
-
-    async fn serve(&mut self, connection: &mut Connection, grant: Box<Grant>) -> Option<LifeEnd> {
-        let settings = self.context.settings.clone();
-        if connection.is_gone(settings.lapse()) {
-            return Some(LifeEnd::Stale(grant));
-        }
-        let end = serve::serve(connection, &self.context, *grant, &mut self.orders).await;
-        let reusable = match end {
-            ServeEnd::Lost => return Some(LifeEnd::Broken),
-            ServeEnd::Unused => Ok(true),
-            ServeEnd::Abandoned => Ok(false),
-            ServeEnd::Released {
-                reusable: false, ..
-            } => Ok(false),
-            ServeEnd::Released { discard, .. } => {
-                connection.restore(discard, settings.answer_timeout).await
-            }
-        };
-        let reusable = reusable.unwrap_or_else(|error| {
-            log::info!(
-                "pool: a connection to {} is given up: {error}.",
-                self.context.database
-            );
-            false
-        });
-        self.tell(ConnectionEvent::Returned { reusable });
-        (!reusable).then_some(LifeEnd::Ordered)
-    }
-
-    /// Shows the database that the holder lives, and takes its status along.
-    async fn heartbeat(&self, connection: &mut Connection) -> bool {
-        if connection.is_gone(self.context.settings.lapse()) {
-            return false;
-        }
-        let mut collector = StatusCollector::new();
-        let mut status = None;
-        let limit = self.context.settings.answer_timeout;
-        let answered = connection
-            .ask(STATUS_QUERY, limit, |frame| {
-                if let Some(Ok(answer)) = collector.push(frame) {
-                    status = Some(answer);
-                }
-            })
-            .await;
-        if let Some(status) = status {
-            let ConnectionContext {
-                group, database, ..
-            } = &*self.context;
-            self.context.shared.observe(group, database, &status);
-        }
-        answered.is_ok() && connection.is_clean()
-    }
-}
--- a/crates/transport/src/backend/handshake.rs
+++ b/crates/transport/src/backend/handshake.rs
@@ -15,7 +15,7 @@
 use super::connection::{Connection, ConnectionContext};
 use super::error::ConnectError;
 use super::outgoing;
-use super::tags::backend;
+use hookpoint_protocol::tags::backend;
 
 /// `application_name` of every connection.
 const APPLICATION_NAME: &str = "hookpoint";
--- a/crates/transport/src/backend/ledger.rs
+++ b/crates/transport/src/backend/ledger.rs
@@ -7,7 +7,7 @@
 
 use hookpoint_protocol::frame::Frame;
 
-use super::tags::{backend, frontend};
+use hookpoint_protocol::tags::{backend, frontend};
 
 /// An answer that is still to come.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/transport/src/backend/mod.rs
+++ b/crates/transport/src/backend/mod.rs
@@ -15,7 +15,7 @@
 mod run_settings;
 mod serve;
 mod settings;
-mod tags;
+mod task;
 
 pub use error::ConnectError;
 pub use pools::{HomeFilter, LocalPools};
--- a/crates/transport/src/backend/outgoing.rs
+++ b/crates/transport/src/backend/outgoing.rs
@@ -3,7 +3,7 @@
 use bytes::{BufMut, BytesMut};
 use hookpoint_protocol::frame::Frame;
 
-use super::tags::frontend;
+use hookpoint_protocol::tags::frontend;
 
 /// Version 3.0 of the protocol.
 const PROTOCOL_VERSION: u32 = 196_608;
@@ -42,13 +42,6 @@
     message
 }
 
-/// A simple query.
-pub(super) fn query(text: &str) -> Frame {
-    let mut body = BytesMut::with_capacity(text.len() + 1);
-    put_text(&mut body, text);
-    Frame::new(frontend::QUERY, body.freeze())
-}
-
 /// A `Parse` of a named statement.
 pub(super) fn parse(name: &str, text: &str, types: &[u32]) -> Frame {
     let mut body = BytesMut::new();
--- a/crates/transport/src/backend/pool.rs
+++ b/crates/transport/src/backend/pool.rs
@@ -12,12 +12,13 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 
-use super::connection::{ConnectionContext, ConnectionTask};
+use super::connection::ConnectionContext;
 use super::message::{
     Acquire, Cancelled, Configure, ConnectionEvent, FromConnection, Grant, Home, ORDER_BUFFER,
     Order, OrderSender, PoolConfiguration, Reroute, Retire,
 };
 use super::settings::BackendSettings;
+use super::task::ConnectionTask;
 use crate::shared::Shared;
 
 /// Where a pool tells of connections that broke.
--- a/crates/transport/src/backend/serve.rs
+++ b/crates/transport/src/backend/serve.rs
@@ -4,6 +4,7 @@
 
 use futures::{FutureExt, StreamExt};
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
+use hookpoint_protocol::extended;
 use hookpoint_protocol::frame::{Frame, FrameError};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
@@ -15,8 +16,8 @@
 use super::outgoing;
 use super::prepared::Preparation;
 use super::run_settings;
-use super::tags::backend;
 use crate::lease::{BackendLease, LEASE_COMMAND_BUFFER, LEASE_REPLY_BUFFER};
+use hookpoint_protocol::tags::backend;
 
 /// Bytes that may wait to be written before no more commands are taken.
 const OUTGOING_LIMIT: usize = 256 * 1024;
@@ -244,7 +245,7 @@
     }
 
     fn own_query(&mut self, text: &str) {
-        outgoing::query(text).write_to(&mut self.connection.outgoing);
+        extended::query(text).write_to(&mut self.connection.outgoing);
         self.connection.ledger.own_query();
     }
 
--- a/crates/transport/src/observe/status.rs
+++ b/crates/transport/src/observe/status.rs
@@ -9,7 +9,7 @@
 use hookpoint_coordination::observer::RoundPolicy;
 use hookpoint_coordination::status::BackendStatus;
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
-use hookpoint_protocol::frame::Frame;
+use hookpoint_protocol::extended;
 use hookpoint_protocol::status_query::{STATUS_QUERY, StatusCollector, StatusQueryError};
 use hookpoint_state::{DatabaseName, GroupName, Refusal, SessionId, TenantName, ZoneName};
 use thiserror::Error;
@@ -19,8 +19,6 @@
 use crate::lease::{AcquireRequest, BackendLease, LeaseSource};
 use crate::shared::Shared;
 
-/// Tag of a simple query.
-const QUERY: u8 = b'Q';
 /// Session number of the proxies' own status queries; callers' sessions count from 1.
 /// Requests of this session go ahead of all work.
 pub(crate) const OWN_SESSION: SessionId = SessionId(0);
@@ -172,9 +170,7 @@
 /// Asks for the status on `lease` and gives the connection back. A lease dropped midway
 /// closes its connection.
 async fn ask(mut lease: BackendLease) -> Result<BackendStatus, StatusError> {
-    let mut body = STATUS_QUERY.as_bytes().to_vec();
-    body.push(0);
-    let query = BackendCommand::Frames(vec![Frame::new(QUERY, body)]);
+    let query = BackendCommand::Frames(vec![extended::query(STATUS_QUERY)]);
     let sent = lease.commands.send(query).await;
     sent.map_err(|_| StatusError::Lost)?;
     let mut collector = StatusCollector::new();
