Count what became of callers' units

Cause: /metrics told sessions but not how requests fared, nor the share of replicas. Change: answered by a primary, answered by a replica, told as not run, told as unknown, as hookpoint_units by outcome.

--- a/crates/transport/src/caller/active.rs
+++ b/crates/transport/src/caller/active.rs
@@ -6,7 +6,7 @@
 use std::pin::Pin;
 
 use hookpoint_coordination::request::{Access, RequestEvent, RequestMachine, UnitResult};
-use hookpoint_coordination::status::BackendStatus;
+use hookpoint_coordination::status::{BackendStatus, Role};
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
 use hookpoint_protocol::errors::BackendError;
 use hookpoint_protocol::extended;
@@ -56,6 +56,8 @@
     pub answer: Answer,
     /// Whether it began as a read and is carried as one to its end.
     pub reads: bool,
+    /// Whether its connection leads to a replica.
+    pub by_replica: bool,
     /// Whether it has used savepoints.
     pub savepoints: bool,
     /// What is in flight.
@@ -113,6 +115,7 @@
     pub fn new(machine: RequestMachine, plan: UnitPlan, mark: Option<RequestId>) -> Self {
         Self {
             reads: plan.unit(false, mark.is_some()).access == Access::Read,
+            by_replica: false,
             savepoints: plan.traits.savepoints,
             machine,
             plan,
@@ -338,6 +341,7 @@
         let Ok(status) = result else {
             return self.status_failed(section, observed);
         };
+        self.by_replica = status.role == Role::Replica;
         if let Some(lease) = &self.lease {
             observed.push_back(Observed::Status(lease.database.clone(), status.clone()));
         }
--- a/crates/transport/src/caller/context.rs
+++ b/crates/transport/src/caller/context.rs
@@ -6,6 +6,7 @@
 use tokio::sync::watch;
 
 use crate::caller::authentication::Authenticator;
+use crate::caller::counters::UnitCounters;
 use crate::caller::registry::{Registry, StopMode};
 use crate::caller::settings::CallerSettings;
 use crate::caller::tls::TlsAcceptance;
@@ -30,6 +31,8 @@
     pub authenticator: Authenticator,
     /// TLS, if offered.
     pub tls: Option<TlsAcceptance>,
+    /// What became of units.
+    pub counters: UnitCounters,
     /// How sessions are to go on.
     pub stop: watch::Sender<StopMode>,
 }
--- a/crates/transport/src/caller/finish.rs
+++ b/crates/transport/src/caller/finish.rs
@@ -32,7 +32,10 @@
         let end = active.answer.take_end();
         match &refusal {
             Some(refusal) => self.tell_refusal(refusal),
-            None => end.iter().for_each(|frame| self.stream.write(frame)),
+            None => {
+                self.context.counters.answered(active.by_replica);
+                end.iter().for_each(|frame| self.stream.write(frame));
+            }
         }
         for name in active.answer.take_parse_failures() {
             self.statements.remove(&name);
@@ -52,6 +55,7 @@
 
     /// Tells the caller that its request did not run, and keeps a record of it.
     pub(super) fn tell_refusal(&mut self, refusal: &Refusal) {
+        self.context.counters.refused();
         self.record_failure(refusal.outcome(), refusal.sqlstate());
         self.stream.write(&error::refusal(refusal));
     }
@@ -93,6 +97,7 @@
         match &failure {
             Failure::Refused(refusal) => self.tell_refusal(refusal),
             Failure::Unknown(cause) => {
+                self.context.counters.doubted();
                 self.record_failure(Outcome::Unknown, UNKNOWN_SQLSTATE);
                 self.stream.write(&error::unknown(*cause));
             }
--- a/crates/transport/src/caller/listener.rs
+++ b/crates/transport/src/caller/listener.rs
@@ -12,6 +12,7 @@
 
 use crate::caller::authentication::Authenticator;
 use crate::caller::context::Context;
+use crate::caller::counters::{UnitCounters, UnitCounts};
 use crate::caller::registry::{ConnectionGuard, Registry, StopMode};
 use crate::caller::settings::{CallerError, CallerSettings};
 use crate::caller::startup;
@@ -82,6 +83,7 @@
             registry: Arc::new(Registry::default()),
             classifier: Classifier::new(),
             tls,
+            counters: UnitCounters::default(),
             stop: watch::Sender::new(StopMode::Running),
             settings,
         });
@@ -186,6 +188,11 @@
         *self.context.registry.connections().borrow()
     }
 
+    /// What became of units since the start.
+    pub fn unit_counts(&self) -> UnitCounts {
+        self.context.counters.read()
+    }
+
     /// Looks at the TLS files now. Returns whether new ones are in use.
     ///
     /// # Errors
--- a/crates/transport/src/caller/mod.rs
+++ b/crates/transport/src/caller/mod.rs
@@ -10,6 +10,7 @@
 mod answer;
 mod authentication;
 mod context;
+mod counters;
 mod drain;
 mod drive;
 mod error;
@@ -31,6 +32,7 @@
 mod traits;
 mod unit;
 
+pub use counters::UnitCounts;
 pub use listener::{CallerHandle, CallerListener};
 pub use local::{REQUEST_ID_SETTING, TOKEN_SETTING};
 pub use settings::{
--- a/crates/transport/tests/caller_path.rs
+++ b/crates/transport/tests/caller_path.rs
@@ -29,6 +29,9 @@
     group.observe_all();
     assert_eq!(simple_values(&client, "SELECT 'eight'").await, ["eight"]);
     assert_eq!(group.ran_on("INSERT"), ["db-a"]);
+    let counts = handle.unit_counts();
+    assert_eq!((counts.primary, counts.not_run, counts.unknown), (1, 0, 0));
+    assert!(counts.replica >= 2);
     assert_ne!(group.ran_on("SELECT $1"), ["db-a"]);
     assert_ne!(group.ran_on("SELECT 'eight'"), ["db-a"]);
     handle.stop().await;
--- a/hookpoint/src/proxy/metrics.rs
+++ b/hookpoint/src/proxy/metrics.rs
@@ -29,6 +29,7 @@
     pools: Arc<LocalPools>,
     fleet: FleetHandle,
     sessions: IntGauge,
+    units: IntGaugeVec,
     connections: IntGaugeVec,
     waiting: IntGaugeVec,
     members: IntGaugeVec,
@@ -49,6 +50,11 @@
             pools: Arc::clone(pools),
             fleet: fleet.clone(),
             sessions: IntGauge::new("hookpoint_sessions", "Sessions of callers.")?,
+            units: vector(
+                "hookpoint_units",
+                "What became of the callers' units since the start.",
+                &["outcome"],
+            )?,
             connections: vector(
                 "hookpoint_pool_connections",
                 "Connections to a database that this node holds, by state.",
@@ -72,8 +78,9 @@
         })
     }
 
-    fn vectors(&self) -> [&IntGaugeVec; 4] {
+    fn vectors(&self) -> [&IntGaugeVec; 5] {
         [
+            &self.units,
             &self.connections,
             &self.waiting,
             &self.members,
@@ -86,10 +93,25 @@
         for vector in self.vectors() {
             vector.reset();
         }
+        self.refresh_units();
         self.refresh_pools();
         self.refresh_fleet();
     }
 
+    fn refresh_units(&self) {
+        let counts = self.callers.unit_counts();
+        let values = [
+            ("primary", counts.primary),
+            ("replica", counts.replica),
+            ("not_run", counts.not_run),
+            ("unknown", counts.unknown),
+        ];
+        for (outcome, value) in values {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            self.units.with_label_values(&[outcome]).set(value);
+        }
+    }
+
     fn refresh_pools(&self) {
         for (database, counts) in self.pools.counts() {
             let name = database.as_str();
