Refuse hostile statements in the database stand-in

Cause: statements of random tokens brought a panic about in four places; deep parentheses took time without end; an absurd timeout, year or parameter number could overflow.

Change: parentheses must match and nest at most 200 deep; parameter numbers, timeouts, years and offsets have limits.

--- a/lab/standin/src/database/cursor.rs
+++ b/lab/standin/src/database/cursor.rs
@@ -98,7 +98,11 @@
 
 fn parse_fetch(tokens: &[Token]) -> Result<CursorStatement, SqlError> {
     let name = match tokens.last() {
-        Some(token) if tokens.len() > 1 && token.is_name() => token.name(),
+        Some(token)
+            if tokens.len() > 1 && token.is_name() && !token.is_any_word(&["FROM", "IN"]) =>
+        {
+            token.name()
+        }
         _ => return Err(malformed("FETCH")),
     };
     let mut count = Some(1);
--- a/lab/standin/src/database/functions.rs
+++ b/lab/standin/src/database/functions.rs
@@ -179,7 +179,7 @@
             let position = parse_position(text).ok_or_else(|| invalid("pg_lsn", text))?;
             *number = position.0 as i64;
         }
-        Ok(Value::Integer(numbers[0] - numbers[1]))
+        Ok(Value::Integer(numbers[0].wrapping_sub(numbers[1])))
     })
 }
 
@@ -331,5 +331,7 @@
     let micros = timestamp::parse(&start).ok_or_else(|| invalid("timestamp", &start))?;
     let length =
         timestamp::parse_interval(&interval).ok_or_else(|| invalid("interval", &interval))?;
-    Ok(Value::Text(timestamp::format(micros + factor * length)))
+    Ok(Value::Text(timestamp::format(
+        micros.saturating_add(factor.saturating_mul(length)),
+    )))
 }
--- a/lab/standin/src/database/infer.rs
+++ b/lab/standin/src/database/infer.rs
@@ -86,7 +86,9 @@
     let Some(values) = tokens.iter().position(|token| token.is_word("VALUES")) else {
         return;
     };
-    let listed: Vec<String> = tokens[into + 2..values]
+    let listed: Vec<String> = tokens
+        .get(into + 2..values)
+        .unwrap_or_default()
         .iter()
         .filter(|token| token.is_name())
         .map(Token::name)
@@ -286,7 +288,8 @@
             .position(|token| token.is_any_word(&["WHEN", "ELSE", "END"]))?;
         return expression_type(&item[then + 1..then + end], parameters, columns);
     }
-    if first.is_symbol("(") && matching_close(item, 0) == item.len() - 1 {
+    let closed = item.last().is_some_and(|token| token.is_symbol(")"));
+    if first.is_symbol("(") && closed && matching_close(item, 0) == item.len() - 1 {
         let inner = &item[1..item.len() - 1];
         if let Some(items) = returned_expressions(inner) {
             return expression_type(items.first()?, parameters, columns);
@@ -294,7 +297,7 @@
         return expression_type(inner, parameters, columns);
     }
     let call = item.get(1).is_some_and(|token| token.is_symbol("("));
-    if call && matching_close(item, 1) == item.len() - 1 {
+    if call && closed && matching_close(item, 1) == item.len() - 1 {
         return call_type(&first.name(), &item[2..item.len() - 1], parameters, columns);
     }
     None
--- a/lab/standin/src/database/session_settings.rs
+++ b/lab/standin/src/database/session_settings.rs
@@ -77,6 +77,9 @@
     "wal_level",
 ];
 
+/// Longest timeout, in milliseconds.
+const MAXIMUM_MILLISECONDS: u64 = i32::MAX as u64;
+
 /// Settings that a session may define at most.
 const MAXIMUM_CUSTOM: usize = 256;
 
@@ -240,5 +243,6 @@
         "d" => 86_400_000,
         _ => return None,
     };
-    Some(Duration::from_millis(amount.checked_mul(unit)?))
+    let milliseconds = amount.checked_mul(unit)?;
+    (milliseconds <= MAXIMUM_MILLISECONDS).then(|| Duration::from_millis(milliseconds))
 }
--- a/lab/standin/src/database/statement.rs
+++ b/lab/standin/src/database/statement.rs
@@ -6,6 +6,9 @@
 use super::rewrite;
 use super::side_effect::{self, SideEffect};
 
+#[cfg(test)]
+mod tests;
+
 /// Modes named by BEGIN or SET TRANSACTION.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TransactionModes {
@@ -102,11 +105,12 @@
     /// Classifies and translates one statement.
     pub fn prepare(raw: RawStatement) -> Result<Self, SqlError> {
         let tokens = rewrite::drop_schema_names(raw.tokens);
+        check_balance(&tokens)?;
         let mut statement = Self {
             kind: StatementKind::NoOperation,
             sql: String::new(),
             tag: String::new(),
-            parameters: highest_parameter(&tokens),
+            parameters: highest_parameter(&tokens)?,
             side_effects: Vec::new(),
             text: raw.text,
             tokens,
@@ -334,7 +338,10 @@
                     "COPY works with STDIN and STDOUT only",
                 )
             })?;
-        let source = &self.tokens[1..direction.saturating_sub(1)];
+        let source = self
+            .tokens
+            .get(1..direction.saturating_sub(1))
+            .unwrap_or_default();
         let options = &self.tokens[direction + 1..];
         if options
             .iter()
@@ -357,7 +364,8 @@
         }
         self.kind = StatementKind::CopyOut;
         self.sql = if head.is_symbol("(") {
-            rewrite::to_engine(&source[1..source.len() - 1])
+            let close = rewrite::matching_close(source, 0);
+            rewrite::to_engine(source.get(1..close).unwrap_or_default())
         } else {
             let columns = names_in(&source[1..]);
             let list = if columns.is_empty() {
@@ -378,6 +386,42 @@
     }
 }
 
+/// Parentheses and brackets that may be open at once.
+const MAXIMUM_NESTING: usize = 200;
+
+/// Refuses parentheses and brackets without their counterparts.
+fn check_balance(tokens: &[Token]) -> Result<(), SqlError> {
+    let mut open = Vec::new();
+    for token in tokens {
+        let expected = if token.is_symbol(")") {
+            "("
+        } else if token.is_symbol("]") {
+            "["
+        } else {
+            if token.is_symbol("(") || token.is_symbol("[") {
+                open.push(token.text.as_str());
+                if open.len() > MAXIMUM_NESTING {
+                    return Err(SqlError::new(
+                        SqlState::ProgramLimitExceeded,
+                        "the statement nests too deeply",
+                    ));
+                }
+            }
+            continue;
+        };
+        if open.pop() != Some(expected) {
+            return Err(syntax_error(token));
+        }
+    }
+    match tokens.first() {
+        Some(_) if open.is_empty() => Ok(()),
+        _ => Err(SqlError::new(
+            SqlState::SyntaxError,
+            "syntax error at end of input",
+        )),
+    }
+}
+
 fn names_in(tokens: &[Token]) -> Vec<String> {
     tokens
         .iter()
@@ -390,13 +434,22 @@
     text.split_ascii_whitespace().eq(STATUS_QUERY.split(' '))
 }
 
-fn highest_parameter(tokens: &[Token]) -> usize {
-    tokens
+fn highest_parameter(tokens: &[Token]) -> Result<usize, SqlError> {
+    let mut highest = 0;
+    for token in tokens
         .iter()
         .filter(|token| token.kind == TokenKind::Parameter)
-        .filter_map(|token| token.text.parse().ok())
-        .max()
-        .unwrap_or(0)
+    {
+        let number: Option<u16> = token.text.parse().ok().filter(|number| *number > 0);
+        let number = number.ok_or_else(|| {
+            SqlError::new(
+                SqlState::UndefinedParameter,
+                format!("there is no parameter ${}", token.text),
+            )
+        })?;
+        highest = highest.max(usize::from(number));
+    }
+    Ok(highest)
 }
 
 /// The verb of a query after its WITH clause.
--- a/lab/standin/src/database/timestamp.rs
+++ b/lab/standin/src/database/timestamp.rs
@@ -8,6 +8,13 @@
 const MICROS_PER_SECOND: i64 = 1_000_000;
 const SECONDS_PER_DAY: i64 = 86_400;
 
+/// Years that a timestamp may name.
+const YEARS: std::ops::RangeInclusive<i64> = 1..=9999;
+/// Hours of a day or of an offset.
+const HOURS: std::ops::RangeInclusive<i64> = 0..=24;
+/// Minutes of an hour.
+const MINUTES: std::ops::RangeInclusive<i64> = 0..=59;
+
 /// The present in microseconds since 1970.
 pub fn now_micros() -> i64 {
     SystemTime::now()
@@ -40,6 +47,9 @@
     let year: i64 = parts.next()?.parse().ok()?;
     let month: i64 = parts.next()?.parse().ok()?;
     let day: i64 = parts.next()?.parse().ok()?;
+    if !YEARS.contains(&year) || !(1..=12).contains(&month) || !(1..=31).contains(&day) {
+        return None;
+    }
     let (clock, offset) = split_offset(rest)?;
     let seconds = days_from_civil(year, month, day) * SECONDS_PER_DAY - offset;
     Some(seconds * MICROS_PER_SECOND + parse_clock(clock)?)
@@ -56,6 +66,9 @@
     let mut parts = text[at + 1..].split(':');
     let hours: i64 = parts.next()?.parse().ok()?;
     let minutes: i64 = parts.next().map_or(Some(0), |part| part.parse().ok())?;
+    if !HOURS.contains(&hours) || !MINUTES.contains(&minutes) {
+        return None;
+    }
     Some((&text[..at], sign * (hours * 3600 + minutes * 60)))
 }
 
@@ -67,6 +80,10 @@
     let hours: i64 = parts.next()?.parse().ok()?;
     let minutes: i64 = parts.next()?.parse().ok()?;
     let seconds: f64 = parts.next().map_or(Some(0.0), |part| part.parse().ok())?;
+    let known = HOURS.contains(&hours) && MINUTES.contains(&minutes);
+    if !known || !(0.0..=60.0).contains(&seconds) {
+        return None;
+    }
     let micros = (seconds * MICROS_PER_SECOND as f64).round() as i64;
     Some((hours * 3600 + minutes * 60) * MICROS_PER_SECOND + micros)
 }
--- a/lab/standin/tests/database_sessions.rs
+++ b/lab/standin/tests/database_sessions.rs
@@ -495,6 +495,47 @@
     group.stop().await;
 }
 
+#[tokio::test]
+async fn hostile_statements_are_refused() {
+    let group = start(group_of_three()).await;
+    let client = connect(&group, "a").await;
+    let cases = [
+        ("SELECT $0", "42P02"),
+        ("CREATE TABLE t (id INT DEFAULT $99999999999)", "42P02"),
+        ("SELECT ((((1)", "42601"),
+        ("COPY STDIN", "42601"),
+        ("COPY ( TO STDOUT", "42601"),
+        ("SELECT 'open", "42601"),
+        ("SELECT $tag$ open", "42601"),
+        ("/* open", "42601"),
+        ("SET statement_timeout = '18446744073709551615'", "22023"),
+        ("SELECT '99999999999999999-01-01'::timestamptz", "22P02"),
+        (
+            "SELECT '2026-01-01 99999999999999999:00'::timestamptz",
+            "22P02",
+        ),
+        ("SELECT '9223372036854775808'::bigint", "22P02"),
+        ("SELECT now() + interval 'many days'", "22P02"),
+        ("FETCH 1 FROM", "42601"),
+        ("DECLARE", "42601"),
+        ("PREPARE", "42601"),
+    ];
+    for (sql, expected) in cases {
+        assert_eq!(failure(&client, sql).await, expected, "{sql}");
+        let prepared = client.prepare(sql).await;
+        assert!(
+            prepared.is_err() || client.execute(sql, &[]).await.is_err(),
+            "{sql}"
+        );
+    }
+    let deep = format!("SELECT {}1{}", "(".repeat(100_000), ")".repeat(100_000));
+    assert_eq!(failure(&client, &deep).await, "54000");
+    let far = "SELECT now() + interval '99999999999 years' IS NOT NULL";
+    assert_eq!(texts(&client, far).await, ["t"]);
+    assert_eq!(status_of(&group, "a").open_connections, 1);
+    group.stop().await;
+}
+
 #[tokio::test]
 async fn malformed_input_closes_its_own_connection_only() {
     let group = start(GroupSettings {
