Settle a connection after a pipelined COPY

Cause: a COPY whose data was sent before the database asked for it left the mark of its end in the ledger of outstanding answers, so that the connection seemed busy for ever and was closed instead of used again. A new table of message sequences found it. Change: such marks are dropped as soon as nothing stands before them.

--- a/crates/transport/src/backend/ledger.rs
+++ b/crates/transport/src/backend/ledger.rs
@@ -3,6 +3,9 @@
 //! The ledger tells the answers to the proxy's own messages, which are not relayed, from
 //! those to the session's, and knows when nothing is outstanding any more.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::VecDeque;
 
 use hookpoint_protocol::frame::Frame;
@@ -140,12 +143,14 @@
             return self.asynchronous();
         }
         self.skip_copy_ends();
-        match tag {
+        let verdict = match tag {
             backend::ERROR => self.error(),
             backend::READY_FOR_QUERY => self.ready(),
             backend::COPY_IN_RESPONSE => self.copy_in(),
             _ => self.answer(tag),
-        }
+        };
+        self.skip_copy_ends();
+        verdict
     }
 
     fn asynchronous(&self) -> Verdict {
