Count decisions for the metrics

Cause: the metrics told of tables and pools and nothing of requests. Change: each recorded decision is counted by kind and detail, without a lock. Conclusion: the endpoint's test sees the counts.

--- a/crates/transport/src/admin/metrics.rs
+++ b/crates/transport/src/admin/metrics.rs
@@ -4,7 +4,7 @@
 
 use prometheus::core::{Collector, Desc};
 use prometheus::proto::MetricFamily;
-use prometheus::{IntGauge, IntGaugeVec, Opts};
+use prometheus::{IntCounterVec, IntGauge, IntGaugeVec, Opts};
 
 use crate::shared::Shared;
 
@@ -16,6 +16,7 @@
     reachable: IntGaugeVec,
     draining: IntGaugeVec,
     position: IntGaugeVec,
+    decisions: IntCounterVec,
 }
 
 impl SharedCollector {
@@ -45,6 +46,13 @@
                 "hookpoint_database_draining",
                 "Whether a database gets no new work.",
             )?,
+            decisions: IntCounterVec::new(
+                Opts::new(
+                    "hookpoint_decisions_total",
+                    "Decisions made since the start, by kind.",
+                ),
+                &["kind", "detail"],
+            )?,
             position: by_database(
                 "hookpoint_database_position_bytes",
                 "Last log position seen of a database.",
@@ -59,6 +67,11 @@
         for gauges in [&self.term, &self.reachable, &self.draining, &self.position] {
             gauges.reset();
         }
+        self.decisions.reset();
+        for (kind, detail, count) in self.shared.decisions().read() {
+            let labels = [kind, detail];
+            self.decisions.with_label_values(&labels).inc_by(count);
+        }
         let groups = bundle.iter().flat_map(|bundle| bundle.groups.keys());
         for group in groups {
             let Some(view) = self.shared.view(group) else {
@@ -89,6 +102,7 @@
         for gauges in [&self.term, &self.reachable, &self.draining, &self.position] {
             descriptions.extend(gauges.desc());
         }
+        descriptions.extend(self.decisions.desc());
         descriptions
     }
 
@@ -98,6 +112,7 @@
         for gauges in [&self.term, &self.reachable, &self.draining, &self.position] {
             families.extend(gauges.collect());
         }
+        families.extend(self.decisions.collect());
         families
     }
 }
--- a/crates/transport/src/shared.rs
+++ b/crates/transport/src/shared.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use crate::address::AddressTable;
+use crate::admin::DecisionCounts;
 use crate::retries::Retries;
 
 /// Entries the explain record keeps.
@@ -34,6 +35,7 @@
     bundle: RwLock<Configuration>,
     terms: RwLock<TermTable>,
     explain: Mutex<ExplainRing>,
+    decisions: DecisionCounts,
     view_changes: watch::Sender<u64>,
     bundle_changes: watch::Sender<u64>,
 }
@@ -86,6 +88,7 @@
             bundle: RwLock::new(Configuration::default()),
             terms: RwLock::new(TermTable::new()),
             explain: Mutex::new(ExplainRing::new(EXPLAIN_CAPACITY)),
+            decisions: DecisionCounts::default(),
             view_changes: watch::Sender::new(0),
             bundle_changes: watch::Sender::new(0),
         }
@@ -267,9 +270,15 @@
     /// Adds a decision to the explain record.
     pub fn record(&self, session: Option<SessionId>, decision: Decision) {
         let now = self.now();
+        self.decisions.count(&decision);
         self.explain.lock().record(now, session, decision);
     }
 
+    /// Counts of the decisions made since the start.
+    pub fn decisions(&self) -> &DecisionCounts {
+        &self.decisions
+    }
+
     /// Entries of the explain record, oldest first.
     pub fn explain(
         &self,
--- a/lab/tests/proxy.rs
+++ b/lab/tests/proxy.rs
@@ -232,6 +232,8 @@
         "hookpoint_bundle_version 1".to_owned(),
         "hookpoint_sessions 1".to_owned(),
         format!("hookpoint_group_term{{group=\"{group}\"}} 1"),
+        "hookpoint_decisions_total{detail=\"\",kind=\"bundle_in_force\"} 1".to_owned(),
+        "hookpoint_decisions_total{detail=\"unknown\",kind=\"failed\"} 0".to_owned(),
     ] {
         assert!(
             metrics.lines().any(|found| found == line),
