Measure hollow fleets, idle connections and experiments

Change: lab/measure holds the hollow fleet (the shipped fleet, rollout and registration on real sockets), the reading of processes, the relay, lines of least squares and experiments with Markdown and SVG. Links count the records and bytes they send, which nobody could see before.

--- a/crates/transport/src/peer/link/connect.rs
+++ b/crates/transport/src/peer/link/connect.rs
@@ -18,6 +18,7 @@
 use super::{Link, reader, writer};
 use crate::peer::core::Core;
 use crate::peer::error::ConnectError;
+use crate::peer::status::count;
 
 /// Longest time to connect and shake hands.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -141,7 +142,10 @@
 ) -> Result<(), ConnectError> {
     let hello = LinkFrame::Hello((*core.own).clone());
     let content = encode_frame(&hello, Vec::new());
-    Ok(writer::send_record(cipher, 0, &content, socket).await?)
+    let bytes = writer::send_record(cipher, 0, &content, socket).await?;
+    count(&core.counters.link_records_sent, 1);
+    count(&core.counters.link_bytes_sent, bytes as u64);
+    Ok(())
 }
 
 async fn read_hello(
@@ -166,6 +170,7 @@
     core.links.register(core.own.node, &link);
     let cipher = greeted.cipher;
     let writing = writer::write(
+        core.clone(),
         link.clone(),
         frames,
         cipher.clone(),
--- a/crates/transport/src/peer/link/writer.rs
+++ b/crates/transport/src/peer/link/writer.rs
@@ -10,12 +10,15 @@
 use tokio::sync::mpsc;
 
 use super::Link;
+use crate::peer::core::Core;
+use crate::peer::status::count;
 
 /// A record is sent once it holds this many bytes; one more frame still fits.
 const RECORD_TARGET_BYTES: usize = 2 * MAXIMUM_FRAGMENT_BYTES;
 
 /// Sends frames until the link is lost, several in a record where they wait.
 pub(super) async fn write(
+    core: Arc<Core>,
     link: Arc<Link>,
     mut frames: mpsc::Receiver<LinkFrame>,
     cipher: Arc<LinkCipher>,
@@ -37,10 +40,12 @@
             sent = send_record(&cipher, number, &content, &mut socket) => sent,
             _ = closed.wait_for(|closed| *closed) => return,
         };
-        if sent.is_err() {
+        let Ok(bytes) = sent else {
             link.close();
             return;
-        }
+        };
+        count(&core.counters.link_records_sent, 1);
+        count(&core.counters.link_bytes_sent, bytes as u64);
         number += 1;
     }
 }
@@ -55,15 +60,16 @@
     content
 }
 
-/// Seals and sends one record.
+/// Seals and sends one record. Returns its size in bytes.
 pub(super) async fn send_record(
     cipher: &LinkCipher,
     number: u64,
     content: &[u8],
     socket: &mut OwnedWriteHalf,
-) -> std::io::Result<()> {
+) -> std::io::Result<usize> {
     let record = cipher
         .seal(number, content)
         .map_err(|error: LinkError| std::io::Error::other(error))?;
-    socket.write_all(&record).await
+    socket.write_all(&record).await?;
+    Ok(record.len())
 }
--- a/crates/transport/src/peer/status.rs
+++ b/crates/transport/src/peer/status.rs
@@ -70,6 +70,10 @@
     pub datagrams_received: u64,
     /// Datagrams dropped as not authentic, malformed or repeated.
     pub datagrams_dropped: u64,
+    /// Records sent over links; one holds the frames that waited together.
+    pub link_records_sent: u64,
+    /// Bytes of them, without IP and TCP headers; those of forwarded requests included.
+    pub link_bytes_sent: u64,
     /// Links refused for a wrong key or a broken protocol.
     pub links_refused: u64,
     /// Leases forwarded to other nodes.
@@ -84,6 +88,8 @@
     pub datagram_bytes_sent: AtomicU64,
     pub datagrams_received: AtomicU64,
     pub datagrams_dropped: AtomicU64,
+    pub link_records_sent: AtomicU64,
+    pub link_bytes_sent: AtomicU64,
     pub links_refused: AtomicU64,
     pub leases_forwarded: AtomicU64,
     pub leases_served: AtomicU64,
@@ -101,6 +107,8 @@
             datagram_bytes_sent: read(&self.datagram_bytes_sent),
             datagrams_received: read(&self.datagrams_received),
             datagrams_dropped: read(&self.datagrams_dropped),
+            link_records_sent: read(&self.link_records_sent),
+            link_bytes_sent: read(&self.link_bytes_sent),
             links_refused: read(&self.links_refused),
             leases_forwarded: read(&self.leases_forwarded),
             leases_served: read(&self.leases_served),
--- /dev/null
+++ b/lab/measure/src/scale/phases.rs
@@ -0,0 +1,266 @@
+//! The phases of a run: join, bundle, quiet time, a change of term and a death.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hookpoint_coordination::membership::MemberState;
+use hookpoint_coordination::status::{BackendStatus, Role};
+use hookpoint_state::bundle::Bundle;
+use hookpoint_state::{Lsn, NodeId, Term};
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::{Instant, sleep};
+
+use super::fleet::{HollowFleet, bundle, database_name, group_name, groups};
+use super::node::HollowNode;
+use super::report::{ScalePoint, Traffic};
+use super::{ScaleError, ScaleSettings};
+use crate::fit::Spread;
+use crate::process::{Process, Reading, half_of_memory, load_average};
+
+/// Longest wait for all nodes to know each other.
+const JOIN_PATIENCE: Duration = Duration::from_secs(120);
+/// Time between two looks at the members of all nodes.
+const MEMBER_LOOK: Duration = Duration::from_millis(100);
+/// Time between two looks at the terms of a few nodes.
+const TERM_LOOK: Duration = Duration::from_millis(2);
+/// Time given to the nodes after each step, before the next is measured.
+const SETTLE: Duration = Duration::from_secs(5);
+/// Longest wait for a change of term to reach its users.
+const TERM_PATIENCE: Duration = Duration::from_secs(5);
+/// Time between two looks at the bundles of all nodes.
+const BUNDLE_LOOK: Duration = Duration::from_millis(5);
+/// Longest wait for a bundle to be in force everywhere.
+const BUNDLE_PATIENCE: Duration = Duration::from_secs(20);
+/// Longest wait for a death to be known.
+const DEATH_PATIENCE: Duration = Duration::from_secs(30);
+/// Nodes that use the group whose term changes.
+const TERM_USERS: usize = 50;
+const MEGABYTE: f64 = 1e6;
+
+/// Runs all phases at one size.
+pub async fn run(settings: &ScaleSettings) -> Result<ScalePoint, ScaleError> {
+    let before = Process::Own.read()?;
+    let started = Instant::now();
+    let fleet = HollowFleet::start(settings).await?;
+    let result = measure(settings, &fleet, &before, started).await;
+    fleet.shutdown();
+    result
+}
+
+async fn measure(
+    settings: &ScaleSettings,
+    fleet: &HollowFleet,
+    before: &Reading,
+    started: Instant,
+) -> Result<ScalePoint, ScaleError> {
+    join(fleet, started).await?;
+    let joined_s = started.elapsed().as_secs_f64();
+    sleep(SETTLE).await;
+    let resident_without_bundle_mb = resident_mb(fleet, before)?;
+    roll(fleet, bundle(settings), 1).await?;
+    use_groups(settings, fleet).await;
+    sleep(SETTLE).await;
+    let resident_mb = resident_mb(fleet, before)?;
+    let quiet = quiet(settings, fleet).await?;
+    let (bundle_times_ms, requests) = roll_change(settings, fleet).await?;
+    let term_times_ms = change_term(settings, fleet).await;
+    let homes = fleet
+        .nodes
+        .iter()
+        .map(|node| node.fleet.status().homes as f64);
+    let homes = Spread::of(homes);
+    let death_seen_ms = kill_last(fleet).await;
+    Ok(ScalePoint {
+        nodes: settings.nodes,
+        databases: settings.databases,
+        groups_per_node: settings.groups_per_node,
+        load_average: load_average(),
+        joined_s,
+        resident_without_bundle_mb,
+        resident_mb,
+        term_seen_ms: Spread::of(term_times_ms.iter().copied()),
+        term_times_ms,
+        bundle_seen_ms: Spread::of(bundle_times_ms.iter().copied()),
+        bundle_times_ms,
+        platform_requests_a_bundle: requests,
+        death_seen_ms,
+        homes,
+        ..quiet
+    })
+}
+
+async fn join(fleet: &HollowFleet, started: Instant) -> Result<(), ScaleError> {
+    let others = fleet.nodes.len() - 1;
+    loop {
+        let fewest = fleet.fewest_known();
+        if fewest >= others {
+            return Ok(());
+        }
+        if started.elapsed() > JOIN_PATIENCE {
+            return Err(ScaleError::NotJoined {
+                seconds: JOIN_PATIENCE.as_secs(),
+                fewest,
+                others,
+            });
+        }
+        sleep(MEMBER_LOOK).await;
+    }
+}
+
+/// Memory of one node in megabytes.
+fn resident_mb(fleet: &HollowFleet, before: &Reading) -> Result<f64, ScaleError> {
+    let resident = Process::Own.read()?.resident_bytes;
+    if resident > half_of_memory() {
+        return Err(ScaleError::Memory { resident });
+    }
+    let growth = resident.saturating_sub(before.resident_bytes);
+    Ok(growth as f64 / MEGABYTE / fleet.nodes.len() as f64)
+}
+
+/// Rolls `bundle` out and waits until it is in force everywhere. Returns milliseconds
+/// from the operator's command to each node, from the moment it was accepted.
+async fn roll(fleet: &HollowFleet, bundle: Bundle, version: u64) -> Result<Vec<f64>, ScaleError> {
+    let began = fleet.platform.roll(bundle).await?;
+    let has = |node: &HollowNode| {
+        let bundle = node.shared.bundle();
+        bundle.is_some_and(|bundle| bundle.version.0 >= version)
+    };
+    let everyone = (0..fleet.nodes.len()).collect();
+    Ok(wait_for(fleet, everyone, (BUNDLE_LOOK, BUNDLE_PATIENCE), began, has).await)
+}
+
+/// Rolls a change of one database out, and counts the requests to the platform.
+async fn roll_change(
+    settings: &ScaleSettings,
+    fleet: &HollowFleet,
+) -> Result<(Vec<f64>, f64), ScaleError> {
+    let mut changed = bundle(settings);
+    changed.drain.insert(database_name(0, 0));
+    let before = fleet.platform.requests();
+    let times = roll(fleet, changed, 2).await?;
+    Ok((times, (fleet.platform.requests() - before) as f64))
+}
+
+async fn use_groups(settings: &ScaleSettings, fleet: &HollowFleet) {
+    let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
+    let groups = groups(settings.databases);
+    for node in &fleet.nodes {
+        for _ in 0..settings.groups_per_node {
+            let group = random.random_range(0..groups);
+            let name = group_name(group);
+            node.use_group(&name, &database_name(group, 0)).await;
+        }
+    }
+}
+
+async fn quiet(settings: &ScaleSettings, fleet: &HollowFleet) -> Result<ScalePoint, ScaleError> {
+    let (traffic, reading, began) = (fleet.traffic(), Process::Own.read()?, Instant::now());
+    let requests = fleet.platform.requests();
+    sleep(settings.quiet).await;
+    let (after, reading_after) = (fleet.traffic(), Process::Own.read()?);
+    let seconds = began.elapsed().as_secs_f64();
+    let nodes = fleet.nodes.len() as f64;
+    let rate = |of: fn(&Traffic) -> u64| (of(&after) - of(&traffic)) as f64 / seconds / nodes;
+    let processor = reading_after.processor.saturating_sub(reading.processor);
+    let false_deaths = fleet.nodes.iter().map(|node| {
+        let members = node.fleet.members();
+        let dead = members
+            .iter()
+            .filter(|member| member.state == MemberState::Dead);
+        dead.count()
+    });
+    Ok(ScalePoint {
+        processor_percent: processor.as_secs_f64() / seconds / nodes * 100.0,
+        bytes_sent_a_second: rate(|traffic| traffic.datagram_bytes_sent + traffic.link_bytes_sent),
+        link_bytes_sent_a_second: rate(|traffic| traffic.link_bytes_sent),
+        link_records_sent_a_second: rate(|traffic| traffic.link_records_sent),
+        platform_requests_a_second: (fleet.platform.requests() - requests) as f64 / seconds,
+        datagrams_sent_a_second: rate(|traffic| traffic.datagrams_sent),
+        datagrams_received_a_second: rate(|traffic| traffic.datagrams_received),
+        links: after.links as f64 / nodes,
+        false_deaths: false_deaths.sum(),
+        ..ScalePoint::default()
+    })
+}
+
+/// Lets the home of a database of the first group see a new term, and waits until the
+/// nodes that use the group know it.
+async fn change_term(settings: &ScaleSettings, fleet: &HollowFleet) -> Vec<f64> {
+    let group = group_name(0);
+    let mut order: Vec<usize> = (0..fleet.nodes.len()).collect();
+    order.shuffle(&mut ChaCha8Rng::seed_from_u64(settings.seed));
+    let primary = database_name(0, 1 % settings.databases);
+    let mut nodes = fleet.nodes.iter();
+    let Some(home) = nodes.position(|node| node.fleet.is_home(&primary)) else {
+        return Vec::new();
+    };
+    let users: Vec<usize> = order
+        .into_iter()
+        .filter(|user| *user != home)
+        .take(TERM_USERS)
+        .collect();
+    for user in &users {
+        fleet.nodes[*user]
+            .use_group(&group, &database_name(0, 0))
+            .await;
+    }
+    sleep(SETTLE).await;
+    let status = BackendStatus {
+        role: Role::Primary,
+        term: Term(2),
+        position: Lsn(1),
+        flushed: Vec::new(),
+    };
+    let began = Instant::now();
+    fleet.nodes[home].shared.observe(&group, &primary, &status);
+    let knows = |node: &HollowNode| {
+        let view = node.shared.view(&group);
+        view.is_some_and(|view| view.highest_term >= Term(2))
+    };
+    let users = users.into_iter().collect();
+    wait_for(fleet, users, (TERM_LOOK, TERM_PATIENCE), began, knows).await
+}
+
+/// Kills the last node and waits until all others give it no more work.
+async fn kill_last(fleet: &HollowFleet) -> Option<Spread> {
+    let victim = fleet.nodes.last()?;
+    let killed: NodeId = victim.fleet.node();
+    let others: BTreeSet<usize> = (0..fleet.nodes.len() - 1).collect();
+    let began = Instant::now();
+    victim.kill();
+    let knows = |node: &HollowNode| {
+        let members = node.fleet.members();
+        let member = members.iter().find(|member| member.node == killed);
+        member.is_none_or(|member| !member.state.takes_work())
+    };
+    let times = wait_for(fleet, others, (MEMBER_LOOK, DEATH_PATIENCE), began, knows).await;
+    Spread::of(times)
+}
+
+/// Milliseconds after which each of `waiting` nodes was seen to know. Nodes that never
+/// do are left out, and said so in the log.
+async fn wait_for(
+    fleet: &HollowFleet,
+    mut waiting: BTreeSet<usize>,
+    (look, patience): (Duration, Duration),
+    began: Instant,
+    knows: impl Fn(&HollowNode) -> bool,
+) -> Vec<f64> {
+    let mut times = Vec::new();
+    while !waiting.is_empty() && began.elapsed() < patience {
+        sleep(look).await;
+        waiting.retain(|index| {
+            let known = knows(&fleet.nodes[*index]);
+            if known {
+                times.push(began.elapsed().as_secs_f64() * 1_000.0);
+            }
+            !known
+        });
+    }
+    if !waiting.is_empty() {
+        log::warn!("scale: {} nodes did not learn in time.", waiting.len());
+    }
+    times
+}
--- a/lab/src/commands/load.rs
+++ b/lab/src/commands/load.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, anyhow, bail};
+use hookpoint_measure::process::{Process, Reading};
 use hookpoint_workload::connection::Credentials;
 use hookpoint_workload::load::{self, LoadReport, LoadSettings, Mix, Pacing, Progress};
 use serde::Serialize;
@@ -14,7 +15,6 @@
 
 use crate::commands::{deployment_of, write_json};
 use crate::flags;
-use crate::process::ProcessUse;
 
 /// Sessions where none are given.
 const DEFAULT_SESSIONS: usize = 10;
@@ -78,23 +78,24 @@
 /// Readings of another process around a load.
 struct Observer {
     pid: u32,
-    before: ProcessUse,
-    readings: JoinHandle<anyhow::Result<(ProcessUse, ProcessUse)>>,
+    before: Reading,
+    readings: JoinHandle<anyhow::Result<(Reading, Reading)>>,
 }
 
 impl Observer {
     fn start(pid: u32, settings: &LoadSettings, progress: Arc<Progress>) -> anyhow::Result<Self> {
         let sessions = (settings.sessions + settings.idle_sessions) as u64;
         let (warm_up, duration) = (settings.warm_up, settings.duration);
-        let before = ProcessUse::read(pid)?;
+        let process = Process::Other(pid);
+        let before = process.read()?;
         let readings = tokio::spawn(async move {
             while progress.connected.load(Ordering::Relaxed) < sessions {
                 tokio::time::sleep(OBSERVE_PAUSE).await;
             }
             tokio::time::sleep(warm_up).await;
-            let first = ProcessUse::read(pid)?;
+            let first = process.read()?;
             tokio::time::sleep(duration).await;
-            Ok((first, ProcessUse::read(pid)?))
+            Ok((first, process.read()?))
         });
         Ok(Self {
             pid,
@@ -110,7 +111,7 @@
         let grown = first
             .resident_bytes
             .saturating_sub(self.before.resident_bytes);
-        let used = last.processor_time.saturating_sub(first.processor_time);
+        let used = last.processor.saturating_sub(first.processor);
         Ok(ObservedUse {
             resident_before: self.before.resident_bytes,
             resident_connected: first.resident_bytes,
--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -2,8 +2,7 @@
 
 pub mod demo;
 pub mod load;
-pub mod relay;
-pub mod scale;
+pub mod measure;
 pub mod serve;
 pub mod stand_ins;
 
--- a/lab/src/flags.rs
+++ b/lab/src/flags.rs
@@ -58,17 +58,6 @@
             /// No faults: only the workload.
             optional --calm
         }
-        /// Measures what control costs a node, over the size of the fleet.
-        cmd scale {
-            /// costa-rica (default) or greece: whose proxies are real.
-            optional --deployment deployment: String
-            /// Numbers of hollow nodes, rising, as `20,50,100,200,300`.
-            optional --sizes sizes: String
-            /// Seconds of each measurement; 10 by default.
-            optional --seconds seconds: u64
-            /// File for the JSON report.
-            optional --report report: PathBuf
-        }
         /// Puts load on any PostgreSQL address and measures latencies.
         cmd load {
             /// Address as ip:port; may be given several times.
@@ -102,5 +91,46 @@
             /// File for the JSON report.
             optional --report report: PathBuf
         }
+        /// Measures fleets of hollow nodes on real sockets.
+        cmd scale {
+            /// Sizes, such as 10,30,100.
+            optional --nodes nodes: String
+            /// Zones; 5 by default.
+            optional --zones zones: usize
+            /// Databases in the bundle; two for each node by default.
+            optional --databases databases: usize
+            /// Groups that each node uses; 1 by default.
+            optional --groups groups: usize
+            /// Seconds of quiet measurement at each size; 20 by default.
+            optional --seconds seconds: u64
+            /// Seed of who uses what; 1 by default.
+            optional --seed seed: u64
+            /// File for the JSON report.
+            optional --report report: PathBuf
+        }
+        /// Measures the memory that idle connections take in another process.
+        cmd idle {
+            /// Address as ip:port.
+            required --address address: String
+            /// Number of the process that serves it.
+            required --process process: u32
+            /// Numbers of connections; 1000,5000,10000 by default.
+            optional --connections connections: String
+            /// Database; the first group of the deployment by default.
+            optional --database database: String
+            /// User; `load` by default.
+            optional --user user: String
+            /// File for the JSON report.
+            optional --report report: PathBuf
+        }
+        /// Runs an experiment and writes its report.
+        cmd experiment {
+            /// Its description, a TOML file such as those in lab/experiments.
+            required file: PathBuf
+            /// An address that the description names, as name=ip:port.
+            repeated --set set: String
+            /// Directory for the report; the name of the file without its ending by default.
+            optional --report report: PathBuf
+        }
     }
 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -22,8 +22,12 @@
         HookpointLabCmd::Database(arguments) => commands::stand_ins::database(arguments).await?,
         HookpointLabCmd::Platform(arguments) => commands::stand_ins::platform(arguments).await?,
         HookpointLabCmd::Load(arguments) => commands::load::load(arguments).await?,
-        HookpointLabCmd::Relay(arguments) => commands::relay::relay(arguments).await?,
-        HookpointLabCmd::Scale(arguments) => commands::scale::scale(arguments).await?,
+        HookpointLabCmd::Scale(arguments) => commands::measure::scale(arguments)?,
+        HookpointLabCmd::Experiment(arguments) => {
+            commands::measure::experiment(arguments).await?;
+        }
+        HookpointLabCmd::Idle(arguments) => commands::measure::idle(arguments).await?,
+        HookpointLabCmd::Relay(arguments) => commands::measure::relay(arguments).await?,
         HookpointLabCmd::Serve(arguments) => commands::serve::serve(arguments).await?,
         HookpointLabCmd::Demo(arguments) => return commands::demo::demo(arguments).await,
     }
