Keep leases through a false death, and let a release out

Cause: a member that was held for dead lost its link, although the link's heartbeats may well be answered. A reply that found its session gone ended the stream, even if the session's release was still on its way; the home then closed a good connection.

Change: only a link's own heartbeats end it. What a session has sent goes out first.

--- a/crates/transport/src/peer/forward.rs
+++ b/crates/transport/src/peer/forward.rs
@@ -131,8 +131,10 @@
 async fn relay_commands(mut commands: mpsc::Receiver<BackendCommand>, sender: StreamSender) {
     while let Some(command) = commands.recv().await {
         if sender.send_message(&command).await.is_err() {
-            // The other half notices the loss and tells the session.
-            std::future::pending::<()>().await;
+            // The other half notices the loss and tells the session; here all that is
+            // left is to wait for the session to be done.
+            while commands.recv().await.is_some() {}
+            return;
         }
     }
 }
@@ -182,7 +184,11 @@
                 }
             };
             let lost = reply == BackendReply::Lost;
-            if self.replies.send(reply).await.is_err() || lost {
+            if self.replies.send(reply).await.is_err() {
+                // The session is done; what it said last may still be on its way out.
+                std::future::pending::<()>().await;
+            }
+            if lost {
                 return None;
             }
         }
--- a/crates/transport/src/peer/link/table.rs
+++ b/crates/transport/src/peer/link/table.rs
@@ -109,11 +109,16 @@
         }
     }
 
-    /// Forgets a peer that is dead. A link to it closes.
+    /// Forgets a peer that is held for dead. An open link to it stays: its own
+    /// heartbeats know better whether its leases still flow.
     pub fn forget(&self, node: NodeId) {
-        let peer = self.peers.lock().remove(&node);
-        if let Some(link) = peer.and_then(|peer| peer.link) {
-            link.close();
+        let mut peers = self.peers.lock();
+        let open = peers
+            .get(&node)
+            .and_then(|peer| peer.link.as_ref())
+            .is_some_and(|link| !link.is_closed());
+        if !open {
+            peers.remove(&node);
         }
     }
 
--- a/crates/transport/tests/peer_faults.rs
+++ b/crates/transport/tests/peer_faults.rs
@@ -126,6 +126,30 @@
     echo(&mut lease).await;
 }
 
+#[actix_rt::test]
+async fn leases_outlive_a_false_death() {
+    let nodes = start_fleet(2).await;
+    let leasing = nodes[0].leases.acquire(request(home_of(&nodes[1])));
+    let mut lease = soon(leasing).await.expect("it is granted");
+    // Nobody reads this socket.
+    let nowhere = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let nowhere = nowhere.local_addr().expect("an address");
+    for (node, other) in [(0, 1), (1, 0)] {
+        let address = nodes[other].fleet.address();
+        nodes[node]
+            .shared
+            .addresses
+            .replace_datagrams(address, nowhere);
+    }
+    let dead = |node: usize| {
+        let members = nodes[node].fleet.members();
+        members.iter().all(|member| member.state.as_str() == "dead")
+    };
+    until(|| dead(0) && dead(1)).await;
+    echo(&mut lease).await;
+    assert!(nodes[1].echo.endings.lock().is_empty());
+}
+
 fn datagram(sender: NodeId, receiver: Option<NodeId>, address: SocketAddr) -> Datagram {
     let info = MemberInfo {
         node: sender,
