Test that slots move between two nodes that both believe to be home

Cause: the hand-over of slots was shown for each side alone. Change: two sets of pools share one scripted database of two slots.

--- a/crates/transport/tests/backend_faults.rs
+++ b/crates/transport/tests/backend_faults.rs
@@ -324,6 +324,41 @@
     eventually(|| database.count(|seen| *seen == Seen::Ended(2)) == 1).await;
 }
 
+/// Two nodes believe to be home. The database decides, and the slots move as soon as one
+/// of them knows better.
+#[actix_rt::test]
+async fn slots_move_to_the_home_when_memberships_agree() {
+    let database = FakeDatabase::start(Script {
+        slots: 2,
+        ..Script::default()
+    })
+    .await;
+    let (_, former) = pools(bundle(1, 2, &[database.address]), |_| {});
+    let (_, home) = pools(bundle(1, 2, &[database.address]), |_| {});
+    let idle = former
+        .acquire(request("books-0", 1, PATIENCE))
+        .await
+        .unwrap();
+    let mut held = former
+        .acquire(request("books-0", 2, PATIENCE))
+        .await
+        .unwrap();
+    idle.commands.send(release(true)).await.unwrap();
+    eventually(|| former.counts()[&"books-0".into()].idle == 1).await;
+    let first = actix_rt::spawn(outcome(home.clone(), 3));
+    // The home is refused and keeps the request waiting.
+    eventually(|| database.started() >= 4).await;
+    assert_eq!(home.counts()[&"books-0".into()].waiting, 1);
+    former.set_home(Arc::new(|_| false));
+    assert_eq!(first.await.unwrap(), Ok(()));
+    // What is held is finished first, and its slot moves then.
+    assert_eq!(ask(&mut held, query("WHO")).await, "TDCZ");
+    held.commands.send(release(true)).await.unwrap();
+    let two = [outcome(home.clone(), 4), outcome(home.clone(), 5)];
+    assert_eq!(futures::future::join_all(two).await, [Ok(()), Ok(())]);
+    eventually(|| former.counts()[&"books-0".into()].connections() == 0).await;
+}
+
 #[actix_rt::test]
 async fn a_withdrawn_request_does_not_take_a_connection() {
     let database = FakeDatabase::start(Script::default()).await;
