Check start-up parameters before the first request runs with them

Cause: a pool puts a session's parameters on a connection in the same flight as its request. A parameter that the database refuses left the others unset, and the request ran without them; the caller was told 08007 for every write.

Change: parameters that no database has accepted yet on this node are set by a request of their own before the session's first one; a refused one ends the session with the database's own SQLSTATE, and nothing ran.

--- a/crates/transport/src/caller/actions.rs
+++ b/crates/transport/src/caller/actions.rs
@@ -1,5 +1,6 @@
 //! Carrying out what a request machine asks for.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -134,7 +135,11 @@
         let traits = &active.plan.traits;
         active.dirty |= traits.leaves_state || !traits.settings.is_empty();
         if !std::mem::replace(&mut active.settled, true) {
-            let settings = self.settings.current().clone();
+            let settings = if active.plan.silent {
+                BTreeMap::new()
+            } else {
+                self.settings.current().clone()
+            };
             let command = BackendCommand::EnsureSettings(settings);
             active.flight.outgoing.push_back(command);
         }
--- a/crates/transport/src/caller/context.rs
+++ b/crates/transport/src/caller/context.rs
@@ -8,6 +8,7 @@
 use crate::caller::authentication::Authenticator;
 use crate::caller::counters::UnitCounters;
 use crate::caller::registry::{Registry, StopMode};
+use crate::caller::setting_checks::AcceptedSettings;
 use crate::caller::settings::CallerSettings;
 use crate::caller::tls::TlsAcceptance;
 use crate::lease::{LeaseSource, TermVerifier};
@@ -31,6 +32,8 @@
     pub authenticator: Authenticator,
     /// TLS, if offered.
     pub tls: Option<TlsAcceptance>,
+    /// Start-up parameters that databases have accepted.
+    pub accepted_settings: AcceptedSettings,
     /// What became of units.
     pub counters: UnitCounters,
     /// How sessions are to go on.
--- a/crates/transport/src/caller/drive.rs
+++ b/crates/transport/src/caller/drive.rs
@@ -105,6 +105,9 @@
         let Some(active) = &mut self.transaction else {
             return Ok(());
         };
+        if active.plan.silent {
+            return Ok(());
+        }
         for frame in active.answer.take_ready() {
             self.stream.write(&frame);
         }
--- a/crates/transport/src/caller/error.rs
+++ b/crates/transport/src/caller/error.rs
@@ -1,6 +1,6 @@
 //! Errors as callers see them, and why sessions end.
 
-use hookpoint_protocol::errors::{ErrorReport, Severity};
+use hookpoint_protocol::errors::{BackendError, ErrorReport, Severity};
 use hookpoint_protocol::extended::MalformedMessage;
 use hookpoint_protocol::frame::{Frame, FrameError};
 use hookpoint_state::{Refusal, UnknownCause};
@@ -44,6 +44,9 @@
     /// The proxy is stopping.
     #[error("the proxy is stopping")]
     Stopping,
+    /// A start-up parameter was refused by a database, or cannot be carried.
+    #[error("a start-up parameter was refused")]
+    Setting(Option<BackendError>),
     /// A transaction stood idle for too long.
     #[error("a transaction stood idle for too long")]
     IdleTransaction,
@@ -61,6 +64,10 @@
             SessionEnd::Gone(_) => return None,
             SessionEnd::UnitTooLarge => PROGRAM_LIMIT_EXCEEDED,
             SessionEnd::Stopping => return Some(ErrorReport::shutdown().to_frame()),
+            SessionEnd::Setting(None) => FEATURE_NOT_SUPPORTED,
+            SessionEnd::Setting(Some(error)) => {
+                return Some(fatal(&error.sqlstate, &error.message));
+            }
             SessionEnd::IdleTransaction => IDLE_IN_TRANSACTION,
         };
         Some(fatal(sqlstate, &self.to_string()))
@@ -134,6 +141,6 @@
     ErrorReport::new(Severity::Error, sqlstate, message).to_frame()
 }
 
-fn fatal(sqlstate: &'static str, message: &str) -> Frame {
+fn fatal(sqlstate: &str, message: &str) -> Frame {
     ErrorReport::new(Severity::Fatal, sqlstate, message).to_frame()
 }
--- a/crates/transport/src/caller/finish.rs
+++ b/crates/transport/src/caller/finish.rs
@@ -9,6 +9,7 @@
 use crate::caller::active::{ActiveTransaction, Failure};
 use crate::caller::error::{self, SessionEnd};
 use crate::caller::session::Session;
+use crate::caller::setting_checks;
 
 impl Session {
     /// Writes the end of the current unit's answer and settles the session's state.
@@ -19,6 +20,12 @@
         };
         match active.failure.take() {
             Some(failure) => self.finish_failed(active, failure),
+            None if active.plan.silent => {
+                self.status = TransactionStatus::Idle;
+                let mut answer = active.answer.take_ready();
+                answer.extend(active.answer.take_end());
+                return setting_checks::verdict(&answer);
+            }
             None => self.finish_answered(active),
         }
         Ok(())
@@ -115,6 +122,9 @@
         } else {
             self.status = TransactionStatus::Idle;
         }
-        self.end_refused(ready);
+        self.check_failed = active.plan.silent;
+        if !active.plan.silent {
+            self.end_refused(ready);
+        }
     }
 }
--- a/crates/transport/src/caller/listener.rs
+++ b/crates/transport/src/caller/listener.rs
@@ -14,6 +14,7 @@
 use crate::caller::context::Context;
 use crate::caller::counters::{UnitCounters, UnitCounts};
 use crate::caller::registry::{ConnectionGuard, Registry, StopMode};
+use crate::caller::setting_checks::AcceptedSettings;
 use crate::caller::settings::{CallerError, CallerSettings};
 use crate::caller::startup;
 use crate::caller::tls::TlsAcceptance;
@@ -83,6 +84,7 @@
             registry: Arc::new(Registry::default()),
             classifier: Classifier::new(),
             tls,
+            accepted_settings: AcceptedSettings::default(),
             counters: UnitCounters::default(),
             stop: watch::Sender::new(StopMode::Running),
             settings,
--- a/crates/transport/src/caller/mod.rs
+++ b/crates/transport/src/caller/mod.rs
@@ -24,6 +24,7 @@
 mod refusals;
 mod registry;
 mod session;
+mod setting_checks;
 mod settings;
 mod startup;
 mod statements;
--- a/crates/transport/src/caller/session.rs
+++ b/crates/transport/src/caller/session.rs
@@ -42,6 +42,10 @@
     /// Whether a transaction block has failed and has no connection any more.
     pub(super) aborted: bool,
     pub(super) views: watch::Receiver<u64>,
+    /// Start-up parameters that no database has accepted yet.
+    pub(super) unchecked: Vec<(String, String)>,
+    /// Whether the last check of them could not be done.
+    pub(super) check_failed: bool,
     /// Whether messages are skipped up to the next `Sync`.
     pub(super) skipping: bool,
     stop: watch::Receiver<StopMode>,
@@ -76,6 +80,7 @@
         let request_id = settings.remove(REQUEST_ID_SETTING);
         let views = context.shared.view_changes();
         let stop = context.stop.subscribe();
+        let unchecked = context.accepted_settings.unknown_of(&settings);
         let mut session = Self {
             context,
             stream,
@@ -83,6 +88,8 @@
             group,
             tenant,
             statements: StatementTable::default(),
+            unchecked,
+            check_failed: false,
             settings: SettingsTracker::new(settings),
             required: None,
             reported: None,
@@ -288,6 +295,10 @@
             self.answer_locally(&plan);
             return Ok(());
         }
+        if !self.check_settings().await? {
+            self.end_refused(ready);
+            return Ok(());
+        }
         self.run_unit(plan).await
     }
 
--- a/crates/transport/src/caller/unit.rs
+++ b/crates/transport/src/caller/unit.rs
@@ -76,6 +76,8 @@
     pub answer_tags: Vec<u8>,
     /// Whether it holds a statement that no database may see.
     pub has_local: bool,
+    /// Whether the proxy sends it by itself, so that its answer is not relayed.
+    pub silent: bool,
     /// Whether something in it needs a connection.
     pub needs_connection: bool,
     uses_portals: bool,
@@ -168,6 +170,7 @@
             steps: VecDeque::new(),
             open: false,
             ready: true,
+            silent: false,
             uses_portals: false,
             traits: UnitTraits::new(),
             local: Vec::new(),
--- a/crates/transport/tests/caller_path.rs
+++ b/crates/transport/tests/caller_path.rs
@@ -3,6 +3,7 @@
 
 mod caller_support;
 
+use caller_support::raw::{RawClient, command_tags, first_error};
 use caller_support::{FakeGroup, config, connect, connect_with, detail, sqlstate, start};
 
 /// Rows of a simple query's answer.
@@ -161,6 +162,32 @@
     handle.stop().await;
 }
 
+#[actix_rt::test]
+async fn start_up_parameters_are_checked_before_the_first_request() {
+    let group = FakeGroup::new();
+    let handle = start(&group).await;
+    let cases = [
+        ("-c intervalstyle=INVALID", Some("22023")),
+        (r"-c intervalstyle=it's\\\ fine", None),
+    ];
+    for (options, expected) in cases {
+        let (mut client, _) = RawClient::begin(&handle, &[("options", options)]).await;
+        let answer = client.query("INSERT INTO t VALUES (1)").await;
+        assert_eq!(first_error(&answer).as_deref(), expected, "{options}");
+        let ran = group.ran_on("INSERT").len();
+        assert_eq!(ran, usize::from(expected.is_none()), "{options}");
+    }
+    let sets = group.ran_on("SET").len();
+    let (mut client, _) = RawClient::begin(&handle, &[("options", cases[1].0)]).await;
+    assert_eq!(command_tags(&client.query("SELECT 1").await), ["SELECT 1"]);
+    assert_eq!(
+        group.ran_on("SET").len(),
+        sets,
+        "what was accepted is not checked again"
+    );
+    handle.stop().await;
+}
+
 #[actix_rt::test]
 async fn a_token_carries_a_session_to_another_proxy() {
     let group = FakeGroup::new();
--- a/crates/transport/tests/caller_support/database.rs
+++ b/crates/transport/tests/caller_support/database.rs
@@ -463,7 +463,8 @@
             return Outcome::Failed("22023", "invalid value".to_owned());
         }
         let rest = text[3..].trim().trim_start_matches("LOCAL ");
-        if let Some((name, value)) = rest.split_once(['=']) {
+        let assignment = rest.split_once('=').or_else(|| rest.split_once(" TO "));
+        if let Some((name, value)) = assignment {
             let name = name.trim().to_ascii_lowercase();
             let value = value.trim().trim_matches('\'').to_owned();
             self.settings.insert(name, value);
