Ask for a commit's evidence at least every 5 ms

Cause: a group that commits asynchronously has its evidence after one round trip between databases (40 ms between regions); the pauses between two status queries had grown to 20 ms by then, so up to 20 ms were added. Ruled out: the forwarded lease, since the write goes to a primary in the proxy's own zone here. Change: pauses grow to 5 ms instead of 20 ms. A connection is still held while evidence is gathered; asking over a shared status query instead would free the slot.

--- a/crates/coordination/src/request/acknowledge.rs
+++ b/crates/coordination/src/request/acknowledge.rs
@@ -17,7 +17,7 @@
 /// Pause before the first repeated probe.
 const FIRST_PROBE_PAUSE: Duration = Duration::from_micros(500);
 /// Longest pause between two probes.
-const LONGEST_PROBE_PAUSE: Duration = Duration::from_millis(20);
+const LONGEST_PROBE_PAUSE: Duration = Duration::from_millis(5);
 
 /// The search for evidence of one commit.
 #[derive(Clone, Debug)]
