Drive the slot tables and verifications in the simulator; mend a spinning timer

Cause: the simulator had a queue and a verification of its own in place of the shipped ones, so it could not find faults in those. Change: holders of connections drive SlotTable, with refreshes, grants that fail, drains, reroutes and changes of home; sessions without a history are verified by observer::Verification. The first run stood still in virtual time: while an attempt to open a connection was under way, the table named a timer in the past, on which a driver spins. It now names one only when the timer itself would open a connection; a test holds it to that.

--- a/crates/coordination/src/slots/table.rs
+++ b/crates/coordination/src/slots/table.rs
@@ -96,7 +96,7 @@
         let opening = self
             .hold
             .as_ref()
-            .filter(|_| !self.queue.is_empty())
+            .filter(|_| self.could_open())
             .map(|hold| hold.until);
         let deadline = self.queue.first_deadline();
         [opening, deadline, self.first_idle_expiry()]
@@ -105,6 +105,13 @@
             .min()
     }
 
+    /// Whether the end of a hold would open a connection. While an attempt is under way
+    /// or no slot is left, an event ends the wait; a timer in the past would spin.
+    fn could_open(&self) -> bool {
+        let counts = self.connections.counts();
+        !self.queue.is_empty() && counts.opening == 0 && counts.connections() < self.policy.slots
+    }
+
     /// How many connections and requests there are.
     pub fn counts(&self) -> SlotCounts {
         SlotCounts {
--- a/crates/coordination/src/slots/tests/faults.rs
+++ b/crates/coordination/src/slots/tests/faults.rs
@@ -211,3 +211,17 @@
     model.pass(Duration::from_secs(1));
     assert_eq!((model.idle.len(), model.closing.len()), (1, 2));
 }
+
+#[test]
+fn no_timer_is_due_while_only_an_event_can_help() {
+    let mut model = serving(2, 1);
+    model.request("shop", "a", WAIT);
+    model.opened(Some(OpenFailure::SlotsTaken));
+    model.pass(Duration::from_millis(600));
+    assert_eq!(model.opening.len(), 1, "another attempt is under way");
+    let due = model
+        .table
+        .next_timer()
+        .expect("the request has a deadline");
+    assert!(due > model.now, "a timer in the past would spin");
+}
--- a/lab/sim/src/world/connection.rs
+++ b/lab/sim/src/world/connection.rs
@@ -1,5 +1,6 @@
 //! Connections to databases and the leases on them.
 
+use hookpoint_coordination::slots::ConnectionNumber as SlotNumber;
 use hookpoint_state::Timestamp;
 
 use super::event::{
@@ -25,11 +26,17 @@
 pub(crate) struct Connection {
     pub(crate) holder: ProxyIndex,
     pub(crate) database: usize,
+    /// Its number in the holder's slot table.
+    pub(crate) slot: SlotNumber,
     pub(crate) state: ConnectionState,
     pub(crate) commands: Channel<BackendWork>,
     pub(crate) answers: Channel<BackendAnswer>,
     /// Answers that the holder still expects.
     pub(crate) outstanding: usize,
+    /// Refreshing questions under way; their answers come before all later ones.
+    pub(crate) refreshes: usize,
+    /// When the holder last heard from the database on it.
+    pub(crate) heard_at: Timestamp,
     /// When the holder last had it idle.
     pub(crate) idle_since: Timestamp,
     /// The database's side.
@@ -40,14 +47,22 @@
 }
 
 impl Connection {
-    pub(crate) fn new(holder: ProxyIndex, database: usize, now: Timestamp) -> Self {
+    pub(crate) fn new(
+        holder: ProxyIndex,
+        database: usize,
+        slot: SlotNumber,
+        now: Timestamp,
+    ) -> Self {
         Self {
             holder,
             database,
+            slot,
             state: ConnectionState::Opening,
             commands: Channel::new(),
             answers: Channel::new(),
             outstanding: 0,
+            refreshes: 0,
+            heard_at: now,
             idle_since: now,
             open: false,
             block: None,
--- a/lab/sim/src/world/databases.rs
+++ b/lab/sim/src/world/databases.rs
@@ -18,7 +18,7 @@
 /// Time a unit takes.
 const SERVICE_TIME: Duration = Duration::from_micros(200);
 /// `idle_session_timeout` of the connections.
-pub(crate) const IDLE_SESSION_TIMEOUT: Duration = Duration::from_secs(5);
+pub(crate) const IDLE_SESSION_TIMEOUT: Duration = Duration::from_secs(10);
 /// `idle_in_transaction_session_timeout` of the connections.
 const IDLE_TRANSACTION_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long a draining database may still get new work.
--- a/lab/sim/src/world/event.rs
+++ b/lab/sim/src/world/event.rs
@@ -197,8 +197,11 @@
     },
     /// A client is gone.
     ClientGone { session: SessionNumber },
-    /// Look at the queues for connections.
-    PoolTick,
+    /// The timer of a slot table.
+    SlotTimer {
+        /// Its database.
+        database: usize,
+    },
     /// A message about bundles from another node.
     RolloutPeer {
         from: NodeId,
--- a/lab/sim/src/world/mod.rs
+++ b/lab/sim/src/world/mod.rs
@@ -235,7 +235,6 @@
             bundle: Bundle::default(),
             sessions: BTreeSet::new(),
             pools: BTreeMap::new(),
-            pool_tick: false,
             answered_at: BTreeMap::new(),
         };
         self.proxies.push(proxy);
@@ -376,7 +375,7 @@
             } => self.session_opens(proxy, client, session, token),
             ProxyEvent::UnitArrives { session, call } => self.unit_arrives(session, call),
             ProxyEvent::ClientGone { session } => self.drop_session(session),
-            ProxyEvent::PoolTick => self.pool_tick(proxy),
+            ProxyEvent::SlotTimer { database } => self.slot_timer(proxy, database),
         }
     }
 
--- a/lab/sim/src/world/nodes.rs
+++ b/lab/sim/src/world/nodes.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hookpoint_coordination::home::HomeChange;
 use hookpoint_coordination::membership::{Datagram, MemberState};
 use hookpoint_coordination::node::{LeadershipNews, NodeAction, NodeEvent};
 use hookpoint_coordination::rollout::{RolloutAction, RolloutEvent};
+use hookpoint_coordination::slots::SlotEvent;
 use hookpoint_coordination::status::{BackendStatus, Role};
 use hookpoint_coordination::terms::{LeadershipChange, Member, Proximity};
 use hookpoint_state::bundle::{Bundle, Database, Group, ReadPreference};
@@ -61,12 +63,22 @@
                 NodeAction::RolloutReceived { from, message } => {
                     self.rollout_event(proxy, RolloutEvent::PeerMessage { from, message });
                 }
-                NodeAction::HomeChanged(_) => {}
+                NodeAction::HomeChanged(change) => self.home_changed(proxy, &change),
             }
         }
         self.plan_node_timer(proxy);
     }
 
+    fn home_changed(&mut self, proxy: ProxyIndex, change: &HomeChange) {
+        let names = &self.database_names;
+        let Some(database) = names.iter().position(|name| *name == change.database) else {
+            return;
+        };
+        if self.proxies[proxy].pools.contains_key(&database) {
+            self.slot_event(proxy, database, SlotEvent::Home(change.is_home));
+        }
+    }
+
     fn plan_node_timer(&mut self, proxy: ProxyIndex) {
         let wake = self.proxies[proxy].machine.next_wake().max(self.now());
         let planned = self.proxies[proxy].timer_at;
@@ -265,7 +277,7 @@
         self.proxies[proxy].bundle = (*bundle).clone();
         self.node_event(proxy, NodeEvent::BundleInstalled(bundle));
         self.view_changed(proxy);
-        self.pool_tick(proxy);
+        self.reconfigure_pools(proxy);
     }
 
     fn configure_terms(&mut self, proxy: ProxyIndex, bundle: &Bundle) {
--- a/lab/sim/src/world/pool.rs
+++ b/lab/sim/src/world/pool.rs
@@ -1,8 +1,12 @@
-//! The holder's side of leases: queues, connections, relaying.
+//! The holder's side of leases: drives the shipped slot tables, and relays.
 
 use std::time::Duration;
 
-use hookpoint_state::{Refusal, Timestamp};
+use hookpoint_coordination::slots::{
+    ConnectionNumber as SlotNumber, Lane, OpenFailure, RequestNumber, SlotAction, SlotEvent,
+    SlotPolicy, SlotTable, WaitingRequest,
+};
+use hookpoint_state::{Refusal, SessionId, TenantName, Timestamp, ZoneName};
 
 use super::World;
 use super::connection::{Connection, ConnectionState, Lease};
@@ -10,16 +14,15 @@
     BackendAnswer, BackendWork, ConnectionNumber, Event, LeaseCommand, LeaseNumber, LeaseReply,
     ProxyEvent, ProxyIndex,
 };
+use super::proxy::Pool;
 use crate::network::CUT_POLL;
 use crate::settings::Mutation;
 
-/// Time between two looks at the queues.
-const POOL_TICK: Duration = Duration::from_millis(25);
-/// Pause after the database had no free slot.
-const NO_SLOT_PAUSE: Duration = Duration::from_millis(50);
-/// How long a holder keeps an idle connection; well below the database's own limit, so
-/// that a holder never uses one that the database is about to close.
-const HOLDER_IDLE_LIMIT: Duration = Duration::from_secs(2);
+/// How long a connection may be idle before its holder refreshes it: a third of the
+/// database's limit.
+const REFRESH_AFTER: Duration = Duration::from_millis(3_300);
+/// Silence after which a holder does not trust a connection any more.
+const TRUST: Duration = Duration::from_secs(8);
 
 impl World {
     /// Sends a command over a lease.
@@ -130,10 +133,19 @@
                 lease.closed = true;
                 self.reply(number, LeaseReply::Moved);
             }
+            LeaseCommand::Acquire { .. } if self.proxies[holder].bundle.databases.is_empty() => {
+                self.refuse_lease(number, Refusal::NoBundle);
+            }
             LeaseCommand::Acquire { deadline } => {
-                let pool = self.proxies[holder].pools.entry(database).or_default();
-                pool.waiting.push_back((number, deadline));
-                self.pump(holder, database);
+                let request = WaitingRequest {
+                    number: RequestNumber(number),
+                    tenant: TenantName::new("tenant"),
+                    zone: ZoneName::new(format!("zone{}", self.proxies[lease.proxy].zone)),
+                    session: SessionId(lease.session),
+                    deadline,
+                    lane: Lane::Work,
+                };
+                self.slot_event(holder, database, SlotEvent::Request(request));
             }
             LeaseCommand::Work(work) => {
                 if let Some(connection) = lease.connection {
@@ -150,13 +162,12 @@
             return;
         };
         lease.closed = true;
+        let (holder, database) = (lease.holder, lease.database);
         let Some(connection) = lease.connection.take() else {
-            return;
+            let event = SlotEvent::Cancelled(RequestNumber(number));
+            return self.slot_event(holder, database, event);
         };
         let keep = reusable || self.settings.mutated(Mutation::ReuseOpenTransaction);
-        if !keep {
-            return self.close_connection(connection);
-        }
         let undrained = self.settings.mutated(Mutation::ReuseUndrained);
         let Some(state) = self.connections.get_mut(&connection) else {
             return;
@@ -164,13 +175,29 @@
         if state.state == ConnectionState::Gone {
             return;
         }
-        if state.outstanding == 0 || undrained {
-            self.make_idle(connection);
+        if !keep || state.outstanding == 0 || undrained {
+            self.give_back(connection, keep);
         } else {
             state.state = ConnectionState::Draining;
         }
     }
 
+    /// Gives a connection back to its slot table.
+    fn give_back(&mut self, number: ConnectionNumber, reusable: bool) {
+        let now = self.now();
+        let Some(connection) = self.connections.get_mut(&number) else {
+            return;
+        };
+        connection.state = ConnectionState::Idle;
+        connection.idle_since = now;
+        let (holder, database) = (connection.holder, connection.database);
+        let event = SlotEvent::ConnectionReturned {
+            connection: connection.slot,
+            reusable,
+        };
+        self.slot_event(holder, database, event);
+    }
+
     /// Sends work on a connection.
     pub(crate) fn send_work(&mut self, number: ConnectionNumber, work: BackendWork) {
         let now = self.schedule.now();
@@ -190,49 +217,84 @@
         }
     }
 
-    /// Grants connections to those who wait, and opens new ones for them.
-    pub(crate) fn pump(&mut self, holder: ProxyIndex, database: usize) {
+    /// Feeds a slot table and carries out its actions.
+    pub(crate) fn slot_event(&mut self, holder: ProxyIndex, database: usize, event: SlotEvent) {
         let now = self.now();
-        self.expire_waiting(holder, database);
-        loop {
-            let pool = self.proxies[holder].pools.entry(database).or_default();
-            let Some((lease, _)) = pool.waiting.front().copied() else {
-                return;
-            };
-            let Some(connection) = pool.idle.pop() else {
-                break;
-            };
-            pool.waiting.pop_front();
-            if self.settings.mutated(Mutation::DoubleGrant) {
-                pool.idle.push(connection);
-            }
-            self.grant(lease, connection);
-        }
-        let pool = self.proxies[holder].pools.entry(database).or_default();
-        let opening = pool
-            .all
-            .iter()
-            .filter(|number| {
-                let connection = self.connections.get(number);
-                connection.is_some_and(|c| c.state == ConnectionState::Opening)
-            })
-            .count();
-        let room = self.databases[database]
-            .slots
-            .saturating_sub(pool.all.len());
-        let wanted = pool.waiting.len().saturating_sub(opening).min(room);
-        if now >= pool.open_after {
-            for _ in 0..wanted {
-                self.open(holder, database);
+        self.ensure_pool(holder, database);
+        let Some(pool) = self.proxies[holder].pools.get_mut(&database) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        pool.table.handle(now, event, &mut actions);
+        for action in actions {
+            self.slot_action(holder, database, action);
+        }
+        self.plan_slot_timer(holder, database);
+    }
+
+    fn ensure_pool(&mut self, holder: ProxyIndex, database: usize) {
+        if self.proxies[holder].pools.contains_key(&database) {
+            return;
+        }
+        let name = &self.database_names[database];
+        let proxy = &self.proxies[holder];
+        let policy = SlotPolicy::from_bundle(&proxy.bundle, name);
+        let Some(policy) = policy else {
+            return;
+        };
+        let mut table = SlotTable::new(policy, proxy.node.0 ^ database as u64);
+        let mut none = Vec::new();
+        let now = self.schedule.now();
+        table.handle(now, SlotEvent::Home(proxy.machine.is_home(name)), &mut none);
+        if self.is_draining(holder, database) {
+            table.handle(now, SlotEvent::Drain, &mut none);
+        }
+        let pool = Pool {
+            table,
+            numbers: Default::default(),
+            timer_at: None,
+        };
+        self.proxies[holder].pools.insert(database, pool);
+    }
+
+    fn slot_action(&mut self, holder: ProxyIndex, database: usize, action: SlotAction) {
+        match action {
+            SlotAction::OpenConnection(slot) => self.open(holder, database, slot),
+            SlotAction::Grant {
+                request,
+                connection,
+            } => self.grant(holder, database, request.0, connection),
+            SlotAction::Refuse { request, refusal } => self.refuse_lease(request.0, refusal),
+            SlotAction::CloseConnection(slot) => {
+                if let Some(number) = self.number_of(holder, database, slot) {
+                    self.close_connection(number);
+                }
+                self.slot_event(holder, database, SlotEvent::ConnectionClosed(slot));
             }
         }
-        self.plan_pool_tick(holder);
     }
 
-    fn plan_pool_tick(&mut self, holder: ProxyIndex) {
-        if !std::mem::replace(&mut self.proxies[holder].pool_tick, true) {
-            let event = ProxyEvent::PoolTick;
-            let at = self.now() + POOL_TICK;
+    fn number_of(
+        &self,
+        holder: ProxyIndex,
+        database: usize,
+        slot: SlotNumber,
+    ) -> Option<ConnectionNumber> {
+        let pool = self.proxies[holder].pools.get(&database)?;
+        pool.numbers.get(&slot).copied()
+    }
+
+    fn plan_slot_timer(&mut self, holder: ProxyIndex, database: usize) {
+        let now = self.now();
+        let Some(pool) = self.proxies[holder].pools.get_mut(&database) else {
+            return;
+        };
+        let Some(at) = pool.table.next_timer().map(|at| at.max(now)) else {
+            return;
+        };
+        if pool.timer_at.is_none_or(|planned| at < planned) {
+            pool.timer_at = Some(at);
+            let event = ProxyEvent::SlotTimer { database };
             self.schedule.at(
                 at,
                 Event::Proxy {
@@ -243,38 +305,37 @@
         }
     }
 
-    pub(crate) fn pool_tick(&mut self, holder: ProxyIndex) {
-        self.proxies[holder].pool_tick = false;
-        let databases: Vec<usize> = self.proxies[holder].pools.keys().copied().collect();
-        for database in databases {
-            self.pump(holder, database);
+    pub(crate) fn slot_timer(&mut self, holder: ProxyIndex, database: usize) {
+        if let Some(pool) = self.proxies[holder].pools.get_mut(&database) {
+            pool.timer_at = None;
+            self.slot_event(holder, database, SlotEvent::Timer);
         }
     }
 
-    /// Refuses those who have waited too long, or whose database takes no new work.
-    fn expire_waiting(&mut self, holder: ProxyIndex, database: usize) {
-        let now = self.now();
-        let draining = self.is_draining(holder, database);
-        let Some(pool) = self.proxies[holder].pools.get_mut(&database) else {
-            return;
-        };
-        let mut ended = Vec::new();
-        let leases = &self.leases;
-        pool.waiting.retain(|(number, deadline)| {
-            let gone = leases.get(number).is_none_or(|lease| lease.closed);
-            let late = now >= *deadline;
-            if !gone && (late || draining) {
-                ended.push((*number, late));
+    /// Tells the slot tables of a proxy what a new bundle says.
+    pub(crate) fn reconfigure_pools(&mut self, holder: ProxyIndex) {
+        let databases: Vec<usize> = self.proxies[holder].pools.keys().copied().collect();
+        for database in databases {
+            let name = &self.database_names[database];
+            let policy = SlotPolicy::from_bundle(&self.proxies[holder].bundle, name);
+            if let Some(policy) = policy {
+                self.slot_event(holder, database, SlotEvent::PolicyChanged(policy));
             }
-            !(gone || late || draining)
-        });
-        for (number, late) in ended {
-            let refusal = if late {
-                Refusal::WaitDeadline
+            let drain = if self.is_draining(holder, database) {
+                SlotEvent::Drain
             } else {
-                Refusal::NoDatabase
+                SlotEvent::Undrain
             };
-            self.refuse_lease(number, refusal);
+            self.slot_event(holder, database, drain);
+        }
+    }
+
+    /// Requests that wait for the databases of a group look for one again.
+    pub(crate) fn reroute(&mut self, holder: ProxyIndex, group: usize) {
+        for database in self.groups[group].members.clone() {
+            if self.proxies[holder].pools.contains_key(&database) {
+                self.slot_event(holder, database, SlotEvent::Reroute);
+            }
         }
     }
 
@@ -285,47 +346,68 @@
         }
     }
 
-    fn open(&mut self, holder: ProxyIndex, database: usize) {
+    fn open(&mut self, holder: ProxyIndex, database: usize, slot: SlotNumber) {
         self.connection_count += 1;
         let number = self.connection_count;
-        let connection = Connection::new(holder, database, self.now());
+        let connection = Connection::new(holder, database, slot, self.now());
         self.connections.insert(number, connection);
-        let pool = self.proxies[holder].pools.entry(database).or_default();
-        pool.all.insert(number);
+        if let Some(pool) = self.proxies[holder].pools.get_mut(&database) {
+            pool.numbers.insert(slot, number);
+        }
         self.send_work(number, BackendWork::Open);
     }
 
-    fn grant(&mut self, lease: LeaseNumber, number: ConnectionNumber) {
-        if let Some(connection) = self.connections.get_mut(&number) {
-            connection.state = ConnectionState::Leased(lease);
+    fn grant(&mut self, holder: ProxyIndex, database: usize, lease: LeaseNumber, slot: SlotNumber) {
+        let now = self.now();
+        let number = self.number_of(holder, database, slot);
+        let connection = number.and_then(|number| self.connections.get_mut(&number));
+        let (Some(number), Some(connection)) = (number, connection) else {
+            return self.grant_failed(holder, database, lease, slot);
+        };
+        if now.since(connection.heard_at) >= TRUST {
+            self.close_connection(number);
+            return self.grant_failed(holder, database, lease, slot);
         }
-        if let Some(state) = self.leases.get_mut(&lease) {
-            state.connection = Some(number);
+        connection.state = ConnectionState::Leased(lease);
+        match self.leases.get_mut(&lease).filter(|state| !state.closed) {
+            Some(state) => state.connection = Some(number),
+            None => return self.give_back(number, true),
         }
         self.reply(lease, LeaseReply::Granted);
+        if self.settings.mutated(Mutation::DoubleGrant) {
+            let event = SlotEvent::ConnectionReturned {
+                connection: slot,
+                reusable: true,
+            };
+            self.slot_event(holder, database, event);
+        }
     }
 
-    /// Takes a connection back into the pool, or gives it up when this node is no
-    /// longer home of the database.
-    fn make_idle(&mut self, number: ConnectionNumber) {
-        let now = self.now();
-        let Some(connection) = self.connections.get_mut(&number) else {
-            return;
+    /// The connection cannot be trusted; the request goes to the front of the queue.
+    fn grant_failed(
+        &mut self,
+        holder: ProxyIndex,
+        database: usize,
+        number: LeaseNumber,
+        slot: SlotNumber,
+    ) {
+        let Some(lease) = self.leases.get(&number) else {
+            return self.slot_event(holder, database, SlotEvent::ConnectionClosed(slot));
         };
-        let (holder, database) = (connection.holder, connection.database);
-        connection.state = ConnectionState::Idle;
-        connection.idle_since = now;
-        let name = &self.database_names[database];
-        let proxy = &mut self.proxies[holder];
-        let wanted = proxy
-            .pools
-            .get(&database)
-            .is_some_and(|pool| !pool.waiting.is_empty());
-        if !wanted && (proxy.stopping || !proxy.machine.is_home(name)) {
-            return self.close_connection(number);
-        }
-        proxy.pools.entry(database).or_default().idle.push(number);
-        self.pump(holder, database);
+        let session = self.sessions.get(&lease.session);
+        let request = WaitingRequest {
+            number: RequestNumber(number),
+            tenant: TenantName::new("tenant"),
+            zone: ZoneName::new(format!("zone{}", self.proxies[lease.proxy].zone)),
+            session: SessionId(lease.session),
+            deadline: session.map_or(Timestamp::default(), |session| session.deadline),
+            lane: Lane::Work,
+        };
+        let event = SlotEvent::GrantFailed {
+            connection: slot,
+            request,
+        };
+        self.slot_event(holder, database, event);
     }
 
     /// Closes a connection from the holder's side.
@@ -342,31 +424,34 @@
         let Some(connection) = self.connections.get(&number) else {
             return;
         };
-        if let Some(pool) = self.proxies[connection.holder]
-            .pools
-            .get_mut(&connection.database)
-        {
-            pool.all.remove(&number);
-            pool.idle.retain(|idle| *idle != number);
+        let pools = &mut self.proxies[connection.holder].pools;
+        if let Some(pool) = pools.get_mut(&connection.database) {
+            pool.numbers.remove(&connection.slot);
         }
     }
 
-    /// Closes idle connections that were not used for a while.
-    pub(crate) fn close_unused(&mut self, holder: ProxyIndex) {
+    /// Asks something harmless on connections that have been idle for a while, so that
+    /// the database does not close them.
+    pub(crate) fn refresh_idle(&mut self, holder: ProxyIndex) {
         let now = self.now();
-        let mut unused = Vec::new();
-        for (database, pool) in &self.proxies[holder].pools {
-            let home = self.proxies[holder]
-                .machine
-                .is_home(&self.database_names[*database]);
-            let old = |number: &&ConnectionNumber| {
-                let connection = self.connections.get(number);
-                !home || connection.is_none_or(|c| now.since(c.idle_since) >= HOLDER_IDLE_LIMIT)
-            };
-            unused.extend(pool.idle.iter().filter(old).copied());
-        }
-        for number in unused {
-            self.close_connection(number);
+        let numbers = self.proxies[holder]
+            .pools
+            .values()
+            .flat_map(|pool| pool.numbers.values());
+        let connections = &self.connections;
+        let stale = numbers.filter(|number| {
+            connections.get(number).is_some_and(|connection| {
+                connection.state == ConnectionState::Idle
+                    && connection.refreshes == 0
+                    && now.since(connection.heard_at) >= REFRESH_AFTER
+            })
+        });
+        let stale: Vec<ConnectionNumber> = stale.copied().collect();
+        for number in stale {
+            if let Some(connection) = self.connections.get_mut(&number) {
+                connection.refreshes += 1;
+            }
+            self.send_work(number, BackendWork::Status);
         }
     }
 
@@ -422,55 +507,73 @@
     }
 
     fn take_answer(&mut self, number: ConnectionNumber, answer: BackendAnswer) {
+        let now = self.now();
         let Some(connection) = self.connections.get_mut(&number) else {
             return;
         };
         let (holder, database) = (connection.holder, connection.database);
+        let slot = connection.slot;
+        connection.heard_at = now;
         match answer {
             BackendAnswer::Opened if connection.state == ConnectionState::Opening => {
-                self.make_idle(number);
+                connection.state = ConnectionState::Idle;
+                connection.idle_since = now;
+                let event = SlotEvent::ConnectionOpened(slot);
+                self.slot_event(holder, database, event);
             }
             BackendAnswer::Opened => {}
             BackendAnswer::NoSlot => {
                 connection.state = ConnectionState::Gone;
                 self.forget(number);
                 self.connections.remove(&number);
-                let now = self.now();
-                let pool = self.proxies[holder].pools.entry(database).or_default();
-                pool.open_after = now + NO_SLOT_PAUSE;
-                self.plan_pool_tick(holder);
+                self.open_failed(holder, database, slot, OpenFailure::SlotsTaken);
             }
             BackendAnswer::Closed => self.break_for_holder(number),
+            BackendAnswer::Status(_) if connection.refreshes > 0 => {
+                connection.refreshes -= 1;
+                connection.outstanding = connection.outstanding.saturating_sub(1);
+            }
             BackendAnswer::Status(_) | BackendAnswer::Unit(_) => {
                 connection.outstanding = connection.outstanding.saturating_sub(1);
                 let drained = connection.outstanding == 0;
                 match connection.state {
                     ConnectionState::Leased(lease) => self.reply(lease, LeaseReply::Answer(answer)),
-                    ConnectionState::Draining if drained => self.make_idle(number),
+                    ConnectionState::Draining if drained => self.give_back(number, true),
                     _ => {}
                 }
             }
         }
     }
 
+    fn open_failed(
+        &mut self,
+        holder: ProxyIndex,
+        database: usize,
+        connection: SlotNumber,
+        failure: OpenFailure,
+    ) {
+        let event = SlotEvent::ConnectionFailed {
+            connection,
+            failure,
+        };
+        self.slot_event(holder, database, event);
+    }
+
     /// The connection is gone as far as its holder can tell.
     pub(crate) fn break_for_holder(&mut self, number: ConnectionNumber) {
         let Some(connection) = self.connections.get_mut(&number) else {
             return;
         };
         let (holder, database) = (connection.holder, connection.database);
+        let slot = connection.slot;
         let state = std::mem::replace(&mut connection.state, ConnectionState::Gone);
         self.forget(number);
-        match state {
-            ConnectionState::Leased(lease) => {
-                if let Some(state) = self.leases.get_mut(&lease) {
-                    state.connection = None;
-                    state.closed = true;
-                }
-                self.reply(lease, LeaseReply::Lost);
+        if let ConnectionState::Leased(lease) = state {
+            if let Some(state) = self.leases.get_mut(&lease) {
+                state.connection = None;
+                state.closed = true;
             }
-            ConnectionState::Opening => self.refuse_waiting(holder, database),
-            _ => {}
+            self.reply(lease, LeaseReply::Lost);
         }
         match self
             .connections
@@ -483,20 +586,12 @@
             }
             _ => {}
         }
-        if state != ConnectionState::Gone {
-            self.pump(holder, database);
-        }
-    }
-
-    /// The database cannot be reached: whoever waits for it asks elsewhere.
-    fn refuse_waiting(&mut self, holder: ProxyIndex, database: usize) {
-        let now = self.now();
-        let Some(pool) = self.proxies[holder].pools.get_mut(&database) else {
-            return;
-        };
-        pool.open_after = now + NO_SLOT_PAUSE;
-        for (lease, _) in std::mem::take(&mut pool.waiting) {
-            self.refuse_lease(lease, Refusal::NoDatabase);
+        match state {
+            ConnectionState::Gone => {}
+            ConnectionState::Opening => {
+                self.open_failed(holder, database, slot, OpenFailure::Unreachable);
+            }
+            _ => self.slot_event(holder, database, SlotEvent::ConnectionClosed(slot)),
         }
     }
 }
--- a/lab/sim/src/world/proxy.rs
+++ b/lab/sim/src/world/proxy.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddr;
 
 use hookpoint_coordination::node::NodeMachine;
+use hookpoint_coordination::observer::Verification;
 use hookpoint_coordination::request::RequestMachine;
 use hookpoint_coordination::rollout::RolloutMachine;
-use hookpoint_coordination::status::BackendStatus;
+use hookpoint_coordination::slots::{ConnectionNumber as SlotNumber, SlotTable};
 use hookpoint_coordination::terms::TermTable;
 use hookpoint_state::{Bundle, NodeId, Position, Refusal, Timestamp};
 
@@ -33,7 +34,6 @@
     pub(crate) sessions: BTreeSet<SessionNumber>,
     /// Connections held, by database.
     pub(crate) pools: BTreeMap<usize, Pool>,
-    pub(crate) pool_tick: bool,
     /// When each database last answered a control question.
     pub(crate) answered_at: BTreeMap<usize, Timestamp>,
 }
@@ -48,15 +48,11 @@
     }
 }
 
-/// Connections that a proxy holds to one database, and who waits for one.
-#[derive(Debug, Default)]
+/// A slot table of a proxy, and the connections it numbers.
 pub(crate) struct Pool {
-    pub(crate) idle: Vec<ConnectionNumber>,
-    /// All of them, with those that are leased or being opened.
-    pub(crate) all: BTreeSet<ConnectionNumber>,
-    pub(crate) waiting: VecDeque<(LeaseNumber, Timestamp)>,
-    /// No new connection is tried before this, after the database had no free slot.
-    pub(crate) open_after: Timestamp,
+    pub(crate) table: SlotTable,
+    pub(crate) numbers: BTreeMap<SlotNumber, ConnectionNumber>,
+    pub(crate) timer_at: Option<Timestamp>,
 }
 
 /// What a session expects next on its lease.
@@ -68,10 +64,10 @@
 }
 
 /// A verification under way.
-#[derive(Debug, Default)]
-pub(crate) struct Verification {
+#[derive(Debug)]
+pub(crate) struct RunningVerification {
     pub(crate) question: u64,
-    pub(crate) answers: BTreeMap<usize, BackendStatus>,
+    pub(crate) round: Verification,
 }
 
 /// A session of a client.
@@ -91,7 +87,7 @@
     pub(crate) deadline: Timestamp,
     pub(crate) wanted: Option<usize>,
     pub(crate) expected: VecDeque<Expected>,
-    pub(crate) verification: Option<Verification>,
+    pub(crate) verification: Option<RunningVerification>,
     /// Answer that may not be delivered yet.
     pub(crate) held_answer: Option<Answer>,
     /// Whether the unit's answer may flow.
--- a/lab/sim/src/world/session.rs
+++ b/lab/sim/src/world/session.rs
@@ -561,6 +561,7 @@
             .observe(now, &name, &database, status);
         if let Some(change) = change {
             self.leadership_observed(proxy, change);
+            self.reroute(proxy, group);
             self.view_changed(proxy);
         }
     }
--- a/lab/sim/src/world/verify.rs
+++ b/lab/sim/src/world/verify.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
+use hookpoint_coordination::observer::{Verification, VerificationState};
 use hookpoint_coordination::request::RequestEvent;
-use hookpoint_coordination::status::{BackendStatus, Role};
-use hookpoint_state::Position;
+use hookpoint_coordination::status::BackendStatus;
 
 use super::World;
 use super::event::{Event, ProxyEvent, SessionNumber};
-use super::proxy::Verification;
+use super::proxy::RunningVerification;
 
 /// Longest wait for a majority.
 const VERIFY_TIMEOUT: Duration = Duration::from_millis(400);
@@ -26,11 +26,11 @@
         let Some(session) = self.sessions.get_mut(&number) else {
             return;
         };
-        session.verification = Some(Verification {
+        let (proxy, group) = (session.proxy, session.group);
+        session.verification = Some(RunningVerification {
             question,
-            ..Verification::default()
+            round: Verification::new(self.groups[group].members.len()),
         });
-        let (proxy, group) = (session.proxy, session.group);
         let event = ProxyEvent::VerifyTimeout {
             session: number,
             question,
@@ -59,7 +59,7 @@
         let event = ProxyEvent::Observe;
         self.schedule
             .at(now + OBSERVE_PERIOD, Event::Proxy { proxy, event });
-        self.close_unused(proxy);
+        self.refresh_idle(proxy);
         for database in 0..self.databases.len() {
             self.ask(proxy, database, 0);
             let group = self.group_name(self.databases[database].group);
@@ -94,15 +94,16 @@
         if verification.question != question {
             return;
         }
-        verification.answers.insert(database, status);
-        let known = self.proxies[proxy].terms.view(&self.groups[group].name);
-        let highest = known.map_or(0, |view| view.highest_term.0);
-        let verified = verified_position(verification, self.groups[group].members.len(), highest);
-        if let Some(position) = verified {
-            session.verification = None;
-            self.questions.remove(&question);
-            self.feed(number, RequestEvent::TermVerified { position });
-        }
+        let name = self.database_names[database].clone();
+        verification.round.answered(name, Some(status));
+        let event = match verification.round.state() {
+            VerificationState::Open => return,
+            VerificationState::Verified(position) => RequestEvent::TermVerified { position },
+            VerificationState::Failed => RequestEvent::VerifyFailed,
+        };
+        session.verification = None;
+        self.questions.remove(&question);
+        self.feed(number, event);
     }
 
     pub(crate) fn verify_timeout(&mut self, number: SessionNumber, question: u64) {
@@ -120,18 +121,3 @@
         }
     }
 }
-
-/// The primary's position, once a majority has answered, none of it on a later term.
-fn verified_position(
-    verification: &Verification,
-    members: usize,
-    highest: u32,
-) -> Option<Position> {
-    let answers = verification.answers.values();
-    let last = answers.clone().map(|status| status.term.0).max()?;
-    let primary = answers
-        .clone()
-        .find(|status| status.role == Role::Primary && status.term.0 == last)?;
-    let majority = answers.count() * 2 > members;
-    (majority && last >= highest).then(|| primary.place())
-}
