Bound what one node sends to those who read its table

Cause: while a cut heals, nearly everyone reads the table of the first member that returned; it sent up to 651 kB/s at 1,000 nodes. Change: pages take at most 150 kB/s of a node. Who gets none asks again and then reads another member's table.

--- a/crates/coordination/src/membership/gossip.rs
+++ b/crates/coordination/src/membership/gossip.rs
@@ -7,7 +7,6 @@
 use super::datagram::{Datagram, DatagramBody};
 use super::machine::{Membership, MembershipAction};
 use super::member::{MemberState, MemberUpdate};
-use super::settings::MembershipSettings;
 
 /// Bytes of a datagram besides its updates: IP and UDP headers, sealing, sender.
 pub const DATAGRAM_OVERHEAD_BYTES: usize = 140;
@@ -34,11 +33,11 @@
 
 impl ByteBudget {
     /// A full bucket.
-    pub fn new(now: Timestamp, settings: &MembershipSettings) -> Self {
-        let burst = f64::from(settings.gossip_burst_bytes);
+    pub fn new(now: Timestamp, bytes_per_second: u32, burst_bytes: u32) -> Self {
+        let burst = f64::from(burst_bytes);
         Self {
             available: burst,
-            per_second: f64::from(settings.gossip_bytes_per_second),
+            per_second: f64::from(bytes_per_second),
             burst,
             filled_at: now,
         }
--- a/crates/coordination/src/membership/machine.rs
+++ b/crates/coordination/src/membership/machine.rs
@@ -96,6 +96,7 @@
     pub(super) gossip_at: Timestamp,
     pub(super) announcements: u32,
     pub(super) budget: ByteBudget,
+    pub(super) page_budget: ByteBudget,
     pub(super) hints: Hints,
     pub(super) sync: Option<RunningSync>,
     pub(super) sync_allowed_at: Timestamp,
@@ -114,7 +115,16 @@
         random: ChaCha8Rng,
     ) -> Self {
         let own = Arc::new(own);
-        let budget = ByteBudget::new(now, &settings);
+        let budget = ByteBudget::new(
+            now,
+            settings.gossip_bytes_per_second,
+            settings.gossip_burst_bytes,
+        );
+        let page_budget = ByteBudget::new(
+            now,
+            settings.page_bytes_per_second,
+            settings.page_burst_bytes,
+        );
         Self {
             table: MemberTable::new(own.clone()),
             own,
@@ -135,6 +145,7 @@
             gossip_at: now,
             announcements: 0,
             budget,
+            page_budget,
             hints: Hints::new(now),
             sync: None,
             sync_allowed_at: now,
--- a/crates/coordination/src/membership/receive.rs
+++ b/crates/coordination/src/membership/receive.rs
@@ -221,14 +221,14 @@
             DatagramBody::Lookup { nodes } => self.answer_lookup(from, &nodes, actions),
             DatagramBody::SyncStart { digests, with_info } => {
                 let parts = self.differing_parts(&digests);
-                self.send_page(from, None, parts, with_info, actions);
+                self.send_page(now, from, None, parts, with_info, actions);
             }
             DatagramBody::SyncRequest {
                 parts,
                 after,
                 with_info,
             } => {
-                self.send_page(from, after, parts, with_info, actions);
+                self.send_page(now, from, after, parts, with_info, actions);
             }
             DatagramBody::SyncPage { parts, after, next } => {
                 let corrections = self.corrections(updates);
--- a/crates/coordination/src/membership/settings.rs
+++ b/crates/coordination/src/membership/settings.rs
@@ -26,6 +26,11 @@
     pub gossip_bytes_per_second: u32,
     /// Bytes that they may take at once after a quiet time.
     pub gossip_burst_bytes: u32,
+    /// Bytes per second that pages for members who compare tables may take. Who gets no
+    /// page asks again, and then another member.
+    pub page_bytes_per_second: u32,
+    /// Bytes that they may take at once after a quiet time.
+    pub page_burst_bytes: u32,
     /// Share of the probes that go to the own zone, in percent.
     pub own_zone_percent: u32,
     /// Share of the probes that go to other zones of the own region, in percent. The
@@ -70,6 +75,8 @@
             gossip_fanout: 3,
             gossip_bytes_per_second: 2_500,
             gossip_burst_bytes: 12_000,
+            page_bytes_per_second: 150_000,
+            page_burst_bytes: 300_000,
             own_zone_percent: 70,
             own_region_percent: 20,
             dead_probe_period: Duration::from_millis(3_000),
--- a/crates/coordination/src/membership/sync.rs
+++ b/crates/coordination/src/membership/sync.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 
 use super::datagram::DatagramBody;
+use super::gossip::DATAGRAM_OVERHEAD_BYTES;
 use super::machine::{Membership, MembershipAction};
 use super::member::{MemberState, MemberUpdate};
 
@@ -135,12 +136,16 @@
     /// Answers with one page of the table.
     pub(super) fn send_page(
         &mut self,
+        now: Timestamp,
         to: NodeId,
         after: Option<NodeId>,
         parts: u64,
         with_info: bool,
         actions: &mut Vec<MembershipAction>,
     ) {
+        if !self.page_budget.allows(now) {
+            return;
+        }
         let mut updates = Vec::new();
         let mut used = 0;
         let mut next = None;
@@ -159,6 +164,7 @@
             }
             last = Some(node);
         }
+        self.page_budget.take(used + DATAGRAM_OVERHEAD_BYTES);
         self.send_with(
             to,
             DatagramBody::SyncPage { parts, after, next },
