Let a request to cancel find its session from any node

Cause: a caller's request to cancel may arrive at another proxy than its session's, which dropped it. Change: process numbers told to callers begin with 15 bits of their node's identifier; a proxy passes requests for others to the nodes of that tag over a link. Conclusion: works wherever the membership knows the session's node.

--- a/crates/transport/src/caller/listener.rs
+++ b/crates/transport/src/caller/listener.rs
@@ -13,7 +13,7 @@
 use crate::caller::authentication::Authenticator;
 use crate::caller::context::Context;
 use crate::caller::counters::{UnitCounters, UnitCounts};
-use crate::caller::registry::{ConnectionGuard, Registry, StopMode};
+use crate::caller::registry::{ConnectionGuard, ForwardCancel, Registry, StopMode};
 use crate::caller::setting_checks::AcceptedSettings;
 use crate::caller::settings::{CallerError, CallerSettings};
 use crate::caller::startup;
@@ -180,6 +180,17 @@
         self.address
     }
 
+    /// Lets requests to cancel find their session from any node: the process numbers of
+    /// later sessions begin with `tag`, and requests for others go to `forward`.
+    pub fn set_cancel_route(&self, tag: u16, forward: ForwardCancel) {
+        self.context.registry.set_cancel_route(tag, forward);
+    }
+
+    /// Cancels what a session of this node runs. Returns whether the key was right.
+    pub fn cancel(&self, process: u32, secret: u32) -> bool {
+        self.context.registry.cancel(process, secret)
+    }
+
     /// Sessions that have been authenticated and have not ended.
     pub fn sessions(&self) -> usize {
         self.context.registry.sessions()
--- a/crates/transport/src/caller/mod.rs
+++ b/crates/transport/src/caller/mod.rs
@@ -36,6 +36,7 @@
 pub use counters::UnitCounts;
 pub use listener::{CallerHandle, CallerListener};
 pub use local::{REQUEST_ID_SETTING, TOKEN_SETTING};
+pub use registry::ForwardCancel;
 pub use settings::{
     CallerError, CallerSettings, Credential, CredentialStore, TlsContent, TlsSettings,
 };
--- a/crates/transport/src/caller/registry.rs
+++ b/crates/transport/src/caller/registry.rs
@@ -5,12 +5,13 @@
 //! [`crate::shared::Shared`] is held.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use hookpoint_protocol::backend_command::BackendCommand;
 use hookpoint_state::SessionId;
-use parking_lot::Mutex;
+use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, mpsc, watch};
 
 /// How sessions are to go on.
@@ -95,10 +96,33 @@
     }
 }
 
+/// Passes on a request to cancel a session of another node: its process number and
+/// secret.
+pub type ForwardCancel = Arc<dyn Fn(u32, u32) + Send + Sync>;
+
+/// Bits of a process number that count sessions; those above name the node.
+const SESSION_BITS: u32 = 16;
+/// Sessions that can be told apart by the rest of a process number.
+const MAXIMUM_SESSIONS: usize = u16::MAX as usize;
+
+/// How requests to cancel find their node.
+struct CancelRoute {
+    /// What the process numbers of this node begin with.
+    tag: u16,
+    forward: ForwardCancel,
+}
+
+impl fmt::Debug for CancelRoute {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "CancelRoute({:04x})", self.tag)
+    }
+}
+
 /// The table of sessions.
 #[derive(Debug)]
 pub struct Registry {
     sessions: Mutex<BTreeMap<u32, Arc<SessionEntry>>>,
+    cancel_route: RwLock<Option<CancelRoute>>,
     last_session: AtomicU64,
     connections: watch::Sender<usize>,
 }
@@ -107,6 +131,7 @@
     fn default() -> Self {
         Self {
             sessions: Mutex::default(),
+            cancel_route: RwLock::default(),
             last_session: AtomicU64::new(0),
             connections: watch::Sender::new(0),
         }
@@ -125,11 +150,16 @@
     /// Enters a session unless there are `limit` already.
     pub fn enter(self: &Arc<Self>, limit: usize) -> Option<SessionGuard> {
         let mut sessions = self.sessions.lock();
-        if sessions.len() >= limit {
+        if sessions.len() >= limit.min(MAXIMUM_SESSIONS) {
             return None;
         }
         let id = SessionId(self.last_session.fetch_add(1, Ordering::Relaxed) + 1);
-        let process = free_process(&sessions, id);
+        let tag = self
+            .cancel_route
+            .read()
+            .as_ref()
+            .map_or(0, |route| route.tag);
+        let process = free_process(&sessions, tag, id);
         let entry = Arc::new(SessionEntry {
             id,
             process,
@@ -144,6 +174,25 @@
         })
     }
 
+    /// Lets the process numbers of later sessions begin with `tag`, and requests to
+    /// cancel with another one go to `forward`.
+    pub fn set_cancel_route(&self, tag: u16, forward: ForwardCancel) {
+        *self.cancel_route.write() = Some(CancelRoute { tag, forward });
+    }
+
+    /// Takes a cancel request from a caller, for a session of this node or another.
+    pub fn cancel_anywhere(&self, process: u32, secret: u32) {
+        if self.cancel(process, secret) {
+            return;
+        }
+        let route = self.cancel_route.read();
+        if let Some(route) = &*route
+            && process >> SESSION_BITS != u32::from(route.tag)
+        {
+            (route.forward)(process, secret);
+        }
+    }
+
     /// Carries out a cancel request. Returns whether the key was right.
     pub fn cancel(&self, process: u32, secret: u32) -> bool {
         let entry = self.sessions.lock().get(&process).cloned();
@@ -167,12 +216,14 @@
     }
 }
 
-fn free_process(sessions: &BTreeMap<u32, Arc<SessionEntry>>, id: SessionId) -> u32 {
-    let mut process = (id.0 as u32).max(1);
-    while sessions.contains_key(&process) {
-        process = process.wrapping_add(1).max(1);
+/// A process number that no session has: the node's tag and then a count.
+fn free_process(sessions: &BTreeMap<u32, Arc<SessionEntry>>, tag: u16, id: SessionId) -> u32 {
+    let number = |count: u16| u32::from(tag) << SESSION_BITS | u32::from(count);
+    let mut count = (id.0 as u16).max(1);
+    while sessions.contains_key(&number(count)) {
+        count = count.wrapping_add(1).max(1);
     }
-    process
+    number(count)
 }
 
 /// Counts a connection while it lives.
--- a/crates/transport/src/caller/startup.rs
+++ b/crates/transport/src/caller/startup.rs
@@ -150,7 +150,7 @@
     for _ in 0..=ENCRYPTION_REQUESTS {
         match read_packet(stream).await? {
             StartupPacket::Cancel { process, secret } => {
-                context.registry.cancel(process, secret);
+                context.registry.cancel_anywhere(process, secret);
                 return Ok(None);
             }
             StartupPacket::Tls if !encrypted && context.tls.is_some() => {
--- a/crates/transport/src/peer/handle.rs
+++ b/crates/transport/src/peer/handle.rs
@@ -33,8 +33,9 @@
 const LEAVING_TIME: Duration = Duration::from_millis(750);
 /// Time between two looks at the streams that are left.
 const DRAIN_LOOK_PERIOD: Duration = Duration::from_millis(20);
-/// Bits of a node's identifier in a process number told to callers.
-const TAG_BITS: u32 = 16;
+/// Bits of a node's identifier in a process number told to callers. One less than its
+/// upper half has, so that the number is never negative to a driver.
+const TAG_BITS: u32 = 15;
 
 /// Starts fleets.
 pub struct Fleet;
@@ -229,8 +230,10 @@
         *self.core.cancel.write() = Some(handler);
     }
 
-    /// Passes a caller's request to cancel to the nodes of this tag.
-    pub async fn cancel_session(&self, tag: u16, process: u32, secret: u32) {
+    /// Passes a caller's request to cancel to the nodes whose tag the process number
+    /// begins with.
+    pub async fn cancel_session(&self, process: u32, secret: u32) {
+        let tag = (process >> u16::BITS) as u16;
         let nodes: Vec<NodeId> = self.core.with_machine(|machine| {
             let members = machine.membership().members();
             let present = members.filter(|member| member.state != MemberState::Dead);
@@ -269,6 +272,8 @@
     /// Closes all sockets at once, as if the process had died.
     pub fn shutdown(&self) {
         self.actor.do_send(Shutdown);
+        *self.core.cancel.write() = None;
+        *self.core.rollout.write() = None;
         self.core.links.close_all();
         self.arbiter.0.stop();
     }
--- a/crates/transport/tests/peer.rs
+++ b/crates/transport/tests/peer.rs
@@ -238,6 +238,7 @@
     nodes[2]
         .fleet
         .set_cancel_handler(std::sync::Arc::new(handler));
-    soon(nodes[0].fleet.cancel_session(nodes[2].fleet.tag(), 17, 42)).await;
-    assert_eq!(soon(heard.recv()).await, Some((17, 42)));
+    let process = u32::from(nodes[2].fleet.tag()) << 16 | 17;
+    soon(nodes[0].fleet.cancel_session(process, 42)).await;
+    assert_eq!(soon(heard.recv()).await, Some((process, 42)));
 }
--- a/hookpoint/src/proxy/parts.rs
+++ b/hookpoint/src/proxy/parts.rs
@@ -11,7 +11,7 @@
 use hookpoint_transport::admin::{AdminState, start_admin};
 use hookpoint_transport::backend::{BackendSettings, LocalPools};
 use hookpoint_transport::caller::{
-    CallerListener, CallerSettings, Credential, CredentialStore, TlsSettings,
+    CallerHandle, CallerListener, CallerSettings, Credential, CredentialStore, TlsSettings,
 };
 use hookpoint_transport::observe::{FleetStatuses, MajorityVerifier, start_observer};
 use hookpoint_transport::peer::{Fleet, FleetError, FleetHandle, FleetSettings};
@@ -88,6 +88,7 @@
         verifier,
     )
     .await?;
+    route_cancels(&callers, &fleet);
     let platform = start_platform(&settings, trusted, &shared, &fleet, &arbiters).await?;
     let stopping = Arc::new(AtomicBool::new(false));
     let registry = metrics::registry(&shared, &callers, &pools, &fleet)?;
@@ -202,6 +203,22 @@
     }
 }
 
+/// Requests to cancel reach their session from any node.
+fn route_cancels(callers: &CallerHandle, fleet: &FleetHandle) {
+    let here = callers.clone();
+    fleet.set_cancel_handler(Arc::new(move |process, secret| {
+        here.cancel(process, secret);
+    }));
+    let fleet = fleet.clone();
+    callers.set_cancel_route(
+        fleet.tag(),
+        Arc::new(move |process, secret| {
+            let fleet = fleet.clone();
+            actix_rt::spawn(async move { fleet.cancel_session(process, secret).await });
+        }),
+    );
+}
+
 /// Pools give connections back when their database has another home.
 fn follow_homes(fleet: &FleetHandle, pools: Arc<LocalPools>) {
     let mut changes = fleet.home_changes();
