Let half of the workload's sessions use prepared statements

Cause: the demo met proxies by simple queries alone, while most drivers prepare. Change: sessions of odd numbers send parameters, with reads prepared under a name on each connection; answers of both kinds are read in one place. Conclusion: both kinds run straight on a database and through a proxy, and the checker finds nothing.

--- a/lab/src/demo/sessions.rs
+++ b/lab/src/demo/sessions.rs
@@ -9,7 +9,7 @@
 use hookpoint_workload::connection::Credentials;
 use hookpoint_workload::deployment::{Application, Deployment};
 use hookpoint_workload::history::{ProxyIndex, Recorder, SessionNumber};
-use hookpoint_workload::session::{ClientSession, ProxyAddresses, SessionSettings};
+use hookpoint_workload::session::{ClientSession, Protocol, ProxyAddresses, SessionSettings};
 use tokio::task::JoinSet;
 
 /// How long a session waits for an answer.
@@ -82,6 +82,10 @@
             application: self.deployment.application,
             seed: self.seed,
             patience: PATIENCE,
+            protocol: match number.0 % 2 {
+                0 => Protocol::Simple,
+                _ => Protocol::Extended,
+            },
         };
         ClientSession::new(settings, self.recorder.clone())
     }
--- a/lab/tests/direct.rs
+++ b/lab/tests/direct.rs
@@ -13,7 +13,7 @@
     Ending, History, ProxyIndex, Recorder, SessionNumber, WriteKind,
 };
 use hookpoint_workload::load::{self, LoadSettings, Mix, Pacing, Progress};
-use hookpoint_workload::session::{ClientSession, SessionSettings};
+use hookpoint_workload::session::{ClientSession, Protocol, SessionSettings};
 
 const SUBJECT: SessionNumber = SessionNumber(1);
 
@@ -25,7 +25,7 @@
     DatabaseGroups::start(deployment, &zone_links(deployment), &options).await
 }
 
-async fn story(deployment: Deployment) -> anyhow::Result<()> {
+async fn story(deployment: Deployment, protocol: Protocol) -> anyhow::Result<()> {
     let databases = groups(&deployment).await?;
     let group: GroupName = deployment.groups[0].name.clone();
     let primary = deployment.groups[0].databases[0].name.clone();
@@ -41,6 +41,7 @@
         application: deployment.application,
         seed: 1,
         patience: Duration::from_secs(20),
+        protocol,
     };
     let mut session = ClientSession::new(settings, recorder.clone());
     assert!(session.write(WriteKind::ChargeNotice).await);
@@ -69,12 +70,14 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn messaging_runs_straight_on_a_database() -> anyhow::Result<()> {
-    story(costa_rica()).await
+    story(costa_rica(), Protocol::Simple).await?;
+    story(costa_rica(), Protocol::Extended).await
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn metering_runs_straight_on_a_database() -> anyhow::Result<()> {
-    story(greece()).await
+    story(greece(), Protocol::Simple).await?;
+    story(greece(), Protocol::Extended).await
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/lab/tests/end_to_end.rs
+++ b/lab/tests/end_to_end.rs
@@ -7,15 +7,25 @@
 use hookpoint_workload::audit::final_state;
 use hookpoint_workload::checker::check;
 use hookpoint_workload::history::{History, Recorder, WriteKind};
+use hookpoint_workload::session::Protocol;
 
 /// Reads until one is answered by a replica, at most.
 const READS: usize = 50;
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_write_and_a_replica_read_pass_through_a_proxy() -> anyhow::Result<()> {
+async fn simple_queries_pass_through_a_proxy() -> anyhow::Result<()> {
+    a_write_and_a_replica_read(Protocol::Simple).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn prepared_statements_pass_through_a_proxy() -> anyhow::Result<()> {
+    a_write_and_a_replica_read(Protocol::Extended).await
+}
+
+async fn a_write_and_a_replica_read(protocol: Protocol) -> anyhow::Result<()> {
     let laboratory = running::laboratory(1).await?;
     let recorder = Recorder::new();
-    let mut session = running::session(&laboratory, &recorder, 1, 0);
+    let mut session = running::session(&laboratory, &recorder, 1, 0, protocol);
     assert!(
         session.write(WriteKind::Reminder).await,
         "{:?}",
--- a/lab/tests/running/mod.rs
+++ b/lab/tests/running/mod.rs
@@ -9,7 +9,7 @@
 use hookpoint_lab::stack::DatabaseOptions;
 use hookpoint_workload::deployment::{Deployment, costa_rica};
 use hookpoint_workload::history::{OperationResult, ProxyIndex, Recorder, SessionNumber};
-use hookpoint_workload::session::{ClientSession, SessionSettings};
+use hookpoint_workload::session::{ClientSession, Protocol, SessionSettings};
 
 /// Longest wait of a test's client for an answer.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -42,6 +42,7 @@
     recorder: &Recorder,
     number: u32,
     home: usize,
+    protocol: Protocol,
 ) -> ClientSession {
     let deployment = &laboratory.stack.deployment;
     let group = deployment.groups[0].name.clone();
@@ -54,6 +55,7 @@
         application: deployment.application,
         seed: 1,
         patience: PATIENCE,
+        protocol,
     };
     ClientSession::new(settings, recorder.clone())
 }
--- a/lab/workload/src/connection.rs
+++ b/lab/workload/src/connection.rs
@@ -1,6 +1,7 @@
 //! One client connection through an ordinary client library, and what its errors say
 //! of a request.
 
+use std::collections::BTreeMap;
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,7 +12,10 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio_postgres::tls::NoTlsStream;
-use tokio_postgres::{Client, Config, Connection, NoTls, SimpleQueryMessage, SimpleQueryRow};
+use tokio_postgres::types::{ToSql, Type};
+use tokio_postgres::{
+    Client, Config, Connection, NoTls, Row, SimpleQueryMessage, SimpleQueryRow, Statement,
+};
 
 /// Name of the reported parameter that carries the session's token.
 pub const TOKEN_PARAMETER: &str = "hookpoint.token";
@@ -99,6 +103,8 @@
     driver: Option<JoinHandle<ConnectionEnd>>,
     end: ConnectionEnd,
     patience: Duration,
+    /// Statements prepared on this connection; the workload has a fixed few texts.
+    statements: BTreeMap<String, Statement>,
 }
 
 impl ClientConnection {
@@ -127,6 +133,7 @@
             driver: Some(driver),
             end: ConnectionEnd::default(),
             patience,
+            statements: BTreeMap::new(),
         };
         if let TokenDelivery::Set(token) = token {
             this.simple(&format!("SET {TOKEN_PARAMETER} = '{token}'"))
@@ -189,6 +196,60 @@
         }
     }
 
+    /// Runs `statement` by the extended protocol under a name, prepared once for each
+    /// connection, and returns its rows.
+    ///
+    /// # Errors
+    /// A [`Failure`].
+    pub async fn query(
+        &mut self,
+        statement: &str,
+        parameters: &[&(dyn ToSql + Sync)],
+    ) -> Result<Vec<Row>, Failure> {
+        let prepared = self.prepared(statement).await?;
+        let answer = self.client.query(&prepared, parameters);
+        match tokio::time::timeout(self.patience, answer).await {
+            Ok(Ok(rows)) => Ok(rows),
+            Ok(Err(error)) => Err(self.failure_of(&error).await),
+            Err(_) => Err(Failure::TimedOut),
+        }
+    }
+
+    /// Runs `statement` by the extended protocol without a name, in one round trip, and
+    /// returns the number of rows affected.
+    ///
+    /// # Errors
+    /// A [`Failure`].
+    pub async fn execute(
+        &mut self,
+        statement: &str,
+        parameters: &[(&(dyn ToSql + Sync), Type)],
+        patience: Duration,
+    ) -> Result<u64, Failure> {
+        let answer = self.client.execute_typed(statement, parameters);
+        match tokio::time::timeout(patience, answer).await {
+            Ok(Ok(rows)) => Ok(rows),
+            Ok(Err(error)) => Err(self.failure_of(&error).await),
+            Err(_) => Err(Failure::TimedOut),
+        }
+    }
+
+    async fn prepared(&mut self, statement: &str) -> Result<Statement, Failure> {
+        if let Some(prepared) = self.statements.get(statement) {
+            return Ok(prepared.clone());
+        }
+        let prepared = self.client.prepare(statement);
+        match tokio::time::timeout(self.patience, prepared).await {
+            Ok(Ok(prepared)) => {
+                self.statements
+                    .insert(statement.to_owned(), prepared.clone());
+                Ok(prepared)
+            }
+            Ok(Err(error)) => Err(self.failure_of(&error).await),
+            Err(_) => Err(Failure::TimedOut),
+        }
+    }
+
     /// What `error` says of a request of this connection.
     pub async fn failure_of(&mut self, error: &tokio_postgres::Error) -> Failure {
         if let Some(failure) = told_failure(error) {
--- a/lab/workload/src/lib.rs
+++ b/lab/workload/src/lib.rs
@@ -6,6 +6,7 @@
 //! compares with what the databases hold in the end.
 #![forbid(unsafe_code)]
 
+pub mod answers;
 pub mod application;
 pub mod audit;
 pub mod checker;
--- a/lab/workload/src/session.rs
+++ b/lab/workload/src/session.rs
@@ -10,8 +10,10 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio_postgres::SimpleQueryMessage;
+use tokio_postgres::types::{ToSql, Type};
 
-use crate::connection::{ClientConnection, Credentials, Failure, TokenDelivery, affected, rows};
+use crate::answers::{counted_rows, malformed, read, read_rows, written};
+use crate::connection::{ClientConnection, Credentials, Failure, TokenDelivery};
 use crate::deployment::Application;
 use crate::history::{
     Ending, Operation, OperationResult, ProxyIndex, Record, Recorder, SessionNumber, WriteKind,
@@ -53,6 +55,17 @@
     pub seed: u64,
     /// How long it waits for an answer.
     pub patience: Duration,
+    /// How it sends its single statements; transactions go by the simple protocol.
+    pub protocol: Protocol,
+}
+
+/// Which part of the PostgreSQL protocol carries a session's statements.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protocol {
+    /// Simple queries.
+    Simple,
+    /// Parameters; reads are prepared under a name.
+    Extended,
 }
 
 /// A session.
@@ -103,25 +116,24 @@
         self.next_sequence += 1;
         let request = self.request_identifier(kind, sequence);
         for attempt in 1..=MAXIMUM_ATTEMPTS {
-            let statement = EntryWrite {
+            let write = EntryWrite {
                 session: self.settings.number,
                 sequence,
                 attempt,
                 kind,
                 request: request.as_deref(),
-            }
-            .statement(self.settings.application);
+            };
             self.ensure_connected().await;
             let patience = self.patience_with(kind, attempt);
             let started = self.recorder.now();
-            let answer = self.simple_within(&statement, patience).await;
-            let result = answer.as_ref().map(|messages| written(messages));
+            let answer = self.send_write(&write, patience).await;
             let operation = Operation::Write {
                 kind,
                 sequence,
                 attempt,
             };
-            self.record(started, operation, result.unwrap_or_else(result_of));
+            let result = answer.clone().unwrap_or_else(|failure| result_of(&failure));
+            self.record(started, operation, result);
             match answer {
                 Ok(_) | Err(Failure::AlreadyRan) => return true,
                 Err(failure) => {
@@ -137,25 +149,17 @@
     /// Reads back the session's own latest rows.
     pub async fn read_own(&mut self) {
         let nonce = self.nonce();
-        let statement = sql::read_own(
-            self.settings.application,
-            self.settings.number,
-            &nonce,
-            READ_LIMIT,
-        );
-        let operation = Operation::ReadOwn {
+        self.read(Operation::ReadOwn {
             nonce,
             limit: READ_LIMIT,
-        };
-        self.read(statement, operation).await;
+        })
+        .await;
     }
 
     /// Reads the highest sequence of `subject`.
     pub async fn read_other(&mut self, subject: SessionNumber) {
         let nonce = self.nonce();
-        let statement = sql::read_other(self.settings.application, subject, &nonce);
-        self.read(statement, Operation::ReadOther { subject, nonce })
-            .await;
+        self.read(Operation::ReadOther { subject, nonce }).await;
     }
 
     /// Runs a billing run in an explicit transaction.
@@ -249,13 +253,13 @@
         }
     }
 
-    async fn read(&mut self, statement: String, operation: Operation) {
+    async fn read(&mut self, operation: Operation) {
         for _ in 0..MAXIMUM_ATTEMPTS {
             self.ensure_connected().await;
             let started = self.recorder.now();
-            let answer = self.simple(&statement).await;
-            let result = answer.as_ref().map(|messages| read(messages));
-            self.record(started, operation.clone(), result.unwrap_or_else(result_of));
+            let answer = self.send_read(&operation).await;
+            let result = answer.clone().unwrap_or_else(|failure| result_of(&failure));
+            self.record(started, operation.clone(), result);
             match answer {
                 Ok(_) => return,
                 Err(failure) => {
@@ -267,6 +271,77 @@
         }
     }
 
+    async fn send_write(
+        &mut self,
+        write: &EntryWrite<'_>,
+        patience: Duration,
+    ) -> Result<OperationResult, Failure> {
+        let application = self.settings.application;
+        if self.settings.protocol == Protocol::Simple {
+            let statement = write.statement(application);
+            let messages = self.simple_within(&statement, patience).await?;
+            return Ok(written(&messages));
+        }
+        let Some(connection) = &mut self.connection else {
+            return Err(Failure::ConnectionLost);
+        };
+        let statement = sql::write_with_parameters(application, write.request);
+        let session = i64::from(write.session.0);
+        let (sequence, attempt) = (write.sequence as i64, i64::from(write.attempt));
+        let (kind, body) = (write.kind.as_str(), format!("text of {sequence}"));
+        let parameters: [(&(dyn ToSql + Sync), Type); 5] = [
+            (&session, Type::INT8),
+            (&sequence, Type::INT8),
+            (&attempt, Type::INT8),
+            (&kind, Type::TEXT),
+            (&body, Type::TEXT),
+        ];
+        let rows = connection
+            .execute(&statement, &parameters, patience)
+            .await?;
+        Ok(OperationResult::Written { rows })
+    }
+
+    async fn send_read(&mut self, operation: &Operation) -> Result<OperationResult, Failure> {
+        if self.settings.protocol == Protocol::Simple {
+            let messages = self.simple(&self.read_statement(operation)).await?;
+            return Ok(read(&messages));
+        }
+        let application = self.settings.application;
+        let own = i64::from(self.settings.number.0);
+        let Some(connection) = &mut self.connection else {
+            return Err(Failure::ConnectionLost);
+        };
+        let rows = match operation {
+            Operation::ReadOther { subject, nonce } => {
+                let statement = sql::read_other_with_parameters(application);
+                let subject = i64::from(subject.0);
+                connection.query(&statement, &[nonce, &subject]).await?
+            }
+            Operation::ReadOwn { nonce, limit } => {
+                let statement = sql::read_own_with_parameters(application);
+                let limit = *limit as i64;
+                connection.query(&statement, &[nonce, &own, &limit]).await?
+            }
+            Operation::Write { .. } | Operation::BillingRun { .. } => Vec::new(),
+        };
+        Ok(read_rows(&rows))
+    }
+
+    /// The text of a read by the simple protocol.
+    fn read_statement(&self, operation: &Operation) -> String {
+        let application = self.settings.application;
+        match operation {
+            Operation::ReadOther { subject, nonce } => {
+                sql::read_other(application, *subject, nonce)
+            }
+            Operation::ReadOwn { nonce, limit } => {
+                sql::read_own(application, self.settings.number, nonce, *limit)
+            }
+            Operation::Write { .. } | Operation::BillingRun { .. } => String::new(),
+        }
+    }
+
     async fn simple(&mut self, statement: &str) -> Result<Vec<SimpleQueryMessage>, Failure> {
         self.simple_within(statement, self.settings.patience).await
     }
@@ -452,52 +527,3 @@
         Failure::TimedOut => OperationResult::TimedOut,
     }
 }
-
-fn malformed(reason: &str) -> OperationResult {
-    OperationResult::Malformed {
-        reason: reason.to_owned(),
-    }
-}
-
-fn written(messages: &[SimpleQueryMessage]) -> OperationResult {
-    match affected(messages) {
-        Some(rows) => OperationResult::Written { rows },
-        None => malformed("a write has no count"),
-    }
-}
-
-fn read(messages: &[SimpleQueryMessage]) -> OperationResult {
-    let mut echoes = Vec::new();
-    let mut sequences = Vec::new();
-    let mut on_replica = false;
-    for row in rows(messages) {
-        let (Some(echo), Some(replica)) = (row.get("echo"), row.get("replica")) else {
-            return malformed("a read lacks a column");
-        };
-        echoes.push(echo.to_owned());
-        on_replica = replica.starts_with('t');
-        match row.get("sequence").map(str::parse) {
-            None => {}
-            Some(Ok(sequence)) => sequences.push(sequence),
-            Some(Err(_)) => return malformed("a sequence is no number"),
-        }
-    }
-    let Some(echo) = echoes.first().cloned() else {
-        return malformed("a read has no row");
-    };
-    if echoes.iter().any(|other| *other != echo) {
-        return malformed("rows of one read echo different texts");
-    }
-    OperationResult::Read {
-        echo,
-        sequences,
-        replica: on_replica,
-    }
-}
-
-fn counted_rows(messages: &[SimpleQueryMessage]) -> Option<(u64, i64)> {
-    let row = rows(messages).next()?;
-    let counted = row.get("counted")?.parse().ok()?;
-    let backend = row.get("backend")?.parse().ok()?;
-    Some((counted, backend))
-}
--- a/lab/workload/src/sql.rs
+++ b/lab/workload/src/sql.rs
@@ -67,6 +67,40 @@
     }
 }
 
+/// The statement of a single-row write with the row as parameters: session, sequence,
+/// attempt, kind and body. A request identifier stays in its comment.
+pub fn write_with_parameters(application: Application, request: Option<&str>) -> String {
+    let comment = match request {
+        Some(request) => format!(" /*request_id='{request}'*/"),
+        None => String::new(),
+    };
+    format!(
+        "insert into {} (session, sequence, attempt, kind, body) \
+         values ($1::bigint, $2::bigint, $3::bigint, $4::text, $5::text){comment}",
+        table(application),
+    )
+}
+
+/// Like [`read_own`], with nonce, session and limit as parameters.
+pub fn read_own_with_parameters(application: Application) -> String {
+    format!(
+        "select $1::text as echo, pg_is_in_recovery() as replica, latest.sequence \
+         from (select 1 as one) as base left join (select sequence from {} \
+         where session = $2::bigint order by sequence desc limit $3::bigint) as latest on true \
+         order by latest.sequence desc",
+        table(application),
+    )
+}
+
+/// Like [`read_other`], with nonce and subject as parameters.
+pub fn read_other_with_parameters(application: Application) -> String {
+    format!(
+        "select $1::text as echo, pg_is_in_recovery() as replica, max(sequence) as sequence \
+         from {} where session = $2::bigint",
+        table(application),
+    )
+}
+
 /// Reads the latest `limit` sequences of `session`, echoes `nonce` and says whether a
 /// replica answered. Always answers at least one row.
 pub fn read_own(
