Refuse marked requests behind savepoints

Cause: a rollback to a savepoint takes the ledger's row out again while the transaction goes on, and the proxy would not enter the identifier a second time; the request could then commit without its row.

Change: such a request is refused as unsupported; a mark ahead of the first savepoint is carried.

--- a/crates/transport/src/caller/marks.rs
+++ b/crates/transport/src/caller/marks.rs
@@ -48,6 +48,8 @@
             "a request identifier on messages that are flushed before their Sync"
         } else if plan.traits.opens_transaction.is_some() || plan.traits.ends_transaction {
             "a request identifier on a unit that opens or ends a transaction block itself"
+        } else if self.is_behind_savepoint(plan, &request) {
+            "a request identifier behind a savepoint"
         } else {
             return None;
         };
@@ -56,6 +58,15 @@
         })
     }
 
+    /// Whether `request` would enter the ledger behind a savepoint. Rolling back to it
+    /// would take the row out again while the transaction goes on.
+    fn is_behind_savepoint(&self, plan: &UnitPlan, request: &RequestId) -> bool {
+        let active = self.transaction.as_ref();
+        let entered = active.is_some_and(|active| active.marked.contains(request));
+        let savepoints = active.is_some_and(|active| active.savepoints);
+        !entered && (savepoints || plan.traits.savepoints)
+    }
+
     /// The request with this identifier is known to have run.
     pub(super) fn spend_mark(&mut self, request: &RequestId) {
         if self.request_mark.as_ref() == Some(request) {
--- a/crates/transport/tests/caller_requests.rs
+++ b/crates/transport/tests/caller_requests.rs
@@ -199,6 +199,11 @@
     let answer = client.query("INSERT INTO t VALUES (1)").await;
     assert_eq!(first_error(&answer).as_deref(), Some("0A000"));
     client.query("RESET hookpoint.request_id").await;
+    client.query("BEGIN").await;
+    client.query("SAVEPOINT s").await;
+    let answer = client.query(NOTICE).await;
+    assert_eq!(first_error(&answer).as_deref(), Some("0A000"));
+    client.query("ROLLBACK").await;
     let flush = Frame::new(frontend::FLUSH, Vec::new());
     let opening = [parse("", "SELECT 1"), bind("", ""), execute(""), flush];
     for marked in [
