Explore the acknowledgement of a write and the roll-out exhaustively

Cause: random seeds can miss a rare order of events in the two places where one is enough to lose a write or bring an old bundle back. Change: a breadth-first explorer and two models around the shipped request and rollout machines, with negative controls and a check that an acknowledgement can be reached at all.

--- a/lab/sim/src/lib.rs
+++ b/lab/sim/src/lib.rs
@@ -10,6 +10,7 @@
 mod database;
 mod faults;
 pub mod fleet;
+pub mod models;
 mod network;
 mod platform;
 mod report;
--- /dev/null
+++ b/lab/sim/src/models/mod.rs
@@ -0,0 +1,6 @@
+//! Small models that are explored exhaustively, breadth first, around the shipped
+//! machines.
+
+pub mod acknowledge;
+pub mod explore;
+pub mod rollout;
