Test cut zones, a paused primary and a planned change under load

Cause: zones that are cut off and primaries that sleep were only in serve. Change: four more scenarios: the primary's zone and a replica's zone cut off, a primary paused that wakes up, a planned change of primary.

--- a/lab/tests/scenarios.rs
+++ b/lab/tests/scenarios.rs
@@ -96,6 +96,34 @@
     Ok(())
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_cut_off_with_the_primary_loses_nothing() -> anyhow::Result<()> {
+    holds(&[(0.2, "cut zone sj-sala-a"), (0.6, "heal zone sj-sala-a")]).await?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_cut_off_with_a_replica_loses_nothing() -> anyhow::Result<()> {
+    holds(&[(0.2, "cut zone al-sala-b"), (0.6, "heal zone al-sala-b")]).await?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_primary_that_wakes_up_loses_nothing() -> anyhow::Result<()> {
+    let steps = [
+        (0.2, "pause primary mensajes-1"),
+        (0.6, "resume mensajes-1-a"),
+    ];
+    holds(&steps).await?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_change_of_primary_loses_nothing() -> anyhow::Result<()> {
+    holds(&[(0.3, "switchover mensajes-1 mensajes-1-b")]).await?;
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_bundle_comes_into_force_under_load() -> anyhow::Result<()> {
     let outcome = holds(&[(0.3, "roll"), (0.6, "roll")]).await?;
