Run the simulator from the lab's command line

Cause: the simulator could only be reached from tests. Change: `hookpoint-lab sim` runs ranges of seeds with faults, searches mutations, replays the failures of a report, explores the models and measures fleets of hollow nodes; exit code 1 when an invariant broke.

--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod load;
 pub mod measure;
 pub mod serve;
+pub mod sim;
 pub mod stand_ins;
 
 use std::path::Path;
--- a/lab/src/flags.rs
+++ b/lab/src/flags.rs
@@ -36,6 +36,31 @@
             /// Address as ip:port.
             required --target target: String
         }
+        /// Simulates proxies and databases in virtual time, and checks every invariant.
+        cmd sim {
+            /// Seeds as A..B, B excluded; 1..101 by default.
+            optional --seeds seeds: String
+            /// costa-rica (default) or greece.
+            optional --deployment deployment: String
+            /// all (default), none, or how many faults a run has at most.
+            optional --faults faults: String
+            /// A deliberate fault of the code, such as skip-evidence.
+            optional --mutation mutation: String
+            /// Searches all mutations and prints how soon each is found.
+            optional --mutations
+            /// Runs the failures of an earlier report again.
+            optional --replay replay: PathBuf
+            /// Explores the small models exhaustively.
+            optional --models
+            /// Measures a fleet of so many hollow nodes instead.
+            optional --fleet fleet: usize
+            /// Quiet time of the fleet in virtual milliseconds.
+            optional --quiet-ms quiet_ms: u64
+            /// Threads; all processors by default.
+            optional --threads threads: usize
+            /// File for the JSON report.
+            optional --report report: PathBuf
+        }
         /// Runs a deployment with its workload and faults, and checks the history.
         cmd demo {
             /// costa-rica (default) or greece.
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -29,6 +29,7 @@
         HookpointLabCmd::Idle(arguments) => commands::measure::idle(arguments).await?,
         HookpointLabCmd::Relay(arguments) => commands::measure::relay(arguments).await?,
         HookpointLabCmd::Serve(arguments) => commands::serve::serve(arguments).await?,
+        HookpointLabCmd::Sim(arguments) => return commands::sim::sim(arguments),
         HookpointLabCmd::Demo(arguments) => return commands::demo::demo(arguments).await,
     }
     Ok(ExitCode::SUCCESS)
