Give a connection back while a commit's evidence is awaited

Cause: a connection was held until a majority had confirmed the commit; in a group that commits asynchronously over 40 ms that is most of the time it is held, and a database has five connections. Change: after the first status behind the commit, the connection is released and the database is asked through the shared status query; facts about flushed positions are the same on any connection. The simulator asks in the same way. Silence of the database ends the wait after three questions; a higher term ends it at once.

--- a/crates/coordination/src/request/acknowledge.rs
+++ b/crates/coordination/src/request/acknowledge.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Whether the time for the search is over.
+    pub fn is_over(&self, now: Timestamp) -> bool {
+        now >= self.deadline
+    }
+
     /// Weighs a probe's answer.
     pub fn weigh(&mut self, now: Timestamp, view: &GroupView, status: &BackendStatus) -> Verdict {
         let moved_on = status.role != Role::Primary
@@ -76,7 +81,7 @@
                 holders,
             };
         }
-        if now >= self.deadline {
+        if self.is_over(now) {
             return Verdict::Doubtful(UnknownCause::NoMajority);
         }
         let after = self.pause;
--- a/crates/coordination/src/request/action.rs
+++ b/crates/coordination/src/request/action.rs
@@ -31,11 +31,19 @@
     Deliver,
     /// Throw the unit's answer away. The connection is released next.
     Discard,
-    /// Send the status query alone after a pause.
+    /// Send the status query alone on the held connection after a pause.
     Probe {
         /// The pause.
         after: Duration,
     },
+    /// Ask `database` for its status after a pause, on any connection of the fleet. The
+    /// answer is a probe event.
+    AskStatus {
+        /// The database.
+        database: DatabaseName,
+        /// The pause.
+        after: Duration,
+    },
     /// Deliver the end of the answer that was held back.
     Acknowledge {
         /// What the session's later reads must see, if that has moved.
--- a/crates/coordination/src/request/event.rs
+++ b/crates/coordination/src/request/event.rs
@@ -67,6 +67,8 @@
         /// What it says.
         status: BackendStatus,
     },
+    /// No answer to [`super::RequestAction::AskStatus`].
+    ProbeFailed,
     /// The connection is gone.
     ConnectionLost,
     /// The view of the group has changed.
--- a/crates/coordination/src/request/machine.rs
+++ b/crates/coordination/src/request/machine.rs
@@ -42,6 +42,9 @@
     Finished,
 }
 
+/// Status queries for evidence that may stay without an answer.
+const PROBE_FAILURE_LIMIT: u32 = 3;
+
 /// One transaction's state.
 #[derive(Clone, Debug)]
 pub struct RequestMachine {
@@ -55,6 +58,9 @@
     database: Option<DatabaseName>,
     term: Option<Term>,
     evidence: Option<Evidence>,
+    /// Database whose commit is to be proved, once its connection was given back.
+    proving_on: Option<DatabaseName>,
+    failed_probes: u32,
     in_transaction: bool,
     first_unit: bool,
     replica_failed: bool,
@@ -85,6 +91,8 @@
             database: None,
             term: None,
             evidence: None,
+            proving_on: None,
+            failed_probes: 0,
             in_transaction: false,
             first_unit: true,
             replica_failed: false,
@@ -161,6 +169,7 @@
             (Stage::Proving, Event::ProbeAnswered { status }) => {
                 self.proved(now, view, &status, actions);
             }
+            (Stage::Proving, Event::ProbeFailed) => self.probe_failed(now, view, actions),
             (Stage::Idle, Event::NextUnit { unit }) => self.next_unit(unit, actions),
             (_, Event::ConnectionLost) => self.connection_lost(now, view, actions),
             _ => {}
@@ -417,11 +426,42 @@
                 });
                 self.unit_over(actions);
             }
-            Verdict::AskAgain { after } => actions.push(RequestAction::Probe { after }),
+            Verdict::AskAgain { after } => self.ask_again(after, actions),
             Verdict::Doubtful(cause) => self.give_up(cause, actions),
         }
     }
 
+    /// Waits for the majority without holding the connection, so that others may use
+    /// it: what a majority has flushed can be learned on any connection.
+    fn ask_again(&mut self, after: Duration, actions: &mut Vec<RequestAction>) {
+        if self.in_transaction {
+            actions.push(RequestAction::Probe { after });
+            return;
+        }
+        self.release(true, actions);
+        if let Some(database) = self.database.take() {
+            self.proving_on = Some(database);
+        }
+        if let Some(database) = self.proving_on.clone() {
+            actions.push(RequestAction::AskStatus { database, after });
+        }
+    }
+
+    fn probe_failed(&mut self, now: Timestamp, view: &GroupView, actions: &mut Vec<RequestAction>) {
+        self.failed_probes += 1;
+        if self.term.is_some_and(|term| view.highest_term > term) {
+            return self.give_up(UnknownCause::TermChanged, actions);
+        }
+        let over = self
+            .evidence
+            .as_ref()
+            .is_none_or(|evidence| evidence.is_over(now));
+        if over || self.failed_probes >= PROBE_FAILURE_LIMIT {
+            return self.give_up(UnknownCause::NoMajority, actions);
+        }
+        self.ask_again(RETRY_PAUSE, actions);
+    }
+
     fn next_unit(&mut self, unit: Unit, actions: &mut Vec<RequestAction>) {
         self.unit = unit;
         self.stage = Stage::Running;
@@ -442,6 +482,7 @@
             Stage::Checking | Stage::AwaitingRefusal if !self.needs_evidence() => {
                 self.start_over(now, view, actions);
             }
+            Stage::Proving if self.proving_on.is_some() => {}
             Stage::Checking | Stage::AwaitingRefusal | Stage::Proving => {
                 self.give_up(UnknownCause::ConnectionLost, actions);
             }
--- a/crates/coordination/src/request/tests.rs
+++ b/crates/coordination/src/request/tests.rs
@@ -277,7 +277,13 @@
         match expected {
             Some(expected) => assert!(finished(actions).contains(&expected), "{case}"),
             None => assert!(
-                matches!(actions[..], [RequestAction::Probe { .. }]),
+                matches!(
+                    actions[..],
+                    [
+                        RequestAction::Release { reusable: true },
+                        RequestAction::AskStatus { .. }
+                    ]
+                ),
                 "{case}"
             ),
         }
@@ -330,6 +336,48 @@
     assert_eq!(life.feed(end), [sent, RequestAction::Deliver]);
 }
 
+#[test]
+fn a_commit_is_proved_after_its_connection_was_given_back() {
+    // (case, answers to the repeated questions, expected end)
+    let unknown = |cause| RequestAction::Unknown { cause };
+    let held = RequestAction::Acknowledge {
+        position: at(1, 130),
+    };
+    let later = Some(status(Role::Primary, 1, 150, &[("c", 130)]));
+    let behind = Some(status(Role::Primary, 1, 150, &[("c", 129)]));
+    let cases = [
+        ("flushed later", vec![behind.clone(), None, later], held),
+        (
+            "silent",
+            vec![None, None, None],
+            unknown(UnknownCause::NoMajority),
+        ),
+        (
+            "another term",
+            vec![behind, Some(status(Role::Primary, 2, 150, &[("c", 150)]))],
+            unknown(UnknownCause::TermChanged),
+        ),
+    ];
+    for (case, answers, expected) in cases {
+        let mut life = Life::new(WRITE, at(1, 10));
+        life.acquire(RequestEvent::Begin);
+        life.grant("a");
+        life.check(status(Role::Primary, 1, 120, &[]));
+        life.finish_unit(false);
+        life.probe(status(Role::Primary, 1, 130, &[]));
+        assert_eq!(life.feed(RequestEvent::ConnectionLost), [], "{case}");
+        let mut end = Vec::new();
+        for answer in answers {
+            assert!(!life.machine.is_finished(), "{case}");
+            end = life.feed(match answer {
+                Some(status) => RequestEvent::ProbeAnswered { status },
+                None => RequestEvent::ProbeFailed,
+            });
+        }
+        assert_eq!(finished(end), [expected], "{case}");
+    }
+}
+
 #[test]
 fn evidence_is_given_up_at_its_deadline() {
     let mut life = Life::new(WRITE, at(1, 10));
@@ -496,6 +544,7 @@
             },
             RequestEvent::NextUnit { unit: WRITE },
             RequestEvent::ProbeAnswered { status: answer },
+            RequestEvent::ProbeFailed,
             RequestEvent::ConnectionLost,
             RequestEvent::ViewChanged,
             RequestEvent::TimerFired,
--- a/crates/transport/src/caller/actions.rs
+++ b/crates/transport/src/caller/actions.rs
@@ -17,6 +17,9 @@
 /// nothing at all, and a read can go elsewhere.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest wait for a status that is to prove a commit.
+const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(1);
+
 impl Session {
     /// Hands an event to the machine and carries out its actions.
     pub(super) fn handle(&mut self, event: RequestEvent) {
@@ -59,6 +62,7 @@
             RequestAction::Probe { after } => {
                 active.probe_at = Some(self.context.shared.now() + after);
             }
+            RequestAction::AskStatus { database, after } => self.ask_status(database, after),
             RequestAction::Acknowledge { .. } => active.answer.release_end(),
             RequestAction::Release { reusable } => active.release(reusable),
             RequestAction::Wait { until } => active.timer = Some(until),
@@ -77,6 +81,19 @@
         }
     }
 
+    /// Asks for the status of a database whose connection was given back.
+    fn ask_status(&mut self, database: DatabaseName, after: Duration) {
+        let verifier = Arc::clone(&self.context.verifier);
+        let group = self.group.clone();
+        if let Some(active) = &mut self.transaction {
+            active.evidence = Some(Box::pin(async move {
+                tokio::time::sleep(after).await;
+                let status = verifier.status(&group, &database, EVIDENCE_TIMEOUT).await;
+                (database, status)
+            }));
+        }
+    }
+
     fn acquire(&mut self, database: DatabaseName, deadline: Timestamp) {
         let request = AcquireRequest {
             group: self.group.clone(),
--- a/crates/transport/src/caller/active.rs
+++ b/crates/transport/src/caller/active.rs
@@ -74,6 +74,8 @@
     pub acquire: Pending<Result<BackendLease, Refusal>>,
     /// The wait for a verified term.
     pub verify: Pending<Option<Position>>,
+    /// The wait for a database's status, on another connection than the released one.
+    pub evidence: Pending<(DatabaseName, Option<BackendStatus>)>,
     /// When the machine's timer fires; while set, changes of view are reported too.
     pub timer: Option<Timestamp>,
     /// When the next status query is sent.
@@ -128,6 +130,7 @@
             acquire: None,
             verify: None,
             timer: None,
+            evidence: None,
             probe_at: None,
             check_due: None,
             failure: None,
@@ -234,7 +237,10 @@
 
     /// Whether the machine waits for something although the answer is complete.
     pub fn machine_is_busy(&self) -> bool {
-        self.acquire.is_some() || self.verify.is_some() || self.timer.is_some()
+        self.acquire.is_some()
+            || self.verify.is_some()
+            || self.evidence.is_some()
+            || self.timer.is_some()
     }
 
     /// Whether what the caller sends belongs to the current unit.
--- a/crates/transport/src/caller/drive.rs
+++ b/crates/transport/src/caller/drive.rs
@@ -139,6 +139,11 @@
                 Some(position) => RequestEvent::TermVerified { position },
                 None => RequestEvent::VerifyFailed,
             }),
+            Input::Status(database, Some(status)) => {
+                self.context.shared.observe(&self.group, &database, &status);
+                events.push_back(RequestEvent::ProbeAnswered { status });
+            }
+            Input::Status(_, None) => events.push_back(RequestEvent::ProbeFailed),
             Input::Timer => {
                 active.timer = None;
                 events.push_back(RequestEvent::TimerFired);
--- a/crates/transport/src/caller/input.rs
+++ b/crates/transport/src/caller/input.rs
@@ -1,8 +1,9 @@
 //! What a session waits for while a unit is in progress.
 
+use hookpoint_coordination::status::BackendStatus;
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
 use hookpoint_protocol::frame::Frame;
-use hookpoint_state::{Position, Refusal, Timestamp};
+use hookpoint_state::{DatabaseName, Position, Refusal, Timestamp};
 use tokio::sync::mpsc;
 
 use crate::caller::active::Pending;
@@ -16,6 +17,8 @@
     Lease(Result<BackendLease, Refusal>),
     /// The verification of the term is over.
     Verified(Option<Position>),
+    /// A database told its status, or did not.
+    Status(DatabaseName, Option<BackendStatus>),
     /// The machine's timer has fired.
     Timer,
     /// The next status query is due.
@@ -70,6 +73,10 @@
                 active.verify = None;
                 Input::Verified(position)
             }
+            (database, status) = pending(&mut active.evidence) => {
+                active.evidence = None;
+                Input::Status(database, status)
+            }
             () = sleep_until(now, active.timer) => Input::Timer,
             () = sleep_until(now, active.probe_at) => Input::ProbeDue,
             () = sleep_until(now, active.check_due) => Input::CheckLate,
--- a/crates/transport/src/lease.rs
+++ b/crates/transport/src/lease.rs
@@ -1,6 +1,7 @@
 //! A lease of one database connection, local or on another node.
 
 use async_trait::async_trait;
+use hookpoint_coordination::status::BackendStatus;
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
 use hookpoint_state::{
     DatabaseName, GroupName, Position, Refusal, SessionId, TenantName, ZoneName,
@@ -60,4 +61,13 @@
     /// Asks a majority of `group` for its term, starting after the call. Returns the
     /// position of the verified primary, or none if no majority confirmed one.
     async fn verify(&self, group: &GroupName) -> Option<Position>;
+
+    /// The status of one database of `group`, asked for on a connection that all who
+    /// ask share; none when it does not answer within `wait`.
+    async fn status(
+        &self,
+        group: &GroupName,
+        database: &DatabaseName,
+        wait: std::time::Duration,
+    ) -> Option<BackendStatus>;
 }
--- a/crates/transport/src/observe/verifier.rs
+++ b/crates/transport/src/observe/verifier.rs
@@ -27,6 +27,7 @@
 /// Verifies terms by rounds of status queries, which concurrent callers share.
 pub struct MajorityVerifier {
     rounds: Arc<SharedRounds<GroupName, Option<Position>>>,
+    statuses: Arc<dyn StatusSource>,
 }
 
 impl MajorityVerifier {
@@ -37,16 +38,18 @@
         arbiter: ArbiterHandle,
     ) -> Arc<Self> {
         let tables = shared.clone();
+        let source = statuses.clone();
         let round = move |group: GroupName| {
             let round = Round {
                 shared: tables.clone(),
-                statuses: statuses.clone(),
+                statuses: source.clone(),
                 group,
             };
             round.run_within(ROUND_TIMEOUT).boxed()
         };
         Arc::new(Self {
             rounds: SharedRounds::new(shared, arbiter, ROUND_POLICY, Box::new(round)),
+            statuses,
         })
     }
 }
@@ -56,6 +59,16 @@
     async fn verify(&self, group: &GroupName) -> Option<Position> {
         self.rounds.call(group.clone()).await.flatten()
     }
+
+    async fn status(
+        &self,
+        group: &GroupName,
+        database: &DatabaseName,
+        wait: Duration,
+    ) -> Option<BackendStatus> {
+        let answer = self.statuses.query_status(group, database, wait).await;
+        answer.ok()
+    }
 }
 
 struct Round {
--- a/crates/transport/tests/caller_support/mod.rs
+++ b/crates/transport/tests/caller_support/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use hookpoint_coordination::status::Role;
+use hookpoint_coordination::status::{BackendStatus, Role};
 use hookpoint_protocol::backend_command::{BackendCommand, BackendReply};
 use hookpoint_state::bundle::{Database, Group, ReadPreference};
 use hookpoint_state::{
@@ -201,6 +201,15 @@
             .map(|status| status.place())
             .max_by_key(|place| place.term)
     }
+
+    async fn status(
+        &self,
+        _group: &GroupName,
+        database: &DatabaseName,
+        _wait: Duration,
+    ) -> Option<BackendStatus> {
+        Some(self.server.lock().status(database.as_str()))
+    }
 }
 
 /// Settings of a listener on loopback that trusts everyone.
--- a/lab/sim/src/world/event.rs
+++ b/lab/sim/src/world/event.rs
@@ -184,6 +184,17 @@
         session: SessionNumber,
         request: u64,
     },
+    /// A pause before a status query for evidence is over.
+    EvidenceDue {
+        session: SessionNumber,
+        question: u64,
+        database: usize,
+    },
+    /// A status query for evidence has taken too long.
+    EvidenceTimeout {
+        session: SessionNumber,
+        question: u64,
+    },
     /// A client opens a session.
     SessionOpens {
         client: usize,
--- a/lab/sim/src/world/mod.rs
+++ b/lab/sim/src/world/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod databases;
 mod event;
+mod evidence;
 mod lease;
 mod nodes;
 mod pool;
@@ -368,6 +369,14 @@
             }
             ProxyEvent::RequestTimer { session, request } => self.request_timer(session, request),
             ProxyEvent::ProbeDue { session, request } => self.probe_due(session, request),
+            ProxyEvent::EvidenceDue {
+                session,
+                question,
+                database,
+            } => self.evidence_due(proxy, session, question, database),
+            ProxyEvent::EvidenceTimeout { session, question } => {
+                self.evidence_timeout(session, question);
+            }
             ProxyEvent::SessionOpens {
                 client,
                 session,
--- a/lab/sim/src/world/proxy.rs
+++ b/lab/sim/src/world/proxy.rs
@@ -86,6 +86,8 @@
     pub(crate) failed_homes: Vec<NodeId>,
     pub(crate) deadline: Timestamp,
     pub(crate) wanted: Option<usize>,
+    /// Question whose answer is to prove its commit.
+    pub(crate) evidence: Option<u64>,
     pub(crate) expected: VecDeque<Expected>,
     pub(crate) verification: Option<RunningVerification>,
     /// Answer that may not be delivered yet.
--- a/lab/sim/src/world/session.rs
+++ b/lab/sim/src/world/session.rs
@@ -68,6 +68,7 @@
             failed_homes: Vec::new(),
             deadline: Timestamp::default(),
             wanted: None,
+            evidence: None,
             expected: VecDeque::new(),
             verification: None,
             held_answer: None,
@@ -183,6 +184,9 @@
                 };
                 self.schedule.at(now + after, Event::Proxy { proxy, event });
             }
+            RequestAction::AskStatus { database, after } => {
+                self.ask_evidence(number, &database, after);
+            }
             RequestAction::Acknowledge { position } => self.acknowledge(number, position),
             RequestAction::Require { position } => require(session, position),
             RequestAction::Release { reusable } => self.release(number, reusable),
--- a/lab/sim/src/world/verify.rs
+++ b/lab/sim/src/world/verify.rs
@@ -42,7 +42,7 @@
         }
     }
 
-    fn ask(&mut self, proxy: usize, database: usize, question: u64) {
+    pub(crate) fn ask(&mut self, proxy: usize, database: usize, question: u64) {
         let zones = (self.proxies[proxy].zone, self.databases[database].zone);
         let at = self.now() + self.network.latency(zones.0, zones.1);
         let event = Event::ControlQuestion {
@@ -85,6 +85,9 @@
         let Some(number) = self.questions.get(&question).copied() else {
             return;
         };
+        if self.evidence_answer(number, question, &status) {
+            return;
+        }
         let Some(session) = self.sessions.get_mut(&number) else {
             return;
         };
