Keep waiting sessions small

Cause: an idle connection took 11.5 KB of a proxy. The task of a session held room for all that it might ever do, and the session itself several times, since it was moved into each step. Change: a session lies on the heap once and its steps take the pointer; the answering of a unit has room of its own only while it lasts. Ruled out: buffers, which are given back while a session waits.

--- a/crates/transport/src/caller/session.rs
+++ b/crates/transport/src/caller/session.rs
@@ -113,20 +113,21 @@
     }
 
     /// Serves the session to its end.
-    pub async fn run(mut self) {
+    pub async fn run(mut self: Box<Self>) {
         let end = loop {
             let unit = match self.next_unit().await {
                 Ok(unit) => unit,
                 Err(end) => break end,
             };
-            if let Err(end) = self.answer(unit).await {
+            // On the heap while it lasts: a session that waits keeps no room for it.
+            if let Err(end) = Box::pin(self.answer(unit)).await {
                 break end;
             }
         };
         self.end(end).await;
     }
 
-    async fn end(mut self, end: SessionEnd) {
+    async fn end(mut self: Box<Self>, end: SessionEnd) {
         if let Some(mut active) = self.transaction.take() {
             active.release(false);
         }
--- a/crates/transport/src/caller/startup.rs
+++ b/crates/transport/src/caller/startup.rs
@@ -103,14 +103,14 @@
         _ = stop.wait_for(|mode| *mode >= StopMode::Graceful) => return,
     };
     match started {
-        Ok(Some(session)) => Box::pin(session.run()).await,
+        Ok(Some(session)) => session.run().await,
         Ok(None) => {}
         Err(_) => log::debug!("caller: a connection did not start up in {limit:?}."),
     }
 }
 
 /// Turns a connection into a session. A connection that fails is told why.
-async fn begin(socket: TcpStream, context: &Arc<Context>) -> Option<Session> {
+async fn begin(socket: TcpStream, context: &Arc<Context>) -> Option<Box<Session>> {
     let write_timeout = context.settings.write_timeout;
     let mut stream = CallerStream::new(Box::new(socket), STARTUP_MESSAGE_LIMIT, write_timeout);
     let failure = match encryption(&mut stream, context).await {
@@ -119,7 +119,7 @@
             Ok((guard, identity)) => {
                 stream.limit_messages(message_limit(context));
                 let context = Arc::clone(context);
-                return Some(Session::new(context, stream, guard, identity));
+                return Some(Box::new(Session::new(context, stream, guard, identity)));
             }
             Err(failure) => failure,
         },
