Read the whole output of the key command in the deployment script

Cause: head closed the pipe while the command still wrote. Change: the output goes into a file first.

--- a/lab/experiments/deployment.sh
+++ b/lab/experiments/deployment.sh
@@ -29,7 +29,8 @@
 wait_for_line "$work/database"
 platform=$(sed 's/.*"url":"\([^"]*\)".*/\1/' "$work/platform")
 "$programs/hookpoint" key generate > "$work/key"
-public=$("$programs/hookpoint" key public --key "$work/key" | head -n 1 | awk '{print $NF}')
+"$programs/hookpoint" key public --key "$work/key" > "$work/public"
+public=$(awk "NR == 1 {print \$NF}" "$work/public")
 
 # One object a database: group, database, zone, url.
 tr '{' '\n' < "$work/database" | sed -n \
