Say plainly what an operator did wrong, and what a proxy waits for

Cause: run by hand after the operations guide, the programs misled in places. Before the first roll a proxy warned again and again that "the platform's answer is malformed: no bundle has been rolled yet" (6 lines in 5 s). Without any URL of the platform it logged about 4 lines a second on connecting to an empty address. A wrong command line gave "subcommand is required" without the program's name; `--platform elsewhere` ended with 5 and "the platform's answer was lost: invalid format"; `--admin elsewhere` said "invalid format". The log showed primaries as `Some("mensajes-1-a")` and `None`. There was no way to ask for the version.

Conclusion: what an operator reads now names the cause.

--- a/crates/transport/src/platform/client.rs
+++ b/crates/transport/src/platform/client.rs
@@ -143,6 +143,11 @@
             .await
     }
 
+    /// Whether there is any URL to ask.
+    pub(super) fn has_urls(&self) -> bool {
+        !self.urls.is_empty()
+    }
+
     /// Base URL in use.
     pub(super) fn base_url(&self) -> Result<&str, PlatformError> {
         let count = self.urls.len().max(1);
--- a/crates/transport/src/platform/follower.rs
+++ b/crates/transport/src/platform/follower.rs
@@ -62,6 +62,8 @@
     client: Rc<PlatformClient>,
     events: mpsc::Sender<PlatformEvent>,
     watches: Vec<JoinHandle<()>>,
+    /// Whether it was told that nothing has been rolled yet; said once, not at each try.
+    told_empty: bool,
 }
 
 impl PlatformFollower {
@@ -76,6 +78,7 @@
             client: Rc::new(client),
             events,
             watches: Vec::new(),
+            told_empty: false,
         };
         actix_rt::spawn(follower.run(receiver));
         (commands, event_receiver)
@@ -94,6 +97,9 @@
 
     fn open_watches(&mut self) {
         self.close_watches();
+        if !self.client.has_urls() {
+            return;
+        }
         let pointer = watch_pointer(Rc::clone(&self.client), self.events.clone());
         let machines = watch_machines(Rc::clone(&self.client), self.events.clone());
         self.watches.push(actix_rt::spawn(pointer));
@@ -106,23 +112,40 @@
         }
     }
 
-    async fn fetch(&self) {
-        let event = match fetch_active(&self.client).await {
-            Ok(change) => PlatformEvent::Change(change),
+    async fn fetch(&mut self) {
+        let event = if self.client.has_urls() {
+            self.fetch_from_platform().await
+        } else {
+            PlatformEvent::Failed
+        };
+        // A closed channel means that the proxy is ending.
+        let _receiver_gone = self.events.send(event).await;
+    }
+
+    async fn fetch_from_platform(&mut self) -> PlatformEvent {
+        match fetch_active(&self.client).await {
+            Ok(Some(change)) => PlatformEvent::Change(change),
+            Ok(None) => {
+                if !self.told_empty {
+                    log::info!("platform: no bundle has been rolled yet.");
+                    self.told_empty = true;
+                }
+                PlatformEvent::Failed
+            }
             Err(error) => {
                 log::warn!("platform: the bundle cannot be read: {error}.");
                 PlatformEvent::Failed
             }
-        };
-        // A closed channel means that the proxy is ending.
-        let _receiver_gone = self.events.send(event).await;
+        }
     }
 }
 
-/// Reads the bundle that the pointer names, as an encoded change.
-async fn fetch_active(client: &PlatformClient) -> Result<Bytes, PlatformError> {
-    let pointer = client.get(ACTIVE_KEY).await?;
-    let pointer = pointer.ok_or_else(|| malformed("no bundle has been rolled yet"))?;
+/// Reads the bundle that the pointer names, as an encoded change; `None` while there is
+/// no pointer.
+async fn fetch_active(client: &PlatformClient) -> Result<Option<Bytes>, PlatformError> {
+    let Some(pointer) = client.get(ACTIVE_KEY).await? else {
+        return Ok(None);
+    };
     let pointer: ActivePointer = read_json(&pointer.value.0)?;
     let record = client.get(&bundle_key(pointer.version)).await?;
     let record = record.ok_or_else(|| malformed("the pointer names a bundle that is missing"))?;
@@ -130,7 +153,7 @@
     if record.bundle.version != pointer.version || record.digest != pointer.digest {
         return Err(malformed("the pointer names another bundle than is stored"));
     }
-    Ok(Change::Full(record.signed()).encode())
+    Ok(Some(Change::Full(record.signed()).encode()))
 }
 
 fn read_json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, PlatformError> {
--- a/crates/transport/src/shared.rs
+++ b/crates/transport/src/shared.rs
@@ -227,11 +227,12 @@
         let now = self.now();
         let change = self.terms.write().observe(now, group, database, status);
         if let Some(change) = change {
+            let primary = change.primary.as_ref().map(DatabaseName::as_str);
             log::info!(
-                "terms: group {} is on term {} with primary {:?}.",
+                "terms: group {} is on term {}, primary: {}.",
                 change.group,
                 change.term,
-                change.primary
+                primary.unwrap_or("none")
             );
             let decision = Decision::Leadership {
                 group: change.group,
--- /dev/null
+++ b/crates/transport/tests/platform_follower.rs
@@ -0,0 +1,25 @@
+//! The follower of the platform where there is nothing to follow.
+
+use std::time::Duration;
+
+use hookpoint_transport::platform::{
+    PlatformClient, PlatformCommand, PlatformEvent, PlatformFollower,
+};
+
+#[actix_rt::test]
+async fn without_urls_nothing_is_watched_and_each_fetch_fails_at_once() {
+    let client = PlatformClient::new(Vec::new(), Duration::from_secs(60));
+    let (commands, mut events) = PlatformFollower::start(client);
+    for command in [
+        PlatformCommand::Watch(true),
+        PlatformCommand::Fetch,
+        PlatformCommand::Fetch,
+    ] {
+        commands.send(command).await.expect("the follower runs");
+    }
+    assert_eq!(events.recv().await, Some(PlatformEvent::Failed));
+    assert_eq!(events.recv().await, Some(PlatformEvent::Failed));
+    drop(commands);
+    // A watch would hold the channel open.
+    assert_eq!(events.recv().await, None);
+}
--- a/hookpoint/src/command/bundle.rs
+++ b/hookpoint/src/command/bundle.rs
@@ -3,9 +3,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-use anyhow::{Context, Result, ensure};
+use anyhow::{Context, Result, bail, ensure};
 use hookpoint::operator::{BundleStatus, Operator};
-use hookpoint::settings::load_settings;
+use hookpoint::settings::{is_base_url, load_settings};
 use hookpoint_protocol::platform::records::ActivePointer;
 use hookpoint_state::BundleVersion;
 use hookpoint_state::bundle::{Bundle, TrustedKeys, parse_bundle};
@@ -111,6 +111,10 @@
         trusted = (!keys.is_empty()).then_some(keys);
     }
     ensure!(!urls.is_empty(), "give --platform URL or --settings FILE");
+    let bad = urls.iter().find(|url| !is_base_url(url));
+    if let Some(url) = bad {
+        bail!("--platform: `{url}` is no URL of the form http://ip:port");
+    }
     let timeout = flags.timeout.map_or(DEFAULT_TIMEOUT, Duration::from_secs);
     let client = PlatformClient::new(urls, ANSWER_TIMEOUT.min(timeout));
     let name = flags
--- a/hookpoint/src/command/http.rs
+++ b/hookpoint/src/command/http.rs
@@ -15,6 +15,11 @@
 /// # Errors
 /// When there is no such answer.
 pub async fn get_json<T: DeserializeOwned>(base: &str, path: &str) -> Result<T> {
+    // A host name will do here, as the endpoint may stand behind one.
+    ensure!(
+        base.starts_with("http://"),
+        "--admin: `{base}` is no URL of the form http://host:port"
+    );
     let url = format!("{}{path}", base.trim_end_matches('/'));
     let client = awc::Client::builder().timeout(TIMEOUT).finish();
     let response = client.get(&url).send().await;
--- a/hookpoint/src/command/mod.rs
+++ b/hookpoint/src/command/mod.rs
@@ -27,6 +27,10 @@
 /// Carries out a command and returns its exit code.
 pub fn run(command: HookpointCmd) -> ExitCode {
     let result = match command {
+        HookpointCmd::Version(_) => {
+            println!("hookpoint {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
         HookpointCmd::Proxy(flags) => proxy::run(flags),
         HookpointCmd::Settings(flags) => settings::run(flags),
         HookpointCmd::Key(flags) => key::run(flags),
--- a/hookpoint/src/flags.rs
+++ b/hookpoint/src/flags.rs
@@ -29,6 +29,9 @@
             repeated --platform url: String
         }
 
+        /// Print the version of this program.
+        cmd version {}
+
         /// Settings of a proxy.
         cmd settings {
             /// Check a settings file; problems name file, line, key and reason.
--- a/hookpoint/src/proxy/parts.rs
+++ b/hookpoint/src/proxy/parts.rs
@@ -261,6 +261,9 @@
 ) -> Result<PlatformSide, ProxyError> {
     let (started, start) = oneshot::channel();
     let section = settings.platform.clone();
+    if section.urls.is_empty() {
+        log::warn!("platform: no URL is set; bundles come from peers alone.");
+    }
     let machine = own_machine(settings, fleet);
     let shared = Arc::clone(shared);
     let fleet = fleet.clone();
--- a/hookpoint/src/settings/mod.rs
+++ b/hookpoint/src/settings/mod.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use load::{SettingsError, load_settings, parse_settings};
-pub use rules::SettingsReason;
+pub use rules::{SettingsReason, is_base_url};
 pub use secret::{HexKey, Secret};
 
 /// Loopback with a port of the system's choice.
--- a/hookpoint/src/settings/rules.rs
+++ b/hookpoint/src/settings/rules.rs
@@ -165,7 +165,8 @@
     }
 }
 
-fn is_base_url(url: &str) -> bool {
+/// Whether `url` has the form `http://ip:port`.
+pub fn is_base_url(url: &str) -> bool {
     let address = url.strip_prefix("http://").unwrap_or_default();
     let address = address.trim_end_matches('/');
     address.parse::<SocketAddr>().is_ok()
--- a/hookpoint/tests/settings.rs
+++ b/hookpoint/tests/settings.rs
@@ -1,6 +1,8 @@
 //! Settings: what is accepted, and how problems are named.
 
-use hookpoint::settings::{LogFormat, ProxySettings, SettingsError, load_settings, parse_settings};
+use hookpoint::settings::{
+    LogFormat, ProxySettings, SettingsError, is_base_url, load_settings, parse_settings,
+};
 
 const KEY: &str = "00112233445566778899aabbccddeeff";
 const PUBLIC: &str = "19bf44096984cdfe8541bac167dc3b96c85086aa30b6b6cb0c5c38ad703166e1";
@@ -233,3 +235,20 @@
         "{error}"
     );
 }
+
+#[test]
+fn a_base_url_names_scheme_address_and_port() {
+    let table = [
+        ("http://127.0.0.1:2379", true),
+        ("http://127.0.0.1:2379/", true),
+        ("http://[::1]:2379", true),
+        ("http://127.0.0.1", false),
+        ("https://127.0.0.1:2379", false),
+        ("127.0.0.1:2379", false),
+        ("elsewhere", false),
+        ("", false),
+    ];
+    for (url, good) in table {
+        assert_eq!(is_base_url(url), good, "{url}");
+    }
+}
