Hold writes while a primary does not confirm

Change: a commit that has waited for its majority puts the primary in doubt on that node; writes are held until a status shows a majority, or another primary leads. Conclusion: 100 ms is kept. It is above twice the longest round trip of today's deployments; a measured time for each group would be better.

--- a/crates/coordination/src/request/acknowledge.rs
+++ b/crates/coordination/src/request/acknowledge.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use hookpoint_state::{Lsn, Position, Term, Timestamp, UnknownCause};
+use hookpoint_state::{Position, Term, Timestamp, UnknownCause};
 
 use crate::status::{BackendStatus, Role};
 use crate::terms::GroupView;
@@ -19,14 +19,20 @@
 /// Longest pause between two probes.
 const LONGEST_PROBE_PAUSE: Duration = Duration::from_millis(5);
 
+/// Wait for a majority after which the primary is in doubt. Writes sent to a primary
+/// that is cut off end with an unknown outcome; held ones run on its successor.
+const DOUBT_AFTER: Duration = Duration::from_millis(100);
+
 /// The search for evidence of one commit.
 #[derive(Clone, Debug)]
 pub struct Evidence {
     /// Term the transaction began in, as far as it is known.
     began: Option<Term>,
     target: Option<Position>,
+    started: Timestamp,
     deadline: Timestamp,
     pause: Duration,
+    doubted: bool,
 }
 
 /// What to do after a probe's answer.
@@ -49,14 +55,26 @@
 }
 
 impl Evidence {
-    /// Starts the search; it ends at `deadline`.
-    pub fn new(began: Option<Term>, deadline: Timestamp) -> Self {
+    /// Starts the search; it ends after `limit`.
+    pub fn new(began: Option<Term>, now: Timestamp, limit: Duration) -> Self {
         Self {
             began,
             target: None,
-            deadline,
+            started: now,
+            deadline: now + limit,
             pause: FIRST_PROBE_PAUSE,
+            doubted: false,
+        }
+    }
+
+    /// The position that has waited so long for a majority that its primary is in
+    /// doubt; told once.
+    pub fn doubtful(&mut self, now: Timestamp) -> Option<Position> {
+        let late = now.since(self.started) >= DOUBT_AFTER;
+        if !late || std::mem::replace(&mut self.doubted, true) {
+            return None;
         }
+        self.target
     }
 
     /// Whether the time for the search is over.
@@ -74,7 +92,7 @@
             return Verdict::Doubtful(UnknownCause::TermChanged);
         }
         let target = *self.target.get_or_insert(status.place());
-        let holders = holders_in(view, status, target.lsn);
+        let holders = view.holders(status, target.lsn);
         if holders >= view.majority() {
             return Verdict::Held {
                 position: target,
@@ -89,19 +107,3 @@
         Verdict::AskAgain { after }
     }
 }
-
-/// Counts the members of the group, the primary included, that have flushed `target`.
-/// Standbys that the bundle does not name have no vote, so they are no evidence.
-fn holders_in(view: &GroupView, status: &BackendStatus, target: Lsn) -> usize {
-    let own = usize::from(status.position >= target);
-    let replicas =
-        view.databases
-            .iter()
-            .filter(|database| {
-                status.flushed.iter().any(|replica| {
-                    replica.name == database.name.as_str() && replica.position >= target
-                })
-            })
-            .count();
-    own + replicas
-}
--- a/crates/coordination/src/request/action.rs
+++ b/crates/coordination/src/request/action.rs
@@ -44,6 +44,14 @@
         /// The pause.
         after: Duration,
     },
+    /// A commit at `position` of `database` has waited long for its majority: no more
+    /// writes are to go there until one has it.
+    Doubt {
+        /// The database.
+        database: DatabaseName,
+        /// Position of the commit.
+        position: Position,
+    },
     /// Deliver the end of the answer that was held back.
     Acknowledge {
         /// What the session's later reads must see, if that has moved.
--- a/crates/coordination/src/request/machine.rs
+++ b/crates/coordination/src/request/machine.rs
@@ -381,7 +381,7 @@
         let block_failed = in_transaction && matches!(result, UnitResult::Failed { .. });
         if self.needs_evidence() && !block_failed {
             self.stage = Stage::Proving;
-            self.evidence = Some(Evidence::new(self.term, now + self.acknowledge_within));
+            self.evidence = Some(Evidence::new(self.term, now, self.acknowledge_within));
             return;
         }
         self.unit_over(actions);
@@ -426,14 +426,14 @@
                 });
                 self.unit_over(actions);
             }
-            Verdict::AskAgain { after } => self.ask_again(after, actions),
+            Verdict::AskAgain { after } => self.ask_again(now, after, actions),
             Verdict::Doubtful(cause) => self.give_up(cause, actions),
         }
     }
 
     /// Waits for the majority without holding the connection, so that others may use
     /// it: what a majority has flushed can be learned on any connection.
-    fn ask_again(&mut self, after: Duration, actions: &mut Vec<RequestAction>) {
+    fn ask_again(&mut self, now: Timestamp, after: Duration, actions: &mut Vec<RequestAction>) {
         if self.in_transaction {
             actions.push(RequestAction::Probe { after });
             return;
@@ -443,6 +443,11 @@
             self.proving_on = Some(database);
         }
         if let Some(database) = self.proving_on.clone() {
+            let doubtful = self.evidence.as_mut().and_then(|it| it.doubtful(now));
+            if let Some(position) = doubtful {
+                let database = database.clone();
+                actions.push(RequestAction::Doubt { database, position });
+            }
             actions.push(RequestAction::AskStatus { database, after });
         }
     }
@@ -459,7 +464,7 @@
         if over || self.failed_probes >= PROBE_FAILURE_LIMIT {
             return self.give_up(UnknownCause::NoMajority, actions);
         }
-        self.ask_again(RETRY_PAUSE, actions);
+        self.ask_again(now, RETRY_PAUSE, actions);
     }
 
     fn next_unit(&mut self, unit: Unit, actions: &mut Vec<RequestAction>) {
--- a/crates/coordination/src/request/route.rs
+++ b/crates/coordination/src/request/route.rs
@@ -67,7 +67,8 @@
     let known_term = query
         .required
         .is_none_or(|required| primary.place.term >= required.term);
-    (usable(primary, query) && known_term).then(|| Route {
+    let confirmed = query.access == Access::Read || primary.unconfirmed.is_none();
+    (usable(primary, query) && known_term && confirmed).then(|| Route {
         database: primary.name.clone(),
         reason,
     })
--- a/crates/coordination/src/request/tests.rs
+++ b/crates/coordination/src/request/tests.rs
@@ -28,6 +28,9 @@
     may_commit: false,
 };
 
+/// Longest search for evidence.
+const ACKNOWLEDGE_WITHIN: Duration = Duration::from_millis(500);
+
 fn group() -> GroupName {
     GroupName::new("meters")
 }
@@ -97,7 +100,7 @@
 impl Life {
     fn new(unit: Unit, required: Option<Position>) -> Self {
         Self {
-            machine: RequestMachine::new(profile(unit, required), Duration::from_millis(100)),
+            machine: RequestMachine::new(profile(unit, required), ACKNOWLEDGE_WITHIN),
             table: table(),
             now: Timestamp::from_millis(2),
         }
@@ -378,6 +381,42 @@
     }
 }
 
+#[test]
+fn a_primary_that_confirms_late_gets_no_more_writes_until_it_does() {
+    let mut life = Life::new(WRITE, at(1, 10));
+    life.acquire(RequestEvent::Begin);
+    life.grant("a");
+    life.check(status(Role::Primary, 1, 120, &[]));
+    life.finish_unit(false);
+    life.probe(status(Role::Primary, 1, 130, &[]));
+    life.now = life.now + Duration::from_millis(99);
+    let alone = || status(Role::Primary, 1, 130, &[("b", 129)]);
+    assert!(matches!(
+        life.probe(alone())[..],
+        [RequestAction::AskStatus { .. }]
+    ));
+    life.now = life.now + Duration::from_millis(1);
+    let primary = DatabaseName::new("a");
+    let position = Position::new(1, 130);
+    let doubt = RequestAction::Doubt {
+        database: primary.clone(),
+        position,
+    };
+    assert_eq!(life.probe(alone())[0], doubt);
+    assert!(!life.probe(alone()).contains(&doubt), "it is told once");
+    let mut next = Life::new(WRITE, at(1, 10));
+    next.table.doubt(&group(), &primary, position);
+    let held = next.feed(RequestEvent::Begin);
+    assert!(matches!(held[..], [RequestAction::Wait { .. }]));
+    let now = next.now;
+    next.table.observe(now, &group(), &primary, &alone());
+    let held = next.feed(RequestEvent::TimerFired);
+    assert!(matches!(held[..], [RequestAction::Wait { .. }]));
+    let confirmed = status(Role::Primary, 1, 140, &[("c", 130)]);
+    next.table.observe(now, &group(), &primary, &confirmed);
+    assert_eq!(next.acquire(RequestEvent::TimerFired), "a");
+}
+
 #[test]
 fn evidence_is_given_up_at_its_deadline() {
     let mut life = Life::new(WRITE, at(1, 10));
@@ -385,7 +424,7 @@
     life.grant("a");
     life.check(status(Role::Primary, 1, 120, &[]));
     life.finish_unit(false);
-    life.now = life.now + Duration::from_millis(100);
+    life.now = life.now + ACKNOWLEDGE_WITHIN;
     let actions = finished(life.probe(status(Role::Primary, 1, 130, &[])));
     assert!(actions.contains(&RequestAction::Unknown {
         cause: UnknownCause::NoMajority
--- a/crates/coordination/src/terms.rs
+++ b/crates/coordination/src/terms.rs
@@ -57,6 +57,8 @@
     pub load: u32,
     /// How far it replays behind its primary, as last measured.
     pub lag: Duration,
+    /// On a primary: a commit that has waited long for a majority.
+    pub unconfirmed: Option<Lsn>,
 }
 
 /// What is known of one group.
@@ -122,6 +124,21 @@
         (least, most.unwrap_or(Duration::MAX).max(least))
     }
 
+    /// Counts the members of the group, the primary included, that have flushed
+    /// `target` by the status of a primary. Standbys that the bundle does not name have
+    /// no vote, so they are no evidence.
+    pub fn holders(&self, status: &BackendStatus, target: Lsn) -> usize {
+        let own = usize::from(status.position >= target);
+        let flushed = |name: &DatabaseName| {
+            status
+                .flushed
+                .iter()
+                .any(|replica| replica.name == name.as_str() && replica.position >= target)
+        };
+        let replicas = self.databases.iter().filter(|member| flushed(&member.name));
+        own + replicas.count()
+    }
+
     fn raise_term(&mut self, term: Term) {
         if term > self.highest_term {
             self.highest_term = term;
@@ -137,6 +154,12 @@
             self.sample_primary(now, status.position);
         }
         let (least, most) = self.lag_bounds(now, status.position);
+        let majority = self.majority();
+        let held = |target| self.holders(status, target) >= majority;
+        let settled = self
+            .database(name)
+            .and_then(|entry| entry.unconfirmed)
+            .is_some_and(held);
         let Some(entry) = self.databases.iter_mut().find(|entry| &entry.name == name) else {
             return false;
         };
@@ -149,6 +172,9 @@
             term: status.term,
             lsn: status.position.max(floor),
         };
+        if settled || !same_term || status.role == Role::Replica {
+            entry.unconfirmed = None;
+        }
         entry.role = Some(status.role);
         entry.observed_at = now;
         entry.reachable = true;
@@ -278,6 +304,16 @@
         }
     }
 
+    /// Keeps further writes off `database`, whose commit at `position` waits for a
+    /// majority, until a status shows that one has it.
+    pub fn doubt(&mut self, group: &GroupName, database: &DatabaseName, position: Position) {
+        if let Some(entry) = self.entry(group, database)
+            && entry.place.term == position.term
+        {
+            entry.unconfirmed = Some(position.lsn);
+        }
+    }
+
     /// Marks `database` as not answering.
     pub fn unreachable(&mut self, group: &GroupName, database: &DatabaseName) {
         if let Some(entry) = self.entry(group, database) {
--- a/crates/transport/src/caller/actions.rs
+++ b/crates/transport/src/caller/actions.rs
@@ -62,6 +62,9 @@
             RequestAction::Probe { after } => {
                 active.probe_at = Some(self.context.shared.now() + after);
             }
+            RequestAction::Doubt { database, position } => {
+                self.context.shared.doubt(&self.group, &database, position);
+            }
             RequestAction::AskStatus { database, after } => self.ask_status(database, after),
             RequestAction::Acknowledge { .. } => active.answer.release_end(),
             RequestAction::Release { reusable } => active.release(reusable),
--- a/crates/transport/src/shared.rs
+++ b/crates/transport/src/shared.rs
@@ -12,7 +12,9 @@
 use hookpoint_coordination::node::LeadershipNews;
 use hookpoint_coordination::status::BackendStatus;
 use hookpoint_coordination::terms::{GroupView, Member, Proximity, TermTable};
-use hookpoint_state::{Bundle, DatabaseName, GroupName, SessionId, Term, Timestamp, ZoneName};
+use hookpoint_state::{
+    Bundle, DatabaseName, GroupName, Position, SessionId, Term, Timestamp, ZoneName,
+};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
 
@@ -252,6 +254,13 @@
         }
     }
 
+    /// Keeps further writes off a primary whose commit at `position` waits for its
+    /// majority.
+    pub fn doubt(&self, group: &GroupName, database: &DatabaseName, position: Position) {
+        log::info!("terms: database {database} has not confirmed {position} for long.");
+        self.terms.write().doubt(group, database, position);
+    }
+
     /// Marks a database as not answering and wakes waiting requests.
     pub fn unreachable(&self, group: &GroupName, database: &DatabaseName) {
         self.terms.write().unreachable(group, database);
--- a/lab/sim/src/world/session.rs
+++ b/lab/sim/src/world/session.rs
@@ -184,6 +184,12 @@
                 };
                 self.schedule.at(now + after, Event::Proxy { proxy, event });
             }
+            RequestAction::Doubt { database, position } => {
+                let group = session.group;
+                let group = self.group_name(group);
+                let terms = &mut self.proxies[proxy].terms;
+                terms.doubt(&group, &database, position);
+            }
             RequestAction::AskStatus { database, after } => {
                 self.ask_evidence(number, &database, after);
             }
