--- a/crates/coordination/benches/decisions.rs
+++ b/crates/coordination/benches/decisions.rs
@@ -85,7 +85,6 @@
             may_commit: access == Access::Write,
         },
         required: Some(Position::new(1, 90)),
-        repeatable: true,
         deadline: Timestamp::from_millis(10_000),
     }
 }
--- a/crates/coordination/src/request/profile.rs
+++ b/crates/coordination/src/request/profile.rs
@@ -39,8 +39,6 @@
     /// Position that reads must see. `None` when the session's history is not known:
     /// its token is missing, old or forged.
     pub required: Option<Position>,
-    /// False when the caller marked it as not repeatable.
-    pub repeatable: bool,
     /// When waiting for a connection or a primary ends.
     pub deadline: Timestamp,
 }
--- a/crates/coordination/src/request/tests.rs
+++ b/crates/coordination/src/request/tests/mod.rs
@@ -1,4 +1,6 @@
-//! Tests of the request machine: a table of lives, and properties over random ones.
+//! Tests of the request machine: tables of lives.
+
+mod random_lives;
 
 use std::time::Duration;
 
@@ -7,7 +9,6 @@
     DatabaseName, GroupName, Lsn, Position, Refusal, SessionId, TenantName, Term, Timestamp,
     UnknownCause, ZoneName,
 };
-use quickcheck::{Arbitrary, Gen};
 
 use super::{
     Access, RequestAction, RequestEvent, RequestMachine, RequestProfile, Unit, UnitResult,
@@ -86,7 +87,6 @@
         zone: ZoneName::new("z1"),
         unit,
         required,
-        repeatable: true,
         deadline: Timestamp::from_millis(1_000),
     }
 }
@@ -136,6 +136,14 @@
         })
     }
 
+    /// Brings a write to the point where its evidence is awaited.
+    fn commit(&mut self) {
+        self.acquire(RequestEvent::Begin);
+        self.grant("a");
+        self.check(status(Role::Primary, 1, 120, &[]));
+        assert_eq!(self.finish_unit(false), [], "its end is held back");
+    }
+
     fn finish_unit(&mut self, in_transaction: bool) -> Vec<RequestAction> {
         self.feed(RequestEvent::UnitFinished {
             result: UnitResult::Succeeded,
@@ -296,10 +304,7 @@
 #[test]
 fn a_commit_is_not_acknowledged_once_a_higher_term_is_known() {
     let mut life = Life::new(WRITE, at(1, 10));
-    life.acquire(RequestEvent::Begin);
-    life.grant("a");
-    life.check(status(Role::Primary, 1, 120, &[]));
-    life.finish_unit(false);
+    life.commit();
     life.table.learn_term(&group(), Term(2));
     let actions = finished(life.probe(status(Role::Primary, 1, 130, &[("b", 130), ("c", 130)])));
     assert_eq!(
@@ -363,10 +368,7 @@
     ];
     for (case, answers, expected) in cases {
         let mut life = Life::new(WRITE, at(1, 10));
-        life.acquire(RequestEvent::Begin);
-        life.grant("a");
-        life.check(status(Role::Primary, 1, 120, &[]));
-        life.finish_unit(false);
+        life.commit();
         life.probe(status(Role::Primary, 1, 130, &[]));
         assert_eq!(life.feed(RequestEvent::ConnectionLost), [], "{case}");
         let mut end = Vec::new();
@@ -384,10 +386,7 @@
 #[test]
 fn a_primary_that_confirms_late_gets_no_more_writes_until_it_does() {
     let mut life = Life::new(WRITE, at(1, 10));
-    life.acquire(RequestEvent::Begin);
-    life.grant("a");
-    life.check(status(Role::Primary, 1, 120, &[]));
-    life.finish_unit(false);
+    life.commit();
     life.probe(status(Role::Primary, 1, 130, &[]));
     life.now = life.now + Duration::from_millis(99);
     let alone = || status(Role::Primary, 1, 130, &[("b", 129)]);
@@ -420,10 +419,7 @@
 #[test]
 fn evidence_is_given_up_at_its_deadline() {
     let mut life = Life::new(WRITE, at(1, 10));
-    life.acquire(RequestEvent::Begin);
-    life.grant("a");
-    life.check(status(Role::Primary, 1, 120, &[]));
-    life.finish_unit(false);
+    life.commit();
     life.now = life.now + ACKNOWLEDGE_WITHIN;
     let actions = finished(life.probe(status(Role::Primary, 1, 130, &[])));
     assert!(actions.contains(&RequestAction::Unknown {
@@ -541,125 +537,3 @@
     let actions = life.feed(RequestEvent::Begin);
     assert!(matches!(actions[..], [RequestAction::Wait { .. }]));
 }
-
-/// A step of a random life.
-#[derive(Clone, Debug)]
-struct Step {
-    event: RequestEvent,
-    pause: u64,
-}
-
-impl Arbitrary for Step {
-    fn arbitrary(random: &mut Gen) -> Self {
-        let names = ["a", "b", "c"].map(DatabaseName::new);
-        let database = random.choose(&names).cloned().unwrap_or_default();
-        let roles = [Role::Primary, Role::Replica];
-        let role = *random.choose(&roles).unwrap_or(&Role::Primary);
-        let numbers = [1, 90, 130];
-        let mut number = || *random.choose(&numbers).unwrap_or(&1);
-        let answer = status(
-            role,
-            (number() % 2) as u32 + 1,
-            number(),
-            &[("b", number())],
-        );
-        let position = Position::new(1, number());
-        let events = [
-            RequestEvent::TermVerified { position },
-            RequestEvent::VerifyFailed,
-            RequestEvent::LeaseGranted {
-                database: database.clone(),
-            },
-            RequestEvent::LeaseRefused {
-                database,
-                refusal: Refusal::NoDatabase,
-            },
-            RequestEvent::CheckAnswered {
-                status: answer.clone(),
-            },
-            RequestEvent::UnitFinished {
-                result: UnitResult::Succeeded,
-                in_transaction: bool::arbitrary(random),
-            },
-            RequestEvent::NextUnit { unit: WRITE },
-            RequestEvent::ProbeAnswered { status: answer },
-            RequestEvent::ProbeFailed,
-            RequestEvent::ConnectionLost,
-            RequestEvent::ViewChanged,
-            RequestEvent::TimerFired,
-        ];
-        Step {
-            event: random
-                .choose(&events)
-                .cloned()
-                .unwrap_or(RequestEvent::Begin),
-            pause: u64::from(u8::arbitrary(random)) * 100,
-        }
-    }
-}
-
-/// Runs a random life and tells the first rule it breaks.
-fn broken_rule(unit: Unit, steps: &[Step]) -> Option<&'static str> {
-    let mut life = Life::new(unit, at(1, 50));
-    let mut holds_connection = false;
-    let mut sent_commit = false;
-    let mut finals = 0;
-    let mut handled = |life: &mut Life, event: RequestEvent| -> Option<&'static str> {
-        let over = life.machine.is_finished();
-        if matches!(event, RequestEvent::LeaseGranted { .. }) && holds_connection {
-            return None;
-        }
-        let evidence = matches!(&event, RequestEvent::ProbeAnswered { status }
-            if status.role == Role::Primary && status.flushed[0].position >= status.position
-                && status.position > Lsn(0));
-        for action in life.feed(event) {
-            if over {
-                return Some("an action after the end");
-            }
-            match action {
-                RequestAction::Send { probe, .. } => {
-                    holds_connection = true;
-                    sent_commit = probe;
-                }
-                RequestAction::Release { .. } if !holds_connection => {
-                    return Some("released what was not held");
-                }
-                RequestAction::Release { .. } => holds_connection = false,
-                RequestAction::Discard if sent_commit && unit.access == Access::Write => {
-                    sent_commit = false;
-                }
-                RequestAction::Refuse { .. } if sent_commit => {
-                    return Some("told `not run` of what may have run");
-                }
-                RequestAction::Acknowledge { .. } if !evidence => {
-                    return Some("acknowledged without evidence");
-                }
-                RequestAction::Acknowledge { .. } => sent_commit = false,
-                RequestAction::Finished => finals += 1,
-                _ => {}
-            }
-        }
-        (finals > 1).then_some("ended twice")
-    };
-    if let Some(rule) = handled(&mut life, RequestEvent::Begin) {
-        return Some(rule);
-    }
-    for step in steps {
-        life.now = Timestamp(life.now.0 + step.pause);
-        if let Some(rule) = handled(&mut life, step.event.clone()) {
-            return Some(rule);
-        }
-    }
-    (life.machine.is_finished() && holds_connection).then_some("a connection leaked")
-}
-
-#[test]
-fn random_lives_keep_the_rules() {
-    for seed in 0..4_000 {
-        let mut random = Gen::from_size_and_seed(40, seed);
-        let steps = Vec::<Step>::arbitrary(&mut random);
-        for unit in [READ, WRITE, BEGIN] {
-            assert_eq!(broken_rule(unit, &steps), None, "seed {seed}, {steps:?}");
-        }
-    }
-}
--- a/crates/transport/src/caller/drive.rs
+++ b/crates/transport/src/caller/drive.rs
@@ -51,13 +51,13 @@
             });
         }
         let unit = plan.unit(false, mark.is_some());
-        let machine = self.machine(unit, mark.is_none());
+        let machine = self.machine(unit);
         self.transaction = Some(ActiveTransaction::new(machine, plan, mark));
         self.guard.entry.waits();
         Some(RequestEvent::Begin)
     }
 
-    fn machine(&self, unit: Unit, repeatable: bool) -> RequestMachine {
+    fn machine(&self, unit: Unit) -> RequestMachine {
         let shared = &self.context.shared;
         let limits = shared.bundle().map(|bundle| bundle.limits.clone());
         let limits = limits.unwrap_or_default();
@@ -72,7 +72,6 @@
             zone: shared.zone.clone(),
             unit,
             required: self.required,
-            repeatable,
             deadline: shared.now() + limits.wait(),
         };
         RequestMachine::with_checks(profile, limits.acknowledge(), self.context.settings.checks)
@@ -92,7 +91,7 @@
             .as_ref()
             .map(|active| active.plan.unit(false, false));
         if let Some(unit) = unit {
-            let machine = self.machine(unit, true);
+            let machine = self.machine(unit);
             if let Some(active) = &mut self.transaction {
                 active.begin_anew(machine);
             }
--- a/lab/sim/src/models/acknowledge.rs
+++ b/lab/sim/src/models/acknowledge.rs
@@ -326,7 +326,6 @@
                 may_commit: true,
             },
             required: Some(Position::new(1, u64::from(START))),
-            repeatable: true,
             deadline: Timestamp(30_000_000),
         };
         let within = Duration::from_secs(5);
--- a/lab/sim/src/world/session.rs
+++ b/lab/sim/src/world/session.rs
@@ -123,7 +123,6 @@
             ),
             unit: unit_of(call.work, false),
             required,
-            repeatable: !session.once,
             deadline,
         };
         let checks = SafetyChecks {
