Drop a count of holders that nothing called

Cause: BackendStatus::holders_of was written before the count moved to GroupView::holders. It counts any standby, also one without a vote, so calling it would weaken the evidence of a commit. Change: it is gone; GroupView::holders is the one place. Conclusion: behaviour is as it was.

--- a/crates/coordination/src/status.rs
+++ b/crates/coordination/src/status.rs
@@ -42,14 +42,4 @@
             lsn: self.position,
         }
     }
-
-    /// How many databases, the primary included, hold the log up to `target`.
-    pub fn holders_of(&self, target: Lsn) -> usize {
-        let own = usize::from(self.position >= target);
-        own + self
-            .flushed
-            .iter()
-            .filter(|replica| replica.position >= target)
-            .count()
-    }
 }
