--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod request;
 pub mod retry;
 pub mod rollout;
+pub mod serving;
 pub mod slots;
 pub mod status;
 pub mod terms;
--- /dev/null
+++ b/crates/coordination/src/serving/directory.rs
@@ -0,0 +1,134 @@
+//! The databases as they register themselves, with the time each was last listed.
+//!
+//! An entry that is missing from a complete listing proves that the database left only
+//! if the listing was stable, so absence is remembered with its time and the caller
+//! decides how long a missing database is still used.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
+
+/// Role that a database states for itself. It may be out of date.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StatedRole {
+    /// It takes writes.
+    Primary,
+    /// It follows a primary.
+    Replica,
+}
+
+/// One database as registered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Database {
+    /// Its own name, unique in the fleet.
+    pub name: DatabaseName,
+    /// The group it belongs to.
+    pub group: GroupName,
+    /// Where it accepts connections.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Statements that it works on at once.
+    pub slots: usize,
+    /// Whether it has announced its end.
+    pub draining: bool,
+    /// Role as it states it.
+    pub role: StatedRole,
+}
+
+/// A registered database with what is known of its leaving.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// The registration.
+    pub database: Database,
+    /// Revision of the registration, in the store's counter.
+    pub revision: u64,
+    /// Since when it announces its end or has been missing.
+    pub leaving_since: Option<Timestamp>,
+    /// Whether its entry is missing from the store.
+    pub missing: bool,
+}
+
+/// All databases known.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    databases: BTreeMap<DatabaseName, Listed>,
+}
+
+impl Directory {
+    /// Takes one registration; an older revision than the one held is passed over.
+    pub fn put(&mut self, database: Database, revision: u64, now: Timestamp) {
+        let before = self.databases.get(&database.name);
+        if before.is_some_and(|listed| listed.revision > revision) {
+            return;
+        }
+        let leaving_since = match before.and_then(|listed| listed.leaving_since) {
+            Some(since) if database.draining => Some(since),
+            _ if database.draining => Some(now),
+            _ => None,
+        };
+        let listed = Listed {
+            database,
+            revision,
+            leaving_since,
+            missing: false,
+        };
+        self.databases.insert(listed.database.name.clone(), listed);
+    }
+
+    /// Notes that the entry of `name` is gone as of `revision`.
+    pub fn remove(&mut self, name: &DatabaseName, revision: u64, now: Timestamp) {
+        if let Some(listed) = self.databases.get_mut(name)
+            && listed.revision <= revision
+        {
+            listed.revision = revision;
+            listed.missing = true;
+            listed.leaving_since.get_or_insert(now);
+        }
+    }
+
+    /// Takes a complete listing read at `revision`: what it lacks is missing.
+    pub fn replace(&mut self, listing: Vec<(Database, u64)>, revision: u64, now: Timestamp) {
+        let present: Vec<DatabaseName> = listing
+            .iter()
+            .map(|(database, _)| database.name.clone())
+            .collect();
+        for (database, entry_revision) in listing {
+            self.put(database, entry_revision, now);
+        }
+        let absent: Vec<DatabaseName> = self
+            .databases
+            .keys()
+            .filter(|name| !present.contains(name))
+            .cloned()
+            .collect();
+        for name in absent {
+            self.remove(&name, revision, now);
+        }
+    }
+
+    /// Forgets databases that have been missing since before `before`.
+    pub fn forget_missing(&mut self, before: Timestamp) {
+        self.databases.retain(|_, listed| {
+            !listed.missing || listed.leaving_since.is_none_or(|since| since > before)
+        });
+    }
+
+    /// One database.
+    pub fn get(&self, name: &DatabaseName) -> Option<&Listed> {
+        self.databases.get(name)
+    }
+
+    /// The databases of a group, by name.
+    pub fn of_group<'a>(&'a self, group: &'a GroupName) -> impl Iterator<Item = &'a Listed> {
+        self.databases
+            .values()
+            .filter(move |listed| listed.database.group == *group)
+    }
+
+    /// All databases, by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Listed> {
+        self.databases.values()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/serving/mod.rs
@@ -0,0 +1,12 @@
+//! Decisions of the statement-serving path: which database serves a statement, how
+//! fresh its answer has to be, and when a group needs another primary.
+//!
+//! All of it is deterministic. Time is an argument, and nothing here does I/O.
+
+pub mod directory;
+pub mod failover;
+pub mod freshness;
+pub mod leadership;
+pub mod selection;
+pub mod session;
+pub mod topology;
--- /dev/null
+++ b/crates/coordination/src/serving/selection.rs
@@ -0,0 +1,90 @@
+//! Which database serves a read that any sufficiently fresh one may serve.
+
+use std::time::Duration;
+
+use hookpoint_state::DatabaseName;
+
+/// How far a database is from this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same zone.
+    SameZone,
+    /// In another zone of the same region.
+    SameRegion,
+    /// In another region.
+    OtherRegion,
+}
+
+impl Distance {
+    /// Cost of the distance: its round trip and the price of the bytes, as a time.
+    fn cost(self) -> Duration {
+        match self {
+            Distance::SameZone => Duration::ZERO,
+            Distance::SameRegion => Duration::from_millis(25),
+            Distance::OtherRegion => Duration::from_millis(120),
+        }
+    }
+}
+
+/// One candidate for a read.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// The database.
+    pub name: DatabaseName,
+    /// How far it is.
+    pub distance: Distance,
+    /// Statements of this node that it is working on or that wait for it here.
+    pub in_flight: usize,
+    /// Statements that it works on at once.
+    pub slots: usize,
+    /// Mean time of one statement there, as measured by this node.
+    pub service_time: Duration,
+    /// Whether it announces its end.
+    pub draining: bool,
+    /// Whether it failed to answer lately.
+    pub suspect: bool,
+    /// Whether it lately lacked a position that was asked for.
+    pub lagging: bool,
+    /// Whether it leads its group; its slots are spared for writes.
+    pub leader: bool,
+}
+
+/// Added for a database that should only be used if no other is left.
+const AVOIDED: Duration = Duration::from_millis(2_000);
+/// Added for the primary.
+const LEADER_COST: Duration = Duration::from_millis(4);
+
+impl Candidate {
+    /// Expected cost of serving a read there, as a time.
+    fn cost(&self) -> Duration {
+        let waiting = u32::try_from(self.in_flight).unwrap_or(u32::MAX);
+        let slots = u32::try_from(self.slots.max(1)).unwrap_or(u32::MAX);
+        let mut cost = self.distance.cost() + self.service_time * waiting / slots;
+        if self.leader {
+            cost += LEADER_COST;
+        }
+        if self.lagging {
+            cost += AVOIDED / 4;
+        }
+        if self.draining {
+            cost += AVOIDED;
+        }
+        if self.suspect {
+            cost += AVOIDED * 2;
+        }
+        cost
+    }
+}
+
+/// The candidates from the cheapest to the dearest; ties go by name.
+pub fn rank(mut candidates: Vec<Candidate>) -> Vec<DatabaseName> {
+    candidates.sort_by(|left, right| {
+        left.cost()
+            .cmp(&right.cost())
+            .then_with(|| left.name.cmp(&right.name))
+    });
+    candidates
+        .into_iter()
+        .map(|candidate| candidate.name)
+        .collect()
+}
--- /dev/null
+++ b/crates/serving/src/connection.rs
@@ -0,0 +1,226 @@
+//! One connection to a database and what is known of its state.
+
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use hookpoint_coordination::serving::session::{Phase, PreparedShape, SessionValues};
+use hookpoint_state::{DatabaseName, GroupName, Position};
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::message::{Command, DatabaseMessage, Failure};
+use crate::ports::WireProtocol;
+
+/// Bytes of one answer at the most.
+const MAX_ANSWER_BYTES: usize = 2 << 20;
+/// Bytes read at once.
+const READ_CHUNK: usize = 8 << 10;
+
+/// Why a connection can no longer be used.
+#[derive(Debug, Error)]
+pub enum ConnectionError {
+    /// The host refused the connection or reset it.
+    #[error("the database refused or reset the connection: {0}")]
+    Refused(io::Error),
+    /// It ended or broke.
+    #[error("the connection broke: {0}")]
+    Broken(io::Error),
+    /// No answer in time.
+    #[error("the database did not answer in time")]
+    TimedOut,
+    /// The database refused the session.
+    #[error("the database refused the session: {}", .0.code.as_str())]
+    Rejected(Failure),
+}
+
+impl From<io::Error> for ConnectionError {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => {
+                ConnectionError::Refused(error)
+            }
+            _ => ConnectionError::Broken(error),
+        }
+    }
+}
+
+/// The answer to one command.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Rows, as sent.
+    pub rows: Vec<Bytes>,
+    /// Signature, or why it failed.
+    pub result: Result<Bytes, Failure>,
+    /// Where the connection stands after it.
+    pub phase: Phase,
+    /// Position told with it.
+    pub position: Option<Position>,
+}
+
+/// What the connection's transaction is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TransactionUse {
+    /// None is open.
+    None,
+    /// A plain one is open and nothing has run in it.
+    Unused,
+    /// One is open in which something ran.
+    Used,
+}
+
+/// One connection to a database.
+pub struct Connection {
+    stream: TcpStream,
+    protocol: Rc<dyn WireProtocol>,
+    incoming: BytesMut,
+    /// The database.
+    pub database: DatabaseName,
+    /// State of its transaction.
+    pub transaction: TransactionUse,
+    /// Session values set on it.
+    pub values: SessionValues,
+    /// Whether its values may differ from `values`: it has to be reset.
+    pub values_unknown: bool,
+    /// Shapes prepared on it.
+    pub prepared: BTreeSet<PreparedShape>,
+    /// Whether it must not be used any more.
+    pub broken: bool,
+}
+
+impl Connection {
+    /// Connects and opens a session with `database` of `group`.
+    pub async fn open(
+        protocol: Rc<dyn WireProtocol>,
+        address: SocketAddr,
+        group: &GroupName,
+        database: &DatabaseName,
+        limit: Duration,
+    ) -> Result<(Self, Option<Position>), ConnectionError> {
+        let opening = async {
+            let stream = TcpStream::connect(address).await?;
+            stream.set_nodelay(true)?;
+            let mut connection = Self {
+                stream,
+                protocol,
+                incoming: BytesMut::new(),
+                database: database.clone(),
+                transaction: TransactionUse::None,
+                values: SessionValues::new(),
+                values_unknown: false,
+                prepared: BTreeSet::new(),
+                broken: false,
+            };
+            let start = Command::Start {
+                group: group.as_str().to_owned(),
+                database: database.as_str().to_owned(),
+            };
+            connection.send(&[start]).await?;
+            let position = connection.receive_start().await?;
+            Ok((connection, position))
+        };
+        timeout(limit, opening)
+            .await
+            .unwrap_or(Err(ConnectionError::TimedOut))
+    }
+
+    async fn receive_start(&mut self) -> Result<Option<Position>, ConnectionError> {
+        match self.next_message().await? {
+            DatabaseMessage::Ready { position, .. } => Ok(position),
+            DatabaseMessage::Failure(failure) => Err(ConnectionError::Rejected(failure)),
+            _ => Err(unexpected_message()),
+        }
+    }
+
+    /// Whether the connection is still open and silent, as one at rest has to be.
+    pub fn is_usable(&mut self) -> bool {
+        if self.broken || !self.incoming.is_empty() {
+            return false;
+        }
+        let mut probe = [0_u8; 1];
+        matches!(
+            self.stream.try_read(&mut probe),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock
+        )
+    }
+
+    /// Sends commands in one write and waits for all their answers.
+    ///
+    /// After an error the connection is broken: an answer may still be on its way.
+    pub async fn exchange(
+        &mut self,
+        commands: &[Command],
+        limit: Duration,
+    ) -> Result<Vec<Answer>, ConnectionError> {
+        self.broken = true;
+        let exchange = async {
+            self.send(commands).await?;
+            let mut answers = Vec::with_capacity(commands.len());
+            for _ in commands {
+                answers.push(self.receive_answer().await?);
+            }
+            Ok(answers)
+        };
+        let answers = timeout(limit, exchange)
+            .await
+            .unwrap_or(Err(ConnectionError::TimedOut))?;
+        self.broken = false;
+        Ok(answers)
+    }
+
+    async fn send(&mut self, commands: &[Command]) -> Result<(), ConnectionError> {
+        let mut outgoing = BytesMut::new();
+        for command in commands {
+            self.protocol.encode_database(command, &mut outgoing);
+        }
+        self.stream.write_all(&outgoing).await?;
+        Ok(())
+    }
+
+    async fn receive_answer(&mut self) -> Result<Answer, ConnectionError> {
+        let mut rows = Vec::new();
+        let mut result = None;
+        loop {
+            match self.next_message().await? {
+                DatabaseMessage::Row(row) => rows.push(row),
+                DatabaseMessage::Done(signature) => result = Some(Ok(signature)),
+                DatabaseMessage::Failure(failure) => result = Some(Err(failure)),
+                DatabaseMessage::Ready { phase, position } => {
+                    let Some(result) = result else {
+                        return Err(unexpected_message());
+                    };
+                    return Ok(Answer {
+                        rows,
+                        result,
+                        phase,
+                        position,
+                    });
+                }
+            }
+        }
+    }
+
+    async fn next_message(&mut self) -> Result<DatabaseMessage, ConnectionError> {
+        loop {
+            if let Some(message) = self.protocol.decode_database(&mut self.incoming)? {
+                return Ok(message);
+            }
+            if self.incoming.len() > MAX_ANSWER_BYTES {
+                return Err(unexpected_message());
+            }
+            self.incoming.reserve(READ_CHUNK);
+            if self.stream.read_buf(&mut self.incoming).await? == 0 {
+                return Err(ConnectionError::Broken(io::ErrorKind::UnexpectedEof.into()));
+            }
+        }
+    }
+}
+
+fn unexpected_message() -> ConnectionError {
+    ConnectionError::Broken(io::ErrorKind::InvalidData.into())
+}
--- /dev/null
+++ b/crates/serving/src/events.rs
@@ -0,0 +1,99 @@
+//! Structured log events: one JSON object a line, bounded, never blocking.
+//!
+//! Lines go through a bounded channel to a writer thread. Each kind of event has a
+//! budget of lines a second; what is over the budget or finds the channel full is
+//! counted and told in the next line of that kind that is written.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+use std::time::Duration;
+
+use hookpoint_state::Timestamp;
+use serde_json::{Map, Value};
+
+/// Lines that wait for the writer at the most.
+const CHANNEL_LINES: usize = 2_048;
+/// Lines a second for each kind of event.
+const LINES_PER_SECOND: u32 = 20;
+/// Length of a budget window.
+const WINDOW: Duration = Duration::from_secs(1);
+
+#[derive(Default)]
+struct Budget {
+    window_start: Timestamp,
+    written: u32,
+    left_out: u64,
+}
+
+/// Writes structured events.
+pub struct EventLog {
+    lines: SyncSender<String>,
+    budgets: RefCell<BTreeMap<&'static str, Budget>>,
+    node: String,
+}
+
+impl EventLog {
+    /// Starts a writer that passes lines to `output`.
+    pub fn new(node: &str, mut output: impl Write + Send + 'static) -> Self {
+        let (lines, receiver) = sync_channel::<String>(CHANNEL_LINES);
+        std::thread::spawn(move || {
+            while let Ok(line) = receiver.recv() {
+                if output.write_all(line.as_bytes()).is_err() {
+                    return;
+                }
+                let _ = output.flush();
+            }
+        });
+        Self {
+            lines,
+            budgets: RefCell::default(),
+            node: node.to_owned(),
+        }
+    }
+
+    /// Writes one event if its budget allows.
+    pub fn write(&self, now: Timestamp, event: &'static str, fields: &[(&str, Value)]) {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(event).or_default();
+        if now.since(budget.window_start) >= WINDOW {
+            budget.window_start = now;
+            budget.written = 0;
+        }
+        if budget.written >= LINES_PER_SECOND {
+            budget.left_out += 1;
+            return;
+        }
+        let line = self.line(now, event, fields, budget.left_out);
+        match self.lines.try_send(line) {
+            Ok(()) => {
+                budget.written += 1;
+                budget.left_out = 0;
+            }
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => budget.left_out += 1,
+        }
+    }
+
+    fn line(
+        &self,
+        now: Timestamp,
+        event: &'static str,
+        fields: &[(&str, Value)],
+        left_out: u64,
+    ) -> String {
+        let mut object = Map::new();
+        object.insert("at_ms".into(), Value::from(now.0 / 1_000));
+        object.insert("node".into(), Value::from(self.node.as_str()));
+        object.insert("event".into(), Value::from(event));
+        if left_out > 0 {
+            object.insert("left_out".into(), Value::from(left_out));
+        }
+        for (name, value) in fields {
+            object.insert((*name).to_owned(), value.clone());
+        }
+        let mut line = Value::Object(object).to_string();
+        line.push('\n');
+        line
+    }
+}
--- /dev/null
+++ b/crates/serving/src/follower.rs
@@ -0,0 +1,216 @@
+//! Follows the state store: configuration, databases, members and the fleet's records.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hookpoint_state::DatabaseName;
+use tokio::time::sleep;
+
+use crate::node::{Member, Node};
+use crate::ports::{StoreChange, StoreChanges, StoreError, StoreRecord};
+use crate::records::{
+    COORDINATOR_KEY, CoordinatorRecord, MEMBER_PREFIX, MemberRecord, PROMOTION_PREFIX,
+    PromotionRecord, decode,
+};
+
+/// How long one watch waits for a change. A silent watch is told from one with nothing
+/// to say by its answer after this time.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Databases that are missing for this long are forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// Follows the store for as long as the node lives.
+pub async fn follow(node: Rc<Node>) {
+    loop {
+        let Some(mut revision) = read_everything(&node).await else {
+            sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        while let Some(next) = watch_once(&node, revision).await {
+            revision = next;
+        }
+    }
+}
+
+async fn read_everything(node: &Rc<Node>) -> Option<u64> {
+    match node.store.read_all().await {
+        Ok(all) => {
+            note_reachable(node, true, "read");
+            apply_all(node, all.clone());
+            Some(all.revision)
+        }
+        Err(error) => {
+            note_store_error(node, &error);
+            None
+        }
+    }
+}
+
+/// One watch. Returns the revision to go on from, or nothing if all is to be read again.
+async fn watch_once(node: &Rc<Node>, revision: u64) -> Option<u64> {
+    match node.store.watch(revision, WATCH_WAIT).await {
+        Ok(changes) => {
+            note_reachable(node, true, "watch");
+            let next = changes.revision.max(revision);
+            for change in changes.changes {
+                apply(node, change);
+            }
+            housekeeping(node);
+            Some(next)
+        }
+        Err(StoreError::HistoryGone) => None,
+        Err(error) => {
+            note_store_error(node, &error);
+            sleep(RETRY_PAUSE).await;
+            matches!(error, StoreError::NoAnswer(_)).then_some(revision)
+        }
+    }
+}
+
+fn note_store_error(node: &Rc<Node>, error: &StoreError) {
+    node.counters.count("store_calls", "failed");
+    note_reachable(node, false, &error.to_string());
+}
+
+fn note_reachable(node: &Rc<Node>, reachable: bool, detail: &str) {
+    if node.store_reachable.replace(reachable) == reachable {
+        return;
+    }
+    let event = if reachable {
+        "dependency_regained"
+    } else {
+        "dependency_lost"
+    };
+    node.log(
+        event,
+        &[("dependency", "store".into()), ("detail", detail.into())],
+    );
+}
+
+fn apply_all(node: &Rc<Node>, all: StoreChanges) {
+    let now = node.now();
+    let mut databases = Vec::new();
+    let mut own_keys = Vec::new();
+    for change in all.changes {
+        match change.record {
+            StoreRecord::Database(database) => databases.push((database, change.revision)),
+            StoreRecord::Own { ref key, .. } => {
+                own_keys.push(key.clone());
+                apply(node, change);
+            }
+            _ => apply(node, change),
+        }
+    }
+    node.directory
+        .borrow_mut()
+        .replace(databases, all.revision, now);
+    forget_absent(node, &own_keys);
+    housekeeping(node);
+}
+
+fn forget_absent(node: &Rc<Node>, present: &[String]) {
+    let now = node.now();
+    for (name, member) in node.members.borrow_mut().iter_mut() {
+        let key = format!("{MEMBER_PREFIX}{name}");
+        if !present.contains(&key) {
+            member.gone_at.get_or_insert(now);
+        }
+    }
+    if !present.iter().any(|key| key == COORDINATOR_KEY) {
+        *node.coordinator.borrow_mut() = Default::default();
+    }
+}
+
+fn apply(node: &Rc<Node>, change: StoreChange) {
+    let now = node.now();
+    match change.record {
+        StoreRecord::Configuration(configuration) => {
+            let version = configuration.version;
+            if node.configuration.borrow_mut().offer(configuration) {
+                node.log("configuration_in_force", &[("version", version.into())]);
+                node.counters.set("configuration_version", version);
+                node.configuration_changed.notify_waiters();
+            }
+        }
+        StoreRecord::Database(database) => {
+            let name = database.name.clone();
+            let draining = database.draining;
+            node.directory
+                .borrow_mut()
+                .put(database, change.revision, now);
+            node.log(
+                "database_changed",
+                &[
+                    ("database", name.as_str().into()),
+                    ("draining", draining.into()),
+                ],
+            );
+        }
+        StoreRecord::DatabaseGone(name) => remove_database(node, &name, change.revision),
+        StoreRecord::Own { key, value } => {
+            apply_own(node, &key, value.as_deref(), change.revision);
+        }
+    }
+}
+
+fn remove_database(node: &Rc<Node>, name: &DatabaseName, revision: u64) {
+    let now = node.now();
+    node.directory.borrow_mut().remove(name, revision, now);
+    node.log("database_missing", &[("database", name.as_str().into())]);
+}
+
+fn apply_own(node: &Rc<Node>, key: &str, value: Option<&[u8]>, revision: u64) {
+    if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
+        apply_member(node, name, value.and_then(decode));
+    } else if key == COORDINATOR_KEY {
+        let record: Option<CoordinatorRecord> = value.and_then(decode);
+        let mut view = node.coordinator.borrow_mut();
+        view.revision = if record.is_some() { revision } else { 0 };
+        view.holder = record.map(|record| record.node);
+    } else if let Some(group) = key.strip_prefix(PROMOTION_PREFIX) {
+        apply_promotion(node, group, value.and_then(decode), revision);
+    }
+}
+
+fn apply_member(node: &Rc<Node>, name: &str, record: Option<MemberRecord>) {
+    let now = node.now();
+    let mut members = node.members.borrow_mut();
+    match record {
+        Some(record) => {
+            let member = Member {
+                peer_address: record.peer_address,
+                gone_at: None,
+            };
+            members.insert(name.to_owned(), member);
+        }
+        None => {
+            if let Some(member) = members.get_mut(name) {
+                member.gone_at.get_or_insert(now);
+            }
+        }
+    }
+}
+
+fn apply_promotion(node: &Rc<Node>, group: &str, record: Option<PromotionRecord>, revision: u64) {
+    let known = node
+        .promotion_revisions
+        .borrow_mut()
+        .insert(group.to_owned(), revision);
+    if known == Some(revision) {
+        return;
+    }
+    if let Some(record) = record {
+        let now = node.now();
+        node.with_group(&record.group, |state| {
+            state.promoting = Some((record.candidate.clone(), now));
+        });
+    }
+}
+
+fn housekeeping(node: &Rc<Node>) {
+    let before = node.now() - FORGET_AFTER;
+    node.directory.borrow_mut().forget_missing(before);
+    node.drop_unlisted_pools();
+}
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,24 @@
+//! The statement-serving node: caller sessions, database connections, the watch on the
+//! state store, and the coordinator that replaces lost primaries.
+//!
+//! Everything here runs on one thread and speaks to the outside through the traits of
+//! [`ports`]. How messages are spelt and where the store lives is up to whoever
+//! implements them. The decisions are those of `hookpoint_coordination::serving`.
+#![forbid(unsafe_code)]
+
+pub mod connection;
+pub mod coordinator;
+pub mod counters;
+pub mod events;
+pub mod follower;
+pub mod message;
+pub mod monitor;
+pub mod node;
+pub mod peers;
+pub mod pool;
+pub mod ports;
+pub mod records;
+pub mod registration;
+pub mod session;
+pub mod shutdown;
+mod statement;
--- /dev/null
+++ b/crates/serving/src/monitor.rs
@@ -0,0 +1,162 @@
+//! Keeps each group's primary known, confirmed and sampled.
+//!
+//! A plain transaction opened on a database proves that it leads. One is opened on the
+//! believed primary when it was not confirmed lately, and on every database of a group
+//! whose primary is not known.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::session::SessionValues;
+use hookpoint_state::{DatabaseName, GroupName, Timestamp};
+use tokio::time::sleep;
+
+use crate::connection::{ConnectionError, TransactionUse};
+use crate::message::Command;
+use crate::node::Node;
+use crate::pool::{AcquireError, CONTROL_LIMIT, note_begin};
+
+/// Pause between rounds.
+const ROUND: Duration = Duration::from_millis(50);
+/// A primary that was confirmed this lately is not asked.
+const CONFIRMED_LATELY: Duration = Duration::from_millis(250);
+/// Pause between two questions to the same database while nobody is known to lead.
+const SEARCH_PAUSE: Duration = Duration::from_millis(100);
+
+/// Questions on their way.
+#[derive(Default)]
+struct Asking {
+    databases: RefCell<BTreeSet<DatabaseName>>,
+}
+
+/// Watches over the primaries for as long as the node lives.
+pub async fn monitor(node: Rc<Node>) {
+    let asking = Rc::new(Asking::default());
+    loop {
+        sleep(ROUND).await;
+        for group in groups(&node) {
+            look_after(&node, &asking, &group);
+        }
+        for pool in node.pools() {
+            pool.refresh_oldest(&node);
+        }
+    }
+}
+
+fn groups(node: &Rc<Node>) -> Vec<GroupName> {
+    node.configuration()
+        .map(|configuration| configuration.groups.keys().cloned().collect())
+        .unwrap_or_default()
+}
+
+fn look_after(node: &Rc<Node>, asking: &Rc<Asking>, group: &GroupName) {
+    let now = node.now();
+    let (leader, confirmed_at, lost, promoting) = node.with_group(group, |state| {
+        (
+            state.leadership.leader().cloned(),
+            state.leadership.confirmed_at(),
+            state.contact.lost_since.is_some(),
+            state.promoting.clone(),
+        )
+    });
+    if let Some(leader) = &leader
+        && now.since(confirmed_at) >= CONFIRMED_LATELY
+    {
+        ask(node, asking, leader);
+    }
+    if leader.is_none() {
+        node.with_group(group, |state| {
+            state.leaderless_since.get_or_insert(now);
+        });
+    }
+    if leader.is_none() || lost {
+        search(node, asking, group, leader.as_ref());
+    } else if let Some((candidate, _)) = promoting
+        && leader.as_ref() != Some(&candidate)
+    {
+        ask(node, asking, &candidate);
+    }
+}
+
+fn search(
+    node: &Rc<Node>,
+    asking: &Rc<Asking>,
+    group: &GroupName,
+    leader: Option<&DatabaseName>,
+) {
+    for database in node.by_stated_role(group) {
+        if leader != Some(&database) {
+            ask(node, asking, &database);
+        }
+    }
+}
+
+/// Asks a database whether it leads, unless a question is on its way.
+fn ask(node: &Rc<Node>, asking: &Rc<Asking>, database: &DatabaseName) {
+    if !asking.databases.borrow_mut().insert(database.clone()) {
+        return;
+    }
+    let node = Rc::clone(node);
+    let asking = Rc::clone(asking);
+    let database = database.clone();
+    tokio::task::spawn_local(async move {
+        let asked_at = node.now();
+        ask_once(&node, &database, asked_at).await;
+        let pause = SEARCH_PAUSE.saturating_sub(node.now().since(asked_at));
+        if !node.leads(&database) {
+            sleep(pause).await;
+        }
+        asking.databases.borrow_mut().remove(&database);
+    });
+}
+
+async fn ask_once(node: &Rc<Node>, database: &DatabaseName, asked_at: Timestamp) {
+    let pool = node.pool(database);
+    let idle = pool.try_acquire(&SessionValues::new());
+    let lease = match idle {
+        Some(lease) => Ok(lease),
+        None if pool.open_connections() > 0 && pool.open_connections() >= node.connection_cap(database) => return,
+        None => pool.open(node).await,
+    };
+    let mut lease = match lease {
+        Ok(lease) => lease,
+        Err(AcquireError::Connection(error)) => {
+            note_error(node, database, asked_at, &error);
+            return;
+        }
+        Err(_) => return,
+    };
+    let mut commands = Vec::with_capacity(2);
+    if lease.connection().transaction != TransactionUse::None {
+        commands.push(Command::Rollback);
+    }
+    commands.push(Command::Begin {
+        read_only: false,
+        after: None,
+    });
+    let asked_at = node.now();
+    match lease.exchange(node, &commands, CONTROL_LIMIT).await {
+        Ok(answers) => {
+            lease.connection().transaction = TransactionUse::None;
+            if let Some(answer) = answers.last() {
+                note_begin(node, &mut lease, asked_at, answer);
+            }
+        }
+        Err(error) => note_error(node, database, asked_at, &error),
+    }
+}
+
+fn note_error(
+    node: &Rc<Node>,
+    database: &DatabaseName,
+    asked_at: Timestamp,
+    error: &ConnectionError,
+) {
+    if matches!(error, ConnectionError::Rejected(_)) {
+        return;
+    }
+    let refused = matches!(error, ConnectionError::Refused(_));
+    node.note_lost_contact(database, asked_at, refused);
+}
--- /dev/null
+++ b/crates/serving/src/node.rs
@@ -0,0 +1,389 @@
+//! The state that all tasks of a node share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
+use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
+use hookpoint_coordination::serving::selection::Distance;
+use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
+use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
+use serde_json::Value;
+use tokio::sync::Notify;
+
+use crate::counters::Counters;
+use crate::events::EventLog;
+use crate::pool::Pool;
+use crate::ports::{PromotionService, StateStore, WireProtocol};
+
+/// Connections of one database that one node opens at the most before it knows its peers.
+const CAP_WITHOUT_MEMBERS: usize = 3;
+/// How long a node that no longer registers still counts for the division of connections.
+const MEMBER_MEMORY: Duration = Duration::from_secs(6);
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Name of the node.
+    pub name: String,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Region of each zone.
+    pub regions: BTreeMap<ZoneName, String>,
+    /// Address for datagrams of peers.
+    pub peer_address: SocketAddr,
+    /// Whole time that a stop may take.
+    pub grace_period: Duration,
+    /// How long a database that announced its end may still get work.
+    pub drain_limit: Duration,
+    /// Time to live of the node's lease.
+    pub lease_time: Duration,
+}
+
+/// How this node sees a group's primary.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Contact {
+    /// When it last answered anything.
+    pub last_heard: Timestamp,
+    /// Since when it has not answered.
+    pub lost_since: Option<Timestamp>,
+    /// Whether its host refuses connections.
+    pub refused: bool,
+}
+
+/// What is known of one group.
+#[derive(Default)]
+pub struct GroupState {
+    /// The belief about its primary.
+    pub leadership: Leadership,
+    /// Contact with the database believed to lead, or that led last.
+    pub contact: Contact,
+    /// Since when nobody is known to lead.
+    pub leaderless_since: Option<Timestamp>,
+    /// Database that a promotion was ordered for, and when that was learnt.
+    pub promoting: Option<(DatabaseName, Timestamp)>,
+    /// Whether this node is busy replacing its primary.
+    pub being_replaced: bool,
+}
+
+/// A live peer.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Address for its datagrams.
+    pub peer_address: SocketAddr,
+    /// When its entry went away.
+    pub gone_at: Option<Timestamp>,
+}
+
+/// Another holder's or this node's claim to order promotions.
+#[derive(Clone, Debug, Default)]
+pub struct CoordinatorView {
+    /// Revision of the record; 0 if absent.
+    pub revision: u64,
+    /// Node that holds it.
+    pub holder: Option<String>,
+}
+
+/// The shared state of a node.
+pub struct Node {
+    /// Settings.
+    pub settings: NodeSettings,
+    /// Spelling of messages.
+    pub protocol: Rc<dyn WireProtocol>,
+    /// State store.
+    pub store: Rc<dyn StateStore>,
+    /// Promotions.
+    pub promotions: Rc<dyn PromotionService>,
+    /// Log.
+    pub events: EventLog,
+    /// Counters.
+    pub counters: Counters,
+    /// Configuration in force.
+    pub configuration: RefCell<ConfigurationHolder>,
+    /// Databases.
+    pub directory: RefCell<Directory>,
+    /// Groups.
+    pub groups: RefCell<BTreeMap<GroupName, GroupState>>,
+    /// Peers, this node included.
+    pub members: RefCell<BTreeMap<String, Member>>,
+    /// Who may order promotions.
+    pub coordinator: RefCell<CoordinatorView>,
+    /// Revisions of the promotion records.
+    pub promotion_revisions: RefCell<BTreeMap<String, u64>>,
+    /// Until when this node's lease surely holds.
+    pub lease_until: Cell<Timestamp>,
+    /// Whether the store was reachable at the last call of the follower.
+    pub store_reachable: Cell<bool>,
+    /// When a stop was asked for.
+    pub stopping_since: Cell<Option<Timestamp>>,
+    /// Sessions that are open.
+    pub sessions: Cell<usize>,
+    /// Wakes all who wait for a change of a primary.
+    pub leader_changed: Notify,
+    /// Wakes all who wait for configuration.
+    pub configuration_changed: Notify,
+    /// Wakes sessions when a stop is asked for or advances.
+    pub stop_advanced: Notify,
+    pools: RefCell<BTreeMap<DatabaseName, Rc<Pool>>>,
+    started: Instant,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    pub fn new(
+        settings: NodeSettings,
+        protocol: Rc<dyn WireProtocol>,
+        store: Rc<dyn StateStore>,
+        promotions: Rc<dyn PromotionService>,
+        events: EventLog,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            settings,
+            protocol,
+            store,
+            promotions,
+            events,
+            counters: Counters::default(),
+            configuration: RefCell::default(),
+            directory: RefCell::default(),
+            groups: RefCell::default(),
+            members: RefCell::default(),
+            coordinator: RefCell::default(),
+            promotion_revisions: RefCell::default(),
+            lease_until: Cell::default(),
+            store_reachable: Cell::new(false),
+            stopping_since: Cell::new(None),
+            sessions: Cell::new(0),
+            leader_changed: Notify::new(),
+            configuration_changed: Notify::new(),
+            stop_advanced: Notify::new(),
+            pools: RefCell::default(),
+            started: Instant::now(),
+        })
+    }
+
+    /// Time since the start, on the steady clock; never zero.
+    pub fn now(&self) -> Timestamp {
+        Timestamp::from_millis(60_000) + self.started.elapsed()
+    }
+
+    /// Logs an event.
+    pub fn log(&self, event: &'static str, fields: &[(&str, Value)]) {
+        self.events.write(self.now(), event, fields);
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().current().cloned()
+    }
+
+    /// Whether the node can serve callers.
+    pub fn is_ready(&self) -> bool {
+        self.stopping_since.get().is_none()
+            && self.configuration().is_some()
+            && self.directory.borrow().iter().next().is_some()
+    }
+
+    /// A listed database.
+    pub fn database(&self, name: &DatabaseName) -> Option<Database> {
+        let directory = self.directory.borrow();
+        directory.get(name).map(|listed| listed.database.clone())
+    }
+
+    /// Whether work may still be sent to a database.
+    pub fn may_serve(&self, name: &DatabaseName) -> bool {
+        let directory = self.directory.borrow();
+        let Some(listed) = directory.get(name) else {
+            return false;
+        };
+        listed
+            .leaving_since
+            .is_none_or(|since| self.now().since(since) < self.settings.drain_limit)
+    }
+
+    /// The pool of a database.
+    pub fn pool(self: &Rc<Self>, name: &DatabaseName) -> Rc<Pool> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools
+            .entry(name.clone())
+            .or_insert_with(|| Rc::new(Pool::new(Rc::downgrade(self), name.clone())));
+        Rc::clone(pool)
+    }
+
+    /// All pools.
+    pub fn pools(&self) -> Vec<Rc<Pool>> {
+        self.pools.borrow().values().cloned().collect()
+    }
+
+    /// Drops the pools of databases that are not listed any more.
+    pub fn drop_unlisted_pools(&self) {
+        let directory = self.directory.borrow();
+        self.pools.borrow_mut().retain(|name, pool| {
+            let listed = directory.get(name).is_some();
+            if !listed {
+                pool.close_idle();
+            }
+            listed
+        });
+    }
+
+    /// How far a database is.
+    pub fn distance(&self, zone: &ZoneName) -> Distance {
+        if *zone == self.settings.zone {
+            return Distance::SameZone;
+        }
+        let regions = &self.settings.regions;
+        match (regions.get(zone), regions.get(&self.settings.zone)) {
+            (Some(there), Some(here)) if there == here => Distance::SameRegion,
+            _ => Distance::OtherRegion,
+        }
+    }
+
+    /// Nodes that share the connections of the databases.
+    pub fn live_members(&self) -> usize {
+        let now = self.now();
+        self.members
+            .borrow()
+            .values()
+            .filter(|member| {
+                member
+                    .gone_at
+                    .is_none_or(|gone| now.since(gone) < MEMBER_MEMORY)
+            })
+            .count()
+    }
+
+    /// Connections that this node may have open to a database.
+    pub fn connection_cap(&self, name: &DatabaseName) -> usize {
+        let members = self.live_members();
+        let Some(configuration) = self.configuration() else {
+            return 1;
+        };
+        let most = self
+            .database(name)
+            .and_then(|database| configuration.groups.get(&database.group).cloned())
+            .map_or(CAP_WITHOUT_MEMBERS, |group| group.max_connections);
+        if members == 0 {
+            return CAP_WITHOUT_MEMBERS.min(most);
+        }
+        (most / members).max(1)
+    }
+
+    /// Runs `change` on the state of a group.
+    pub fn with_group<T>(&self, group: &GroupName, change: impl FnOnce(&mut GroupState) -> T) -> T {
+        let mut groups = self.groups.borrow_mut();
+        change(groups.entry(group.clone()).or_default())
+    }
+
+    /// The database believed to lead a group.
+    pub fn leader(&self, group: &GroupName) -> Option<DatabaseName> {
+        self.with_group(group, |state| state.leadership.leader().cloned())
+    }
+
+    /// Whether a database is believed to lead its group.
+    pub fn leads(&self, name: &DatabaseName) -> bool {
+        self.database(name)
+            .is_some_and(|database| self.leader(&database.group).as_ref() == Some(name))
+    }
+
+    /// Takes a proof that a database leads.
+    pub fn confirm_leader(&self, name: &DatabaseName, proof: Confirmation) {
+        let Some(database) = self.database(name) else {
+            return;
+        };
+        let now = self.now();
+        let (changed, reign) = self.with_group(&database.group, |state| {
+            let changed = state.leadership.confirm(name, proof);
+            if state.leadership.leader() == Some(name) {
+                state.contact = Contact {
+                    last_heard: now,
+                    ..Contact::default()
+                };
+                state.leaderless_since = None;
+            }
+            (changed, state.leadership.reign())
+        });
+        if changed {
+            self.log(
+                "leader_confirmed",
+                &[
+                    ("group", database.group.as_str().into()),
+                    ("database", name.as_str().into()),
+                    ("reign", reign.0.into()),
+                    ("position", format!("{:?}", proof.position).into()),
+                ],
+            );
+            self.leader_changed.notify_waiters();
+        }
+    }
+
+    /// Takes a proof that a database does not lead.
+    pub fn refute_leader(&self, name: &DatabaseName) {
+        let Some(database) = self.database(name) else {
+            return;
+        };
+        let now = self.now();
+        let changed = self.with_group(&database.group, |state| {
+            let changed = state.leadership.refute(name);
+            if changed {
+                state.leaderless_since.get_or_insert(now);
+                state.contact = Contact::default();
+            }
+            changed
+        });
+        if changed {
+            self.log(
+                "leader_refuted",
+                &[
+                    ("group", database.group.as_str().into()),
+                    ("database", name.as_str().into()),
+                ],
+            );
+        }
+    }
+
+    /// Notes that a database answered.
+    pub fn note_contact(&self, name: &DatabaseName) {
+        if let Some(database) = self.database(name) {
+            let now = self.now();
+            self.with_group(&database.group, |state| {
+                if state.leadership.leader() == Some(name) {
+                    state.contact = Contact {
+                        last_heard: now,
+                        ..Contact::default()
+                    };
+                }
+            });
+        }
+    }
+
+    /// Notes that a question sent to the leader at `asked_at` was not answered.
+    pub fn note_lost_contact(&self, name: &DatabaseName, asked_at: Timestamp, refused: bool) {
+        if let Some(database) = self.database(name) {
+            self.with_group(&database.group, |state| {
+                let contact = &mut state.contact;
+                if state.leadership.leader() == Some(name) && contact.last_heard <= asked_at {
+                    contact.lost_since.get_or_insert(asked_at);
+                    contact.refused = refused;
+                }
+            });
+        }
+    }
+
+    /// Databases of a group that state that they lead, then the others.
+    pub fn by_stated_role(&self, group: &GroupName) -> Vec<DatabaseName> {
+        let directory = self.directory.borrow();
+        let mut databases: Vec<&Database> = directory
+            .of_group(group)
+            .map(|listed| &listed.database)
+            .collect();
+        databases.sort_by_key(|database| database.role != StatedRole::Primary);
+        databases
+            .into_iter()
+            .map(|database| database.name.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/serving/src/peers.rs
@@ -0,0 +1,178 @@
+//! Datagrams among nodes: what each sees of the primaries.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::failover::Observation;
+use hookpoint_state::{DatabaseName, GroupName};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::node::Node;
+
+/// Largest datagram.
+const MAX_DATAGRAM: usize = 4 << 10;
+/// How long answers of peers are awaited: over the longest round trip.
+const ANSWER_WAIT: Duration = Duration::from_millis(120);
+
+/// What one node sees of a group's primary, as told to a peer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToldObservation {
+    /// It answers.
+    Reachable,
+    /// Refused for this many milliseconds.
+    Refused(u64),
+    /// Silent for this many milliseconds.
+    Silent(u64),
+    /// Not known.
+    Unknown,
+}
+
+impl From<&ToldObservation> for Observation {
+    fn from(told: &ToldObservation) -> Self {
+        match told {
+            ToldObservation::Reachable => Observation::Reachable,
+            ToldObservation::Refused(millis) => Observation::Refused(Duration::from_millis(*millis)),
+            ToldObservation::Silent(millis) => Observation::Silent(Duration::from_millis(*millis)),
+            ToldObservation::Unknown => Observation::Unknown,
+        }
+    }
+}
+
+/// A datagram between nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// What do you see of this database as the primary of this group?
+    Ask {
+        /// Number of the question.
+        nonce: u64,
+        /// The group.
+        group: GroupName,
+        /// The database believed to lead, if any.
+        leader: Option<DatabaseName>,
+    },
+    /// The answer.
+    Tell {
+        /// Number of the question.
+        nonce: u64,
+        /// Who answers.
+        node: String,
+        /// What it sees.
+        observation: ToldObservation,
+    },
+}
+
+/// The datagram socket and the answers that are awaited.
+pub struct Peers {
+    socket: UdpSocket,
+    next_nonce: Cell<u64>,
+    answers: RefCell<BTreeMap<u64, BTreeMap<String, Observation>>>,
+}
+
+impl Peers {
+    /// Binds the socket.
+    pub async fn bind(address: SocketAddr) -> io::Result<Rc<Self>> {
+        Ok(Rc::new(Self {
+            socket: UdpSocket::bind(address).await?,
+            next_nonce: Cell::new(1),
+            answers: RefCell::default(),
+        }))
+    }
+
+    /// Answers peers and takes in their answers for as long as the node lives.
+    pub async fn serve(self: Rc<Self>, node: Rc<Node>) {
+        let mut datagram = vec![0_u8; MAX_DATAGRAM];
+        loop {
+            let Ok((length, sender)) = self.socket.recv_from(&mut datagram).await else {
+                sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            match postcard::from_bytes(&datagram[..length]) {
+                Ok(PeerMessage::Ask {
+                    nonce,
+                    group,
+                    leader,
+                }) => {
+                    let told = node.observe(&group, leader.as_ref());
+                    let answer = PeerMessage::Tell {
+                        nonce,
+                        node: node.settings.name.clone(),
+                        observation: told,
+                    };
+                    self.send(&answer, sender);
+                }
+                Ok(PeerMessage::Tell {
+                    nonce,
+                    node: name,
+                    observation,
+                }) => {
+                    if let Some(answers) = self.answers.borrow_mut().get_mut(&nonce) {
+                        answers.insert(name, Observation::from(&observation));
+                    }
+                }
+                Err(_) => node.counters.count("peer_datagrams", "unreadable"),
+            }
+        }
+    }
+
+    fn send(&self, message: &PeerMessage, address: SocketAddr) {
+        if let Ok(datagram) = postcard::to_allocvec(message) {
+            let _ = self.socket.try_send_to(&datagram, address);
+        }
+    }
+
+    /// Asks all peers what they see of a primary; this node's own view comes first.
+    pub async fn gather(
+        &self,
+        node: &Rc<Node>,
+        group: &GroupName,
+        leader: Option<&DatabaseName>,
+    ) -> Vec<Observation> {
+        let nonce = self.next_nonce.get();
+        self.next_nonce.set(nonce + 1);
+        self.answers.borrow_mut().insert(nonce, BTreeMap::new());
+        let question = PeerMessage::Ask {
+            nonce,
+            group: group.clone(),
+            leader: leader.cloned(),
+        };
+        for (name, member) in &*node.members.borrow() {
+            if *name != node.settings.name {
+                self.send(&question, member.peer_address);
+            }
+        }
+        sleep(ANSWER_WAIT).await;
+        let answers = self.answers.borrow_mut().remove(&nonce).unwrap_or_default();
+        let own = Observation::from(&node.observe(group, leader));
+        std::iter::once(own).chain(answers.into_values()).collect()
+    }
+}
+
+impl Node {
+    /// What this node sees of a group's primary.
+    pub fn observe(&self, group: &GroupName, leader: Option<&DatabaseName>) -> ToldObservation {
+        let now = self.now();
+        let millis = |since| u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
+        self.with_group(group, |state| {
+            if state.leadership.leader().is_some() && state.leadership.leader() != leader {
+                return ToldObservation::Reachable;
+            }
+            if state.leadership.leader().is_none() {
+                return match state.leaderless_since {
+                    Some(since) => ToldObservation::Silent(millis(since)),
+                    None => ToldObservation::Unknown,
+                };
+            }
+            match state.contact.lost_since {
+                None => ToldObservation::Reachable,
+                Some(since) if state.contact.refused => ToldObservation::Refused(millis(since)),
+                Some(since) => ToldObservation::Silent(millis(since)),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/serving/src/pool.rs
@@ -0,0 +1,426 @@
+//! The connections of one database: open ones at rest, and who waits for one.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use hookpoint_coordination::serving::leadership::Confirmation;
+use hookpoint_coordination::serving::session::SessionValues;
+use hookpoint_state::{DatabaseName, Timestamp};
+use thiserror::Error;
+use tokio::sync::oneshot;
+
+use crate::connection::{Answer, Connection, ConnectionError, TransactionUse};
+use crate::message::{Command, FailureCode};
+use crate::node::Node;
+
+/// Limit for connecting and opening a session.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Limit for answers that need no slot.
+pub const CONTROL_LIMIT: Duration = Duration::from_millis(450);
+/// How long a database that failed to answer is avoided.
+const SUSPECT_TIME: Duration = Duration::from_millis(800);
+/// How long a database that lacked a position is avoided.
+const LAGGING_TIME: Duration = Duration::from_millis(150);
+/// How long no connection is opened after the database refused one for their number.
+const LIMIT_PAUSE: Duration = Duration::from_millis(400);
+/// Idle connections at rest are refreshed after this time.
+const REFRESH_AGE: Duration = Duration::from_secs(2);
+/// Weight of the newest service time in the mean, as one part in this many.
+const SERVICE_TIME_WEIGHT: u32 = 8;
+/// Service time assumed before any is measured.
+const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(20);
+
+/// Why no connection was had.
+#[derive(Debug, Error)]
+pub enum AcquireError {
+    /// None became free in time.
+    #[error("no connection became free in time")]
+    TimedOut,
+    /// One could not be opened.
+    #[error(transparent)]
+    Connection(#[from] ConnectionError),
+    /// The database is not listed any more.
+    #[error("the database is not listed")]
+    Unlisted,
+}
+
+struct Waiter {
+    sender: oneshot::Sender<Lease>,
+}
+
+/// The pool of one database.
+pub struct Pool {
+    node: Weak<Node>,
+    database: DatabaseName,
+    idle: RefCell<Vec<(Timestamp, Connection)>>,
+    open: Cell<usize>,
+    leased: Cell<usize>,
+    waiters: RefCell<BTreeMap<(u8, u64), Waiter>>,
+    next_waiter: Cell<u64>,
+    suspect_until: Cell<Timestamp>,
+    lagging_until: Cell<Timestamp>,
+    no_opening_until: Cell<Timestamp>,
+    service_time: Cell<Duration>,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(node: Weak<Node>, database: DatabaseName) -> Self {
+        Self {
+            node,
+            database,
+            idle: RefCell::default(),
+            open: Cell::new(0),
+            leased: Cell::new(0),
+            waiters: RefCell::default(),
+            next_waiter: Cell::new(0),
+            suspect_until: Cell::default(),
+            lagging_until: Cell::default(),
+            no_opening_until: Cell::default(),
+            service_time: Cell::new(INITIAL_SERVICE_TIME),
+        }
+    }
+
+    /// Name of the database.
+    pub fn database(&self) -> &DatabaseName {
+        &self.database
+    }
+
+    /// Connections in use and requests that wait for one.
+    pub fn in_flight(&self) -> usize {
+        self.leased.get() + self.waiters.borrow().len()
+    }
+
+    /// Connections that are open or being opened.
+    pub fn open_connections(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Whether the database failed to answer lately.
+    pub fn is_suspect(&self, now: Timestamp) -> bool {
+        now < self.suspect_until.get()
+    }
+
+    /// Whether it lately lacked a position.
+    pub fn is_lagging(&self, now: Timestamp) -> bool {
+        now < self.lagging_until.get()
+    }
+
+    /// Mean time of a statement.
+    pub fn service_time(&self) -> Duration {
+        self.service_time.get()
+    }
+
+    /// Notes that the database did not answer.
+    pub fn note_failure(&self, now: Timestamp) {
+        self.suspect_until.set(now + SUSPECT_TIME);
+    }
+
+    /// Notes that it lacked a position.
+    pub fn note_lagging(&self, now: Timestamp) {
+        self.lagging_until.set(now + LAGGING_TIME);
+    }
+
+    /// Notes a served statement.
+    pub fn note_served(&self, elapsed: Duration) {
+        let mean = self.service_time.get();
+        let next = (mean * (SERVICE_TIME_WEIGHT - 1) + elapsed) / SERVICE_TIME_WEIGHT;
+        self.service_time.set(next);
+        self.suspect_until.set(Timestamp::default());
+    }
+
+    /// Takes a connection at rest, if there is a usable one.
+    ///
+    /// One that already has the session values `preferred` goes first.
+    pub fn try_acquire(self: &Rc<Self>, preferred: &SessionValues) -> Option<Lease> {
+        loop {
+            let mut connection = self.take_idle(preferred)?;
+            if connection.is_usable() {
+                self.leased.set(self.leased.get() + 1);
+                return Some(Lease::new(Rc::clone(self), connection));
+            }
+            self.open.set(self.open.get() - 1);
+        }
+    }
+
+    fn take_idle(&self, preferred: &SessionValues) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let matching = idle
+            .iter()
+            .rposition(|(_, connection)| connection.values == *preferred);
+        match matching {
+            Some(position) => Some(idle.remove(position).1),
+            None => idle.pop().map(|(_, connection)| connection),
+        }
+    }
+
+    /// Takes a connection: one at rest, a new one, or the next that becomes free.
+    pub async fn acquire(
+        self: &Rc<Self>,
+        priority: u8,
+        preferred: &SessionValues,
+        limit: Duration,
+    ) -> Result<Lease, AcquireError> {
+        if let Some(lease) = self.try_acquire(preferred) {
+            return Ok(lease);
+        }
+        let node = self.node.upgrade().ok_or(AcquireError::Unlisted)?;
+        let may_open = node.now() >= self.no_opening_until.get();
+        if may_open && self.open.get() < node.connection_cap(&self.database) {
+            match self.open(&node).await {
+                Err(AcquireError::Connection(ConnectionError::Rejected(failure)))
+                    if failure.code == FailureCode::TooManyConnections =>
+                {
+                    self.no_opening_until.set(node.now() + LIMIT_PAUSE);
+                }
+                other => return other,
+            }
+        }
+        if self.open.get() == 0 {
+            return Err(AcquireError::TimedOut);
+        }
+        self.wait(priority, limit).await
+    }
+
+    /// Opens a connection whatever the cap says.
+    pub async fn open(self: &Rc<Self>, node: &Rc<Node>) -> Result<Lease, AcquireError> {
+        let (address, group) = node
+            .database(&self.database)
+            .map(|database| (database.address, database.group))
+            .ok_or(AcquireError::Unlisted)?;
+        self.open.set(self.open.get() + 1);
+        let slot = OpeningSlot { pool: self };
+        let protocol = Rc::clone(&node.protocol);
+        node.counters.count("connections_opened", "database");
+        let opened =
+            Connection::open(protocol, address, &group, &self.database, CONNECT_LIMIT).await;
+        match opened {
+            Ok((connection, _)) => {
+                std::mem::forget(slot);
+                self.leased.set(self.leased.get() + 1);
+                Ok(Lease::new(Rc::clone(self), connection))
+            }
+            Err(error) => {
+                if !matches!(error, ConnectionError::Rejected(_)) {
+                    self.note_failure(node.now());
+                }
+                Err(error.into())
+            }
+        }
+    }
+
+    async fn wait(self: &Rc<Self>, priority: u8, limit: Duration) -> Result<Lease, AcquireError> {
+        let ticket = (priority, self.next_waiter.get());
+        self.next_waiter.set(ticket.1 + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.borrow_mut().insert(ticket, Waiter { sender });
+        let _guard = WaiterGuard { pool: self, ticket };
+        match tokio::time::timeout(limit, receiver).await {
+            Ok(Ok(lease)) => Ok(lease),
+            _ => Err(AcquireError::TimedOut),
+        }
+    }
+
+    /// Gives a connection back: to who waits, or to rest.
+    fn release(self: &Rc<Self>, connection: Connection) {
+        self.leased.set(self.leased.get() - 1);
+        if connection.broken {
+            self.open.set(self.open.get() - 1);
+            return;
+        }
+        let Some(connection) = self.hand_over(connection) else {
+            return;
+        };
+        let Some(node) = self.node.upgrade() else {
+            return;
+        };
+        let leads = node.leads(&self.database);
+        let rested = match connection.transaction {
+            TransactionUse::None => !leads,
+            TransactionUse::Unused => leads,
+            TransactionUse::Used => false,
+        };
+        if rested {
+            self.idle.borrow_mut().push((node.now(), connection));
+            return;
+        }
+        self.leased.set(self.leased.get() + 1);
+        let lease = Lease::new(Rc::clone(self), connection);
+        tokio::task::spawn_local(async move { settle(&node, lease).await });
+    }
+
+    fn hand_over(self: &Rc<Self>, connection: Connection) -> Option<Connection> {
+        let mut connection = connection;
+        loop {
+            let Some((_, waiter)) = self.waiters.borrow_mut().pop_first() else {
+                return Some(connection);
+            };
+            self.leased.set(self.leased.get() + 1);
+            let lease = Lease::new(Rc::clone(self), connection);
+            match waiter.sender.send(lease) {
+                Ok(()) => return None,
+                Err(mut lease) => {
+                    self.leased.set(self.leased.get() - 1);
+                    connection = lease.take()?;
+                }
+            }
+        }
+    }
+
+    /// Refreshes one connection that has rested long: its transaction is opened anew.
+    pub fn refresh_oldest(self: &Rc<Self>, node: &Rc<Node>) {
+        let now = node.now();
+        let leads = node.leads(&self.database);
+        let stale = {
+            let mut idle = self.idle.borrow_mut();
+            let position = idle.iter().position(|(since, connection)| {
+                let warm = connection.transaction != TransactionUse::None;
+                (warm || leads) && now.since(*since) >= REFRESH_AGE
+            });
+            position.map(|position| idle.remove(position).1)
+        };
+        if let Some(connection) = stale {
+            self.leased.set(self.leased.get() + 1);
+            let lease = Lease::new(Rc::clone(self), connection);
+            let node = Rc::clone(node);
+            tokio::task::spawn_local(async move { settle(&node, lease).await });
+        }
+    }
+
+    /// Closes the connections at rest.
+    pub fn close_idle(&self) {
+        let closed = self.idle.borrow_mut().drain(..).count();
+        self.open.set(self.open.get() - closed);
+    }
+}
+
+struct OpeningSlot<'a> {
+    pool: &'a Pool,
+}
+
+impl Drop for OpeningSlot<'_> {
+    fn drop(&mut self) {
+        self.pool.open.set(self.pool.open.get() - 1);
+    }
+}
+
+struct WaiterGuard<'a> {
+    pool: &'a Pool,
+    ticket: (u8, u64),
+}
+
+impl Drop for WaiterGuard<'_> {
+    fn drop(&mut self) {
+        self.pool.waiters.borrow_mut().remove(&self.ticket);
+    }
+}
+
+/// Ends what a connection's transaction held and, at the primary, opens an unused one.
+///
+/// The answer to the opening also confirms the primary and tells its position.
+pub async fn settle(node: &Rc<Node>, mut lease: Lease) -> Option<Lease> {
+    let leads = node.leads(&lease.pool.database);
+    let mut commands = Vec::with_capacity(2);
+    if lease.connection().transaction != TransactionUse::None {
+        commands.push(Command::Rollback);
+    }
+    if leads {
+        commands.push(Command::Begin {
+            read_only: false,
+            after: None,
+        });
+    }
+    if commands.is_empty() {
+        return Some(lease);
+    }
+    let asked_at = node.now();
+    let answers = lease.exchange(node, &commands, CONTROL_LIMIT).await.ok()?;
+    lease.connection().transaction = TransactionUse::None;
+    if leads {
+        let answer = answers.last()?;
+        note_begin(node, &mut lease, asked_at, answer);
+    }
+    Some(lease)
+}
+
+/// Takes the answer to a plain `Begin`: it tells whether the database leads.
+pub fn note_begin(node: &Rc<Node>, lease: &mut Lease, asked_at: Timestamp, answer: &Answer) {
+    let database = lease.pool.database.clone();
+    match &answer.result {
+        Ok(_) => {
+            lease.connection().transaction = TransactionUse::Unused;
+            let proof = Confirmation {
+                asked_at,
+                answered_at: node.now(),
+                position: answer.position,
+            };
+            node.confirm_leader(&database, proof);
+        }
+        Err(failure) if failure.code == FailureCode::NotPrimary => {
+            node.refute_leader(&database);
+        }
+        Err(_) => {}
+    }
+}
+
+/// A connection on loan; it goes back to its pool when dropped.
+pub struct Lease {
+    connection: Option<Connection>,
+    pool: Rc<Pool>,
+}
+
+impl Lease {
+    fn new(pool: Rc<Pool>, connection: Connection) -> Self {
+        Self {
+            connection: Some(connection),
+            pool,
+        }
+    }
+
+    fn take(&mut self) -> Option<Connection> {
+        self.connection.take()
+    }
+
+    /// The pool it belongs to.
+    pub fn pool(&self) -> &Rc<Pool> {
+        &self.pool
+    }
+
+    /// The connection.
+    pub fn connection(&mut self) -> &mut Connection {
+        self.connection
+            .as_mut()
+            .expect("a lease holds its connection until it is dropped")
+    }
+
+    /// Sends commands and waits for their answers; failures are noted with the pool.
+    pub async fn exchange(
+        &mut self,
+        node: &Rc<Node>,
+        commands: &[Command],
+        limit: Duration,
+    ) -> Result<Vec<Answer>, ConnectionError> {
+        let outcome = self.connection().exchange(commands, limit).await;
+        match &outcome {
+            Ok(_) => node.note_contact(&self.pool.database),
+            Err(error) => {
+                self.pool.note_failure(node.now());
+                if matches!(error, ConnectionError::TimedOut) {
+                    node.counters.count("database_timeouts", "exchange");
+                }
+            }
+        }
+        outcome
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            let pool = Rc::clone(&self.pool);
+            pool.release(connection);
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/ports.rs
@@ -0,0 +1,165 @@
+//! What a node needs from outside, as traits.
+//!
+//! Implementations translate and do I/O. They hold no decision, no retry and no state
+//! beyond open connections.
+
+use std::io;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::{Bytes, BytesMut};
+use hookpoint_coordination::serving::directory::Database;
+use hookpoint_coordination::serving::topology::Configuration;
+use hookpoint_state::{DatabaseName, GroupName};
+use thiserror::Error;
+
+use crate::message::{CallerInput, CallerOutput, Command, DatabaseMessage, DatabaseStatus};
+
+/// How messages are spelt. Decoders take whole messages off the buffer.
+pub trait WireProtocol {
+    /// Takes a caller's next message.
+    fn decode_caller(&self, buffer: &mut BytesMut) -> io::Result<Option<CallerInput>>;
+    /// Appends an answer to a caller.
+    fn encode_caller(&self, output: &CallerOutput, buffer: &mut BytesMut);
+    /// Takes a database's next message.
+    fn decode_database(&self, buffer: &mut BytesMut) -> io::Result<Option<DatabaseMessage>>;
+    /// Appends a command to a database.
+    fn encode_database(&self, command: &Command, buffer: &mut BytesMut);
+    /// Reads the row that answers a question about a database's status.
+    fn parse_status(&self, row: &[u8]) -> Option<DatabaseStatus>;
+}
+
+/// A failed call to the state store.
+#[derive(Debug, Error)]
+pub enum StoreError {
+    /// No answer, or the connection failed. The call may have been done, or may be later.
+    #[error("the state store did not answer: {0}")]
+    NoAnswer(String),
+    /// It was refused and nothing was done.
+    #[error("the state store refused the call with status {0}")]
+    Refused(u16),
+    /// The history after the given revision is gone: read everything again.
+    #[error("the state store no longer has the history asked for")]
+    HistoryGone,
+    /// The lease is over.
+    #[error("the lease is over")]
+    LeaseOver,
+    /// The answer could not be understood.
+    #[error("the state store's answer cannot be read: {0}")]
+    Unreadable(String),
+}
+
+/// Id of a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseId(pub u64);
+
+/// One record of the store.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreRecord {
+    /// The operator's configuration.
+    Configuration(Configuration),
+    /// The registration of a database.
+    Database(Database),
+    /// A database's registration is gone.
+    DatabaseGone(DatabaseName),
+    /// A record of the fleet's own.
+    Own {
+        /// Key, without the fleet's prefix.
+        key: String,
+        /// The bytes, or nothing if it is gone.
+        value: Option<Bytes>,
+    },
+}
+
+/// A record with its revision.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreChange {
+    /// Revision of the change.
+    pub revision: u64,
+    /// The record.
+    pub record: StoreRecord,
+}
+
+/// Records read together with the revision to continue from.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StoreChanges {
+    /// Revision to continue watching from.
+    pub revision: u64,
+    /// The records.
+    pub changes: Vec<StoreChange>,
+}
+
+/// A write under the condition that a key of the fleet's own is at a revision.
+#[derive(Clone, Debug)]
+pub struct ConditionalWrite {
+    /// Key, without the fleet's prefix.
+    pub key: String,
+    /// Revision that it must have; 0 if it must be absent.
+    pub expected_revision: u64,
+    /// New value.
+    pub value: Bytes,
+    /// Lease that the key goes with.
+    pub lease: Option<LeaseId>,
+}
+
+/// Outcome of a conditional write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// Written, at this revision.
+    Written(u64),
+    /// The condition did not hold.
+    Conflict,
+}
+
+/// The service that keeps what must last.
+#[async_trait(?Send)]
+pub trait StateStore {
+    /// Reads everything that concerns the fleet.
+    async fn read_all(&self) -> Result<StoreChanges, StoreError>;
+    /// Waits up to `wait` for changes after `revision`.
+    async fn watch(&self, revision: u64, wait: Duration) -> Result<StoreChanges, StoreError>;
+    /// Reads one of the fleet's own keys with its revision.
+    async fn read(&self, key: &str) -> Result<Option<(u64, Bytes)>, StoreError>;
+    /// Writes under a condition.
+    async fn write(&self, write: ConditionalWrite) -> Result<WriteOutcome, StoreError>;
+    /// Takes a lease.
+    async fn grant_lease(&self, time_to_live: Duration) -> Result<LeaseId, StoreError>;
+    /// Renews a lease.
+    async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError>;
+    /// Ends a lease and its keys.
+    async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError>;
+}
+
+/// An order to promote a replica.
+#[derive(Clone, Debug)]
+pub struct PromotionOrder {
+    /// The group.
+    pub group: GroupName,
+    /// The replica.
+    pub candidate: DatabaseName,
+    /// The node that orders it.
+    pub holder: String,
+    /// Fencing token; one token names one candidate for ever.
+    pub fencing_token: u64,
+}
+
+/// Why an order was not confirmed.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum PromotionError {
+    /// The order is fenced off or the candidate does not run.
+    #[error("the promotion was rejected")]
+    Rejected,
+    /// The service asks to come back.
+    #[error("the promotion service is overloaded or down")]
+    Unavailable,
+    /// No answer: it may be carried out later.
+    #[error("the promotion was not answered")]
+    NoAnswer,
+}
+
+/// The service that carries out promotions.
+#[async_trait(?Send)]
+pub trait PromotionService {
+    /// Orders a promotion and waits for the answer.
+    async fn promote(&self, order: &PromotionOrder) -> Result<(), PromotionError>;
+}
--- /dev/null
+++ b/crates/serving/src/records.rs
@@ -0,0 +1,52 @@
+//! The fleet's own records in the state store.
+
+use bytes::Bytes;
+use hookpoint_state::{DatabaseName, GroupName};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Prefix of the keys of live nodes.
+pub const MEMBER_PREFIX: &str = "members/";
+/// Key of the node that may order promotions.
+pub const COORDINATOR_KEY: &str = "coordinator";
+/// Prefix of the keys of ordered promotions.
+pub const PROMOTION_PREFIX: &str = "promotions/";
+
+/// A live node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Node name.
+    pub node: String,
+    /// Address that peers send datagrams to.
+    pub peer_address: SocketAddr,
+}
+
+/// The holder of the right to order promotions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CoordinatorRecord {
+    /// Node name.
+    pub node: String,
+}
+
+/// An ordered promotion. Its revision in the store is the fencing token.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromotionRecord {
+    /// The group.
+    pub group: GroupName,
+    /// The database that is to lead.
+    pub candidate: DatabaseName,
+    /// The node that orders it.
+    pub holder: String,
+    /// Random number of the attempt, to tell one's own write by after a lost answer.
+    pub attempt: u64,
+}
+
+/// Encodes a record.
+pub fn encode<T: Serialize>(record: &T) -> Bytes {
+    Bytes::from(postcard::to_allocvec(record).unwrap_or_default())
+}
+
+/// Decodes a record; nothing if it is not one.
+pub fn decode<T: for<'a> Deserialize<'a>>(value: &[u8]) -> Option<T> {
+    postcard::from_bytes(value).ok()
+}
--- /dev/null
+++ b/crates/serving/src/session.rs
@@ -0,0 +1,486 @@
+//! One caller's session: its messages in, its answers out, in order.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use hookpoint_coordination::serving::leadership::ReignPosition;
+use hookpoint_coordination::serving::session::{Access, Phase, SessionState};
+use hookpoint_coordination::serving::topology::Route;
+use hookpoint_state::Timestamp;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::connection::Answer;
+use crate::message::{CallerInput, CallerOutput, Failure, FailureCode, Statement};
+use crate::node::Node;
+use crate::pool::Lease;
+use crate::shutdown::StopStage;
+use crate::statement::{Request, Work, WorkBody, rolled_back};
+
+/// How long a new session waits for the first configuration.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_500);
+/// How long one answer may take to be written to a slow caller.
+const WRITE_LIMIT: Duration = Duration::from_secs(10);
+/// How long a new connection may stay silent before its first message.
+const START_LIMIT: Duration = Duration::from_secs(20);
+/// Bytes read at once.
+const READ_CHUNK: usize = 4 << 10;
+/// Prepared names and values that one session may hold.
+const MAX_SESSION_ENTRIES: usize = 256;
+/// Transaction rest allowed before the configuration tells one.
+const DEFAULT_TRANSACTION_IDLE: Duration = Duration::from_secs(3);
+
+/// An open transaction of the caller's.
+struct Transaction {
+    route: Rc<Route>,
+    began_at: Timestamp,
+    read_only: bool,
+    wrote: bool,
+    lease: Option<Lease>,
+}
+
+/// Serves one accepted connection until it ends.
+pub async fn serve(node: Rc<Node>, stream: TcpStream) {
+    node.sessions.set(node.sessions.get() + 1);
+    node.counters.count("sessions", "accepted");
+    let _ = stream.set_nodelay(true);
+    let mut session = Session {
+        node: Rc::clone(&node),
+        stream,
+        incoming: BytesMut::new(),
+        outgoing: BytesMut::new(),
+        database: String::new(),
+        state: SessionState::default(),
+        own_position: None,
+        transaction: None,
+    };
+    let outcome = session.run().await;
+    if outcome.is_err() {
+        node.counters.count("sessions", "broken");
+    }
+    node.sessions.set(node.sessions.get() - 1);
+}
+
+/// What the session loop does next.
+enum Next {
+    Input(CallerInput),
+    Close,
+    TransactionRested,
+}
+
+struct Session {
+    node: Rc<Node>,
+    stream: TcpStream,
+    incoming: BytesMut,
+    outgoing: BytesMut,
+    database: String,
+    state: SessionState,
+    own_position: Option<ReignPosition>,
+    transaction: Option<Transaction>,
+}
+
+impl Session {
+    async fn run(&mut self) -> io::Result<()> {
+        if !self.start().await? {
+            return Ok(());
+        }
+        loop {
+            match self.next().await? {
+                Next::Close => break,
+                Next::TransactionRested => self.fail_transaction(),
+                Next::Input(CallerInput::End) => break,
+                Next::Input(CallerInput::Query { id, statement }) => {
+                    self.answer(id, statement).await;
+                    self.flush().await?;
+                }
+                Next::Input(CallerInput::TooLarge) => {
+                    self.fail(Failure::new(FailureCode::TooLarge, "message too large"));
+                    self.flush().await?;
+                    break;
+                }
+                Next::Input(CallerInput::Malformed | CallerInput::Start { .. }) => {
+                    self.fail(malformed());
+                    self.ready();
+                    self.flush().await?;
+                }
+            }
+        }
+        self.stream.shutdown().await
+    }
+
+    async fn start(&mut self) -> io::Result<bool> {
+        let input = timeout(START_LIMIT, self.read_input()).await;
+        let database = match input {
+            Ok(Ok(Some(CallerInput::Start { database }))) => database,
+            Ok(Ok(Some(CallerInput::End) | None)) | Err(_) => return Ok(false),
+            Ok(Ok(Some(_))) => {
+                self.fail(malformed());
+                self.flush().await?;
+                return Ok(false);
+            }
+            Ok(Err(error)) => return Err(error),
+        };
+        self.await_configuration().await;
+        self.database = database;
+        if self.route().is_none() {
+            self.node.counters.count("sessions", "no_such_database");
+            self.fail(no_such_database());
+            self.flush().await?;
+            self.stream.shutdown().await?;
+            return Ok(false);
+        }
+        self.ready();
+        self.flush().await?;
+        Ok(true)
+    }
+
+    async fn await_configuration(&self) {
+        if self.node.configuration().is_some() {
+            return;
+        }
+        let changed = self.node.configuration_changed.notified();
+        let _ = timeout(CONFIGURATION_WAIT, changed).await;
+    }
+
+    fn route(&self) -> Option<Rc<Route>> {
+        let configuration = self.node.configuration()?;
+        configuration.routes.get(&self.database).cloned()
+    }
+
+    /// Waits for a message, the end of a rest, or a stop that concerns this session.
+    async fn next(&mut self) -> io::Result<Next> {
+        loop {
+            if let Some(input) = self.node.protocol.decode_caller(&mut self.incoming)? {
+                return Ok(Next::Input(input));
+            }
+            let stage = self.node.stop_stage();
+            match self.state.phase {
+                Phase::Idle if stage >= StopStage::CloseIdle => return Ok(Next::Close),
+                _ if stage >= StopStage::EndTransactions => return Ok(Next::Close),
+                _ => {}
+            }
+            let holds = self
+                .transaction
+                .as_ref()
+                .is_some_and(|transaction| transaction.lease.is_some());
+            let rest_limit = if holds {
+                self.transaction_idle()
+            } else {
+                Duration::from_secs(3_600)
+            };
+            self.incoming.reserve(READ_CHUNK);
+            let node = Rc::clone(&self.node);
+            tokio::select! {
+                read = self.stream.read_buf(&mut self.incoming) => {
+                    if read? == 0 {
+                        return Ok(Next::Close);
+                    }
+                }
+                () = node.stop_advanced.notified() => {}
+                () = sleep(rest_limit) => return Ok(Next::TransactionRested),
+            }
+        }
+    }
+
+    async fn read_input(&mut self) -> io::Result<Option<CallerInput>> {
+        loop {
+            if let Some(input) = self.node.protocol.decode_caller(&mut self.incoming)? {
+                return Ok(Some(input));
+            }
+            if self.stream.read_buf(&mut self.incoming).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    fn transaction_idle(&self) -> Duration {
+        self.node
+            .configuration()
+            .and_then(|configuration| configuration.transaction_idle)
+            .unwrap_or(DEFAULT_TRANSACTION_IDLE)
+    }
+
+    fn fail_transaction(&mut self) {
+        self.node.counters.count("transactions_ended", "rested");
+        self.transaction = None;
+        self.state.phase = Phase::Failed;
+    }
+
+    async fn answer(&mut self, id: Bytes, statement: Statement) {
+        let arrived = self.node.now();
+        if self.state.phase == Phase::Failed {
+            self.answer_failed(&statement);
+            return;
+        }
+        match statement {
+            Statement::Begin { read_only } => self.begin(read_only, arrived),
+            Statement::Rollback => self.rollback(),
+            Statement::Commit => self.commit(id, arrived).await,
+            Statement::Set { name, value } => self.set(name, value),
+            Statement::Prepare { name, shape } => {
+                if self.state.prepared.len() >= MAX_SESSION_ENTRIES {
+                    self.refuse_locally(malformed());
+                } else {
+                    self.state.prepared.insert(name, shape);
+                    self.done_locally();
+                }
+            }
+            Statement::Deallocate { name } => {
+                self.state.prepared.remove(&name);
+                self.done_locally();
+            }
+            Statement::Run { access, text } => {
+                let body = WorkBody::Text(text);
+                self.run_work(Work { id, access, body }, arrived).await;
+            }
+            Statement::Execute { name, arguments } => {
+                let Some(shape) = self.state.prepared.get(&name).cloned() else {
+                    let text = "prepared name is not known";
+                    self.refuse_locally(Failure::new(FailureCode::UnknownPrepared, text));
+                    return;
+                };
+                let access = shape.access;
+                let body = WorkBody::Prepared { shape, arguments };
+                self.run_work(Work { id, access, body }, arrived).await;
+            }
+            Statement::Unknown => self.refuse_locally(malformed()),
+        }
+        let elapsed = self.node.now().since(arrived);
+        self.node.counters.observe("statement", elapsed);
+    }
+
+    fn answer_failed(&mut self, statement: &Statement) {
+        match statement {
+            Statement::Rollback => {
+                self.state.phase = Phase::Idle;
+                self.done_locally();
+            }
+            Statement::Commit => {
+                self.state.phase = Phase::Idle;
+                self.fail(rolled_back());
+                self.ready();
+            }
+            _ => {
+                self.fail(malformed());
+                self.ready();
+            }
+        }
+    }
+
+    fn begin(&mut self, read_only: bool, arrived: Timestamp) {
+        if self.state.phase == Phase::InTransaction {
+            self.refuse_locally(malformed());
+            return;
+        }
+        let Some(route) = self.route() else {
+            self.fail(no_such_database());
+            self.ready();
+            return;
+        };
+        self.transaction = Some(Transaction {
+            route,
+            began_at: arrived,
+            read_only,
+            wrote: false,
+            lease: None,
+        });
+        self.state.phase = Phase::InTransaction;
+        self.done_locally();
+    }
+
+    fn rollback(&mut self) {
+        self.transaction = None;
+        self.state.phase = Phase::Idle;
+        self.done_locally();
+    }
+
+    fn set(&mut self, name: String, value: String) {
+        let known = self.state.values.contains_key(&name);
+        if !known && self.state.values.len() >= MAX_SESSION_ENTRIES {
+            self.refuse_locally(malformed());
+            return;
+        }
+        self.state.values.insert(name, value);
+        self.done_locally();
+    }
+
+    async fn run_work(&mut self, work: Work, arrived: Timestamp) {
+        match self.transaction.take() {
+            Some(transaction) => self.run_in_transaction(work, arrived, transaction).await,
+            None => self.run_single(work, arrived).await,
+        }
+    }
+
+    async fn run_single(&mut self, work: Work, arrived: Timestamp) {
+        let Some(route) = self.route() else {
+            self.fail(no_such_database());
+            self.ready();
+            return;
+        };
+        let request = Request {
+            node: &self.node,
+            state: &self.state,
+            route: &route,
+            fresh_from: arrived,
+            arrived,
+            own_position: self.own_position,
+        };
+        let outcome = request.run_single(&work).await;
+        match outcome {
+            Ok((answer, database)) => {
+                if work.access == Access::Write
+                    && answer.result.is_ok()
+                    && let Some(position) = answer.position
+                {
+                    let position = request.position_after_write(&database, position);
+                    self.own_position = Some(position);
+                }
+                self.pass_on(answer);
+            }
+            Err(failure) => self.fail(failure),
+        }
+        self.ready();
+    }
+
+    async fn run_in_transaction(
+        &mut self,
+        work: Work,
+        arrived: Timestamp,
+        mut transaction: Transaction,
+    ) {
+        let route = Rc::clone(&transaction.route);
+        let request = Request {
+            node: &self.node,
+            state: &self.state,
+            route: &route,
+            fresh_from: transaction.began_at,
+            arrived,
+            own_position: self.own_position,
+        };
+        let outcome = match &mut transaction.lease {
+            Some(lease) => request.run_in(&work, lease).await,
+            None => {
+                let first = request.run_first(&work, transaction.read_only).await;
+                first.map(|(answer, lease)| {
+                    transaction.lease = Some(lease);
+                    answer
+                })
+            }
+        };
+        match outcome {
+            Ok(answer) if answer.result.is_ok() && answer.phase == Phase::InTransaction => {
+                transaction.wrote |= work.access == Access::Write;
+                self.transaction = Some(transaction);
+                self.pass_on(answer);
+            }
+            Ok(answer) => {
+                self.state.phase = Phase::Failed;
+                self.pass_on(answer);
+            }
+            Err(failure) => {
+                self.state.phase = Phase::Failed;
+                self.fail(failure);
+            }
+        }
+        self.ready();
+    }
+
+    async fn commit(&mut self, id: Bytes, arrived: Timestamp) {
+        let Some(mut transaction) = self.transaction.take() else {
+            self.done_locally();
+            return;
+        };
+        self.state.phase = Phase::Idle;
+        let Some(mut lease) = transaction.lease.take() else {
+            self.done_locally();
+            return;
+        };
+        let route = Rc::clone(&transaction.route);
+        let request = Request {
+            node: &self.node,
+            state: &self.state,
+            route: &route,
+            fresh_from: transaction.began_at,
+            arrived,
+            own_position: self.own_position,
+        };
+        match request.commit(&id, &mut lease, transaction.wrote).await {
+            Ok(answer) => {
+                if transaction.wrote
+                    && answer.result.is_ok()
+                    && let Some(position) = answer.position
+                {
+                    let database = lease.pool().database().clone();
+                    let position = request.position_after_write(&database, position);
+                    self.own_position = Some(position);
+                }
+                self.pass_on(answer);
+            }
+            Err(failure) => self.fail(failure),
+        }
+        self.ready();
+    }
+
+    fn pass_on(&mut self, answer: Answer) {
+        for row in answer.rows {
+            self.put(&CallerOutput::Row(row));
+        }
+        match answer.result {
+            Ok(signature) => {
+                self.node.counters.count("statements", "served");
+                self.put(&CallerOutput::Done(signature));
+            }
+            Err(failure) => self.fail(failure),
+        }
+    }
+
+    fn done_locally(&mut self) {
+        self.put(&CallerOutput::Done(Bytes::new()));
+        self.ready();
+    }
+
+    /// Refuses a statement that this node judges itself; an open transaction fails.
+    fn refuse_locally(&mut self, failure: Failure) {
+        if self.state.phase == Phase::InTransaction {
+            self.transaction = None;
+            self.state.phase = Phase::Failed;
+        }
+        self.fail(failure);
+        self.ready();
+    }
+
+    fn fail(&mut self, failure: Failure) {
+        self.node
+            .counters
+            .count("statements_failed", failure.code.as_str());
+        self.put(&CallerOutput::Failure(failure));
+    }
+
+    fn ready(&mut self) {
+        self.put(&CallerOutput::Ready(self.state.phase));
+    }
+
+    fn put(&mut self, output: &CallerOutput) {
+        self.node
+            .protocol
+            .encode_caller(output, &mut self.outgoing);
+    }
+
+    async fn flush(&mut self) -> io::Result<()> {
+        let outgoing = self.outgoing.split();
+        timeout(WRITE_LIMIT, self.stream.write_all(&outgoing))
+            .await
+            .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+fn malformed() -> Failure {
+    Failure::new(FailureCode::Malformed, "not accepted here")
+}
+
+fn no_such_database() -> Failure {
+    Failure::new(FailureCode::NoSuchDatabase, "no route has this name")
+}
