Run statements only in transactions opened under the configuration that routed them

An unused transaction opened under version 4 ran a statement of a route that came with version 7, so the database saw version 7's effect from the time of the opening, before other requests still ran under 4. Ruled out: the configuration held by the node never went back (log).

--- a/crates/coordination/src/serving/topology.rs
+++ b/crates/coordination/src/serving/topology.rs
@@ -77,6 +77,8 @@
 
     /// The version in force.
     pub fn version(&self) -> Option<u64> {
-        self.current.as_ref().map(|configuration| configuration.version)
+        self.current
+            .as_ref()
+            .map(|configuration| configuration.version)
     }
 }
--- a/crates/serving/src/connection.rs
+++ b/crates/serving/src/connection.rs
@@ -83,6 +83,10 @@
     pub database: DatabaseName,
     /// State of its transaction.
     pub transaction: TransactionUse,
+    /// Configuration in force when its transaction was opened. A statement belongs to no
+    /// older configuration than its transaction, and must not seem to: it runs only in
+    /// one opened under the configuration that routed it.
+    pub transaction_version: Option<u64>,
     /// Session values set on it.
     pub values: SessionValues,
     /// Whether its values may differ from `values`: it has to be reset.
@@ -111,6 +115,7 @@
                 incoming: BytesMut::new(),
                 database: database.clone(),
                 transaction: TransactionUse::None,
+                transaction_version: None,
                 values: SessionValues::new(),
                 values_unknown: false,
                 prepared: BTreeSet::new(),
--- a/crates/serving/src/counters.rs
+++ b/crates/serving/src/counters.rs
@@ -80,6 +80,12 @@
         text,
         "hookpoint_latency_ms_bucket{{stage=\"{stage}\",le=\"+Inf\"}} {count}"
     );
-    let _ = writeln!(text, "hookpoint_latency_ms_sum{{stage=\"{stage}\"}} {sum_ms}");
-    let _ = writeln!(text, "hookpoint_latency_ms_count{{stage=\"{stage}\"}} {count}");
+    let _ = writeln!(
+        text,
+        "hookpoint_latency_ms_sum{{stage=\"{stage}\"}} {sum_ms}"
+    );
+    let _ = writeln!(
+        text,
+        "hookpoint_latency_ms_count{{stage=\"{stage}\"}} {count}"
+    );
 }
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -80,12 +80,7 @@
     }
 }
 
-fn search(
-    node: &Rc<Node>,
-    asking: &Rc<Asking>,
-    group: &GroupName,
-    leader: Option<&DatabaseName>,
-) {
+fn search(node: &Rc<Node>, asking: &Rc<Asking>, group: &GroupName, leader: Option<&DatabaseName>) {
     for database in node.by_stated_role(group) {
         if leader != Some(&database) {
             ask(node, asking, &database);
@@ -117,7 +112,11 @@
     let idle = pool.try_acquire(&SessionValues::new());
     let lease = match idle {
         Some(lease) => Ok(lease),
-        None if pool.open_connections() > 0 && pool.open_connections() >= node.connection_cap(database) => return,
+        None if pool.open_connections() > 0
+            && pool.open_connections() >= node.connection_cap(database) =>
+        {
+            return;
+        }
         None => pool.open(node).await,
     };
     let mut lease = match lease {
@@ -137,11 +136,12 @@
         after: None,
     });
     let asked_at = node.now();
+    let version = node.configuration_version();
     match lease.exchange(node, &commands, CONTROL_LIMIT).await {
         Ok(answers) => {
             lease.connection().transaction = TransactionUse::None;
             if let Some(answer) = answers.last() {
-                note_begin(node, &mut lease, asked_at, answer);
+                note_begin(node, &mut lease, asked_at, version, answer);
             }
         }
         Err(error) => note_error(node, database, asked_at, &error),
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -180,6 +180,11 @@
         self.configuration.borrow().current().cloned()
     }
 
+    /// Version of the configuration in force.
+    pub fn configuration_version(&self) -> Option<u64> {
+        self.configuration.borrow().version()
+    }
+
     /// Whether the node can serve callers.
     pub fn is_ready(&self) -> bool {
         self.stopping_since.get().is_none()
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -37,7 +37,9 @@
     fn from(told: &ToldObservation) -> Self {
         match told {
             ToldObservation::Reachable => Observation::Reachable,
-            ToldObservation::Refused(millis) => Observation::Refused(Duration::from_millis(*millis)),
+            ToldObservation::Refused(millis) => {
+                Observation::Refused(Duration::from_millis(*millis))
+            }
             ToldObservation::Silent(millis) => Observation::Silent(Duration::from_millis(*millis)),
             ToldObservation::Unknown => Observation::Unknown,
         }
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -273,11 +273,13 @@
     pub fn refresh_oldest(self: &Rc<Self>, node: &Rc<Node>) {
         let now = node.now();
         let leads = node.leads(&self.database);
+        let version = node.configuration_version();
         let stale = {
             let mut idle = self.idle.borrow_mut();
             let position = idle.iter().position(|(since, connection)| {
-                let warm = connection.transaction != TransactionUse::None;
-                (warm || leads) && now.since(*since) >= REFRESH_AGE
+                let open = connection.transaction != TransactionUse::None;
+                let outdated = open && connection.transaction_version != version;
+                outdated || ((open || leads) && now.since(*since) >= REFRESH_AGE)
             });
             position.map(|position| idle.remove(position).1)
         };
@@ -336,21 +338,31 @@
         return Some(lease);
     }
     let asked_at = node.now();
+    let version = node.configuration_version();
     let answers = lease.exchange(node, &commands, CONTROL_LIMIT).await.ok()?;
     lease.connection().transaction = TransactionUse::None;
     if leads {
         let answer = answers.last()?;
-        note_begin(node, &mut lease, asked_at, answer);
+        note_begin(node, &mut lease, asked_at, version, answer);
     }
     Some(lease)
 }
 
 /// Takes the answer to a plain `Begin`: it tells whether the database leads.
-pub fn note_begin(node: &Rc<Node>, lease: &mut Lease, asked_at: Timestamp, answer: &Answer) {
+///
+/// `version` is the configuration that was in force when it was sent.
+pub fn note_begin(
+    node: &Rc<Node>,
+    lease: &mut Lease,
+    asked_at: Timestamp,
+    version: Option<u64>,
+    answer: &Answer,
+) {
     let database = lease.pool.database.clone();
     match &answer.result {
         Ok(_) => {
             lease.connection().transaction = TransactionUse::Unused;
+            lease.connection().transaction_version = version;
             let proof = Confirmation {
                 asked_at,
                 answered_at: node.now(),
--- a/crates/serving/src/session.rs
+++ b/crates/serving/src/session.rs
@@ -464,9 +464,7 @@
     }
 
     fn put(&mut self, output: &CallerOutput) {
-        self.node
-            .protocol
-            .encode_caller(output, &mut self.outgoing);
+        self.node.protocol.encode_caller(output, &mut self.outgoing);
     }
 
     async fn flush(&mut self) -> io::Result<()> {
--- a/crates/serving/src/shutdown.rs
+++ b/crates/serving/src/shutdown.rs
@@ -49,7 +49,10 @@
     }
     let began = node.now();
     node.stopping_since.set(Some(began));
-    node.log("stop_requested", &[("sessions", node.sessions.get().into())]);
+    node.log(
+        "stop_requested",
+        &[("sessions", node.sessions.get().into())],
+    );
     let limit = node.settings.grace_period * 9 / 10;
     loop {
         sleep(LOOK).await;
--- a/crates/serving/src/statement.rs
+++ b/crates/serving/src/statement.rs
@@ -284,7 +284,7 @@
                     state.leadership.newest_sample(),
                 )
             });
-        let version = self.node.configuration.borrow().version();
+        let version = self.node.configuration_version();
         self.node.log(
             "statement_decided",
             &[
@@ -519,8 +519,7 @@
             answered_at: self.node.now(),
             position,
         };
-        self.node
-            .confirm_leader(lease.pool().database(), proof);
+        self.node.confirm_leader(lease.pool().database(), proof);
     }
 
     fn attempt_limit(&self, work: &Work, lease: &Lease) -> Duration {
@@ -558,8 +557,11 @@
         let differs = connection.values_unknown || connection.values != self.state.values;
         let mut commands = Vec::new();
         let leader_transaction = matches!(stance, Stance::LeaderTransaction);
-        let keeps =
-            leader_transaction && connection.transaction == TransactionUse::Unused && !differs;
+        let version = self.node.configuration_version();
+        let keeps = leader_transaction
+            && connection.transaction == TransactionUse::Unused
+            && connection.transaction_version == version
+            && !differs;
         if keeps {
             return Ok(commands);
         }
@@ -596,7 +598,7 @@
         if differs {
             self.note_values(lease, &answers)?;
         }
-        self.note_opened(lease, stance, asked_at, &answers)
+        self.note_opened(lease, stance, (asked_at, version), &answers)
     }
 
     fn note_values(&self, lease: &mut Lease, answers: &[Answer]) -> Result<(), AttemptFailure> {
@@ -618,7 +620,7 @@
         &self,
         lease: &mut Lease,
         stance: Stance,
-        asked_at: Timestamp,
+        (asked_at, version): (Timestamp, Option<u64>),
         answers: &[Answer],
     ) -> Result<Vec<Command>, AttemptFailure> {
         let Some(answer) = answers.last() else {
@@ -632,7 +634,7 @@
                 Err(AttemptFailure::Broken)
             }
             (Stance::LeaderTransaction, _) => {
-                note_begin(self.node, lease, asked_at, answer);
+                note_begin(self.node, lease, asked_at, version, answer);
                 match code {
                     None => Ok(Vec::new()),
                     Some(FailureCode::NotPrimary) => Err(AttemptFailure::NotPrimary),
@@ -669,14 +671,10 @@
         self.push_preparation(lease, work, &mut commands);
         commands.push(work.command(None));
         let asked_at = self.node.now();
-        let outcome = lease
-            .exchange(self.node, &commands, self.time_left())
-            .await;
+        let outcome = lease.exchange(self.node, &commands, self.time_left()).await;
         match outcome.map(|mut answers| answers.pop()) {
             Ok(Some(answer)) => {
-                lease
-                    .pool()
-                    .note_served(self.node.now().since(asked_at));
+                lease.pool().note_served(self.node.now().since(asked_at));
                 Ok(answer)
             }
             _ => {
@@ -687,7 +685,12 @@
     }
 
     /// Commits the transaction open on `lease`.
-    pub(crate) async fn commit(&self, id: &Bytes, lease: &mut Lease, wrote: bool) -> Result<Answer, Failure> {
+    pub(crate) async fn commit(
+        &self,
+        id: &Bytes,
+        lease: &mut Lease,
+        wrote: bool,
+    ) -> Result<Answer, Failure> {
         let asked_at = self.node.now();
         let command = Command::Commit { id: id.clone() };
         let outcome = lease
@@ -707,10 +710,7 @@
                     &[
                         ("request", String::from_utf8_lossy(id).as_ref().into()),
                         ("database", lease.pool().database().as_str().into()),
-                        (
-                            "waited_ms",
-                            millis(self.node.now().since(asked_at)).into(),
-                        ),
+                        ("waited_ms", millis(self.node.now().since(asked_at)).into()),
                     ],
                 );
                 let text = "the commit was sent and not answered";
