Repeat a commit that was refused for load, and believe a database's word on its transaction

A COMMIT answered BUSY leaves the transaction open; the connection was taken for free of one, so the next caller's read ran inside it. Ruled out: reads ended by their limit (their connections close). Tests (failed first): a_commit_refused_for_load_*.

--- a/crates/serving/src/connection.rs
+++ b/crates/serving/src/connection.rs
@@ -175,9 +175,25 @@
             .await
             .unwrap_or(Err(ConnectionError::TimedOut))?;
         self.broken = false;
+        if let Some(last) = answers.last() {
+            self.note_phase(last.phase);
+        }
         Ok(answers)
     }
 
+    /// Takes over what the database says of the transaction. A refused commit, for one,
+    /// may leave it open.
+    fn note_phase(&mut self, phase: Phase) {
+        match phase {
+            Phase::Idle => self.transaction = TransactionUse::None,
+            Phase::InTransaction | Phase::Failed => {
+                if self.transaction == TransactionUse::None || phase == Phase::Failed {
+                    self.transaction = TransactionUse::Used;
+                }
+            }
+        }
+    }
+
     async fn send(&mut self, commands: &[Command]) -> Result<(), ConnectionError> {
         let mut outgoing = BytesMut::new();
         for command in commands {
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -139,7 +139,6 @@
     let version = node.configuration_version();
     match lease.exchange(node, &commands, CONTROL_LIMIT).await {
         Ok(answers) => {
-            lease.connection().transaction = TransactionUse::None;
             if let Some(answer) = answers.last() {
                 note_begin(node, &mut lease, asked_at, version, answer);
             }
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -340,7 +340,6 @@
     let asked_at = node.now();
     let version = node.configuration_version();
     let answers = lease.exchange(node, &commands, CONTROL_LIMIT).await.ok()?;
-    lease.connection().transaction = TransactionUse::None;
     if leads {
         let answer = answers.last()?;
         note_begin(node, &mut lease, asked_at, version, answer);
--- a/crates/serving/src/statement.rs
+++ b/crates/serving/src/statement.rs
@@ -463,9 +463,6 @@
                 };
             }
         };
-        if matches!(stance, Stance::Alone(_)) {
-            lease.connection().transaction = TransactionUse::None;
-        }
         self.judge(work, lease, stance, answers, asked_at)
     }
 
@@ -594,7 +591,6 @@
                 return Err(AttemptFailure::NoConnection);
             }
         };
-        lease.connection().transaction = TransactionUse::None;
         if differs {
             self.note_values(lease, &answers)?;
         }
@@ -641,10 +637,7 @@
                     Some(_) => Err(AttemptFailure::Busy),
                 }
             }
-            (Stance::ReadTransaction(_), None) => {
-                lease.connection().transaction = TransactionUse::Used;
-                Ok(Vec::new())
-            }
+            (Stance::ReadTransaction(_), None) => Ok(Vec::new()),
             (Stance::ReadTransaction(_), Some(FailureCode::Lagging)) => {
                 Err(AttemptFailure::Lagging)
             }
@@ -684,6 +677,30 @@
         }
     }
 
+    /// Sends the commit, again as long as the database refuses it for load and keeps the
+    /// transaction open.
+    async fn commit_until_taken(
+        &self,
+        id: &Bytes,
+        lease: &mut Lease,
+    ) -> Result<Option<Answer>, ConnectionError> {
+        loop {
+            let command = Command::Commit { id: id.clone() };
+            let mut answers = lease
+                .exchange(self.node, &[command], self.time_left())
+                .await?;
+            let answer = answers.pop();
+            let refused = answer.as_ref().is_some_and(|answer| {
+                let code = answer.result.as_ref().err().map(|failure| failure.code);
+                code == Some(FailureCode::Overloaded) && answer.phase == Phase::InTransaction
+            });
+            if !refused || self.time_left() < BUSY_PAUSE + LEAST_ATTEMPT {
+                return Ok(answer);
+            }
+            sleep(BUSY_PAUSE).await;
+        }
+    }
+
     /// Commits the transaction open on `lease`.
     pub(crate) async fn commit(
         &self,
@@ -692,13 +709,8 @@
         wrote: bool,
     ) -> Result<Answer, Failure> {
         let asked_at = self.node.now();
-        let command = Command::Commit { id: id.clone() };
-        let outcome = lease
-            .exchange(self.node, &[command], self.time_left())
-            .await;
-        match outcome.map(|mut answers| answers.pop()) {
+        match self.commit_until_taken(id, lease).await {
             Ok(Some(answer)) => {
-                lease.connection().transaction = TransactionUse::None;
                 if wrote && answer.result.is_ok() {
                     self.confirm(lease, asked_at, answer.position);
                 }
