Lease connections from nodes that hold them, and order an unanswered promotion again

A node that is not home of a database, or has lost the way to it, now leases a connection from one that has.

--- a/crates/coordination/src/serving/failover.rs
+++ b/crates/coordination/src/serving/failover.rs
@@ -10,7 +10,7 @@
 use hookpoint_state::{DatabaseName, Position};
 
 /// Loss by silence that counts as evidence.
-pub const SILENCE_EVIDENCE: Duration = Duration::from_millis(700);
+pub const SILENCE_EVIDENCE: Duration = Duration::from_millis(550);
 /// Loss by refused connections that counts as evidence.
 pub const REFUSAL_EVIDENCE: Duration = Duration::from_millis(150);
 /// Loss after which a minority of answering nodes is enough.
--- /dev/null
+++ b/crates/coordination/src/serving/homes.rs
@@ -0,0 +1,52 @@
+//! Which nodes hold connections to a database.
+//!
+//! A database takes a bounded number of connections from all nodes together. While the
+//! fleet is small every node holds its share. In a larger fleet only a home set does, and
+//! the other nodes lease connections from it. The set is chosen by rendezvous hashing,
+//! nodes of the database's own zone first, so nodes with the same view of the membership
+//! agree on it without a message.
+
+use std::hash::Hasher;
+
+use hookpoint_state::{DatabaseName, ZoneName};
+use siphasher::sip::SipHasher13;
+
+/// Connections that a home node should have at the least.
+const CONNECTIONS_PER_HOME: usize = 4;
+
+/// One node that may be home.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HomeCandidate {
+    /// Name of the node.
+    pub node: String,
+    /// Its zone.
+    pub zone: ZoneName,
+}
+
+/// Number of home nodes of a database that takes `max_connections`, in a fleet of `nodes`.
+pub fn home_count(max_connections: usize, nodes: usize) -> usize {
+    (max_connections / CONNECTIONS_PER_HOME).clamp(1, nodes.max(1))
+}
+
+/// The nodes in the order in which they become home of `database`.
+pub fn rank_homes<'a>(
+    database: &DatabaseName,
+    zone: &ZoneName,
+    nodes: &'a [HomeCandidate],
+) -> Vec<&'a HomeCandidate> {
+    let mut ranked: Vec<&HomeCandidate> = nodes.iter().collect();
+    ranked.sort_by_cached_key(|candidate| {
+        let far = candidate.zone != *zone;
+        let score = score(database, &candidate.node);
+        (far, std::cmp::Reverse(score), candidate.node.clone())
+    });
+    ranked
+}
+
+fn score(database: &DatabaseName, node: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(database.as_str().as_bytes());
+    hasher.write_u8(0);
+    hasher.write(node.as_bytes());
+    hasher.finish()
+}
--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -6,6 +6,7 @@
 pub mod directory;
 pub mod failover;
 pub mod freshness;
+pub mod homes;
 pub mod leadership;
 pub mod selection;
 pub mod session;
--- a/crates/coordination/src/serving/session.rs
+++ b/crates/coordination/src/serving/session.rs
@@ -3,8 +3,10 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 /// Whether a prepared shape reads or writes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Access {
     /// It reads.
     Read,
@@ -13,7 +15,7 @@
 }
 
 /// A prepared statement, without the name that the caller gave it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PreparedShape {
     /// Whether it reads or writes.
     pub access: Access,
@@ -25,7 +27,7 @@
 pub type SessionValues = BTreeMap<String, String>;
 
 /// Where a session stands.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
     /// No transaction is open.
     #[default]
--- a/crates/serving/src/connection.rs
+++ b/crates/serving/src/connection.rs
@@ -9,6 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use hookpoint_coordination::serving::session::{Phase, PreparedShape, SessionValues};
 use hookpoint_state::{DatabaseName, GroupName, Position};
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -16,6 +17,7 @@
 
 use crate::message::{Command, DatabaseMessage, Failure};
 use crate::ports::WireProtocol;
+use crate::relay::RelayedChannel;
 
 /// Bytes of one answer at the most.
 const MAX_ANSWER_BYTES: usize = 2 << 20;
@@ -51,7 +53,7 @@
 }
 
 /// The answer to one command.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Answer {
     /// Rows, as sent.
     pub rows: Vec<Bytes>,
@@ -64,7 +66,7 @@
 }
 
 /// What the connection's transaction is used for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TransactionUse {
     /// None is open.
     None,
@@ -74,11 +76,24 @@
     Used,
 }
 
-/// One connection to a database.
-pub struct Connection {
+/// The way to the database.
+enum Channel {
+    /// A connection of this node's own.
+    Direct(DirectChannel),
+    /// One that another node holds.
+    Relayed(RelayedChannel),
+}
+
+/// A connection of this node's own, without what is known of its state.
+struct DirectChannel {
     stream: TcpStream,
     protocol: Rc<dyn WireProtocol>,
     incoming: BytesMut,
+}
+
+/// One connection to a database.
+pub struct Connection {
+    channel: Channel,
     /// The database.
     pub database: DatabaseName,
     /// State of its transaction.
@@ -105,53 +120,65 @@
         group: &GroupName,
         database: &DatabaseName,
         limit: Duration,
-    ) -> Result<(Self, Option<Position>), ConnectionError> {
+    ) -> Result<Self, ConnectionError> {
         let opening = async {
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
-            let mut connection = Self {
+            let mut channel = DirectChannel {
                 stream,
                 protocol,
                 incoming: BytesMut::new(),
-                database: database.clone(),
-                transaction: TransactionUse::None,
-                transaction_version: None,
-                values: SessionValues::new(),
-                values_unknown: false,
-                prepared: BTreeSet::new(),
-                broken: false,
             };
             let start = Command::Start {
                 group: group.as_str().to_owned(),
                 database: database.as_str().to_owned(),
             };
-            connection.send(&[start]).await?;
-            let position = connection.receive_start().await?;
-            Ok((connection, position))
+            channel.send(&[start]).await?;
+            channel.receive_start().await?;
+            Ok(Self::new(Channel::Direct(channel), database))
         };
         timeout(limit, opening)
             .await
             .unwrap_or(Err(ConnectionError::TimedOut))
     }
 
-    async fn receive_start(&mut self) -> Result<Option<Position>, ConnectionError> {
-        match self.next_message().await? {
-            DatabaseMessage::Ready { position, .. } => Ok(position),
-            DatabaseMessage::Failure(failure) => Err(ConnectionError::Rejected(failure)),
-            _ => Err(unexpected_message()),
+    /// A connection that another node holds and lends.
+    pub fn relayed(channel: RelayedChannel, database: &DatabaseName) -> Self {
+        Self::new(Channel::Relayed(channel), database)
+    }
+
+    fn new(channel: Channel, database: &DatabaseName) -> Self {
+        Self {
+            channel,
+            database: database.clone(),
+            transaction: TransactionUse::None,
+            transaction_version: None,
+            values: SessionValues::new(),
+            values_unknown: false,
+            prepared: BTreeSet::new(),
+            broken: false,
+        }
+    }
+
+    /// Whether another node holds it.
+    pub fn is_relayed(&self) -> bool {
+        matches!(self.channel, Channel::Relayed(_))
+    }
+
+    /// The link to the node that holds it.
+    pub fn into_relayed(self) -> Option<RelayedChannel> {
+        match self.channel {
+            Channel::Relayed(channel) => Some(channel),
+            Channel::Direct(_) => None,
         }
     }
 
     /// Whether the connection is still open and silent, as one at rest has to be.
     pub fn is_usable(&mut self) -> bool {
-        if self.broken || !self.incoming.is_empty() {
-            return false;
+        match &mut self.channel {
+            Channel::Direct(channel) => !self.broken && channel.is_silent(),
+            Channel::Relayed(_) => !self.broken,
         }
-        let mut probe = [0_u8; 1];
-        matches!(
-            self.stream.try_read(&mut probe),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock
-        )
     }
 
     /// Sends commands in one write and waits for all their answers.
@@ -163,17 +190,12 @@
         limit: Duration,
     ) -> Result<Vec<Answer>, ConnectionError> {
         self.broken = true;
-        let exchange = async {
-            self.send(commands).await?;
-            let mut answers = Vec::with_capacity(commands.len());
-            for _ in commands {
-                answers.push(self.receive_answer().await?);
-            }
-            Ok(answers)
+        let answers = match &mut self.channel {
+            Channel::Direct(channel) => timeout(limit, channel.exchange(commands))
+                .await
+                .unwrap_or(Err(ConnectionError::TimedOut))?,
+            Channel::Relayed(channel) => channel.exchange(commands, limit).await?,
         };
-        let answers = timeout(limit, exchange)
-            .await
-            .unwrap_or(Err(ConnectionError::TimedOut))?;
         self.broken = false;
         if let Some(last) = answers.last() {
             self.note_phase(last.phase);
@@ -193,6 +215,34 @@
             }
         }
     }
+}
+
+impl DirectChannel {
+    fn is_silent(&self) -> bool {
+        let mut probe = [0_u8; 1];
+        self.incoming.is_empty()
+            && matches!(
+                self.stream.try_read(&mut probe),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock
+            )
+    }
+
+    async fn receive_start(&mut self) -> Result<(), ConnectionError> {
+        match self.next_message().await? {
+            DatabaseMessage::Ready { .. } => Ok(()),
+            DatabaseMessage::Failure(failure) => Err(ConnectionError::Rejected(failure)),
+            _ => Err(unexpected_message()),
+        }
+    }
+
+    async fn exchange(&mut self, commands: &[Command]) -> Result<Vec<Answer>, ConnectionError> {
+        self.send(commands).await?;
+        let mut answers = Vec::with_capacity(commands.len());
+        for _ in commands {
+            answers.push(self.receive_answer().await?);
+        }
+        Ok(answers)
+    }
 
     async fn send(&mut self, commands: &[Command]) -> Result<(), ConnectionError> {
         let mut outgoing = BytesMut::new();
--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -19,9 +19,10 @@
 /// Pause between rounds.
 const ROUND: Duration = Duration::from_millis(100);
 /// Limit for a replica's answer about itself.
-const STATUS_LIMIT: Duration = Duration::from_millis(400);
-/// Limit for a promotion's answer.
-const PROMOTION_LIMIT: Duration = Duration::from_millis(2_500);
+const STATUS_LIMIT: Duration = Duration::from_millis(250);
+/// Limit for a promotion's answer. One without an answer is ordered again: the token and
+/// the candidate are the same, so being carried out twice changes nothing.
+const PROMOTION_LIMIT: Duration = Duration::from_millis(350);
 /// After a promotion that may still take effect, no other is ordered for this long.
 const SETTLING: Duration = Duration::from_millis(2_500);
 /// Pause after a promotion that was rejected.
@@ -310,11 +311,12 @@
         match outcome {
             Ok(()) => return Ok(()),
             Err(PromotionError::Rejected) => return Err(OrderError::Rejected),
-            Err(PromotionError::NoAnswer) => return Err(OrderError::Unanswered),
-            Err(PromotionError::Unavailable) if node.now().since(began) < SETTLING => {
+            Err(PromotionError::NoAnswer | PromotionError::Unavailable)
+                if node.now().since(began) < SETTLING =>
+            {
                 sleep(REPEAT_PAUSE).await;
             }
-            Err(PromotionError::Unavailable) => return Err(OrderError::Unanswered),
+            Err(_) => return Err(OrderError::Unanswered),
         }
     }
 }
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -180,6 +180,7 @@
     match record {
         Some(record) => {
             let member = Member {
+                zone: record.zone,
                 peer_address: record.peer_address,
                 gone_at: None,
             };
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ports;
 pub mod records;
 pub mod registration;
+pub mod relay;
 pub mod session;
 pub mod shutdown;
 mod statement;
--- a/crates/serving/src/message.rs
+++ b/crates/serving/src/message.rs
@@ -3,9 +3,10 @@
 use bytes::Bytes;
 use hookpoint_coordination::serving::session::{Access, Phase, PreparedShape};
 use hookpoint_state::{Position, Term};
+use serde::{Deserialize, Serialize};
 
 /// Why a statement did not succeed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum FailureCode {
     /// No capacity in time; nothing ran or nothing is kept.
     Overloaded,
@@ -60,7 +61,7 @@
 }
 
 /// A failure as told to a caller or by a database.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failure {
     /// The kind.
     pub code: FailureCode,
@@ -164,7 +165,7 @@
 }
 
 /// What this node sends to a database.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
     /// Opens the connection.
     Start {
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -16,7 +16,8 @@
 use crate::connection::{ConnectionError, TransactionUse};
 use crate::message::Command;
 use crate::node::Node;
-use crate::pool::{AcquireError, CONTROL_LIMIT, note_begin};
+use crate::pool::{AcquireError, CONTROL_LIMIT, Lease, Pool, note_begin};
+use crate::relay;
 
 /// Pause between rounds.
 const ROUND: Duration = Duration::from_millis(50);
@@ -25,6 +26,9 @@
 /// Pause between two questions to the same database while nobody is known to lead.
 const SEARCH_PAUSE: Duration = Duration::from_millis(100);
 
+/// Priority of questions about leadership: they go first.
+const QUESTION_PRIORITY: u8 = 0;
+
 /// Questions on their way.
 #[derive(Default)]
 struct Asking {
@@ -34,11 +38,13 @@
 /// Watches over the primaries for as long as the node lives.
 pub async fn monitor(node: Rc<Node>) {
     let asking = Rc::new(Asking::default());
+    let trying = Rc::new(Asking::default());
     loop {
         sleep(ROUND).await;
         for group in groups(&node) {
             look_after(&node, &asking, &group);
         }
+        try_unreachable(&node, &trying);
         for pool in node.pools() {
             pool.refresh_oldest(&node);
         }
@@ -107,24 +113,63 @@
     });
 }
 
+/// A connection to ask on: at rest, new, or another node's if this one has no way.
+async fn lease_for_question(node: &Rc<Node>, pool: &Rc<Pool>) -> Result<Lease, AcquireError> {
+    let values = SessionValues::new();
+    if let Some(lease) = pool.try_acquire(&values) {
+        return Ok(lease);
+    }
+    let cap = node.connection_cap(pool.database());
+    if cap == 0 || !pool.is_reachable() {
+        return relay::lease(node, pool, QUESTION_PRIORITY, &values, CONTROL_LIMIT)
+            .await
+            .ok_or(AcquireError::NotHeld);
+    }
+    if pool.open_connections() > 0 && pool.open_connections() >= cap {
+        return Err(AcquireError::TimedOut);
+    }
+    pool.open(node).await
+}
+
+/// Tries to reach databases that this node lost the way to.
+fn try_unreachable(node: &Rc<Node>, trying: &Rc<Asking>) {
+    for pool in node.pools() {
+        let held = node.connection_cap(pool.database()) > 0;
+        if pool.is_reachable() || !held {
+            continue;
+        }
+        let database = pool.database().clone();
+        if !trying.databases.borrow_mut().insert(database.clone()) {
+            continue;
+        }
+        let node = Rc::clone(node);
+        let trying = Rc::clone(trying);
+        tokio::task::spawn_local(async move {
+            if pool.open(&node).await.is_ok() {
+                node.log(
+                    "dependency_regained",
+                    &[("dependency", database.as_str().into())],
+                );
+            }
+            sleep(SEARCH_PAUSE).await;
+            trying.databases.borrow_mut().remove(&database);
+        });
+    }
+}
+
 async fn ask_once(node: &Rc<Node>, database: &DatabaseName, asked_at: Timestamp) {
     let pool = node.pool(database);
-    let idle = pool.try_acquire(&SessionValues::new());
-    let lease = match idle {
-        Some(lease) => Ok(lease),
-        None if pool.open_connections() > 0
-            && pool.open_connections() >= node.connection_cap(database) =>
-        {
-            return;
-        }
-        None => pool.open(node).await,
-    };
+    let lease = lease_for_question(node, &pool).await;
     let mut lease = match lease {
         Ok(lease) => lease,
         Err(AcquireError::Connection(error)) => {
             note_error(node, database, asked_at, &error);
             return;
         }
+        Err(AcquireError::NotHeld) => {
+            node.note_lost_contact(database, asked_at, pool.was_refused());
+            return;
+        }
         Err(_) => return,
     };
     let mut commands = Vec::with_capacity(2);
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
+use hookpoint_coordination::serving::homes::{HomeCandidate, home_count, rank_homes};
 use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
 use hookpoint_coordination::serving::selection::Distance;
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
@@ -18,6 +19,7 @@
 use crate::events::EventLog;
 use crate::pool::Pool;
 use crate::ports::{PromotionService, StateStore, WireProtocol};
+use crate::relay::Links;
 
 /// Connections of one database that one node opens at the most before it knows its peers.
 const CAP_WITHOUT_MEMBERS: usize = 3;
@@ -72,12 +74,22 @@
 /// A live peer.
 #[derive(Clone, Debug)]
 pub struct Member {
+    /// Its zone.
+    pub zone: ZoneName,
     /// Address for its datagrams.
     pub peer_address: SocketAddr,
     /// When its entry went away.
     pub gone_at: Option<Timestamp>,
 }
 
+impl Member {
+    /// Whether it is registered, or was until a moment ago.
+    fn is_live(&self, now: Timestamp) -> bool {
+        self.gone_at
+            .is_none_or(|gone| now.since(gone) < MEMBER_MEMORY)
+    }
+}
+
 /// Another holder's or this node's claim to order promotions.
 #[derive(Clone, Debug, Default)]
 pub struct CoordinatorView {
@@ -127,6 +139,8 @@
     pub configuration_changed: Notify,
     /// Wakes sessions when a stop is asked for or advances.
     pub stop_advanced: Notify,
+    /// Links to peers.
+    pub links: Links,
     pools: RefCell<BTreeMap<DatabaseName, Rc<Pool>>>,
     started: Instant,
 }
@@ -160,6 +174,7 @@
             leader_changed: Notify::new(),
             configuration_changed: Notify::new(),
             stop_advanced: Notify::new(),
+            links: Links::default(),
             pools: RefCell::default(),
             started: Instant::now(),
         })
@@ -253,28 +268,89 @@
         self.members
             .borrow()
             .values()
-            .filter(|member| {
-                member
-                    .gone_at
-                    .is_none_or(|gone| now.since(gone) < MEMBER_MEMORY)
-            })
+            .filter(|member| member.is_live(now))
             .count()
     }
 
-    /// Connections that this node may have open to a database.
+    /// Connections that a database takes from all nodes together.
+    fn most_connections(&self, name: &DatabaseName) -> usize {
+        let configuration = self.configuration();
+        let group = self.database(name).map(|database| database.group);
+        configuration
+            .zip(group)
+            .and_then(|(configuration, group)| configuration.groups.get(&group).cloned())
+            .map_or(CAP_WITHOUT_MEMBERS, |group| group.max_connections)
+    }
+
+    /// Connections that this node may have open to a database; 0 if it is not home.
     pub fn connection_cap(&self, name: &DatabaseName) -> usize {
+        let most = self.most_connections(name);
         let members = self.live_members();
-        let Some(configuration) = self.configuration() else {
-            return 1;
-        };
-        let most = self
-            .database(name)
-            .and_then(|database| configuration.groups.get(&database.group).cloned())
-            .map_or(CAP_WITHOUT_MEMBERS, |group| group.max_connections);
         if members == 0 {
             return CAP_WITHOUT_MEMBERS.min(most);
         }
-        (most / members).max(1)
+        let homes = home_count(most, members);
+        if homes < members && !self.is_home(name, homes) {
+            return 0;
+        }
+        (most / homes).max(1)
+    }
+
+    fn is_home(&self, name: &DatabaseName, homes: usize) -> bool {
+        let candidates = self.home_candidates();
+        let Some(database) = self.database(name) else {
+            return false;
+        };
+        rank_homes(name, &database.zone, &candidates)
+            .into_iter()
+            .take(homes)
+            .any(|candidate| candidate.node == self.settings.name)
+    }
+
+    fn home_candidates(&self) -> Vec<HomeCandidate> {
+        let now = self.now();
+        let members = self.members.borrow();
+        members
+            .iter()
+            .filter(|(_, member)| member.is_live(now))
+            .map(|(name, member)| HomeCandidate {
+                node: name.clone(),
+                zone: member.zone.clone(),
+            })
+            .collect()
+    }
+
+    /// The other nodes that hold connections to a database, the preferred first.
+    ///
+    /// The order differs from node to node among those of one distance, so that leases
+    /// spread over the holders.
+    pub fn holders(&self, name: &DatabaseName) -> Vec<(String, SocketAddr)> {
+        let Some(database) = self.database(name) else {
+            return Vec::new();
+        };
+        let candidates = self.home_candidates();
+        let homes = home_count(self.most_connections(name), candidates.len());
+        let mut holders: Vec<HomeCandidate> = rank_homes(name, &database.zone, &candidates)
+            .into_iter()
+            .take(homes)
+            .filter(|candidate| candidate.node != self.settings.name)
+            .cloned()
+            .collect();
+        let own = DatabaseName::new(&self.settings.name);
+        let by_own_rank: Vec<String> = rank_homes(&own, &database.zone, &holders)
+            .into_iter()
+            .map(|candidate| candidate.node.clone())
+            .collect();
+        holders
+            .sort_by_key(|candidate| by_own_rank.iter().position(|node| *node == candidate.node));
+        let members = self.members.borrow();
+        holders
+            .into_iter()
+            .filter_map(|candidate| {
+                let member = members.get(&candidate.node)?;
+                Some((candidate.node, member.peer_address))
+            })
+            .collect()
     }
 
     /// Runs `change` on the state of a group.
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -14,6 +14,7 @@
 use crate::connection::{Answer, Connection, ConnectionError, TransactionUse};
 use crate::message::{Command, FailureCode};
 use crate::node::Node;
+use crate::relay;
 
 /// Limit for connecting and opening a session.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
@@ -41,6 +42,9 @@
     /// One could not be opened.
     #[error(transparent)]
     Connection(#[from] ConnectionError),
+    /// This node holds no connections to the database, or cannot reach it.
+    #[error("this node cannot reach the database by itself")]
+    NotHeld,
     /// The database is not listed any more.
     #[error("the database is not listed")]
     Unlisted,
@@ -62,6 +66,9 @@
     suspect_until: Cell<Timestamp>,
     lagging_until: Cell<Timestamp>,
     no_opening_until: Cell<Timestamp>,
+    reachable: Cell<bool>,
+    verifying: Cell<bool>,
+    refused: Cell<bool>,
     service_time: Cell<Duration>,
 }
 
@@ -79,6 +86,9 @@
             suspect_until: Cell::default(),
             lagging_until: Cell::default(),
             no_opening_until: Cell::default(),
+            reachable: Cell::new(true),
+            verifying: Cell::new(false),
+            refused: Cell::new(false),
             service_time: Cell::new(INITIAL_SERVICE_TIME),
         }
     }
@@ -118,6 +128,22 @@
         self.suspect_until.set(now + SUSPECT_TIME);
     }
 
+    /// Whether this node can reach the database by itself, as far as it knows.
+    pub fn is_reachable(&self) -> bool {
+        self.reachable.get()
+    }
+
+    /// Whether its host refused the last connection that could not be opened.
+    pub fn was_refused(&self) -> bool {
+        self.refused.get()
+    }
+
+    /// Notes that the way to the database is lost: connections at rest are of no use.
+    pub fn note_unreachable(&self) {
+        self.reachable.set(false);
+        self.close_idle();
+    }
+
     /// Notes that it lacked a position.
     pub fn note_lagging(&self, now: Timestamp) {
         self.lagging_until.set(now + LAGGING_TIME);
@@ -156,13 +182,46 @@
         }
     }
 
-    /// Takes a connection: one at rest, a new one, or the next that becomes free.
+    /// Takes a connection of this node's own, or leases one from a node that holds them.
     pub async fn acquire(
         self: &Rc<Self>,
         priority: u8,
         preferred: &SessionValues,
         limit: Duration,
     ) -> Result<Lease, AcquireError> {
+        let node = self.node.upgrade().ok_or(AcquireError::Unlisted)?;
+        let direct = if self.reachable.get() && node.connection_cap(&self.database) > 0 {
+            self.acquire_direct(priority, preferred, limit).await
+        } else {
+            Err(AcquireError::NotHeld)
+        };
+        match direct {
+            Err(AcquireError::Connection(ConnectionError::Rejected(_)))
+            | Err(AcquireError::TimedOut)
+            | Ok(_) => direct,
+            Err(error) => relay::lease(&node, self, priority, preferred, limit)
+                .await
+                .ok_or(error),
+        }
+    }
+
+    /// Lends a connection that another node holds.
+    pub fn lend_relayed(self: &Rc<Self>, connection: Connection) -> Lease {
+        self.leased.set(self.leased.get() + 1);
+        Lease::new(Rc::clone(self), connection)
+    }
+
+    /// Takes a connection of this node's own: one at rest, a new one, or the next that
+    /// becomes free.
+    pub async fn acquire_direct(
+        self: &Rc<Self>,
+        priority: u8,
+        preferred: &SessionValues,
+        limit: Duration,
+    ) -> Result<Lease, AcquireError> {
+        if !self.reachable.get() {
+            return Err(AcquireError::NotHeld);
+        }
         if let Some(lease) = self.try_acquire(preferred) {
             return Ok(lease);
         }
@@ -197,14 +256,18 @@
         let opened =
             Connection::open(protocol, address, &group, &self.database, CONNECT_LIMIT).await;
         match opened {
-            Ok((connection, _)) => {
+            Ok(connection) => {
                 std::mem::forget(slot);
+                self.reachable.set(true);
                 self.leased.set(self.leased.get() + 1);
                 Ok(Lease::new(Rc::clone(self), connection))
             }
             Err(error) => {
                 if !matches!(error, ConnectionError::Rejected(_)) {
+                    let refused = matches!(error, ConnectionError::Refused(_));
+                    self.refused.set(refused);
                     self.note_failure(node.now());
+                    self.note_unreachable();
                 }
                 Err(error.into())
             }
@@ -226,6 +289,10 @@
     /// Gives a connection back: to who waits, or to rest.
     fn release(self: &Rc<Self>, connection: Connection) {
         self.leased.set(self.leased.get() - 1);
+        if connection.is_relayed() {
+            self.release_relayed(connection);
+            return;
+        }
         if connection.broken {
             self.open.set(self.open.get() - 1);
             return;
@@ -251,6 +318,15 @@
         tokio::task::spawn_local(async move { settle(&node, lease).await });
     }
 
+    fn release_relayed(&self, connection: Connection) {
+        if connection.broken {
+            return;
+        }
+        if let (Some(node), Some(channel)) = (self.node.upgrade(), connection.into_relayed()) {
+            tokio::task::spawn_local(relay::release(node, channel));
+        }
+    }
+
     fn hand_over(self: &Rc<Self>, connection: Connection) -> Option<Connection> {
         let mut connection = connection;
         loop {
@@ -291,6 +367,34 @@
         }
     }
 
+    /// After a time-out: asks something that needs no slot on a connection at rest. If
+    /// that is not answered either, the way to the database is lost.
+    fn verify(self: &Rc<Self>, node: &Rc<Node>) {
+        if self.verifying.replace(true) {
+            return;
+        }
+        let pool = Rc::clone(self);
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(async move {
+            if let Some(mut lease) = pool.try_acquire(&SessionValues::new()) {
+                let question = [Command::Rollback];
+                let answered = lease
+                    .connection()
+                    .exchange(&question, CONTROL_LIMIT)
+                    .await
+                    .is_ok();
+                if !answered {
+                    pool.note_unreachable();
+                    node.log(
+                        "dependency_lost",
+                        &[("dependency", pool.database.as_str().into())],
+                    );
+                }
+            }
+            pool.verifying.set(false);
+        });
+    }
+
     /// Closes the connections at rest.
     pub fn close_idle(&self) {
         let closed = self.idle.borrow_mut().drain(..).count();
@@ -414,12 +518,15 @@
         limit: Duration,
     ) -> Result<Vec<Answer>, ConnectionError> {
         let outcome = self.connection().exchange(commands, limit).await;
+        let relayed = self.connection().is_relayed();
         match &outcome {
             Ok(_) => node.note_contact(&self.pool.database),
+            Err(_) if relayed => node.counters.count("relayed_exchanges", "failed"),
             Err(error) => {
                 self.pool.note_failure(node.now());
                 if matches!(error, ConnectionError::TimedOut) {
                     node.counters.count("database_timeouts", "exchange");
+                    self.pool.verify(node);
                 }
             }
         }
--- a/crates/serving/src/records.rs
+++ b/crates/serving/src/records.rs
@@ -1,7 +1,7 @@
 //! The fleet's own records in the state store.
 
 use bytes::Bytes;
-use hookpoint_state::{DatabaseName, GroupName};
+use hookpoint_state::{DatabaseName, GroupName, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -17,7 +17,9 @@
 pub struct MemberRecord {
     /// Node name.
     pub node: String,
-    /// Address that peers send datagrams to.
+    /// Zone of the node.
+    pub zone: ZoneName,
+    /// Address for datagrams and links of peers.
     pub peer_address: SocketAddr,
 }
 
--- a/crates/serving/src/registration.rs
+++ b/crates/serving/src/registration.rs
@@ -49,6 +49,7 @@
     let key = format!("{MEMBER_PREFIX}{}", node.settings.name);
     let record = MemberRecord {
         node: node.settings.name.clone(),
+        zone: node.settings.zone.clone(),
         peer_address: node.settings.peer_address,
     };
     let mut expected_revision = 0;
--- /dev/null
+++ b/crates/serving/src/relay.rs
@@ -0,0 +1,363 @@
+//! Leases of database connections that another node holds.
+//!
+//! A node that is not home of a database, or that cannot reach it, leases a connection
+//! from a node that can: for one statement or one transaction. The holder runs the
+//! commands on its own connection and sends the answers back, so what the database
+//! promises holds end to end. A link that breaks ends its lease; the holder rolls back.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use hookpoint_coordination::serving::session::{PreparedShape, SessionValues};
+use hookpoint_state::{DatabaseName, Timestamp};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::connection::{Answer, Connection, ConnectionError, TransactionUse};
+use crate::message::Command;
+use crate::node::Node;
+use crate::pool::{Lease, Pool};
+
+/// Largest message on a link.
+const MAX_MESSAGE_BYTES: usize = 4 << 20;
+/// Limit for connecting to a peer.
+const CONNECT_LIMIT: Duration = Duration::from_millis(200);
+/// Time that an answer takes on a link beyond the holder's own limit.
+const LINK_SLACK: Duration = Duration::from_millis(60);
+/// Peers that are asked for one lease at the most.
+const PEERS_ASKED: usize = 3;
+/// Links to one peer kept at rest.
+const KEPT_LINKS: usize = 8;
+/// How long a peer that could not lease a database's connection is passed over.
+const PASSED_OVER: Duration = Duration::from_millis(400);
+/// Pause after a link could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A message to the holder.
+#[derive(Serialize, Deserialize)]
+enum LinkRequest {
+    Lease {
+        database: DatabaseName,
+        priority: u8,
+        values: SessionValues,
+        limit_ms: u64,
+    },
+    Exchange {
+        commands: Vec<Command>,
+        limit_ms: u64,
+    },
+    Release,
+}
+
+/// The holder's answer.
+#[derive(Serialize, Deserialize)]
+enum LinkReply {
+    Granted {
+        transaction: TransactionUse,
+        transaction_version: Option<u64>,
+        values: SessionValues,
+        values_unknown: bool,
+        prepared: BTreeSet<PreparedShape>,
+    },
+    Refused,
+    Answers(Vec<Answer>),
+    Broken {
+        timed_out: bool,
+    },
+}
+
+type LinkStream = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn framed(stream: TcpStream) -> LinkStream {
+    let _ = stream.set_nodelay(true);
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_MESSAGE_BYTES)
+        .new_framed(stream)
+}
+
+async fn send<T: Serialize>(stream: &mut LinkStream, message: &T) -> io::Result<()> {
+    let bytes = postcard::to_allocvec(message).map_err(io::Error::other)?;
+    stream.send(Bytes::from(bytes)).await
+}
+
+async fn receive<T: DeserializeOwned>(stream: &mut LinkStream) -> io::Result<T> {
+    let frame = stream.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+    postcard::from_bytes(&frame).map_err(io::Error::other)
+}
+
+/// The way to a leased connection.
+pub struct RelayedChannel {
+    stream: LinkStream,
+    peer: String,
+}
+
+impl RelayedChannel {
+    /// Has the holder run commands.
+    pub async fn exchange(
+        &mut self,
+        commands: &[Command],
+        limit: Duration,
+    ) -> Result<Vec<Answer>, ConnectionError> {
+        let request = LinkRequest::Exchange {
+            commands: commands.to_vec(),
+            limit_ms: millis(limit),
+        };
+        let exchange = async {
+            send(&mut self.stream, &request).await?;
+            receive(&mut self.stream).await
+        };
+        let reply = timeout(limit + LINK_SLACK, exchange).await;
+        match reply {
+            Ok(Ok(LinkReply::Answers(answers))) => Ok(answers),
+            Ok(Ok(LinkReply::Broken { timed_out: false })) => Err(ConnectionError::Broken(
+                io::ErrorKind::ConnectionAborted.into(),
+            )),
+            Ok(Ok(_)) | Err(_) => Err(ConnectionError::TimedOut),
+            Ok(Err(error)) => Err(ConnectionError::Broken(error)),
+        }
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Links at rest, and peers that could not help lately.
+#[derive(Default)]
+pub struct Links {
+    idle: RefCell<BTreeMap<String, Vec<LinkStream>>>,
+    passed_over: RefCell<BTreeMap<(String, DatabaseName), Timestamp>>,
+}
+
+impl Links {
+    fn take(&self, peer: &str) -> Option<LinkStream> {
+        self.idle.borrow_mut().get_mut(peer)?.pop()
+    }
+
+    fn keep(&self, peer: String, stream: LinkStream) {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.entry(peer).or_default();
+        if links.len() < KEPT_LINKS {
+            links.push(stream);
+        }
+    }
+
+    fn is_passed_over(&self, peer: &str, database: &DatabaseName, now: Timestamp) -> bool {
+        self.passed_over
+            .borrow()
+            .get(&(peer.to_owned(), database.clone()))
+            .is_some_and(|until| now < *until)
+    }
+
+    fn pass_over(&self, peer: &str, database: &DatabaseName, until: Timestamp) {
+        let mut passed_over = self.passed_over.borrow_mut();
+        passed_over.retain(|_, other| *other > until - PASSED_OVER);
+        passed_over.insert((peer.to_owned(), database.clone()), until);
+    }
+}
+
+/// Ends a lease and keeps its link for the next one.
+pub async fn release(node: Rc<Node>, mut channel: RelayedChannel) {
+    if send(&mut channel.stream, &LinkRequest::Release)
+        .await
+        .is_ok()
+    {
+        node.links.keep(channel.peer, channel.stream);
+    }
+}
+
+/// Leases a connection to the pool's database from a node that holds one.
+pub async fn lease(
+    node: &Rc<Node>,
+    pool: &Rc<Pool>,
+    priority: u8,
+    values: &SessionValues,
+    limit: Duration,
+) -> Option<Lease> {
+    let database = pool.database();
+    let mut asked = 0;
+    for (peer, address) in node.holders(database) {
+        if asked == PEERS_ASKED {
+            break;
+        }
+        if node.links.is_passed_over(&peer, database, node.now()) {
+            continue;
+        }
+        asked += 1;
+        let request = LinkRequest::Lease {
+            database: database.clone(),
+            priority,
+            values: values.clone(),
+            limit_ms: millis(limit),
+        };
+        match ask(node, &peer, address, &request, limit).await {
+            Some(connection) => {
+                node.counters.count("relayed_leases", "granted");
+                return Some(pool.lend_relayed(connection(database)));
+            }
+            None => {
+                node.counters.count("relayed_leases", "refused");
+                let until = node.now() + PASSED_OVER;
+                node.links.pass_over(&peer, database, until);
+            }
+        }
+    }
+    None
+}
+
+type MakeConnection = Box<dyn FnOnce(&DatabaseName) -> Connection>;
+
+async fn ask(
+    node: &Rc<Node>,
+    peer: &str,
+    address: SocketAddr,
+    request: &LinkRequest,
+    limit: Duration,
+) -> Option<MakeConnection> {
+    if let Some(stream) = node.links.take(peer)
+        && let Some(connection) = ask_on(stream, peer, request, limit).await
+    {
+        return Some(connection);
+    }
+    let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
+    ask_on(framed(stream.ok()?.ok()?), peer, request, limit).await
+}
+
+async fn ask_on(
+    mut stream: LinkStream,
+    peer: &str,
+    request: &LinkRequest,
+    limit: Duration,
+) -> Option<MakeConnection> {
+    let asking = async {
+        send(&mut stream, request).await?;
+        receive(&mut stream).await
+    };
+    let reply = timeout(limit + LINK_SLACK, asking).await.ok()?.ok()?;
+    let LinkReply::Granted {
+        transaction,
+        transaction_version,
+        values,
+        values_unknown,
+        prepared,
+    } = reply
+    else {
+        return None;
+    };
+    let channel = RelayedChannel {
+        stream,
+        peer: peer.to_owned(),
+    };
+    Some(Box::new(move |database| {
+        let mut connection = Connection::relayed(channel, database);
+        connection.transaction = transaction;
+        connection.transaction_version = transaction_version;
+        connection.values = values;
+        connection.values_unknown = values_unknown;
+        connection.prepared = prepared;
+        connection
+    }))
+}
+
+/// Serves the links of peers for as long as the node lives.
+pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_link(Rc::clone(&node), framed(stream)));
+            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve_link(node: Rc<Node>, mut stream: LinkStream) {
+    let mut held: Option<Lease> = None;
+    while let Ok(request) = receive(&mut stream).await {
+        let reply = match request {
+            LinkRequest::Lease {
+                database,
+                priority,
+                values,
+                limit_ms,
+            } => {
+                drop(held.take());
+                let limit = Duration::from_millis(limit_ms);
+                let pool = node.pool(&database);
+                held = pool.acquire_direct(priority, &values, limit).await.ok();
+                granted(held.as_mut())
+            }
+            LinkRequest::Exchange { commands, limit_ms } => {
+                let limit = Duration::from_millis(limit_ms);
+                match &mut held {
+                    Some(lease) => run(&node, lease, &commands, limit).await,
+                    None => LinkReply::Broken { timed_out: false },
+                }
+            }
+            LinkRequest::Release => {
+                held = None;
+                continue;
+            }
+        };
+        if send(&mut stream, &reply).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn granted(lease: Option<&mut Lease>) -> LinkReply {
+    let Some(lease) = lease else {
+        return LinkReply::Refused;
+    };
+    let connection = lease.connection();
+    LinkReply::Granted {
+        transaction: connection.transaction,
+        transaction_version: connection.transaction_version,
+        values: connection.values.clone(),
+        values_unknown: connection.values_unknown,
+        prepared: connection.prepared.clone(),
+    }
+}
+
+async fn run(
+    node: &Rc<Node>,
+    lease: &mut Lease,
+    commands: &[Command],
+    limit: Duration,
+) -> LinkReply {
+    lease.connection().transaction = TransactionUse::Used;
+    for command in commands {
+        note_command(lease.connection(), command);
+    }
+    match lease.exchange(node, commands, limit).await {
+        Ok(answers) => LinkReply::Answers(answers),
+        Err(error) => LinkReply::Broken {
+            timed_out: matches!(error, ConnectionError::TimedOut),
+        },
+    }
+}
+
+/// Keeps track of what a peer's command does to the connection. Values that a peer set
+/// are not relied on: the next user resets them.
+fn note_command(connection: &mut Connection, command: &Command) {
+    match command {
+        Command::Set { .. } => connection.values_unknown = true,
+        Command::Reset => {
+            connection.prepared.clear();
+            connection.values.clear();
+            connection.values_unknown = true;
+        }
+        Command::Prepare { shape, .. } => {
+            connection.prepared.insert(shape.clone());
+        }
+        _ => {}
+    }
+}
--- a/crates/serving/src/statement.rs
+++ b/crates/serving/src/statement.rs
@@ -424,6 +424,11 @@
                     .note_lost_contact(target.database(), asked_at, refused);
                 return Attempt::NotRun(AttemptFailure::NoConnection);
             }
+            Err(AcquireError::NotHeld) => {
+                self.node
+                    .note_lost_contact(target.database(), asked_at, pool.was_refused());
+                return Attempt::NotRun(AttemptFailure::NoConnection);
+            }
             Err(_) => return Attempt::NotRun(AttemptFailure::NoConnection),
         };
         let stance = match target {
