Hold requests while a lost primary is being replaced, and order promotions without the store

Requests without a usable database were refused after a quarter of their objective; now they wait within their statement's time while the replacement is due, and are refused at once when it is overdue.

--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -12,9 +12,9 @@
 
 use crate::message::{Command, DatabaseStatus};
 use crate::node::Node;
-use crate::peers::Peers;
-use crate::ports::{ConditionalWrite, PromotionError, PromotionOrder, StoreError, WriteOutcome};
-use crate::records::{PROMOTION_PREFIX, PromotionRecord, decode, encode};
+use crate::peers::{PeerView, Peers};
+use crate::ports::{ConditionalWrite, PromotionError, PromotionOrder};
+use crate::records::{PROMOTION_PREFIX, PromotionRecord, encode};
 
 /// Pause between rounds.
 const ROUND: Duration = Duration::from_millis(100);
@@ -27,6 +27,8 @@
 const SETTLING: Duration = Duration::from_millis(2_500);
 /// Pause after a promotion that was rejected.
 const REJECTED_PAUSE: Duration = Duration::from_millis(200);
+/// Orders that one coordinator may give.
+const TOKENS_PER_COORDINATOR: u64 = 4_096;
 /// Pause between two orders of the same promotion.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -41,7 +43,7 @@
 pub async fn coordinate(node: Rc<Node>, peers: Rc<Peers>) {
     loop {
         sleep(ROUND).await;
-        if !node.coordinates() {
+        if node.coordinator_revision().is_none() {
             continue;
         }
         for group in due_groups(&node) {
@@ -95,8 +97,12 @@
         return;
     };
     let leader = node.leader(group);
+    let views = peers.gather(node, group, leader.as_ref()).await;
+    let Some(authority) = authority(node, &views) else {
+        return;
+    };
     if reason == Reason::Lost {
-        let observations = peers.gather(node, group, leader.as_ref()).await;
+        let observations: Vec<Observation> = views.iter().map(|view| view.observation).collect();
         if !is_lost(&observations, node.live_members()) {
             return;
         }
@@ -108,14 +114,40 @@
     if node.leader(group) != leader {
         return;
     }
-    match order(node, group, &candidate).await {
+    match order(node, group, &candidate, authority).await {
         Ok(()) => await_new_leader(node, group, &candidate).await,
         Err(OrderError::Rejected) => sleep(REJECTED_PAUSE).await,
         Err(OrderError::Unanswered) => sleep(SETTLING).await,
-        Err(OrderError::Store) => sleep(REPEAT_PAUSE).await,
     }
 }
 
+/// On what strength a promotion is ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Authority {
+    /// The node's lease holds.
+    Lease,
+    /// The lease may have run out, but the store is away for a majority of the fleet and
+    /// none of them knows of another coordinator, so nobody can have taken over.
+    Quorum,
+}
+
+/// Whether this node may order a promotion, as of the answers of its peers.
+///
+/// Without fencing at the service only the lease will do: an order of an outvoted
+/// coordinator would not be refused.
+fn authority(node: &Rc<Node>, views: &[PeerView]) -> Option<Authority> {
+    if node.coordinates() {
+        return Some(Authority::Lease);
+    }
+    node.coordinator_revision()?;
+    let own = node.coordinator.borrow().holder.clone();
+    let agreed = views
+        .iter()
+        .all(|view| !view.store_reachable && view.coordinator == own);
+    let quorum = views.len() > node.live_members() / 2;
+    (node.settings.fenced_promotions && agreed && quorum).then_some(Authority::Quorum)
+}
+
 fn log_loss(
     node: &Rc<Node>,
     group: &GroupName,
@@ -259,55 +291,55 @@
 
 /// Why a promotion was not confirmed.
 enum OrderError {
-    /// Nothing was ordered: the store did not take the record.
-    Store,
     /// It will not be carried out.
     Rejected,
     /// It may be carried out yet.
     Unanswered,
 }
 
-/// Writes the promotion to the store and orders it under the record's revision.
+/// The next token of this coordinator.
 ///
-/// The record is written before the order goes out and its revision is used once, so one
-/// token names one candidate for ever and every later order has a higher one.
+/// A coordinator's record is written once in its life, under a condition, so its revision
+/// is this life's own and higher than that of every earlier coordinator. Each order takes
+/// the next number below it, so one token names one candidate for ever.
+fn next_token(node: &Rc<Node>) -> Option<u64> {
+    let revision = node.coordinator_revision()?;
+    let number = node.promotions_ordered.get() + 1;
+    if number >= TOKENS_PER_COORDINATOR {
+        return None;
+    }
+    node.promotions_ordered.set(number);
+    Some(revision * TOKENS_PER_COORDINATOR + number)
+}
+
+/// Orders a promotion, again under the same token while it is not answered.
 async fn order(
     node: &Rc<Node>,
     group: &GroupName,
     candidate: &DatabaseName,
+    authority: Authority,
 ) -> Result<(), OrderError> {
-    let fencing_token = write_record(node, group, candidate)
-        .await
-        .map_err(|_| OrderError::Store)?;
+    let fencing_token = next_token(node).ok_or(OrderError::Rejected)?;
     let order = PromotionOrder {
         group: group.clone(),
         candidate: candidate.clone(),
         holder: node.settings.name.clone(),
         fencing_token,
     };
+    tokio::task::spawn_local(announce(Rc::clone(node), order.clone()));
     let began = node.now();
     loop {
-        if !node.coordinates() {
+        if authority == Authority::Lease && !node.coordinates() {
             return Err(OrderError::Unanswered);
         }
-        node.log(
-            "promotion_ordered",
-            &[
-                ("group", group.as_str().into()),
-                ("candidate", candidate.as_str().into()),
-                ("token", fencing_token.into()),
-            ],
-        );
+        log_order(node, &order, "promotion_ordered", authority_name(authority));
         let answer = timeout(PROMOTION_LIMIT, node.promotions.promote(&order)).await;
         let outcome = answer.unwrap_or(Err(PromotionError::NoAnswer));
-        node.log(
-            "promotion_answered",
-            &[
-                ("group", group.as_str().into()),
-                ("token", fencing_token.into()),
-                ("outcome", format!("{outcome:?}").into()),
-            ],
-        );
+        let told = match &outcome {
+            Ok(()) => "confirmed".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        log_order(node, &order, "promotion_answered", &told);
         match outcome {
             Ok(()) => return Ok(()),
             Err(PromotionError::Rejected) => return Err(OrderError::Rejected),
@@ -321,46 +353,46 @@
     }
 }
 
-async fn write_record(
-    node: &Rc<Node>,
-    group: &GroupName,
-    candidate: &DatabaseName,
-) -> Result<u64, StoreError> {
-    let key = format!("{PROMOTION_PREFIX}{group}");
+fn authority_name(authority: Authority) -> &'static str {
+    match authority {
+        Authority::Lease => "lease",
+        Authority::Quorum => "quorum",
+    }
+}
+
+fn log_order(node: &Rc<Node>, order: &PromotionOrder, event: &'static str, detail: &str) {
+    node.log(
+        event,
+        &[
+            ("group", order.group.as_str().into()),
+            ("candidate", order.candidate.as_str().into()),
+            ("token", order.fencing_token.into()),
+            ("detail", detail.into()),
+        ],
+    );
+}
+
+/// Tells the other nodes of an order through the store, as far as that is to be had.
+async fn announce(node: Rc<Node>, order: PromotionOrder) {
     let record = PromotionRecord {
-        group: group.clone(),
-        candidate: candidate.clone(),
-        holder: node.settings.name.clone(),
-        attempt: node.now().0,
+        group: order.group.clone(),
+        candidate: order.candidate.clone(),
+        fencing_token: order.fencing_token,
     };
     let known = node
         .promotion_revisions
         .borrow()
-        .get(group.as_str())
-        .copied()
-        .unwrap_or(0);
-    let mut expected_revision = known;
-    for _ in 0..3 {
-        let write = ConditionalWrite {
-            key: key.clone(),
-            expected_revision,
-            value: encode(&record),
-            lease: None,
-        };
-        let outcome = node.store.write(write).await;
-        if let Ok(WriteOutcome::Written(revision)) = outcome {
-            return Ok(revision);
-        }
-        let present = node.store.read(&key).await?;
-        expected_revision = match present {
-            Some((revision, value)) if decode(&value).as_ref() == Some(&record) => {
-                return Ok(revision);
-            }
-            Some((revision, _)) => revision,
-            None => 0,
-        };
+        .get(order.group.as_str())
+        .copied();
+    let write = ConditionalWrite {
+        key: format!("{PROMOTION_PREFIX}{}", order.group),
+        expected_revision: known.unwrap_or(0),
+        value: encode(&record),
+        lease: None,
+    };
+    if node.store.write(write).await.is_err() {
+        node.counters.count("promotion_records", "failed");
     }
-    Err(StoreError::NoAnswer("promotion record".to_owned()))
 }
 
 async fn await_new_leader(node: &Rc<Node>, group: &GroupName, candidate: &DatabaseName) {
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -168,7 +168,7 @@
         let record: Option<CoordinatorRecord> = value.and_then(decode);
         let mut view = node.coordinator.borrow_mut();
         view.revision = if record.is_some() { revision } else { 0 };
-        view.holder = record.map(|record| record.node);
+        view.holder = record;
     } else if let Some(group) = key.strip_prefix(PROMOTION_PREFIX) {
         apply_promotion(node, group, value.and_then(decode), revision);
     }
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -19,6 +19,7 @@
 use crate::events::EventLog;
 use crate::pool::Pool;
 use crate::ports::{PromotionService, StateStore, WireProtocol};
+use crate::records::CoordinatorRecord;
 use crate::relay::Links;
 
 /// Connections of one database that one node opens at the most before it knows its peers.
@@ -43,6 +44,8 @@
     pub drain_limit: Duration,
     /// Time to live of the node's lease.
     pub lease_time: Duration,
+    /// Whether the promotion service refuses tokens lower than it has seen.
+    pub fenced_promotions: bool,
 }
 
 /// How this node sees a group's primary.
@@ -95,8 +98,8 @@
 pub struct CoordinatorView {
     /// Revision of the record; 0 if absent.
     pub revision: u64,
-    /// Node that holds it.
-    pub holder: Option<String>,
+    /// Who holds it.
+    pub holder: Option<CoordinatorRecord>,
 }
 
 /// The shared state of a node.
@@ -125,6 +128,10 @@
     pub coordinator: RefCell<CoordinatorView>,
     /// Revisions of the promotion records.
     pub promotion_revisions: RefCell<BTreeMap<String, u64>>,
+    /// This node's present lease.
+    pub own_lease: Cell<Option<u64>>,
+    /// Promotions that this node has ordered, which are part of their tokens.
+    pub promotions_ordered: Cell<u64>,
     /// Until when this node's lease surely holds.
     pub lease_until: Cell<Timestamp>,
     /// Whether the store was reachable at the last call of the follower.
@@ -167,6 +174,8 @@
             members: RefCell::default(),
             coordinator: RefCell::default(),
             promotion_revisions: RefCell::default(),
+            own_lease: Cell::new(None),
+            promotions_ordered: Cell::new(0),
             lease_until: Cell::default(),
             store_reachable: Cell::new(false),
             stopping_since: Cell::new(None),
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::node::Node;
+use crate::records::CoordinatorRecord;
 
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 4 << 10;
@@ -66,14 +67,29 @@
         node: String,
         /// What it sees.
         observation: ToldObservation,
+        /// Whether it reaches the state store.
+        store_reachable: bool,
+        /// The coordinator that it knows of.
+        coordinator: Option<CoordinatorRecord>,
     },
 }
 
+/// What one node answered.
+#[derive(Clone, Debug)]
+pub struct PeerView {
+    /// How it sees the primary.
+    pub observation: Observation,
+    /// Whether it reaches the state store.
+    pub store_reachable: bool,
+    /// The coordinator that it knows of.
+    pub coordinator: Option<CoordinatorRecord>,
+}
+
 /// The datagram socket and the answers that are awaited.
 pub struct Peers {
     socket: UdpSocket,
     next_nonce: Cell<u64>,
-    answers: RefCell<BTreeMap<u64, BTreeMap<String, Observation>>>,
+    answers: RefCell<BTreeMap<u64, BTreeMap<String, PeerView>>>,
 }
 
 impl Peers {
@@ -105,6 +121,8 @@
                         nonce,
                         node: node.settings.name.clone(),
                         observation: told,
+                        store_reachable: node.store_reachable.get(),
+                        coordinator: node.coordinator.borrow().holder.clone(),
                     };
                     self.send(&answer, sender);
                 }
@@ -112,9 +130,16 @@
                     nonce,
                     node: name,
                     observation,
+                    store_reachable,
+                    coordinator,
                 }) => {
                     if let Some(answers) = self.answers.borrow_mut().get_mut(&nonce) {
-                        answers.insert(name, Observation::from(&observation));
+                        let view = PeerView {
+                            observation: Observation::from(&observation),
+                            store_reachable,
+                            coordinator,
+                        };
+                        answers.insert(name, view);
                     }
                 }
                 Err(_) => node.counters.count("peer_datagrams", "unreadable"),
@@ -134,7 +159,7 @@
         node: &Rc<Node>,
         group: &GroupName,
         leader: Option<&DatabaseName>,
-    ) -> Vec<Observation> {
+    ) -> Vec<PeerView> {
         let nonce = self.next_nonce.get();
         self.next_nonce.set(nonce + 1);
         self.answers.borrow_mut().insert(nonce, BTreeMap::new());
@@ -150,7 +175,11 @@
         }
         sleep(ANSWER_WAIT).await;
         let answers = self.answers.borrow_mut().remove(&nonce).unwrap_or_default();
-        let own = Observation::from(&node.observe(group, leader));
+        let own = PeerView {
+            observation: Observation::from(&node.observe(group, leader)),
+            store_reachable: node.store_reachable.get(),
+            coordinator: node.coordinator.borrow().holder.clone(),
+        };
         std::iter::once(own).chain(answers.into_values()).collect()
     }
 }
--- a/crates/serving/src/records.rs
+++ b/crates/serving/src/records.rs
@@ -28,19 +28,19 @@
 pub struct CoordinatorRecord {
     /// Node name.
     pub node: String,
+    /// The lease that the record goes with. It tells lives of one node apart.
+    pub lease: u64,
 }
 
-/// An ordered promotion. Its revision in the store is the fencing token.
+/// An ordered promotion, written so that other nodes learn of it sooner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromotionRecord {
     /// The group.
     pub group: GroupName,
     /// The database that is to lead.
     pub candidate: DatabaseName,
-    /// The node that orders it.
-    pub holder: String,
-    /// Random number of the attempt, to tell one's own write by after a lost answer.
-    pub attempt: u64,
+    /// The token of the order.
+    pub fencing_token: u64,
 }
 
 /// Encodes a record.
--- a/crates/serving/src/registration.rs
+++ b/crates/serving/src/registration.rs
@@ -39,6 +39,7 @@
     let asked_at = node.now();
     let lease = node.store.grant_lease(node.settings.lease_time).await?;
     write_member(node, lease).await?;
+    node.own_lease.set(Some(lease.0));
     node.lease_until
         .set(asked_at + node.settings.lease_time - LEASE_MARGIN);
     node.log("lease_taken", &[("lease", lease.0.into())]);
@@ -104,6 +105,7 @@
     }
     let record = CoordinatorRecord {
         node: node.settings.name.clone(),
+        lease: lease.0,
     };
     let write = ConditionalWrite {
         key: COORDINATOR_KEY.to_owned(),
@@ -115,7 +117,7 @@
         Ok(WriteOutcome::Written(revision)) => {
             let mut view = node.coordinator.borrow_mut();
             view.revision = revision;
-            view.holder = Some(node.settings.name.clone());
+            view.holder = Some(record);
             drop(view);
             node.log("coordinator_claimed", &[("revision", revision.into())]);
         }
@@ -124,9 +126,16 @@
 }
 
 impl Node {
-    /// Whether this node may order promotions now.
+    /// The revision of the coordinator's record, if this life of this node wrote it.
+    pub fn coordinator_revision(&self) -> Option<u64> {
+        let view = self.coordinator.borrow();
+        let holder = view.holder.as_ref()?;
+        let own = holder.node == self.settings.name && Some(holder.lease) == self.own_lease.get();
+        own.then_some(view.revision)
+    }
+
+    /// Whether this node may order promotions on the strength of its lease.
     pub fn coordinates(&self) -> bool {
-        let holder = self.coordinator.borrow().holder.clone();
-        holder.as_ref() == Some(&self.settings.name) && self.now() < self.lease_until.get()
+        self.coordinator_revision().is_some() && self.now() < self.lease_until.get()
     }
 }
--- a/crates/serving/src/statement.rs
+++ b/crates/serving/src/statement.rs
@@ -30,6 +30,8 @@
 const READ_ATTEMPT_FACTOR: u32 = 8;
 /// Loss of contact after which a primary gets no new work.
 const LEADER_LOST: Duration = Duration::from_millis(250);
+/// Time in which a lost primary should have been replaced.
+const REPLACEMENT_TIME: Duration = Duration::from_secs(3);
 /// Hint told with a refusal.
 const RETRY_HINT: &str = "nothing was kept; retry after 250 ms";
 
@@ -166,9 +168,19 @@
         self.deadline().since(self.node.now())
     }
 
-    /// How long the request may be held before any database is offered it.
-    fn unoffered_limit(&self) -> Timestamp {
-        self.arrived + self.route.target_latency / 4
+    /// Until when the request waits for a database that may serve it.
+    ///
+    /// While a primary that was lost a moment ago is being replaced, within its own time.
+    /// Once that has taken longer than it should, a request is refused at once.
+    fn wait_limit(&self) -> Timestamp {
+        let lost_since = self.node.with_group(&self.route.group, |state| {
+            state.contact.lost_since.or(state.leaderless_since)
+        });
+        let now = self.node.now();
+        match lost_since {
+            Some(since) if now.since(since) >= REPLACEMENT_TIME => now,
+            _ => self.deadline(),
+        }
     }
 
     fn leader_in_contact(&self) -> Option<DatabaseName> {
@@ -249,13 +261,8 @@
     }
 
     /// Waits until a database may have become usable; fails once that has taken long.
-    async fn await_target(&self, offered: bool) -> Result<(), Failure> {
-        let limit = if offered {
-            self.deadline()
-        } else {
-            self.unoffered_limit().min(self.deadline())
-        };
-        let left = limit.since(self.node.now());
+    async fn await_target(&self) -> Result<(), Failure> {
+        let left = self.wait_limit().since(self.node.now());
         if left < LEAST_ATTEMPT {
             return Err(self.refusal("no_database"));
         }
@@ -332,7 +339,6 @@
         let in_transaction = self.state.phase == Phase::InTransaction;
         let to_leader = plain_transaction || work.access == Access::Write;
         let mut avoided = BTreeSet::new();
-        let mut offered = false;
         let mut attempts = 0;
         let mut last = "none";
         loop {
@@ -347,7 +353,7 @@
             };
             let Some(target) = target else {
                 avoided.clear();
-                if let Err(failure) = self.await_target(offered).await {
+                if let Err(failure) = self.await_target().await {
                     self.log_outcome(work, attempts, last, "refused");
                     return Err(failure);
                 }
@@ -370,7 +376,6 @@
                 Attempt::NotRun(failure) => {
                     last = failure.as_str();
                     self.node.counters.count("attempts_failed", last);
-                    offered |= failure != AttemptFailure::NoConnection;
                     self.after_failure(failure, &target, &mut avoided).await;
                 }
             }
