Do not take a lapsed entry for a leaving primary, and count missing replicas

Absence now proves leaving only in a store followed without a gap; missing replicas are asked as well; replicas of a synchronous group stay paused until the order is answered.

--- a/crates/coordination/src/serving/directory.rs
+++ b/crates/coordination/src/serving/directory.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
 
@@ -50,6 +51,25 @@
     pub missing: bool,
 }
 
+/// Absence in a steady store that proves that a database left: over two heartbeats, as
+/// an entry that lapsed in an outage comes back with the next one.
+const ABSENCE_PROVES: Duration = Duration::from_millis(3_500);
+
+impl Listed {
+    /// Whether the database is leaving for certain.
+    ///
+    /// It is if it says so. If its entry is missing, the store has to have been followed
+    /// without a gap since `steady_since` for long enough, and the entry to have been
+    /// missing all the while.
+    pub fn is_leaving(&self, steady_since: Timestamp, now: Timestamp) -> bool {
+        match self.leaving_since {
+            None => false,
+            Some(_) if !self.missing => true,
+            Some(since) => now.since(since.max(steady_since)) >= ABSENCE_PROVES,
+        }
+    }
+}
+
 /// All databases known.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -16,6 +16,8 @@
 use crate::ports::{ConditionalWrite, PromotionError, PromotionOrder};
 use crate::records::{PROMOTION_PREFIX, PromotionRecord, encode};
 
+/// How long a database that is missing from the store counts as a replica.
+const MISSING_COUNTS: Duration = Duration::from_secs(15);
 /// Pause between rounds.
 const ROUND: Duration = Duration::from_millis(100);
 /// Limit for a replica's answer about itself.
@@ -41,11 +43,19 @@
 
 /// Looks after all groups, one at a time, for as long as the node lives.
 pub async fn coordinate(node: Rc<Node>, peers: Rc<Peers>) {
+    let mut resumed_for = None;
     loop {
         sleep(ROUND).await;
-        if node.coordinator_revision().is_none() {
+        let revision = node.coordinator_revision();
+        if revision.is_none() {
             continue;
         }
+        if resumed_for != revision && node.configuration().is_some() {
+            resumed_for = revision;
+            for group in configured_groups(&node) {
+                resume_replicas(&node, &group).await;
+            }
+        }
         for group in due_groups(&node) {
             let node = Rc::clone(&node);
             let peers = Rc::clone(&peers);
@@ -57,13 +67,15 @@
     }
 }
 
+fn configured_groups(node: &Rc<Node>) -> Vec<GroupName> {
+    node.configuration()
+        .map(|configuration| configuration.groups.keys().cloned().collect())
+        .unwrap_or_default()
+}
+
 /// Groups whose primary may need replacing, marked as being looked after.
 fn due_groups(node: &Rc<Node>) -> Vec<GroupName> {
-    let groups: Vec<GroupName> = node
-        .configuration()
-        .map(|configuration| configuration.groups.keys().cloned().collect())
-        .unwrap_or_default();
-    groups
+    configured_groups(node)
         .into_iter()
         .filter(|group| reason(node, group).is_some())
         .filter(|group| {
@@ -86,9 +98,10 @@
         return Some(Reason::Lost);
     }
     let directory = node.directory.borrow();
+    let steady_since = node.store_steady_since.get();
     let leaving = directory
         .get(&leader)
-        .is_none_or(|listed| listed.leaving_since.is_some());
+        .is_none_or(|listed| listed.is_leaving(steady_since, node.now()));
     (leaving && node.store_reachable.get()).then_some(Reason::Leaving)
 }
 
@@ -116,11 +129,28 @@
     }
     match order(node, group, &candidate, authority).await {
         Ok(()) => await_new_leader(node, group, &candidate).await,
-        Err(OrderError::Rejected) => sleep(REJECTED_PAUSE).await,
+        Err(OrderError::Rejected) => {
+            resume_replicas(node, group).await;
+            sleep(REJECTED_PAUSE).await;
+        }
         Err(OrderError::Unanswered) => sleep(SETTLING).await,
     }
 }
 
+fn sync_replicas(node: &Rc<Node>, group: &GroupName) -> u32 {
+    node.configuration()
+        .and_then(|configuration| configuration.groups.get(group).cloned())
+        .map_or(0, |group| group.sync_replicas)
+}
+
+/// Lets replicas receive again that were paused for a promotion that did not come.
+async fn resume_replicas(node: &Rc<Node>, group: &GroupName) {
+    if sync_replicas(node, group) > 0 {
+        let databases = node.by_stated_role(group);
+        ask_all(node, &databases, &Command::ResumeReplication).await;
+    }
+}
+
 /// On what strength a promotion is ordered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Authority {
@@ -171,22 +201,19 @@
     group: &GroupName,
     leader: Option<&DatabaseName>,
 ) -> Option<DatabaseName> {
-    let sync_replicas = node
-        .configuration()?
-        .groups
-        .get(group)
-        .map_or(0, |group| group.sync_replicas);
+    let sync_replicas = sync_replicas(node, group);
     let replicas: Vec<DatabaseName> = node
         .by_stated_role(group)
         .into_iter()
         .filter(|name| Some(name) != leader && is_candidate(node, name))
         .collect();
-    let first = ask_all(node, &replicas, None).await;
+    let first = ask_all(node, &replicas, &Command::Status).await;
     let states = if sync_replicas == 0 {
         first
     } else {
         let newest = first.iter().map(|(_, status)| status.term).max()?;
-        ask_all(node, &replicas, Some(Term(newest.0 + 1))).await
+        let term = Term(newest.0 + 1);
+        ask_all(node, &replicas, &Command::PauseReplication { term }).await
     };
     if let Some((name, _)) = states.iter().find(|(_, status)| status.primary) {
         node.log(
@@ -205,7 +232,7 @@
     match choose_candidate(&states, replicas.len(), sync_replicas) {
         Ok(candidate) => Some(candidate),
         Err(error) => {
-            resume_all(node, &replicas, sync_replicas).await;
+            resume_replicas(node, group).await;
             node.log(
                 "no_candidate",
                 &[
@@ -218,11 +245,15 @@
     }
 }
 
-/// A database that is missing from the store for a crash may still hold commits, so it
-/// counts until it is forgotten, unless the store was steady while it went.
+/// A database that is missing from the store, for a crash or an outage, may be the only
+/// one that holds a commit, so it counts until the others have long received all of it.
 fn is_candidate(node: &Rc<Node>, name: &DatabaseName) -> bool {
+    let now = node.now();
     let directory = node.directory.borrow();
-    directory.get(name).is_some_and(|listed| !listed.missing)
+    directory.get(name).is_some_and(|listed| {
+        let since = listed.leaving_since.unwrap_or(now);
+        !listed.missing || now.since(since) < MISSING_COUNTS
+    })
 }
 
 fn replica_state(node: &Rc<Node>, name: DatabaseName, status: DatabaseStatus) -> ReplicaState {
@@ -244,12 +275,8 @@
 async fn ask_all(
     node: &Rc<Node>,
     replicas: &[DatabaseName],
-    pause_under: Option<Term>,
+    command: &Command,
 ) -> Vec<(DatabaseName, DatabaseStatus)> {
-    let command = match pause_under {
-        None => Command::Status,
-        Some(term) => Command::PauseReplication { term },
-    };
     let questions = replicas.iter().map(|name| {
         let command = command.clone();
         async move {
@@ -261,16 +288,6 @@
     answers.into_iter().flatten().collect()
 }
 
-async fn resume_all(node: &Rc<Node>, replicas: &[DatabaseName], sync_replicas: u32) {
-    if sync_replicas == 0 {
-        return;
-    }
-    let orders = replicas
-        .iter()
-        .map(|name| ask_status(node, name, Command::ResumeReplication));
-    futures::future::join_all(orders).await;
-}
-
 async fn ask_status(
     node: &Rc<Node>,
     name: &DatabaseName,
@@ -328,6 +345,9 @@
     };
     tokio::task::spawn_local(announce(Rc::clone(node), order.clone()));
     let began = node.now();
+    // The replicas of a synchronous group stay paused until the order is answered: one
+    // that is carried out after they receive again would roll back acknowledged commits.
+    let synchronous = sync_replicas(node, group) > 0;
     loop {
         if authority == Authority::Lease && !node.coordinates() {
             return Err(OrderError::Unanswered);
@@ -344,7 +364,7 @@
             Ok(()) => return Ok(()),
             Err(PromotionError::Rejected) => return Err(OrderError::Rejected),
             Err(PromotionError::NoAnswer | PromotionError::Unavailable)
-                if node.now().since(began) < SETTLING =>
+                if synchronous || node.now().since(began) < SETTLING =>
             {
                 sleep(REPEAT_PAUSE).await;
             }
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -38,6 +38,7 @@
     match node.store.read_all().await {
         Ok(all) => {
             note_reachable(node, true, "read");
+            node.store_steady_since.set(node.now());
             apply_all(node, all.clone());
             Some(all.revision)
         }
@@ -78,6 +79,7 @@
     if node.store_reachable.replace(reachable) == reachable {
         return;
     }
+    node.store_steady_since.set(node.now());
     let event = if reachable {
         "dependency_regained"
     } else {
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -136,6 +136,8 @@
     pub lease_until: Cell<Timestamp>,
     /// Whether the store was reachable at the last call of the follower.
     pub store_reachable: Cell<bool>,
+    /// Since when the store has been followed without a gap.
+    pub store_steady_since: Cell<Timestamp>,
     /// When a stop was asked for.
     pub stopping_since: Cell<Option<Timestamp>>,
     /// Sessions that are open.
@@ -178,6 +180,7 @@
             promotions_ordered: Cell::new(0),
             lease_until: Cell::default(),
             store_reachable: Cell::new(false),
+            store_steady_since: Cell::default(),
             stopping_since: Cell::new(None),
             sessions: Cell::new(0),
             leader_changed: Notify::new(),
