Have replaced primaries step down where the service does not fence

The order is now announced first, nodes take only the announced database for the primary, and others are told to step down. Open: a node cut from the store that still reaches a replaced primary which nobody can tell to step down.

--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -13,7 +13,7 @@
 use crate::message::{Command, DatabaseStatus};
 use crate::node::Node;
 use crate::peers::{PeerView, Peers};
-use crate::ports::{ConditionalWrite, PromotionError, PromotionOrder};
+use crate::ports::{ConditionalWrite, PromotionError, PromotionOrder, WriteOutcome};
 use crate::records::{PROMOTION_PREFIX, PromotionRecord, encode};
 
 /// How long a database that is missing from the store counts as a replica.
@@ -31,6 +31,12 @@
 const REJECTED_PAUSE: Duration = Duration::from_millis(200);
 /// Orders that one coordinator may give.
 const TOKENS_PER_COORDINATOR: u64 = 4_096;
+/// Time in which every node that follows the store hears of an announcement.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(150);
+/// How long replaced primaries that come back are told to step down.
+const STEP_DOWN_TIME: Duration = Duration::from_secs(30);
+/// Pause between two such rounds.
+const STEP_DOWN_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two orders of the same promotion.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -343,7 +349,11 @@
         holder: node.settings.name.clone(),
         fencing_token,
     };
-    tokio::task::spawn_local(announce(Rc::clone(node), order.clone()));
+    if node.settings.fenced_promotions {
+        tokio::task::spawn_local(announce(Rc::clone(node), order.clone()));
+    } else {
+        replace_unfenced(node, &order).await?;
+    }
     let began = node.now();
     // The replicas of a synchronous group stay paused until the order is answered: one
     // that is carried out after they receive again would roll back acknowledged commits.
@@ -373,6 +383,54 @@
     }
 }
 
+/// Before an order that the service does not fence: every node is told through the store
+/// which database leads next, and the present primary is told to step down.
+async fn replace_unfenced(node: &Rc<Node>, order: &PromotionOrder) -> Result<(), OrderError> {
+    if !announce(Rc::clone(node), order.clone()).await {
+        return Err(OrderError::Rejected);
+    }
+    sleep(ANNOUNCEMENT_TIME).await;
+    step_down_others(node, order).await;
+    let node = Rc::clone(node);
+    let order = order.clone();
+    tokio::task::spawn_local(async move {
+        let began = node.now();
+        while node.now().since(began) < STEP_DOWN_TIME && node.coordinator_revision().is_some() {
+            sleep(STEP_DOWN_PAUSE).await;
+            if node.leader(&order.group).as_ref() == Some(&order.candidate) {
+                step_down_others(&node, &order).await;
+            }
+        }
+    });
+    Ok(())
+}
+
+/// Has every primary but the candidate step down, as far as they can be reached.
+async fn step_down_others(node: &Rc<Node>, order: &PromotionOrder) {
+    let databases = node.by_stated_role(&order.group);
+    let states = ask_all(node, &databases, &Command::Status).await;
+    let Some(newest) = states.iter().map(|(_, status)| status.term).max() else {
+        return;
+    };
+    let candidate_leads = states
+        .iter()
+        .any(|(name, status)| *name == order.candidate && status.primary);
+    let term = if candidate_leads {
+        newest
+    } else {
+        Term(newest.0 + 1)
+    };
+    let others: Vec<DatabaseName> = states
+        .into_iter()
+        .filter(|(name, status)| *name != order.candidate && status.primary)
+        .map(|(name, _)| name)
+        .collect();
+    for name in &others {
+        node.log("step_down_ordered", &[("database", name.as_str().into())]);
+    }
+    ask_all(node, &others, &Command::StepDown { term }).await;
+}
+
 fn authority_name(authority: Authority) -> &'static str {
     match authority {
         Authority::Lease => "lease",
@@ -393,7 +451,8 @@
 }
 
 /// Tells the other nodes of an order through the store, as far as that is to be had.
-async fn announce(node: Rc<Node>, order: PromotionOrder) {
+/// Says whether it was written.
+async fn announce(node: Rc<Node>, order: PromotionOrder) -> bool {
     let record = PromotionRecord {
         group: order.group.clone(),
         candidate: order.candidate.clone(),
@@ -410,9 +469,11 @@
         value: encode(&record),
         lease: None,
     };
-    if node.store.write(write).await.is_err() {
+    let written = matches!(node.store.write(write).await, Ok(WriteOutcome::Written(_)));
+    if !written {
         node.counters.count("promotion_records", "failed");
     }
+    written
 }
 
 async fn await_new_leader(node: &Rc<Node>, group: &GroupName, candidate: &DatabaseName) {
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -206,9 +206,16 @@
     }
     if let Some(record) = record {
         let now = node.now();
+        let leader = node.leader(&record.group);
         node.with_group(&record.group, |state| {
             state.promoting = Some((record.candidate.clone(), now));
         });
+        if let Some(leader) = leader
+            && leader != record.candidate
+            && !node.settings.fenced_promotions
+        {
+            node.refute_leader(&leader);
+        }
     }
 }
 
--- a/crates/serving/src/message.rs
+++ b/crates/serving/src/message.rs
@@ -233,6 +233,11 @@
     },
     /// Lets a replica receive again.
     ResumeReplication,
+    /// Turns a primary of a lower term into a replica.
+    StepDown {
+        /// The term.
+        term: Term,
+    },
 }
 
 /// One message of a database.
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -382,11 +382,28 @@
             .is_some_and(|database| self.leader(&database.group).as_ref() == Some(name))
     }
 
+    /// Whether the newest promotion known allows a database to lead.
+    ///
+    /// Where the service does not fence, a replaced primary may still believe to lead, so
+    /// only the database of the newest order is taken for the primary.
+    fn may_lead(&self, database: &Database) -> bool {
+        self.settings.fenced_promotions
+            || self.with_group(&database.group, |state| {
+                state
+                    .promoting
+                    .as_ref()
+                    .is_none_or(|(candidate, _)| *candidate == database.name)
+            })
+    }
+
     /// Takes a proof that a database leads.
     pub fn confirm_leader(&self, name: &DatabaseName, proof: Confirmation) {
         let Some(database) = self.database(name) else {
             return;
         };
+        if !self.may_lead(&database) {
+            return;
+        }
         let now = self.now();
         let (changed, reign) = self.with_group(&database.group, |state| {
             let changed = state.leadership.confirm(name, proof);
