--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::failover::Observation;
+use hookpoint_coordination::serving::leadership::Reign;
 use hookpoint_state::{DatabaseName, GroupName};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -21,6 +22,9 @@
 /// How long answers of peers are awaited: over the longest round trip.
 const ANSWER_WAIT: Duration = Duration::from_millis(120);
 
+/// Time in which a group's first primary may still be about to register.
+const FIRST_PRIMARY_TIME: Duration = Duration::from_secs(3);
+
 /// What one node sees of a group's primary, as told to a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToldObservation {
@@ -194,7 +198,11 @@
                 return ToldObservation::Reachable;
             }
             if state.leadership.leader().is_none() {
+                let never_seen = state.leadership.reign() == Reign::default();
                 return match state.leaderless_since {
+                    Some(since) if never_seen && now.since(since) < FIRST_PRIMARY_TIME => {
+                        ToldObservation::Unknown
+                    }
                     Some(since) => ToldObservation::Silent(millis(since)),
                     None => ToldObservation::Unknown,
                 };
