--- /dev/null
+++ b/crates/coordination/tests/serving.rs
@@ -0,0 +1,292 @@
+//! Decisions of the serving path, as tables of cases and as properties.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
+use hookpoint_coordination::serving::failover::{
+    NoCandidate, Observation, ReplicaState, choose_candidate, is_lost,
+};
+use hookpoint_coordination::serving::freshness::FreshnessLog;
+use hookpoint_coordination::serving::homes::{HomeCandidate, home_count, rank_homes};
+use hookpoint_coordination::serving::leadership::{Confirmation, Leadership, ReignPosition};
+use hookpoint_coordination::serving::selection::{Candidate, Distance, rank};
+use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
+use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp, ZoneName};
+use quickcheck::quickcheck;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn proof(asked: u64, answered: u64, position: Position) -> Confirmation {
+    Confirmation {
+        asked_at: at(asked),
+        answered_at: at(answered),
+        position: Some(position),
+    }
+}
+
+fn name(text: &str) -> DatabaseName {
+    DatabaseName::new(text)
+}
+
+#[test]
+fn a_floor_is_the_oldest_sample_that_is_fresh_enough() {
+    let mut log = FreshnessLog::default();
+    log.record(at(1_000), Position::new(1, 10));
+    log.record(at(1_100), Position::new(1, 20));
+    log.record(at(1_200), Position::new(1, 30));
+    for (horizon, floor) in [
+        (900, Some(10)),
+        (1_000, Some(10)),
+        (1_001, Some(20)),
+        (1_200, Some(30)),
+        (1_201, None),
+    ] {
+        let expected = floor.map(|number| Position::new(1, number));
+        assert_eq!(log.floor(at(horizon)), expected, "horizon {horizon}");
+    }
+}
+
+#[test]
+fn a_position_of_an_earlier_reign_stands_for_the_first_sample_of_this_one() {
+    let mut leadership = Leadership::default();
+    leadership.confirm(&name("a"), proof(10, 20, Position::new(1, 100)));
+    let held = ReignPosition {
+        reign: leadership.reign(),
+        position: Position::new(1, 100),
+    };
+    assert_eq!(leadership.translate(held), Some(Position::new(1, 100)));
+    leadership.confirm(&name("b"), proof(30, 40, Position::new(1, 90)));
+    assert_eq!(leadership.translate(held), Some(Position::new(1, 90)));
+}
+
+#[test]
+fn a_late_proof_of_a_replaced_primary_changes_nothing() {
+    let mut leadership = Leadership::default();
+    leadership.confirm(&name("b"), proof(30, 40, Position::new(2, 5)));
+    assert!(!leadership.confirm(&name("a"), proof(20, 50, Position::new(1, 9))));
+    assert_eq!(leadership.leader(), Some(&name("b")));
+}
+
+#[test]
+fn a_position_behind_one_seen_before_begins_a_reign() {
+    let mut leadership = Leadership::default();
+    leadership.confirm(&name("a"), proof(10, 20, Position::new(1, 100)));
+    let reign = leadership.reign();
+    leadership.confirm(&name("a"), proof(15, 30, Position::new(1, 99)));
+    assert_eq!(leadership.reign(), reign, "asked before the other answer");
+    leadership.confirm(&name("a"), proof(25, 30, Position::new(1, 99)));
+    assert!(leadership.reign() > reign);
+}
+
+#[test]
+fn a_primary_that_is_found_again_reigns_on() {
+    let mut leadership = Leadership::default();
+    leadership.confirm(&name("a"), proof(10, 20, Position::new(1, 100)));
+    let reign = leadership.reign();
+    assert!(leadership.refute(&name("a")));
+    assert_eq!(leadership.leader(), None);
+    leadership.confirm(&name("a"), proof(30, 40, Position::new(1, 101)));
+    assert_eq!(leadership.reign(), reign);
+}
+
+#[test]
+fn a_primary_is_lost_to_a_majority_of_those_who_answer() {
+    use Observation::{Reachable, Refused, Silent, Unknown};
+    let silent = Silent(ms(800));
+    let refused = Refused(ms(200));
+    let long = Silent(ms(3_000));
+    let cases: [(&[Observation], usize, bool); 9] = [
+        (&[silent, silent, silent, silent], 7, true),
+        (&[silent, silent, silent], 7, false),
+        (&[refused, refused, refused, refused], 7, true),
+        (&[silent, silent, Reachable, Reachable], 7, false),
+        (&[silent, silent, silent, Reachable], 7, true),
+        (&[Silent(ms(300)); 7], 7, false),
+        (&[Unknown; 7], 7, false),
+        (&[long], 7, true),
+        (&[silent], 1, true),
+    ];
+    for (observations, members, lost) in cases {
+        assert_eq!(is_lost(observations, members), lost, "{observations:?}");
+    }
+}
+
+fn replica(text: &str, received: u64, draining: bool) -> ReplicaState {
+    ReplicaState {
+        name: name(text),
+        received: Position::new(1, received),
+        draining,
+        preferred: false,
+    }
+}
+
+#[test]
+fn the_replica_that_received_most_is_chosen() {
+    let all = [replica("a", 5, false), replica("b", 9, false)];
+    assert_eq!(choose_candidate(&all, 2, 0), Ok(name("b")));
+    let leaving = [replica("a", 5, false), replica("b", 9, true)];
+    assert_eq!(choose_candidate(&leaving, 2, 0), Ok(name("a")));
+    assert_eq!(
+        choose_candidate(&leaving, 2, 1),
+        Ok(name("b")),
+        "a commit may be held by a leaving replica alone"
+    );
+    assert_eq!(
+        choose_candidate(&all[..1], 2, 1),
+        Err(NoCandidate::SomeMissing)
+    );
+    assert_eq!(choose_candidate(&all[..1], 2, 0), Ok(name("a")));
+    assert_eq!(choose_candidate(&[], 2, 0), Err(NoCandidate::NoneAnswered));
+}
+
+fn candidate(text: &str, distance: Distance) -> Candidate {
+    Candidate {
+        name: name(text),
+        distance,
+        in_flight: 0,
+        slots: 3,
+        service_time: ms(20),
+        draining: false,
+        suspect: false,
+        lagging: false,
+        leader: false,
+    }
+}
+
+#[test]
+fn the_nearest_database_serves_unless_it_is_loaded_or_in_doubt() {
+    let near = candidate("near", Distance::SameZone);
+    let far = candidate("far", Distance::OtherRegion);
+    assert_eq!(rank(vec![far.clone(), near.clone()])[0], name("near"));
+    let loaded = Candidate {
+        in_flight: 40,
+        ..near.clone()
+    };
+    assert_eq!(rank(vec![loaded, far.clone()])[0], name("far"));
+    let suspect = Candidate {
+        suspect: true,
+        ..near.clone()
+    };
+    assert_eq!(rank(vec![suspect, far.clone()])[0], name("far"));
+    let draining = Candidate {
+        draining: true,
+        ..near
+    };
+    assert_eq!(rank(vec![draining, far])[0], name("far"));
+}
+
+fn database(text: &str, draining: bool) -> Database {
+    Database {
+        name: name(text),
+        group: GroupName::new("g"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: ZoneName::new("z"),
+        slots: 3,
+        draining,
+        role: StatedRole::Replica,
+    }
+}
+
+#[test]
+fn absence_proves_leaving_only_in_a_store_that_was_followed_all_the_while() {
+    let mut directory = Directory::default();
+    directory.put(database("a", false), 1, at(0));
+    directory.remove(&name("a"), 2, at(1_000));
+    let listed = directory.get(&name("a")).unwrap();
+    assert!(!listed.is_leaving(at(0), at(4_400)));
+    assert!(listed.is_leaving(at(0), at(4_500)));
+    assert!(!listed.is_leaving(at(3_000), at(4_500)));
+    directory.put(database("a", false), 3, at(5_000));
+    assert!(
+        !directory
+            .get(&name("a"))
+            .unwrap()
+            .is_leaving(at(0), at(9_000))
+    );
+    directory.put(database("a", true), 4, at(5_000));
+    assert!(
+        directory
+            .get(&name("a"))
+            .unwrap()
+            .is_leaving(at(0), at(5_000))
+    );
+}
+
+#[test]
+fn an_older_registration_does_not_replace_a_newer_one() {
+    let mut directory = Directory::default();
+    directory.put(database("a", true), 5, at(0));
+    directory.put(database("a", false), 4, at(1));
+    assert!(directory.get(&name("a")).unwrap().database.draining);
+    directory.remove(&name("a"), 4, at(2));
+    assert!(!directory.get(&name("a")).unwrap().missing);
+}
+
+#[test]
+fn a_small_fleet_is_home_of_everything_and_a_large_one_is_not() {
+    assert_eq!(home_count(36, 7), 7);
+    assert_eq!(home_count(36, 300), 9);
+    assert_eq!(home_count(2, 300), 1);
+    assert_eq!(home_count(36, 0), 1);
+}
+
+quickcheck! {
+    fn the_configuration_in_force_never_goes_back(versions: Vec<u64>) -> bool {
+        let mut holder = ConfigurationHolder::default();
+        let mut highest = None;
+        versions.into_iter().all(|version| {
+            let newer = highest.is_none_or(|highest| version > highest);
+            if newer {
+                highest = Some(version);
+            }
+            let offered = Configuration { version, ..Configuration::default() };
+            let taken = holder.offer(offered);
+            taken == newer && holder.current().map(Rc::clone).map(|current| current.version) == highest
+        })
+    }
+
+    fn a_floor_covers_what_was_acknowledged_before_its_horizon(gaps: Vec<(u8, u8)>, horizon: u16) -> bool {
+        let mut log = FreshnessLog::default();
+        let mut truth = Vec::new();
+        let (mut time, mut number) = (0, 0);
+        for (pause, commits) in gaps {
+            time += u64::from(pause);
+            number += u64::from(commits);
+            truth.push((at(time), Position::new(1, number)));
+            log.record(at(time), Position::new(1, number));
+        }
+        let horizon = at(u64::from(horizon));
+        match log.floor(horizon) {
+            None => true,
+            Some(floor) => truth
+                .iter()
+                .filter(|(asked, _)| *asked < horizon)
+                .all(|(_, position)| *position <= floor),
+        }
+    }
+
+    fn nodes_agree_on_homes_and_a_leaving_node_moves_only_its_own(count: u8, leaver: u8) -> bool {
+        let nodes: Vec<HomeCandidate> = (0..=count)
+            .map(|number| HomeCandidate { node: format!("n{number}"), zone: ZoneName::new("z") })
+            .collect();
+        let zone = ZoneName::new("z");
+        let before: Vec<String> = rank_homes(&name("d"), &zone, &nodes)
+            .into_iter()
+            .map(|home| home.node.clone())
+            .collect();
+        let left = format!("n{}", leaver % (count.saturating_add(1)).max(1));
+        let rest: Vec<HomeCandidate> = nodes.iter().rev().filter(|node| node.node != left).cloned().collect();
+        let after: Vec<String> = rank_homes(&name("d"), &zone, &rest)
+            .into_iter()
+            .map(|home| home.node.clone())
+            .collect();
+        before.into_iter().filter(|node| *node != left).collect::<Vec<_>>() == after
+    }
+}
--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hookpoint_state::Timestamp;
 use serde_json::{Map, Value};
@@ -16,7 +16,7 @@
 /// Lines that wait for the writer at the most.
 const CHANNEL_LINES: usize = 2_048;
 /// Lines a second for each kind of event.
-const LINES_PER_SECOND: u32 = 20;
+const LINES_PER_SECOND: u32 = 40;
 /// Length of a budget window.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -84,6 +84,7 @@
     ) -> String {
         let mut object = Map::new();
         object.insert("at_ms".into(), Value::from(now.0 / 1_000));
+        object.insert("wall_ms".into(), Value::from(wall_clock_ms()));
         object.insert("node".into(), Value::from(self.node.as_str()));
         object.insert("event".into(), Value::from(event));
         if left_out > 0 {
@@ -97,3 +98,12 @@
         line
     }
 }
+
+/// For people who lay logs of several nodes side by side; nothing is decided by it.
+fn wall_clock_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = elapsed
+        .map(|elapsed| elapsed.as_millis())
+        .unwrap_or_default();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod session;
 pub mod shutdown;
 mod statement;
+pub mod story;
--- a/crates/serving/src/session.rs
+++ b/crates/serving/src/session.rs
@@ -127,6 +127,14 @@
         self.database = database;
         if self.route().is_none() {
             self.node.counters.count("sessions", "no_such_database");
+            let version = self.node.configuration_version();
+            self.node.log(
+                "session_refused",
+                &[
+                    ("database", self.database.as_str().into()),
+                    ("configuration", version.into()),
+                ],
+            );
             self.fail(no_such_database());
             self.flush().await?;
             self.stream.shutdown().await?;
@@ -205,6 +213,10 @@
 
     fn fail_transaction(&mut self) {
         self.node.counters.count("transactions_ended", "rested");
+        self.node.log(
+            "transaction_ended",
+            &[("database", self.database.as_str().into())],
+        );
         self.transaction = None;
         self.state.phase = Phase::Failed;
     }
--- a/crates/serving/src/statement.rs
+++ b/crates/serving/src/statement.rs
@@ -148,6 +148,24 @@
     }
 }
 
+/// What was tried for a statement.
+#[derive(Debug)]
+struct Tried {
+    attempts: u32,
+    database: Option<DatabaseName>,
+    last_failure: &'static str,
+}
+
+impl Default for Tried {
+    fn default() -> Self {
+        Self {
+            attempts: 0,
+            database: None,
+            last_failure: "none",
+        }
+    }
+}
+
 /// How the connection's transaction has to stand before the statement.
 #[derive(Clone, Copy, Debug)]
 enum Stance {
@@ -277,7 +295,7 @@
         Failure::new(FailureCode::Overloaded, RETRY_HINT)
     }
 
-    fn log_outcome(&self, work: &Work, attempts: u32, last: &'static str, outcome: &'static str) {
+    fn log_outcome(&self, work: &Work, tried: &Tried, outcome: &'static str) {
         let now = self.node.now();
         let (leader, reign, confirmed_at, sample) =
             self.node.with_group(&self.route.group, |state| {
@@ -308,8 +326,12 @@
                     sample.map(|at| millis(now.since(at))).into(),
                 ),
                 ("held_ms", millis(now.since(self.arrived)).into()),
-                ("attempts", attempts.into()),
-                ("last_failure", last.into()),
+                ("attempts", tried.attempts.into()),
+                (
+                    "database",
+                    tried.database.as_ref().map(DatabaseName::as_str).into(),
+                ),
+                ("last_failure", tried.last_failure.into()),
                 ("outcome", outcome.into()),
             ],
         );
@@ -339,11 +361,10 @@
         let in_transaction = self.state.phase == Phase::InTransaction;
         let to_leader = plain_transaction || work.access == Access::Write;
         let mut avoided = BTreeSet::new();
-        let mut attempts = 0;
-        let mut last = "none";
+        let mut tried = Tried::default();
         loop {
             if self.time_left() < LEAST_ATTEMPT {
-                self.log_outcome(work, attempts, last, "refused");
+                self.log_outcome(work, &tried, "refused");
                 return Err(self.refusal("out_of_time"));
             }
             let target = if to_leader {
@@ -354,28 +375,31 @@
             let Some(target) = target else {
                 avoided.clear();
                 if let Err(failure) = self.await_target().await {
-                    self.log_outcome(work, attempts, last, "refused");
+                    self.log_outcome(work, &tried, "refused");
                     return Err(failure);
                 }
                 continue;
             };
-            attempts += 1;
+            tried.attempts += 1;
+            tried.database = Some(target.database().clone());
             let attempt = self.attempt(work, &target, in_transaction, to_leader).await;
             match attempt {
                 Attempt::Answered(lease, answer) => {
-                    if attempts > 1 {
-                        self.log_outcome(work, attempts, last, "served_after_retry");
+                    if tried.attempts > 1 {
+                        self.log_outcome(work, &tried, "served_after_retry");
                     }
                     return Ok((answer, lease));
                 }
                 Attempt::Unknown => {
-                    self.log_outcome(work, attempts, last, "outcome_unknown");
+                    self.log_outcome(work, &tried, "outcome_unknown");
                     let text = "the write was sent and not answered";
                     return Err(Failure::new(FailureCode::OutcomeUnknown, text));
                 }
                 Attempt::NotRun(failure) => {
-                    last = failure.as_str();
-                    self.node.counters.count("attempts_failed", last);
+                    tried.last_failure = failure.as_str();
+                    self.node
+                        .counters
+                        .count("attempts_failed", tried.last_failure);
                     self.after_failure(failure, &target, &mut avoided).await;
                 }
             }
@@ -681,7 +705,12 @@
                 Ok(answer)
             }
             _ => {
-                self.log_outcome(work, 1, "broken", "transaction_lost");
+                let tried = Tried {
+                    attempts: 1,
+                    database: Some(lease.pool().database().clone()),
+                    last_failure: AttemptFailure::Broken.as_str(),
+                };
+                self.log_outcome(work, &tried, "transaction_lost");
                 Err(rolled_back())
             }
         }
--- /dev/null
+++ b/crates/serving/src/story.rs
@@ -0,0 +1,172 @@
+//! The story of one request, database or configuration, read from nodes' event logs.
+
+use serde_json::Value;
+
+/// Events that change what a node believes; they explain the requests near them.
+const BELIEF_EVENTS: [&str; 13] = [
+    "started",
+    "stop_requested",
+    "leader_confirmed",
+    "leader_refuted",
+    "primary_lost",
+    "promotion_ordered",
+    "promotion_answered",
+    "step_down_ordered",
+    "dependency_lost",
+    "dependency_regained",
+    "database_changed",
+    "database_missing",
+    "configuration_in_force",
+];
+/// Beliefs that changed this long before a request are told with it, in milliseconds.
+const BELIEFS_BEFORE_MS: u64 = 10_000;
+/// Beliefs that changed this long after a request are told with it, in milliseconds.
+const BELIEFS_AFTER_MS: u64 = 1_000;
+/// Steps of a node's wall clock that are marked, in milliseconds.
+const CLOCK_STEP_MS: i64 = 250;
+
+/// What is asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// A request's id.
+    Request(String),
+    /// A database's name.
+    Database(String),
+    /// A configuration's version.
+    Configuration(u64),
+}
+
+/// One event of a log.
+#[derive(Clone, Debug)]
+pub struct Event {
+    /// Wall-clock time at the node, in milliseconds since 1970.
+    pub wall_ms: u64,
+    /// Steady time at the node, in milliseconds from an origin of its own.
+    pub steady_ms: u64,
+    /// The node.
+    pub node: String,
+    /// The kind of event.
+    pub name: String,
+    /// All fields.
+    pub fields: Value,
+}
+
+impl Event {
+    /// Reads a line. A prefix before the object is passed over.
+    pub fn parse(line: &str) -> Option<Self> {
+        let object = &line[line.find('{')?..];
+        let fields: Value = serde_json::from_str(object).ok()?;
+        Some(Self {
+            wall_ms: fields["wall_ms"].as_u64()?,
+            steady_ms: fields["at_ms"].as_u64()?,
+            node: fields["node"].as_str()?.to_owned(),
+            name: fields["event"].as_str()?.to_owned(),
+            fields,
+        })
+    }
+
+    fn text(&self, field: &str) -> Option<&str> {
+        self.fields[field].as_str()
+    }
+
+    fn names_database(&self, name: &str) -> bool {
+        ["database", "leader", "candidate", "dependency"]
+            .iter()
+            .any(|field| self.text(field) == Some(name))
+    }
+
+    fn is_belief(&self) -> bool {
+        BELIEF_EVENTS.contains(&self.name.as_str())
+    }
+}
+
+/// The events that tell the story of `subject`, in order of time.
+pub fn select(events: &[Event], subject: &Subject) -> Vec<Event> {
+    let mut chosen: Vec<Event> = match subject {
+        Subject::Request(id) => select_request(events, id),
+        Subject::Database(name) => events
+            .iter()
+            .filter(|event| event.names_database(name))
+            .cloned()
+            .collect(),
+        Subject::Configuration(version) => events
+            .iter()
+            .filter(|event| {
+                event.name == "configuration_in_force"
+                    && event.fields["version"].as_u64() == Some(*version)
+            })
+            .cloned()
+            .collect(),
+    };
+    chosen.sort_by_key(|event| event.wall_ms);
+    chosen
+}
+
+fn select_request(events: &[Event], id: &str) -> Vec<Event> {
+    let own: Vec<&Event> = events
+        .iter()
+        .filter(|event| event.text("request") == Some(id))
+        .collect();
+    let Some(first) = own.first() else {
+        return Vec::new();
+    };
+    let group = own.iter().find_map(|event| event.text("group"));
+    let from = first.wall_ms.saturating_sub(BELIEFS_BEFORE_MS);
+    let until = first.wall_ms + BELIEFS_AFTER_MS;
+    events
+        .iter()
+        .filter(|event| {
+            let near = (from..=until).contains(&event.wall_ms);
+            let same_group = group.is_some() && event.text("group") == group;
+            let same_node = event.node == first.node;
+            let belief = near && event.is_belief() && (same_group || same_node);
+            event.text("request") == Some(id) || belief
+        })
+        .cloned()
+        .collect()
+}
+
+/// One line for each event, with a mark where a node's wall clock was stepped.
+pub fn tell(events: &[Event]) -> Vec<String> {
+    let mut lines = Vec::with_capacity(events.len());
+    for (index, event) in events.iter().enumerate() {
+        let before = events[..index]
+            .iter()
+            .rev()
+            .find(|other| other.node == event.node);
+        let mark = match before {
+            Some(before) if is_stepped(before, event) => " (its clock was stepped)",
+            _ => "",
+        };
+        let fields = event.fields.as_object().map(tell_fields);
+        lines.push(format!(
+            "{}.{:03} {}{mark} {}{}",
+            event.wall_ms / 1_000,
+            event.wall_ms % 1_000,
+            event.node,
+            event.name,
+            fields.unwrap_or_default()
+        ));
+    }
+    lines
+}
+
+fn is_stepped(before: &Event, event: &Event) -> bool {
+    let difference = |later: u64, earlier: u64| {
+        i64::try_from(later).unwrap_or(i64::MAX) - i64::try_from(earlier).unwrap_or(i64::MAX)
+    };
+    let restarted = event.steady_ms < before.steady_ms;
+    let wall = difference(event.wall_ms, before.wall_ms);
+    let steady = difference(event.steady_ms, before.steady_ms);
+    !restarted && (wall - steady).abs() > CLOCK_STEP_MS
+}
+
+fn tell_fields(fields: &serde_json::Map<String, Value>) -> String {
+    let mut text = String::new();
+    for (name, value) in fields {
+        if !matches!(name.as_str(), "wall_ms" | "at_ms" | "node" | "event") {
+            text.push_str(&format!(" {name}={value}"));
+        }
+    }
+    text
+}
--- /dev/null
+++ b/crates/serving/tests/event_log.rs
@@ -0,0 +1,132 @@
+//! The event log: bounded, never blocking, and readable as a story.
+
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+use hookpoint_serving::events::EventLog;
+use hookpoint_serving::story::{Event, Subject, select, tell};
+use hookpoint_state::Timestamp;
+
+/// A reader that never reads.
+struct Stuck;
+
+impl Write for Stuck {
+    fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+        loop {
+            std::thread::park();
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+struct Lines(std::sync::mpsc::Sender<String>);
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = self.0.send(String::from_utf8_lossy(bytes).into_owned());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn next(lines: &Receiver<String>) -> String {
+    lines.recv_timeout(Duration::from_secs(5)).unwrap()
+}
+
+#[test]
+fn a_reader_that_does_not_read_delays_nothing() {
+    let log = EventLog::new("n", Stuck);
+    let began = Instant::now();
+    for second in 0..1_000 {
+        for _ in 0..100 {
+            log.write(Timestamp::from_millis(second * 1_000), "busy", &[]);
+        }
+    }
+    assert!(began.elapsed() < Duration::from_secs(5));
+}
+
+#[test]
+fn what_is_over_the_budget_is_counted_in_the_next_line() {
+    let (sender, lines) = channel();
+    let log = EventLog::new("n", Lines(sender));
+    for _ in 0..100 {
+        log.write(Timestamp::from_millis(1_000), "busy", &[]);
+    }
+    log.write(Timestamp::from_millis(1_000), "other", &[]);
+    log.write(Timestamp::from_millis(2_500), "busy", &[]);
+    let mut written = Vec::new();
+    while !written
+        .iter()
+        .any(|line: &String| line.contains("left_out"))
+    {
+        written.push(next(&lines));
+    }
+    assert_eq!(
+        written.len(),
+        42,
+        "40 of one kind, one of another, one later"
+    );
+    assert!(written[40].contains("other"));
+    assert!(written[41].contains("\"left_out\":60"));
+}
+
+fn event(wall: u64, steady: u64, node: &str, rest: &str) -> Event {
+    let line = format!(
+        "  1.25 {node} {{\"wall_ms\":{wall},\"at_ms\":{steady},\"node\":\"{node}\",{rest}}}"
+    );
+    Event::parse(&line).unwrap()
+}
+
+#[test]
+fn a_story_holds_the_request_and_what_its_node_believed() {
+    let events = [
+        event(
+            50_000,
+            10,
+            "b",
+            "\"event\":\"leader_confirmed\",\"group\":\"other\"",
+        ),
+        event(
+            50_100,
+            20,
+            "c",
+            "\"event\":\"promotion_ordered\",\"group\":\"g\",\"candidate\":\"d2\"",
+        ),
+        event(
+            50_200,
+            30,
+            "a",
+            "\"event\":\"statement_decided\",\"group\":\"g\",\"request\":\"r1\"",
+        ),
+        event(
+            50_300,
+            40,
+            "a",
+            "\"event\":\"statement_decided\",\"group\":\"g\",\"request\":\"r2\"",
+        ),
+        event(
+            50_400,
+            5_000,
+            "a",
+            "\"event\":\"dependency_lost\",\"dependency\":\"store\"",
+        ),
+    ];
+    let story = select(&events, &Subject::Request("r1".to_owned()));
+    let names: Vec<&str> = story.iter().map(|event| event.name.as_str()).collect();
+    assert_eq!(
+        names,
+        ["promotion_ordered", "statement_decided", "dependency_lost"]
+    );
+    let told = tell(&story);
+    assert!(told[2].contains("its clock was stepped"), "{told:?}");
+    let database = select(&events, &Subject::Database("d2".to_owned()));
+    assert_eq!(database.len(), 1);
+    assert!(select(&events, &Subject::Request("r9".to_owned())).is_empty());
+}
--- a/hookpoint/src/command/explain.rs
+++ b/hookpoint/src/command/explain.rs
@@ -1,7 +1,11 @@
 //! `hookpoint explain`.
 
-use anyhow::Result;
+use std::io::{BufRead, BufReader, Read};
+use std::path::Path;
+
+use anyhow::{Context, Result, bail};
 use hookpoint_coordination::explain::Entry;
+use hookpoint_serving::story::{Event, Subject, select, tell};
 use hookpoint_state::NodeId;
 use serde_json::Value;
 
@@ -11,13 +15,51 @@
 /// Carries out the command.
 ///
 /// # Errors
-/// When the endpoint does not answer.
+/// When the endpoint does not answer, or the log cannot be read or tells nothing.
 pub fn run(flags: &Explain) -> Result<()> {
+    match (&flags.admin, &flags.log) {
+        (Some(admin), None) => ask(flags, admin),
+        (None, Some(log)) => read(flags, log),
+        _ => bail!("give one of --admin and --log"),
+    }
+}
+
+/// Tells the story that logs hold of the subject asked for.
+fn read(flags: &Explain, log: &Path) -> Result<()> {
+    let subject = match (&flags.request, &flags.database, flags.configuration) {
+        (Some(id), None, None) => Subject::Request(id.clone()),
+        (None, Some(name), None) => Subject::Database(name.clone()),
+        (None, None, Some(version)) => Subject::Configuration(version),
+        _ => bail!("--log takes one of --request, --database and --configuration"),
+    };
+    let input: Box<dyn Read> = if log == Path::new("-") {
+        Box::new(std::io::stdin())
+    } else {
+        let file = std::fs::File::open(log);
+        Box::new(file.with_context(|| format!("cannot read {}", log.display()))?)
+    };
+    let events: Vec<Event> = BufReader::new(input)
+        .lines()
+        .map_while(Result::ok)
+        .filter_map(|line| Event::parse(&line))
+        .collect();
+    let story = select(&events, &subject);
+    if story.is_empty() {
+        bail!("none of {} events tells of it", events.len());
+    }
+    for line in tell(&story) {
+        println!("{line}");
+    }
+    Ok(())
+}
+
+/// Tells the decisions that a proxy keeps.
+fn ask(flags: &Explain, admin: &str) -> Result<()> {
     let path = match flags.session {
         Some(session) => format!("/explain?session={session}"),
         None => "/explain".to_owned(),
     };
-    let entries: Vec<Entry> = in_system(http::get_json(&flags.admin, &path))?;
+    let entries: Vec<Entry> = in_system(http::get_json(admin, &path))?;
     for entry in &entries {
         println!("{}", line(entry)?);
     }
--- a/hookpoint/src/flags.rs
+++ b/hookpoint/src/flags.rs
@@ -98,9 +98,17 @@
         /// Tell why requests were routed, held or refused.
         cmd explain {
             /// Base URL of the proxy's operators' endpoint.
-            required --admin url: String
+            optional --admin url: String
             /// Only this session.
             optional --session number: u64
+            /// Read nodes' event logs instead: a file, or - for standard input.
+            optional --log file: PathBuf
+            /// With --log: the story of this request.
+            optional --request id: String
+            /// With --log: the story of this database.
+            optional --database name: String
+            /// With --log: where this configuration came into force.
+            optional --configuration version: u64
         }
 
         /// The fleet.
