--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -105,6 +105,7 @@
             _ => apply(node, change),
         }
     }
+    node.invalidate_homes();
     node.directory
         .borrow_mut()
         .replace(databases, all.revision, now);
@@ -127,6 +128,7 @@
 
 fn apply(node: &Rc<Node>, change: StoreChange) {
     let now = node.now();
+    node.invalidate_homes();
     match change.record {
         StoreRecord::Configuration(configuration) => {
             let version = configuration.version;
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -23,6 +23,12 @@
 const ROUND: Duration = Duration::from_millis(50);
 /// A primary that was confirmed this lately is not asked.
 const CONFIRMED_LATELY: Duration = Duration::from_millis(250);
+/// The same for a primary that this node asks through another node.
+const CONFIRMED_LATELY_AFAR: Duration = Duration::from_millis(700);
+/// A group that no request asked for in this time is looked after less often.
+const IN_USE: Duration = Duration::from_secs(3);
+/// How often a primary is asked that nobody uses here.
+const CONFIRMED_LATELY_UNUSED: Duration = Duration::from_millis(2_000);
 /// Pause between two questions to the same database while nobody is known to lead.
 const SEARCH_PAUSE: Duration = Duration::from_millis(100);
 
@@ -59,16 +65,17 @@
 
 fn look_after(node: &Rc<Node>, asking: &Rc<Asking>, group: &GroupName) {
     let now = node.now();
-    let (leader, confirmed_at, lost, promoting) = node.with_group(group, |state| {
+    let (leader, confirmed_at, lost, promoting, used_at) = node.with_group(group, |state| {
         (
             state.leadership.leader().cloned(),
             state.leadership.confirmed_at(),
             state.contact.lost_since.is_some(),
             state.promoting.clone(),
+            state.used_at,
         )
     });
     if let Some(leader) = &leader
-        && now.since(confirmed_at) >= CONFIRMED_LATELY
+        && now.since(confirmed_at) >= question_period(node, leader, now.since(used_at))
     {
         ask(node, asking, leader);
     }
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -27,6 +27,24 @@
 /// How long a node that no longer registers still counts for the division of connections.
 const MEMBER_MEMORY: Duration = Duration::from_secs(6);
 
+/// How long the homes that were worked out are valid, if nothing else changes.
+const HOMES_VALID: Duration = Duration::from_secs(1);
+
+/// Who holds connections to one database.
+struct HomeView {
+    /// Connections that this node may hold.
+    cap: usize,
+    /// The other holders, the preferred first.
+    holders: Vec<(String, SocketAddr)>,
+}
+
+/// Homes worked out so far.
+#[derive(Default)]
+struct HomeViews {
+    since: Timestamp,
+    views: BTreeMap<DatabaseName, Rc<HomeView>>,
+}
+
 /// Settings of a node.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -66,6 +84,8 @@
     pub leadership: Leadership,
     /// Contact with the database believed to lead, or that led last.
     pub contact: Contact,
+    /// When a request last asked for the group.
+    pub used_at: Timestamp,
     /// Since when nobody is known to lead.
     pub leaderless_since: Option<Timestamp>,
     /// Database that a promotion was ordered for, and when that was learnt.
@@ -150,6 +170,7 @@
     pub stop_advanced: Notify,
     /// Links to peers.
     pub links: Links,
+    homes: RefCell<HomeViews>,
     pools: RefCell<BTreeMap<DatabaseName, Rc<Pool>>>,
     started: Instant,
 }
@@ -187,6 +208,7 @@
             configuration_changed: Notify::new(),
             stop_advanced: Notify::new(),
             links: Links::default(),
+            homes: RefCell::default(),
             pools: RefCell::default(),
             started: Instant::now(),
         })
@@ -296,27 +318,68 @@
 
     /// Connections that this node may have open to a database; 0 if it is not home.
     pub fn connection_cap(&self, name: &DatabaseName) -> usize {
-        let most = self.most_connections(name);
-        let members = self.live_members();
-        if members == 0 {
-            return CAP_WITHOUT_MEMBERS.min(most);
-        }
-        let homes = home_count(most, members);
-        if homes < members && !self.is_home(name, homes) {
-            return 0;
+        self.home_view(name).cap
+    }
+
+    /// The other nodes that hold connections to a database, the preferred first.
+    pub fn holders(&self, name: &DatabaseName) -> Vec<(String, SocketAddr)> {
+        self.home_view(name).holders.clone()
+    }
+
+    /// Has the homes worked out anew: members, databases or configuration changed.
+    pub fn invalidate_homes(&self) {
+        self.homes.borrow_mut().views.clear();
+    }
+
+    fn home_view(&self, name: &DatabaseName) -> Rc<HomeView> {
+        let now = self.now();
+        {
+            let mut homes = self.homes.borrow_mut();
+            if now.since(homes.since) >= HOMES_VALID {
+                homes.views.clear();
+                homes.since = now;
+            }
+            if let Some(view) = homes.views.get(name) {
+                return Rc::clone(view);
+            }
         }
-        (most / homes).max(1)
+        let view = Rc::new(self.work_out_homes(name));
+        let mut homes = self.homes.borrow_mut();
+        homes.views.insert(name.clone(), Rc::clone(&view));
+        view
     }
 
-    fn is_home(&self, name: &DatabaseName, homes: usize) -> bool {
+    /// Whether this node is home of a database, and which others are.
+    ///
+    /// The order of the others differs from node to node among those of one distance, so
+    /// that leases spread over the holders.
+    fn work_out_homes(&self, name: &DatabaseName) -> HomeView {
+        let most = self.most_connections(name);
         let candidates = self.home_candidates();
-        let Some(database) = self.database(name) else {
-            return false;
+        let Some(database) = self.database(name).filter(|_| !candidates.is_empty()) else {
+            return HomeView {
+                cap: CAP_WITHOUT_MEMBERS.min(most),
+                holders: Vec::new(),
+            };
         };
-        rank_homes(name, &database.zone, &candidates)
+        let count = home_count(most, candidates.len());
+        let ranked = rank_homes(name, &database.zone, &candidates);
+        let homes: Vec<HomeCandidate> = ranked.into_iter().take(count).cloned().collect();
+        let is_home = homes.iter().any(|home| home.node == self.settings.name);
+        let own = DatabaseName::new(&self.settings.name);
+        let members = self.members.borrow();
+        let holders = rank_homes(&own, &database.zone, &homes)
             .into_iter()
-            .take(homes)
-            .any(|candidate| candidate.node == self.settings.name)
+            .filter(|home| home.node != self.settings.name)
+            .filter_map(|home| {
+                let member = members.get(&home.node)?;
+                Some((home.node.clone(), member.peer_address))
+            })
+            .collect();
+        HomeView {
+            cap: if is_home { (most / count).max(1) } else { 0 },
+            holders,
+        }
     }
 
     fn home_candidates(&self) -> Vec<HomeCandidate> {
@@ -332,39 +395,6 @@
             .collect()
     }
 
-    /// The other nodes that hold connections to a database, the preferred first.
-    ///
-    /// The order differs from node to node among those of one distance, so that leases
-    /// spread over the holders.
-    pub fn holders(&self, name: &DatabaseName) -> Vec<(String, SocketAddr)> {
-        let Some(database) = self.database(name) else {
-            return Vec::new();
-        };
-        let candidates = self.home_candidates();
-        let homes = home_count(self.most_connections(name), candidates.len());
-        let mut holders: Vec<HomeCandidate> = rank_homes(name, &database.zone, &candidates)
-            .into_iter()
-            .take(homes)
-            .filter(|candidate| candidate.node != self.settings.name)
-            .cloned()
-            .collect();
-        let own = DatabaseName::new(&self.settings.name);
-        let by_own_rank: Vec<String> = rank_homes(&own, &database.zone, &holders)
-            .into_iter()
-            .map(|candidate| candidate.node.clone())
-            .collect();
-        holders
-            .sort_by_key(|candidate| by_own_rank.iter().position(|node| *node == candidate.node));
-        let members = self.members.borrow();
-        holders
-            .into_iter()
-            .filter_map(|candidate| {
-                let member = members.get(&candidate.node)?;
-                Some((candidate.node, member.peer_address))
-            })
-            .collect()
-    }
-
     /// Runs `change` on the state of a group.
     pub fn with_group<T>(&self, group: &GroupName, change: impl FnOnce(&mut GroupState) -> T) -> T {
         let mut groups = self.groups.borrow_mut();
--- a/crates/serving/src/statement.rs
+++ b/crates/serving/src/statement.rs
@@ -20,6 +20,11 @@
 
 /// Least time left in which another attempt is worth making.
 const LEAST_ATTEMPT: Duration = Duration::from_millis(10);
+/// The same for a write: one that is sent and not answered in time is in doubt, while one
+/// that was not sent can be tried again by the caller.
+const LEAST_WRITE_ATTEMPT: Duration = Duration::from_millis(200);
+/// How long a read waits for a connection to one database.
+const READ_ACQUIRE_LIMIT: Duration = Duration::from_millis(200);
 /// Pause before another attempt at a loaded database.
 const BUSY_PAUSE: Duration = Duration::from_millis(15);
 /// Longest pause before looking again for a database.
@@ -117,7 +122,7 @@
 
 /// What became of one attempt.
 enum Attempt {
-    Answered(Lease, Answer),
+    Answered(Box<(Lease, Answer)>),
     /// It did not run; another attempt may be made.
     NotRun(AttemptFailure),
     /// It was sent and nothing is known.
@@ -359,11 +364,14 @@
         plain_transaction: bool,
     ) -> Result<(Answer, Lease), Failure> {
         let in_transaction = self.state.phase == Phase::InTransaction;
+        let now = self.node.now();
+        self.node
+            .with_group(&self.route.group, |state| state.used_at = now);
         let to_leader = plain_transaction || work.access == Access::Write;
         let mut avoided = BTreeSet::new();
         let mut tried = Tried::default();
         loop {
-            if self.time_left() < LEAST_ATTEMPT {
+            if self.time_left() < least_time(work) {
                 self.log_outcome(work, &tried, "refused");
                 return Err(self.refusal("out_of_time"));
             }
@@ -384,7 +392,8 @@
             tried.database = Some(target.database().clone());
             let attempt = self.attempt(work, &target, in_transaction, to_leader).await;
             match attempt {
-                Attempt::Answered(lease, answer) => {
+                Attempt::Answered(answered) => {
+                    let (lease, answer) = *answered;
                     if tried.attempts > 1 {
                         self.log_outcome(work, &tried, "served_after_retry");
                     }
@@ -443,7 +452,11 @@
         let pool = self.node.pool(target.database());
         let asked_at = self.node.now();
         let acquired = pool
-            .acquire(self.route.priority, &self.state.values, self.time_left())
+            .acquire(
+                self.route.priority,
+                &self.state.values,
+                self.acquire_limit(work),
+            )
             .await;
         let lease = match acquired {
             Ok(lease) => lease,
@@ -525,7 +538,7 @@
                 if work.access == Access::Write && matches!(stance, Stance::Alone(_)) {
                     self.confirm(&lease, asked_at, answer.position);
                 }
-                return Attempt::Answered(lease, answer);
+                return Attempt::Answered(Box::new((lease, answer)));
             }
             Err(failure) => failure.code,
         };
@@ -540,7 +553,7 @@
             FailureCode::Failed | FailureCode::TimedOut if work.access == Access::Read => {
                 Attempt::NotRun(AttemptFailure::Failed)
             }
-            _ => Attempt::Answered(lease, answer),
+            _ => Attempt::Answered(Box::new((lease, answer))),
         }
     }
 
@@ -553,6 +566,16 @@
         self.node.confirm_leader(lease.pool().database(), proof);
     }
 
+    /// How long a connection is waited for. A read tries another database after a while;
+    /// a write has to have time left to be answered, or its outcome would not be known.
+    fn acquire_limit(&self, work: &Work) -> Duration {
+        let left = self.time_left().saturating_sub(least_time(work));
+        match work.access {
+            Access::Read => left.min(READ_ACQUIRE_LIMIT),
+            Access::Write => left,
+        }
+    }
+
     fn attempt_limit(&self, work: &Work, lease: &Lease) -> Duration {
         let left = self.time_left();
         match work.access {
@@ -788,6 +811,14 @@
     }
 }
 
+/// Least time left in which a statement is still sent to a database.
+fn least_time(work: &Work) -> Duration {
+    match work.access {
+        Access::Read => LEAST_ATTEMPT,
+        Access::Write => LEAST_WRITE_ATTEMPT,
+    }
+}
+
 fn push_values(state: &SessionState, commands: &mut Vec<Command>) {
     commands.push(Command::Reset);
     for (name, value) in &state.values {
