--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -93,6 +93,18 @@
     }
 }
 
+/// How often a primary is asked: nodes that hold connections to it ask often enough to
+/// notice its loss, the others often enough to keep their samples fresh.
+fn question_period(node: &Rc<Node>, leader: &DatabaseName, unused: Duration) -> Duration {
+    if node.connection_cap(leader) > 0 {
+        CONFIRMED_LATELY
+    } else if unused < IN_USE {
+        CONFIRMED_LATELY_AFAR
+    } else {
+        CONFIRMED_LATELY_UNUSED
+    }
+}
+
 fn search(node: &Rc<Node>, asking: &Rc<Asking>, group: &GroupName, leader: Option<&DatabaseName>) {
     for database in node.by_stated_role(group) {
         if leader != Some(&database) {
