--- a/crates/serving/src/story.rs
+++ b/crates/serving/src/story.rs
@@ -3,11 +3,13 @@
 use serde_json::Value;
 
 /// Events that change what a node believes; they explain the requests near them.
-const BELIEF_EVENTS: [&str; 13] = [
+const BELIEF_EVENTS: [&str; 15] = [
     "started",
     "stop_requested",
     "leader_confirmed",
     "leader_refuted",
+    "primary_unreachable",
+    "primary_regained",
     "primary_lost",
     "promotion_ordered",
     "promotion_answered",
