--- a/crates/serving/src/session.rs
+++ b/crates/serving/src/session.rs
@@ -343,12 +343,9 @@
         let outcome = request.run_single(&work).await;
         match outcome {
             Ok((answer, database)) => {
-                if work.access == Access::Write
-                    && answer.result.is_ok()
-                    && let Some(position) = answer.position
-                {
-                    let position = request.position_after_write(&database, position);
-                    self.own_position = Some(position);
+                if work.access == Access::Write {
+                    let written = request.written_position(&database, &answer);
+                    self.own_position = written.or(self.own_position);
                 }
                 self.pass_on(answer);
             }
@@ -421,13 +418,9 @@
         };
         match request.commit(&id, &mut lease, transaction.wrote).await {
             Ok(answer) => {
-                if transaction.wrote
-                    && answer.result.is_ok()
-                    && let Some(position) = answer.position
-                {
-                    let database = lease.pool().database().clone();
-                    let position = request.position_after_write(&database, position);
-                    self.own_position = Some(position);
+                if transaction.wrote {
+                    let written = request.written_position(lease.pool().database(), &answer);
+                    self.own_position = written.or(self.own_position);
                 }
                 self.pass_on(answer);
             }
--- a/crates/serving/src/statement/transaction.rs
+++ b/crates/serving/src/statement/transaction.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use hookpoint_coordination::serving::leadership::{Reign, ReignPosition};
 use hookpoint_coordination::serving::session::Phase;
-use hookpoint_state::{DatabaseName, Position};
+use hookpoint_state::DatabaseName;
 use tokio::time::sleep;
 
 use super::attempt::AttemptFailure;
@@ -106,12 +106,14 @@
         }
     }
 
-    /// The session's position after an answer of the primary to a write.
-    pub(crate) fn position_after_write(
+    /// The session's position after `answer` of `database` to a write or its commit; nothing
+    /// if it failed or told none.
+    pub(crate) fn written_position(
         &self,
         database: &DatabaseName,
-        position: Position,
-    ) -> ReignPosition {
+        answer: &Answer,
+    ) -> Option<ReignPosition> {
+        let position = answer.position.filter(|_| answer.result.is_ok())?;
         let reign = self.node.with_group(&self.route.group, |state| {
             if state.leadership.leader() == Some(database) {
                 state.leadership.reign()
@@ -119,6 +121,6 @@
                 Reign::default()
             }
         });
-        ReignPosition { reign, position }
+        Some(ReignPosition { reign, position })
     }
 }
--- a/lab/sim/src/world/mod.rs
+++ b/lab/sim/src/world/mod.rs
@@ -10,6 +10,7 @@
 mod pool;
 mod proxy;
 mod session;
+mod session_lease;
 mod upheaval;
 mod verify;
 
