--- a/crates/coordination/src/serving/freshness.rs
+++ b/crates/coordination/src/serving/freshness.rs
@@ -48,9 +48,9 @@
         self.samples.front().map(|(_, position)| *position)
     }
 
-    /// Time of the newest sample.
-    pub fn newest(&self) -> Option<Timestamp> {
-        self.samples.back().map(|(asked_at, _)| *asked_at)
+    /// The newest sample.
+    pub fn newest(&self) -> Option<(Timestamp, Position)> {
+        self.samples.back().copied()
     }
 
     /// Drops all samples: another primary reigns.
--- a/crates/coordination/src/serving/leadership.rs
+++ b/crates/coordination/src/serving/leadership.rs
@@ -118,8 +118,8 @@
         self.freshness.floor(horizon)
     }
 
-    /// Time of the newest position sample.
-    pub fn newest_sample(&self) -> Option<Timestamp> {
+    /// The newest position sample and when it was asked for.
+    pub fn newest_sample(&self) -> Option<(Timestamp, Position)> {
         self.freshness.newest()
     }
 
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -16,6 +16,7 @@
 use crate::connection::{ConnectionError, TransactionUse};
 use crate::message::Command;
 use crate::node::Node;
+use crate::peers::Peers;
 use crate::pool::{AcquireError, CONTROL_LIMIT, Lease, Pool, note_begin};
 use crate::relay;
 
@@ -29,6 +30,8 @@
 const IN_USE: Duration = Duration::from_secs(3);
 /// How often a primary is asked that nobody uses here.
 const CONFIRMED_LATELY_UNUSED: Duration = Duration::from_millis(2_000);
+/// Periods without a sample from a peer after which the primary is asked itself.
+const SAMPLES_BEFORE_QUESTION: u32 = 2;
 /// Pause between two questions to the same database while nobody is known to lead.
 const SEARCH_PAUSE: Duration = Duration::from_millis(100);
 
@@ -42,13 +45,13 @@
 }
 
 /// Watches over the primaries for as long as the node lives.
-pub async fn monitor(node: Rc<Node>) {
+pub async fn monitor(node: Rc<Node>, peers: Rc<Peers>) {
     let asking = Rc::new(Asking::default());
     let trying = Rc::new(Asking::default());
     loop {
         sleep(ROUND).await;
         for group in groups(&node) {
-            look_after(&node, &asking, &group);
+            look_after(&node, &peers, &asking, &group);
         }
         try_unreachable(&node, &trying);
         for pool in node.pools() {
@@ -63,7 +66,7 @@
         .unwrap_or_default()
 }
 
-fn look_after(node: &Rc<Node>, asking: &Rc<Asking>, group: &GroupName) {
+fn look_after(node: &Rc<Node>, peers: &Rc<Peers>, asking: &Rc<Asking>, group: &GroupName) {
     let now = node.now();
     let (leader, confirmed_at, lost, promoting, used_at) = node.with_group(group, |state| {
         (
@@ -74,10 +77,15 @@
             state.used_at,
         )
     });
-    if let Some(leader) = &leader
-        && now.since(confirmed_at) >= question_period(node, leader, now.since(used_at))
-    {
-        ask(node, asking, leader);
+    if let Some(leader) = &leader {
+        let period = question_period(node, leader, now.since(used_at));
+        let unconfirmed = now.since(confirmed_at);
+        let held = node.connection_cap(leader) > 0;
+        if held && unconfirmed >= period || unconfirmed >= period * SAMPLES_BEFORE_QUESTION {
+            ask(node, asking, leader);
+        } else if !held && unconfirmed >= period {
+            ask_for_sample(node, peers, group, leader);
+        }
     }
     if leader.is_none() {
         node.with_group(group, |state| {
@@ -93,6 +101,27 @@
     }
 }
 
+/// Has a node that holds connections to the primary tell its newest sample, at most once
+/// in a while; another holder each time.
+fn ask_for_sample(node: &Rc<Node>, peers: &Rc<Peers>, group: &GroupName, leader: &DatabaseName) {
+    let now = node.now();
+    let holders = node.holders(leader);
+    let due = node.with_group(group, |state| {
+        let due = now.since(state.sample_asked_at) >= SEARCH_PAUSE;
+        if due {
+            state.sample_asked_at = now;
+            state.samples_asked += 1;
+        }
+        due.then_some(state.samples_asked)
+    });
+    if let Some(number) = due
+        && !holders.is_empty()
+    {
+        let (_, address) = &holders[number % holders.len()];
+        peers.ask_sample(node, group, *address);
+    }
+}
+
 /// How often a primary is asked: nodes that hold connections to it ask often enough to
 /// notice its loss, the others often enough to keep their samples fresh.
 fn question_period(node: &Rc<Node>, leader: &DatabaseName, unused: Duration) -> Duration {
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -86,6 +86,10 @@
     pub contact: Contact,
     /// When a request last asked for the group.
     pub used_at: Timestamp,
+    /// When a peer was last asked for a sample.
+    pub sample_asked_at: Timestamp,
+    /// How often one was.
+    pub samples_asked: usize,
     /// Since when nobody is known to lead.
     pub leaderless_since: Option<Timestamp>,
     /// Database that a promotion was ordered for, and when that was learnt.
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::failover::Observation;
-use hookpoint_coordination::serving::leadership::Reign;
-use hookpoint_state::{DatabaseName, GroupName};
+use hookpoint_coordination::serving::leadership::{Confirmation, Reign};
+use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -19,6 +19,8 @@
 
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 4 << 10;
+/// How long the answer to a question for a sample is taken in.
+const SAMPLE_ANSWER_TIME: Duration = Duration::from_millis(500);
 /// How long answers of peers are awaited: over the longest round trip.
 const ANSWER_WAIT: Duration = Duration::from_millis(120);
 
@@ -63,6 +65,20 @@
         /// The database believed to lead, if any.
         leader: Option<DatabaseName>,
     },
+    /// Where is this group's primary, and at which position?
+    AskSample {
+        /// Number of the question.
+        nonce: u64,
+        /// The group.
+        group: GroupName,
+    },
+    /// The answer to that, from a node that knows.
+    TellSample {
+        /// Number of the question.
+        nonce: u64,
+        /// What it knows.
+        sample: PrimarySample,
+    },
     /// The answer.
     Tell {
         /// Number of the question.
@@ -78,6 +94,17 @@
     },
 }
 
+/// What a node knows of a group's primary, for one that does not ask it itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrimarySample {
+    /// The primary.
+    pub leader: DatabaseName,
+    /// Its position.
+    pub position: Position,
+    /// How long ago the teller asked for it, in microseconds on the teller's steady clock.
+    pub age_us: u64,
+}
+
 /// What one node answered.
 #[derive(Clone, Debug)]
 pub struct PeerView {
@@ -94,6 +121,7 @@
     socket: UdpSocket,
     next_nonce: Cell<u64>,
     answers: RefCell<BTreeMap<u64, BTreeMap<String, PeerView>>>,
+    samples_asked: RefCell<BTreeMap<u64, Timestamp>>,
 }
 
 impl Peers {
@@ -103,6 +131,7 @@
             socket: UdpSocket::bind(address).await?,
             next_nonce: Cell::new(1),
             answers: RefCell::default(),
+            samples_asked: RefCell::default(),
         }))
     }
 
@@ -130,6 +159,14 @@
                     };
                     self.send(&answer, sender);
                 }
+                Ok(PeerMessage::AskSample { nonce, group }) => {
+                    if let Some(sample) = node.primary_sample(&group) {
+                        self.send(&PeerMessage::TellSample { nonce, sample }, sender);
+                    }
+                }
+                Ok(PeerMessage::TellSample { nonce, sample }) => {
+                    self.take_sample(&node, nonce, &sample);
+                }
                 Ok(PeerMessage::Tell {
                     nonce,
                     node: name,
@@ -157,6 +194,34 @@
         }
     }
 
+    /// Asks one peer for a group's primary and its position; the answer is taken in when
+    /// it comes.
+    pub fn ask_sample(&self, node: &Rc<Node>, group: &GroupName, peer: SocketAddr) {
+        let nonce = self.next_nonce.get();
+        self.next_nonce.set(nonce + 1);
+        let now = node.now();
+        let mut asked = self.samples_asked.borrow_mut();
+        asked.retain(|_, asked_at| now.since(*asked_at) < SAMPLE_ANSWER_TIME);
+        asked.insert(nonce, now);
+        let group = group.clone();
+        self.send(&PeerMessage::AskSample { nonce, group }, peer);
+    }
+
+    /// The teller asked the primary no later than `age` before this node's question was
+    /// answered, so counting the age from the question makes the sample look older than it
+    /// is, never younger.
+    fn take_sample(&self, node: &Rc<Node>, nonce: u64, sample: &PrimarySample) {
+        let Some(asked_at) = self.samples_asked.borrow_mut().remove(&nonce) else {
+            return;
+        };
+        let proof = Confirmation {
+            asked_at: asked_at - Duration::from_micros(sample.age_us),
+            answered_at: node.now(),
+            position: Some(sample.position),
+        };
+        node.confirm_leader(&sample.leader, proof);
+    }
+
     /// Asks all peers what they see of a primary; this node's own view comes first.
     pub async fn gather(
         &self,
@@ -189,6 +254,22 @@
 }
 
 impl Node {
+    /// What this node knows of a group's primary, if it reaches it.
+    fn primary_sample(&self, group: &GroupName) -> Option<PrimarySample> {
+        let now = self.now();
+        self.with_group(group, |state| {
+            let (asked_at, position) = state.leadership.newest_sample()?;
+            let reached = state.contact.lost_since.is_none();
+            let leader = state.leadership.leader().filter(|_| reached)?.clone();
+            let age_us = u64::try_from(now.since(asked_at).as_micros()).ok()?;
+            Some(PrimarySample {
+                leader,
+                position,
+                age_us,
+            })
+        })
+    }
+
     /// What this node sees of a group's primary.
     pub fn observe(&self, group: &GroupName, leader: Option<&DatabaseName>) -> ToldObservation {
         let now = self.now();
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -198,13 +198,17 @@
             values: values.clone(),
             limit_ms: millis(limit),
         };
-        match ask(node, &peer, address, &request, limit).await {
-            Some(connection) => {
+        match ask(node, &peer, address, database, &request, limit).await {
+            Ok(connection) => {
                 node.counters.count("relayed_leases", "granted");
-                return Some(pool.lend_relayed(connection(database)));
+                return Some(pool.lend_relayed(connection));
             }
-            None => {
-                node.counters.count("relayed_leases", "refused");
+            Err(reason) => {
+                let label = match reason {
+                    NotLent::Broken => "broken",
+                    NotLent::Refused => "refused",
+                };
+                node.counters.count("relayed_leases", label);
                 let until = node.now() + PASSED_OVER;
                 node.links.pass_over(&peer, database, until);
             }
@@ -213,58 +217,74 @@
     None
 }
 
-type MakeConnection = Box<dyn FnOnce(&DatabaseName) -> Connection>;
+/// Why a peer gave no connection.
+enum NotLent {
+    /// The link broke or the peer did not answer.
+    Broken,
+    /// It has none to lend; the link is as good as before.
+    Refused,
+}
 
 async fn ask(
     node: &Rc<Node>,
     peer: &str,
     address: SocketAddr,
+    database: &DatabaseName,
     request: &LinkRequest,
     limit: Duration,
-) -> Option<MakeConnection> {
-    if let Some(stream) = node.links.take(peer)
-        && let Some(connection) = ask_on(stream, peer, request, limit).await
-    {
-        return Some(connection);
+) -> Result<Connection, NotLent> {
+    if let Some(stream) = node.links.take(peer) {
+        match ask_on(node, stream, peer, database, request, limit).await {
+            Err(NotLent::Broken) => {}
+            other => return other,
+        }
     }
-    let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
-    ask_on(framed(stream.ok()?.ok()?), peer, request, limit).await
+    node.counters.count("connections_opened", "link");
+    let connecting = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
+    let Ok(Ok(stream)) = connecting else {
+        return Err(NotLent::Broken);
+    };
+    ask_on(node, framed(stream), peer, database, request, limit).await
 }
 
 async fn ask_on(
+    node: &Rc<Node>,
     mut stream: LinkStream,
     peer: &str,
+    database: &DatabaseName,
     request: &LinkRequest,
     limit: Duration,
-) -> Option<MakeConnection> {
+) -> Result<Connection, NotLent> {
     let asking = async {
         send(&mut stream, request).await?;
         receive(&mut stream).await
     };
-    let reply = timeout(limit + LINK_SLACK, asking).await.ok()?.ok()?;
-    let LinkReply::Granted {
-        transaction,
-        transaction_version,
-        values,
-        values_unknown,
-        prepared,
-    } = reply
-    else {
-        return None;
-    };
-    let channel = RelayedChannel {
-        stream,
-        peer: peer.to_owned(),
-    };
-    Some(Box::new(move |database| {
-        let mut connection = Connection::relayed(channel, database);
-        connection.transaction = transaction;
-        connection.transaction_version = transaction_version;
-        connection.values = values;
-        connection.values_unknown = values_unknown;
-        connection.prepared = prepared;
-        connection
-    }))
+    match timeout(limit + LINK_SLACK, asking).await {
+        Ok(Ok(LinkReply::Granted {
+            transaction,
+            transaction_version,
+            values,
+            values_unknown,
+            prepared,
+        })) => {
+            let channel = RelayedChannel {
+                stream,
+                peer: peer.to_owned(),
+            };
+            let mut connection = Connection::relayed(channel, database);
+            connection.transaction = transaction;
+            connection.transaction_version = transaction_version;
+            connection.values = values;
+            connection.values_unknown = values_unknown;
+            connection.prepared = prepared;
+            Ok(connection)
+        }
+        Ok(Ok(LinkReply::Refused)) => {
+            node.links.keep(peer.to_owned(), stream);
+            Err(NotLent::Refused)
+        }
+        _ => Err(NotLent::Broken),
+    }
 }
 
 /// Serves the links of peers for as long as the node lives.
--- a/crates/serving/src/statement/outcome.rs
+++ b/crates/serving/src/statement/outcome.rs
@@ -65,7 +65,7 @@
                 ("confirmed_ms_ago", millis(now.since(confirmed_at)).into()),
                 (
                     "sample_ms_ago",
-                    sample.map(|at| millis(now.since(at))).into(),
+                    sample.map(|(at, _)| millis(now.since(at))).into(),
                 ),
                 ("held_ms", millis(now.since(self.arrived)).into()),
                 ("attempts", tried.attempts.into()),
