--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -27,6 +27,8 @@
 /// How long a node that no longer registers still counts for the division of connections.
 const MEMBER_MEMORY: Duration = Duration::from_secs(6);
 
+/// Rest of a transaction that is allowed where the configuration tells none.
+const DEFAULT_TRANSACTION_IDLE: Duration = Duration::from_secs(3);
 /// How long the homes that were worked out are valid, if nothing else changes.
 const HOMES_VALID: Duration = Duration::from_secs(1);
 
@@ -238,6 +240,13 @@
         self.configuration.borrow().version()
     }
 
+    /// How long an open transaction may rest.
+    pub fn transaction_idle(&self) -> Duration {
+        self.configuration()
+            .and_then(|configuration| configuration.transaction_idle)
+            .unwrap_or(DEFAULT_TRANSACTION_IDLE)
+    }
+
     /// Whether the node can serve callers.
     pub fn is_ready(&self) -> bool {
         self.stopping_since.get().is_none()
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -38,6 +38,11 @@
 const KEPT_LINKS: usize = 8;
 /// How long a peer that could not lease a database's connection is passed over.
 const PASSED_OVER: Duration = Duration::from_millis(400);
+/// A lease is taken back when its user has been silent for as long as a transaction may
+/// rest and this long besides: a peer that froze or lost power never gives it back.
+const HELD_SLACK: Duration = Duration::from_secs(1);
+/// A link without a lease is closed when it has been silent for this long.
+const IDLE_LINK_LIMIT: Duration = Duration::from_secs(60);
 /// Pause after a link could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -301,7 +306,18 @@
 
 async fn serve_link(node: Rc<Node>, mut stream: LinkStream) {
     let mut held: Option<Lease> = None;
-    while let Ok(request) = receive(&mut stream).await {
+    loop {
+        let limit = if held.is_some() {
+            node.transaction_idle() + HELD_SLACK
+        } else {
+            IDLE_LINK_LIMIT
+        };
+        let Ok(Ok(request)) = timeout(limit, receive(&mut stream)).await else {
+            if held.is_some() {
+                node.counters.count("relayed_leases", "taken_back");
+            }
+            return;
+        };
         let reply = match request {
             LinkRequest::Lease {
                 database,
--- a/crates/serving/src/session.rs
+++ b/crates/serving/src/session.rs
@@ -30,8 +30,6 @@
 const READ_CHUNK: usize = 4 << 10;
 /// Prepared names and values that one session may hold.
 const MAX_SESSION_ENTRIES: usize = 256;
-/// Transaction rest allowed before the configuration tells one.
-const DEFAULT_TRANSACTION_IDLE: Duration = Duration::from_secs(3);
 
 /// An open transaction of the caller's.
 struct Transaction {
@@ -175,7 +173,7 @@
                 .as_ref()
                 .is_some_and(|transaction| transaction.lease.is_some());
             let rest_limit = if holds {
-                self.transaction_idle()
+                self.node.transaction_idle()
             } else {
                 Duration::from_secs(3_600)
             };
@@ -204,13 +202,6 @@
         }
     }
 
-    fn transaction_idle(&self) -> Duration {
-        self.node
-            .configuration()
-            .and_then(|configuration| configuration.transaction_idle)
-            .unwrap_or(DEFAULT_TRANSACTION_IDLE)
-    }
-
     fn fail_transaction(&mut self) {
         self.node.counters.count("transactions_ended", "rested");
         self.node.log(
