--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -35,6 +35,8 @@
 const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(150);
 /// How long replaced primaries that come back are told to step down.
 const STEP_DOWN_TIME: Duration = Duration::from_secs(30);
+/// How often one round tells a database that does not answer.
+const STEP_DOWN_ATTEMPTS: usize = 3;
 /// Pause between two such rounds.
 const STEP_DOWN_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two orders of the same promotion.
@@ -405,7 +407,8 @@
     Ok(())
 }
 
-/// Has every primary but the candidate step down, as far as they can be reached.
+/// Has every database step down that says that it leads, or says nothing, as far as they
+/// can be reached.
 async fn step_down_others(node: &Rc<Node>, order: &PromotionOrder) {
     let databases = node.by_stated_role(&order.group);
     let states = ask_all(node, &databases, &Command::Status).await;
@@ -420,15 +423,26 @@
     } else {
         Term(newest.0 + 1)
     };
-    let others: Vec<DatabaseName> = states
-        .into_iter()
-        .filter(|(name, status)| *name != order.candidate && status.primary)
+    let replicas: Vec<&DatabaseName> = states
+        .iter()
+        .filter(|(_, status)| !status.primary)
         .map(|(name, _)| name)
         .collect();
-    for name in &others {
-        node.log("step_down_ordered", &[("database", name.as_str().into())]);
+    let mut others: Vec<DatabaseName> = databases
+        .iter()
+        .filter(|name| **name != order.candidate && !replicas.contains(name))
+        .cloned()
+        .collect();
+    for _ in 0..STEP_DOWN_ATTEMPTS {
+        if others.is_empty() {
+            return;
+        }
+        for name in &others {
+            node.log("step_down_ordered", &[("database", name.as_str().into())]);
+        }
+        let answered = ask_all(node, &others, &Command::StepDown { term }).await;
+        others.retain(|name| answered.iter().all(|(done, _)| done != name));
     }
-    ask_all(node, &others, &Command::StepDown { term }).await;
 }
 
 fn authority_name(authority: Authority) -> &'static str {
