Learn configuration, databases and members from a peer while the store is away

It now asks the seeds and known members over a link; versions and revisions keep it from going back. Test (failed first, not ready in 10 s): a_node_that_starts_while_the_store_is_away_*.

--- a/crates/coordination/src/serving/directory.rs
+++ b/crates/coordination/src/serving/directory.rs
@@ -9,9 +9,10 @@
 use std::time::Duration;
 
 use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
+use serde::{Deserialize, Serialize};
 
 /// Role that a database states for itself. It may be out of date.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StatedRole {
     /// It takes writes.
     Primary,
@@ -20,7 +21,7 @@
 }
 
 /// One database as registered.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Database {
     /// Its own name, unique in the fleet.
     pub name: DatabaseName,
--- a/crates/coordination/src/serving/topology.rs
+++ b/crates/coordination/src/serving/topology.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use hookpoint_state::GroupName;
+use serde::{Deserialize, Serialize};
 
 /// What a route promises about the age of what is read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Consistency {
     /// Every commit acknowledged before the read.
     Primary,
@@ -18,7 +19,7 @@
 }
 
 /// One route: a database name that callers use, and how it is served.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Group that serves the route.
     pub group: GroupName,
@@ -33,7 +34,7 @@
 }
 
 /// One replicated group as configured.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Group {
     /// Connections that one database accepts from all callers together.
     pub max_connections: usize,
@@ -42,7 +43,7 @@
 }
 
 /// A whole configuration. Versions climb and never go back.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Configuration {
     /// Version given by the operator.
     pub version: u64,
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hookpoint_state::DatabaseName;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::node::{Member, Node};
 use crate::ports::{StoreChange, StoreChanges, StoreError, StoreRecord};
@@ -12,10 +12,13 @@
     COORDINATOR_KEY, CoordinatorRecord, MEMBER_PREFIX, MemberRecord, PROMOTION_PREFIX,
     PromotionRecord, decode,
 };
+use crate::snapshot;
 
 /// How long one watch waits for a change. A silent watch is told from one with nothing
 /// to say by its answer after this time.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// How long a node that knows nothing waits for the store before it asks its peers.
+const PATIENCE: Duration = Duration::from_millis(250);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Databases that are missing for this long are forgotten.
@@ -35,7 +38,7 @@
 }
 
 async fn read_everything(node: &Rc<Node>) -> Option<u64> {
-    match node.store.read_all().await {
+    match read_or_ask_peers(node).await {
         Ok(all) => {
             note_reachable(node, true, "read");
             node.store_steady_since.set(node.now());
@@ -44,11 +47,24 @@
         }
         Err(error) => {
             note_store_error(node, &error);
+            snapshot::fetch(node).await;
             None
         }
     }
 }
 
+/// Reads the store. A node that knows nothing yet asks its peers when that takes long.
+async fn read_or_ask_peers(node: &Rc<Node>) -> Result<StoreChanges, StoreError> {
+    let mut reading = node.store.read_all();
+    if node.configuration().is_none() {
+        match timeout(PATIENCE, &mut reading).await {
+            Ok(outcome) => return outcome,
+            Err(_) => snapshot::fetch(node).await,
+        }
+    }
+    reading.await
+}
+
 /// One watch. Returns the revision to go on from, or nothing if all is to be read again.
 async fn watch_once(node: &Rc<Node>, revision: u64) -> Option<u64> {
     match node.store.watch(revision, WATCH_WAIT).await {
@@ -130,14 +146,7 @@
     let now = node.now();
     node.invalidate_homes();
     match change.record {
-        StoreRecord::Configuration(configuration) => {
-            let version = configuration.version;
-            if node.configuration.borrow_mut().offer(configuration) {
-                node.log("configuration_in_force", &[("version", version.into())]);
-                node.counters.set("configuration_version", version);
-                node.configuration_changed.notify_waiters();
-            }
-        }
+        StoreRecord::Configuration(configuration) => node.take_configuration(configuration),
         StoreRecord::Database(database) => {
             let name = database.name.clone();
             let draining = database.draining;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod relay;
 pub mod session;
 pub mod shutdown;
+pub mod snapshot;
 mod statement;
 pub mod story;
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -58,6 +58,8 @@
     pub regions: BTreeMap<ZoneName, String>,
     /// Address for datagrams of peers.
     pub peer_address: SocketAddr,
+    /// Where other nodes may be asked for what they know.
+    pub seed_addresses: Vec<SocketAddr>,
     /// Whole time that a stop may take.
     pub grace_period: Duration,
     /// How long a database that announced its end may still get work.
@@ -247,6 +249,16 @@
             .unwrap_or(DEFAULT_TRANSACTION_IDLE)
     }
 
+    /// Takes a configuration if it is newer than the one in force.
+    pub fn take_configuration(&self, configuration: Configuration) {
+        let version = configuration.version;
+        if self.configuration.borrow_mut().offer(configuration) {
+            self.log("configuration_in_force", &[("version", version.into())]);
+            self.counters.set("configuration_version", version);
+            self.configuration_changed.notify_waiters();
+        }
+    }
+
     /// Whether the node can serve callers.
     pub fn is_ready(&self) -> bool {
         self.stopping_since.get().is_none()
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -25,11 +25,14 @@
 use crate::message::Command;
 use crate::node::Node;
 use crate::pool::{Lease, Pool};
+use crate::snapshot::Snapshot;
 
 /// Largest message on a link.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
 /// Limit for connecting to a peer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(200);
+/// Limit for a snapshot.
+const SNAPSHOT_LIMIT: Duration = Duration::from_millis(400);
 /// Time that an answer takes on a link beyond the holder's own limit.
 const LINK_SLACK: Duration = Duration::from_millis(60);
 /// Peers that are asked for one lease at the most.
@@ -60,6 +63,7 @@
         limit_ms: u64,
     },
     Release,
+    Snapshot,
 }
 
 /// The holder's answer.
@@ -77,6 +81,7 @@
     Broken {
         timed_out: bool,
     },
+    Snapshot(Option<Box<Snapshot>>),
 }
 
 type LinkStream = Framed<TcpStream, LengthDelimitedCodec>;
@@ -292,6 +297,19 @@
     }
 }
 
+/// Asks the node at `address` for what it knows.
+pub async fn fetch_snapshot(address: SocketAddr) -> Option<Snapshot> {
+    let fetching = async {
+        let mut stream = framed(TcpStream::connect(address).await?);
+        send(&mut stream, &LinkRequest::Snapshot).await?;
+        receive(&mut stream).await
+    };
+    match timeout(SNAPSHOT_LIMIT, fetching).await {
+        Ok(Ok(LinkReply::Snapshot(Some(snapshot)))) => Some(*snapshot),
+        _ => None,
+    }
+}
+
 /// Serves the links of peers for as long as the node lives.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     loop {
@@ -342,6 +360,7 @@
                 held = None;
                 continue;
             }
+            LinkRequest::Snapshot => LinkReply::Snapshot(Snapshot::of(&node).map(Box::new)),
         };
         if send(&mut stream, &reply).await.is_err() {
             return;
--- /dev/null
+++ b/crates/serving/src/snapshot.rs
@@ -0,0 +1,103 @@
+//! What a node knows of configuration, databases and members, for one that cannot read
+//! the store.
+//!
+//! Versions and revisions go along, so taking a snapshot never replaces newer knowledge.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use hookpoint_coordination::serving::directory::Database;
+use hookpoint_coordination::serving::topology::Configuration;
+use serde::{Deserialize, Serialize};
+
+use crate::node::{Member, Node};
+use crate::records::MemberRecord;
+use crate::relay;
+
+/// One node's knowledge.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The configuration in force there.
+    pub configuration: Configuration,
+    /// Registered databases with the revisions of their entries.
+    pub databases: Vec<(Database, u64)>,
+    /// Registered nodes.
+    pub members: Vec<MemberRecord>,
+}
+
+impl Snapshot {
+    /// What `node` knows; nothing before it has a configuration.
+    pub fn of(node: &Node) -> Option<Self> {
+        let configuration = node.configuration()?;
+        let databases = node
+            .directory
+            .borrow()
+            .iter()
+            .filter(|listed| !listed.missing)
+            .map(|listed| (listed.database.clone(), listed.revision))
+            .collect();
+        let members = node
+            .members
+            .borrow()
+            .iter()
+            .filter(|(_, member)| member.gone_at.is_none())
+            .map(|(name, member)| MemberRecord {
+                node: name.clone(),
+                zone: member.zone.clone(),
+                peer_address: member.peer_address,
+            })
+            .collect();
+        Some(Self {
+            configuration: (*configuration).clone(),
+            databases,
+            members,
+        })
+    }
+
+    fn apply(self, node: &Rc<Node>) {
+        let now = node.now();
+        for (database, revision) in self.databases {
+            node.directory.borrow_mut().put(database, revision, now);
+        }
+        for record in self.members {
+            let member = Member {
+                zone: record.zone,
+                peer_address: record.peer_address,
+                gone_at: None,
+            };
+            let mut members = node.members.borrow_mut();
+            members.entry(record.node).or_insert(member);
+        }
+        node.invalidate_homes();
+        node.take_configuration(self.configuration);
+    }
+}
+
+/// Takes what seeds or known members know, from the first that answers.
+pub async fn fetch(node: &Rc<Node>) {
+    let members: Vec<SocketAddr> = node
+        .members
+        .borrow()
+        .iter()
+        .filter(|(name, _)| **name != node.settings.name)
+        .map(|(_, member)| member.peer_address)
+        .collect();
+    let seeds = node.settings.seed_addresses.iter().copied();
+    for address in seeds.chain(members).take(PEERS_ASKED) {
+        if let Some(snapshot) = relay::fetch_snapshot(address).await {
+            node.log(
+                "snapshot_taken",
+                &[
+                    ("from", address.to_string().into()),
+                    ("version", snapshot.configuration.version.into()),
+                    ("databases", snapshot.databases.len().into()),
+                ],
+            );
+            snapshot.apply(node);
+            return;
+        }
+    }
+}
+
+/// Peers asked in one round at the most.
+const PEERS_ASKED: usize = 4;
