Say once how durations become numbers, which groups are configured, and what an observation is

Found in reading the change again: five spellings of whole milliseconds, the list of configured groups twice, and a second type of observation for datagrams that mirrored the decision's own. No behaviour changes but the encoding of that datagram.

--- a/crates/coordination/src/serving/failover.rs
+++ b/crates/coordination/src/serving/failover.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use hookpoint_state::{DatabaseName, Position};
+use serde::{Deserialize, Serialize};
 
 /// Loss by silence that counts as evidence.
 pub const SILENCE_EVIDENCE: Duration = Duration::from_millis(550);
@@ -17,7 +18,7 @@
 pub const LONG_LOSS: Duration = Duration::from_millis(2_500);
 
 /// How one node sees a group's primary.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Observation {
     /// It answers.
     Reachable,
--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -60,7 +60,7 @@
         }
         if resumed_for != revision && node.configuration().is_some() {
             resumed_for = revision;
-            for group in configured_groups(&node) {
+            for group in node.configured_groups() {
                 resume_replicas(&node, &group).await;
             }
         }
@@ -75,15 +75,9 @@
     }
 }
 
-fn configured_groups(node: &Rc<Node>) -> Vec<GroupName> {
-    node.configuration()
-        .map(|configuration| configuration.groups.keys().cloned().collect())
-        .unwrap_or_default()
-}
-
 /// Groups whose primary may need replacing, marked as being looked after.
 fn due_groups(node: &Rc<Node>) -> Vec<GroupName> {
-    configured_groups(node)
+    node.configured_groups()
         .into_iter()
         .filter(|group| reason(node, group).is_some())
         .filter(|group| {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod snapshot;
 mod statement;
 pub mod story;
+pub mod units;
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -50,7 +50,7 @@
     let trying = Rc::new(Asking::default());
     loop {
         sleep(ROUND).await;
-        for group in groups(&node) {
+        for group in node.configured_groups() {
             look_after(&node, &peers, &asking, &group);
         }
         try_unreachable(&node, &trying);
@@ -60,12 +60,6 @@
     }
 }
 
-fn groups(node: &Rc<Node>) -> Vec<GroupName> {
-    node.configuration()
-        .map(|configuration| configuration.groups.keys().cloned().collect())
-        .unwrap_or_default()
-}
-
 fn look_after(node: &Rc<Node>, peers: &Rc<Peers>, asking: &Rc<Asking>, group: &GroupName) {
     let now = node.now();
     let (leader, confirmed_at, lost, promoting, used_at) = node.with_group(group, |state| {
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -21,6 +21,7 @@
 use crate::ports::{PromotionService, StateStore, WireProtocol};
 use crate::records::CoordinatorRecord;
 use crate::relay::Links;
+use crate::units::millis;
 
 /// Connections of one database that one node opens at the most before it knows its peers.
 const CAP_WITHOUT_MEMBERS: usize = 3;
@@ -237,6 +238,13 @@
         self.configuration.borrow().current().cloned()
     }
 
+    /// Groups of the configuration in force.
+    pub fn configured_groups(&self) -> Vec<GroupName> {
+        self.configuration()
+            .map(|configuration| configuration.groups.keys().cloned().collect())
+            .unwrap_or_default()
+    }
+
     /// Version of the configuration in force.
     pub fn configuration_version(&self) -> Option<u64> {
         self.configuration.borrow().version()
@@ -528,7 +536,7 @@
             before
         });
         if let Some(since) = lost_since {
-            let away = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
+            let away = millis(now.since(since));
             self.log_primary("primary_regained", &database, ("away_ms", away.into()));
         }
     }
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -27,32 +27,6 @@
 /// Time in which a group's first primary may still be about to register.
 const FIRST_PRIMARY_TIME: Duration = Duration::from_secs(3);
 
-/// What one node sees of a group's primary, as told to a peer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ToldObservation {
-    /// It answers.
-    Reachable,
-    /// Refused for this many milliseconds.
-    Refused(u64),
-    /// Silent for this many milliseconds.
-    Silent(u64),
-    /// Not known.
-    Unknown,
-}
-
-impl From<&ToldObservation> for Observation {
-    fn from(told: &ToldObservation) -> Self {
-        match told {
-            ToldObservation::Reachable => Observation::Reachable,
-            ToldObservation::Refused(millis) => {
-                Observation::Refused(Duration::from_millis(*millis))
-            }
-            ToldObservation::Silent(millis) => Observation::Silent(Duration::from_millis(*millis)),
-            ToldObservation::Unknown => Observation::Unknown,
-        }
-    }
-}
-
 /// A datagram between nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -86,7 +60,7 @@
         /// Who answers.
         node: String,
         /// What it sees.
-        observation: ToldObservation,
+        observation: Observation,
         /// Whether it reaches the state store.
         store_reachable: bool,
         /// The coordinator that it knows of.
@@ -176,7 +150,7 @@
                 }) => {
                     if let Some(answers) = self.answers.borrow_mut().get_mut(&nonce) {
                         let view = PeerView {
-                            observation: Observation::from(&observation),
+                            observation,
                             store_reachable,
                             coordinator,
                         };
@@ -245,7 +219,7 @@
         sleep(ANSWER_WAIT).await;
         let answers = self.answers.borrow_mut().remove(&nonce).unwrap_or_default();
         let own = PeerView {
-            observation: Observation::from(&node.observe(group, leader)),
+            observation: node.observe(group, leader),
             store_reachable: node.store_reachable.get(),
             coordinator: node.coordinator.borrow().holder.clone(),
         };
@@ -271,27 +245,26 @@
     }
 
     /// What this node sees of a group's primary.
-    pub fn observe(&self, group: &GroupName, leader: Option<&DatabaseName>) -> ToldObservation {
+    pub fn observe(&self, group: &GroupName, leader: Option<&DatabaseName>) -> Observation {
         let now = self.now();
-        let millis = |since| u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
         self.with_group(group, |state| {
             if state.leadership.leader().is_some() && state.leadership.leader() != leader {
-                return ToldObservation::Reachable;
+                return Observation::Reachable;
             }
             if state.leadership.leader().is_none() {
                 let never_seen = state.leadership.reign() == Reign::default();
                 return match state.leaderless_since {
                     Some(since) if never_seen && now.since(since) < FIRST_PRIMARY_TIME => {
-                        ToldObservation::Unknown
+                        Observation::Unknown
                     }
-                    Some(since) => ToldObservation::Silent(millis(since)),
-                    None => ToldObservation::Unknown,
+                    Some(since) => Observation::Silent(now.since(since)),
+                    None => Observation::Unknown,
                 };
             }
             match state.contact.lost_since {
-                None => ToldObservation::Reachable,
-                Some(since) if state.contact.refused => ToldObservation::Refused(millis(since)),
-                Some(since) => ToldObservation::Silent(millis(since)),
+                None => Observation::Reachable,
+                Some(since) if state.contact.refused => Observation::Refused(now.since(since)),
+                Some(since) => Observation::Silent(now.since(since)),
             }
         })
     }
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -26,6 +26,7 @@
 use crate::node::Node;
 use crate::pool::{Lease, Pool};
 use crate::snapshot::Snapshot;
+use crate::units::millis;
 
 /// Largest message on a link.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
@@ -136,10 +137,6 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Links at rest, and peers that could not help lately.
 #[derive(Default)]
 pub struct Links {
--- a/crates/serving/src/statement/outcome.rs
+++ b/crates/serving/src/statement/outcome.rs
@@ -1,13 +1,12 @@
 //! What is told and logged of a statement that was not served plainly.
 
-use std::time::Duration;
-
 use hookpoint_coordination::serving::session::Access;
 use hookpoint_coordination::serving::topology::{Consistency, Route};
 use hookpoint_state::DatabaseName;
 
 use super::{Request, Work};
 use crate::message::{Failure, FailureCode};
+use crate::units::millis;
 
 /// Hint told with a refusal.
 const RETRY_HINT: &str = "nothing was kept; retry after 250 ms";
@@ -85,10 +84,6 @@
     Failure::new(FailureCode::RolledBack, RETRY_HINT)
 }
 
-pub(super) fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn consistency_name(route: &Route) -> &'static str {
     match route.consistency {
         Consistency::Primary => "primary",
--- a/crates/serving/src/statement/transaction.rs
+++ b/crates/serving/src/statement/transaction.rs
@@ -7,11 +7,12 @@
 use tokio::time::sleep;
 
 use super::attempt::AttemptFailure;
-use super::outcome::{Tried, millis, rolled_back};
+use super::outcome::{Tried, rolled_back};
 use super::{BUSY_PAUSE, LEAST_ATTEMPT, Request, Work};
 use crate::connection::{Answer, ConnectionError};
 use crate::message::{Command, Failure, FailureCode};
 use crate::pool::Lease;
+use crate::units::millis;
 
 impl Request<'_> {
     /// Runs a later statement on the connection of an open transaction.
