Have two nodes of a zone watch the store and pass its changes on

Now two nodes of a zone with more than four watch it; the others follow one of them over a link, and watch the store themselves when neither helps. Links between nodes are a module of their own.

--- a/crates/coordination/src/serving/homes.rs
+++ b/crates/coordination/src/serving/homes.rs
@@ -37,15 +37,16 @@
     let mut ranked: Vec<&HomeCandidate> = nodes.iter().collect();
     ranked.sort_by_cached_key(|candidate| {
         let far = candidate.zone != *zone;
-        let score = score(database, &candidate.node);
+        let score = rendezvous_score(database.as_str(), &candidate.node);
         (far, std::cmp::Reverse(score), candidate.node.clone())
     });
     ranked
 }
 
-fn score(database: &DatabaseName, node: &str) -> u64 {
+/// Weight of `node` for `subject` in rendezvous hashing: the highest wins.
+pub(super) fn rendezvous_score(subject: &str, node: &str) -> u64 {
     let mut hasher = SipHasher13::new();
-    hasher.write(database.as_str().as_bytes());
+    hasher.write(subject.as_bytes());
     hasher.write_u8(0);
     hasher.write(node.as_bytes());
     hasher.finish()
--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod directory;
 pub mod failover;
+pub mod feed;
 pub mod freshness;
 pub mod homes;
 pub mod leadership;
--- /dev/null
+++ b/crates/coordination/tests/serving_feed.rs
@@ -0,0 +1,77 @@
+//! Who watches the state store, and the log of changes that watchers pass on.
+
+use std::collections::BTreeMap;
+
+use hookpoint_coordination::serving::feed::{ChangeLog, has_followers, store_watchers};
+use hookpoint_coordination::serving::homes::HomeCandidate;
+use hookpoint_state::ZoneName;
+use quickcheck::quickcheck;
+
+fn nodes(zone: &str, count: usize) -> Vec<HomeCandidate> {
+    (0..count)
+        .map(|index| HomeCandidate {
+            node: format!("{zone}-{index}"),
+            zone: ZoneName::new(zone),
+        })
+        .collect()
+}
+
+#[test]
+fn all_nodes_of_a_small_zone_watch_and_two_of_a_large_one() {
+    for (count, watching) in [(0, 0), (1, 1), (4, 4), (5, 2), (300, 2)] {
+        let mut all = nodes("east", count);
+        all.extend(nodes("west", 9));
+        let zone = ZoneName::new("east");
+        assert_eq!(store_watchers(&zone, &all).len(), watching, "{count}");
+        assert_eq!(has_followers(&zone, &all), count > 4, "{count}");
+    }
+}
+
+#[test]
+fn a_lost_watcher_is_replaced_and_the_other_one_stays() {
+    let zone = ZoneName::new("east");
+    let mut all = nodes("east", 20);
+    let before: Vec<String> = store_watchers(&zone, &all)
+        .into_iter()
+        .map(str::to_owned)
+        .collect();
+    all.retain(|candidate| candidate.node != before[0]);
+    let after = store_watchers(&zone, &all);
+    assert_eq!(after[0], before[1]);
+    assert_eq!(after.len(), 2);
+}
+
+#[test]
+fn a_log_that_lacks_changes_says_so() {
+    let mut log: ChangeLog<u8, u64> = ChangeLog::default();
+    assert_eq!(log.since(0), None);
+    log.restart(10);
+    assert_eq!(log.since(9), None);
+    assert_eq!(log.since(10), Some(vec![]));
+    log.record(12, 1, 12);
+    log.record(11, 1, 11);
+    assert_eq!(log.since(10), Some(vec![12]));
+    log.restart(20);
+    assert_eq!(log.since(12), None);
+}
+
+quickcheck! {
+    /// Whoever applies what the log tells ends with the newest change of each subject.
+    fn a_follower_ends_where_the_watcher_is(subjects: Vec<u8>, asked: u8) -> bool {
+        let mut log: ChangeLog<u8, (u8, u64)> = ChangeLog::default();
+        log.restart(0);
+        let mut whole = BTreeMap::new();
+        let mut follower = BTreeMap::new();
+        for (revision, subject) in (1_u64..).zip(&subjects) {
+            log.record(revision, *subject, (*subject, revision));
+            whole.insert(*subject, revision);
+            if revision <= u64::from(asked) {
+                follower.insert(*subject, revision);
+            }
+        }
+        let changes = log.since(u64::from(asked)).unwrap_or_default();
+        let in_order = changes.windows(2).all(|pair| pair[0].1 < pair[1].1);
+        follower.extend(changes);
+        in_order && follower == whole
+    }
+}
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -6,6 +6,7 @@
 use hookpoint_state::DatabaseName;
 use tokio::time::{sleep, timeout};
 
+use crate::feed;
 use crate::node::{Member, Node};
 use crate::ports::{StoreChange, StoreChanges, StoreError, StoreRecord};
 use crate::records::{
@@ -14,9 +15,8 @@
 };
 use crate::snapshot;
 
-/// How long one watch waits for a change. A silent watch is told from one with nothing
-/// to say by its answer after this time.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Pause after a watch that told of changes: those of the next moment come together.
+const GATHER: Duration = Duration::from_millis(40);
 /// How long a node that knows nothing waits for the store before it asks its peers.
 const PATIENCE: Duration = Duration::from_millis(250);
 /// Pause after a failed call.
@@ -31,7 +31,7 @@
             sleep(RETRY_PAUSE).await;
             continue;
         };
-        while let Some(next) = watch_once(&node, revision).await {
+        while let Some(next) = follow_once(&node, revision).await {
             revision = next;
         }
     }
@@ -42,8 +42,10 @@
         Ok(all) => {
             note_reachable(node, true, "read");
             node.store_steady_since.set(node.now());
-            apply_all(node, all.clone());
-            Some(all.revision)
+            let revision = all.revision;
+            apply_all(node, all);
+            node.feed.restart(revision, node.now());
+            Some(revision)
         }
         Err(error) => {
             note_store_error(node, &error);
@@ -65,16 +67,41 @@
     reading.await
 }
 
+/// Follows the store for a moment, through a watcher of this zone or by a watch of this
+/// node's own. Returns the revision to go on from, or nothing if all is to be read again.
+async fn follow_once(node: &Rc<Node>, revision: u64) -> Option<u64> {
+    match feed::follow_watcher(node, revision).await {
+        Some(changes) => {
+            note_reachable(node, true, "peer");
+            Some(take_changes(node, changes, revision))
+        }
+        None => watch_once(node, revision).await,
+    }
+}
+
+/// Takes changes in and passes them on. Returns the revision to go on from.
+fn take_changes(node: &Rc<Node>, changes: StoreChanges, revision: u64) -> u64 {
+    let next = changes.revision.max(revision);
+    for change in changes.changes {
+        node.feed.record(&change);
+        apply(node, change);
+    }
+    node.feed.advance(next);
+    housekeeping(node);
+    next
+}
+
 /// One watch. Returns the revision to go on from, or nothing if all is to be read again.
 async fn watch_once(node: &Rc<Node>, revision: u64) -> Option<u64> {
-    match node.store.watch(revision, WATCH_WAIT).await {
+    match node.store.watch(revision, feed::watch_wait(node)).await {
         Ok(changes) => {
             note_reachable(node, true, "watch");
-            let next = changes.revision.max(revision);
-            for change in changes.changes {
-                apply(node, change);
+            node.feed.note_verified(node.now());
+            let changed = !changes.changes.is_empty();
+            let next = take_changes(node, changes, revision);
+            if changed {
+                sleep(GATHER).await;
             }
-            housekeeping(node);
             Some(next)
         }
         Err(StoreError::HistoryGone) => None,
@@ -88,6 +115,7 @@
 
 fn note_store_error(node: &Rc<Node>, error: &StoreError) {
     node.counters.count("store_calls", "failed");
+    node.feed.note_lost();
     note_reachable(node, false, &error.to_string());
 }
 
@@ -180,6 +208,9 @@
     } else if key == COORDINATOR_KEY {
         let record: Option<CoordinatorRecord> = value.and_then(decode);
         let mut view = node.coordinator.borrow_mut();
+        if revision < view.revision {
+            return;
+        }
         view.revision = if record.is_some() { revision } else { 0 };
         view.holder = record;
     } else if let Some(group) = key.strip_prefix(PROMOTION_PREFIX) {
--- /dev/null
+++ b/crates/serving/src/link.rs
@@ -0,0 +1,175 @@
+//! Links between nodes: framed messages over TCP, kept at rest between uses.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use hookpoint_coordination::serving::session::{PreparedShape, SessionValues};
+use hookpoint_state::{DatabaseName, Timestamp};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::connection::{Answer, TransactionUse};
+use crate::feed::FeedAnswer;
+use crate::message::Command;
+use crate::node::Node;
+use crate::snapshot::Snapshot;
+
+/// Largest message on a link.
+const MAX_MESSAGE_BYTES: usize = 4 << 20;
+/// Limit for connecting to a peer.
+const CONNECT_LIMIT: Duration = Duration::from_millis(200);
+/// Time that an answer takes on a link beyond the asked node's own limit.
+pub(crate) const LINK_SLACK: Duration = Duration::from_millis(60);
+/// Links to one peer kept at rest.
+const KEPT_LINKS: usize = 8;
+/// How long a peer that could not lease a database's connection is passed over.
+pub(crate) const PASSED_OVER: Duration = Duration::from_millis(400);
+
+/// A message to another node.
+#[derive(Serialize, Deserialize)]
+pub(crate) enum LinkRequest {
+    Lease {
+        database: DatabaseName,
+        priority: u8,
+        values: SessionValues,
+        limit_ms: u64,
+    },
+    Exchange {
+        commands: Vec<Command>,
+        limit_ms: u64,
+    },
+    Release,
+    Snapshot,
+    /// Changes of the store after a revision, as soon as there are some.
+    Follow {
+        revision: u64,
+    },
+}
+
+/// The answer.
+#[derive(Serialize, Deserialize)]
+pub(crate) enum LinkReply {
+    Granted {
+        transaction: TransactionUse,
+        transaction_version: Option<u64>,
+        values: SessionValues,
+        values_unknown: bool,
+        prepared: BTreeSet<PreparedShape>,
+    },
+    Refused,
+    Answers(Vec<Answer>),
+    Broken {
+        timed_out: bool,
+    },
+    Snapshot(Option<Box<Snapshot>>),
+    Followed(FeedAnswer),
+}
+
+pub(crate) type LinkStream = Framed<TcpStream, LengthDelimitedCodec>;
+
+pub(crate) fn framed(stream: TcpStream) -> LinkStream {
+    let _ = stream.set_nodelay(true);
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_MESSAGE_BYTES)
+        .new_framed(stream)
+}
+
+pub(crate) async fn send<T: Serialize>(stream: &mut LinkStream, message: &T) -> io::Result<()> {
+    let bytes = postcard::to_allocvec(message).map_err(io::Error::other)?;
+    stream.send(Bytes::from(bytes)).await
+}
+
+pub(crate) async fn receive<T: DeserializeOwned>(stream: &mut LinkStream) -> io::Result<T> {
+    let frame = stream.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+    postcard::from_bytes(&frame).map_err(io::Error::other)
+}
+
+/// Links at rest, and peers that could not help lately.
+#[derive(Default)]
+pub struct Links {
+    idle: RefCell<BTreeMap<String, Vec<LinkStream>>>,
+    passed_over: RefCell<BTreeMap<(String, DatabaseName), Timestamp>>,
+}
+
+impl Links {
+    pub(crate) fn take(&self, peer: &str) -> Option<LinkStream> {
+        self.idle.borrow_mut().get_mut(peer)?.pop()
+    }
+
+    pub(crate) fn keep(&self, peer: String, stream: LinkStream) {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.entry(peer).or_default();
+        if links.len() < KEPT_LINKS {
+            links.push(stream);
+        }
+    }
+
+    pub(crate) fn is_passed_over(
+        &self,
+        peer: &str,
+        database: &DatabaseName,
+        now: Timestamp,
+    ) -> bool {
+        self.passed_over
+            .borrow()
+            .get(&(peer.to_owned(), database.clone()))
+            .is_some_and(|until| now < *until)
+    }
+
+    pub(crate) fn pass_over(&self, peer: &str, database: &DatabaseName, until: Timestamp) {
+        let mut passed_over = self.passed_over.borrow_mut();
+        passed_over.retain(|_, other| *other > until - PASSED_OVER);
+        passed_over.insert((peer.to_owned(), database.clone()), until);
+    }
+}
+
+/// Asks a peer, on a link at rest or a new one. One that was at rest may have ended
+/// meanwhile, so a request that breaks on it is sent again on a new one.
+pub(crate) async fn call(
+    node: &Rc<Node>,
+    peer: &str,
+    address: SocketAddr,
+    request: &LinkRequest,
+    limit: Duration,
+) -> Option<(LinkReply, LinkStream)> {
+    if let Some(stream) = node.links.take(peer) {
+        match call_on(stream, request, limit).await {
+            Err(CallError::Broken) => {}
+            other => return other.ok(),
+        }
+    }
+    node.counters.count("connections_opened", "link");
+    let connecting = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
+    let stream = connecting.ok()?.ok()?;
+    call_on(framed(stream), request, limit).await.ok()
+}
+
+/// Why a call had no answer.
+enum CallError {
+    Broken,
+    TimedOut,
+}
+
+async fn call_on(
+    mut stream: LinkStream,
+    request: &LinkRequest,
+    limit: Duration,
+) -> Result<(LinkReply, LinkStream), CallError> {
+    let asking = async {
+        send(&mut stream, request).await?;
+        receive(&mut stream).await
+    };
+    match timeout(limit + LINK_SLACK, asking).await {
+        Ok(Ok(reply)) => Ok((reply, stream)),
+        Ok(Err(_)) => Err(CallError::Broken),
+        Err(_) => Err(CallError::TimedOut),
+    }
+}
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -17,10 +17,11 @@
 
 use crate::counters::Counters;
 use crate::events::EventLog;
+use crate::feed::Feed;
+use crate::link::Links;
 use crate::pool::Pool;
 use crate::ports::{PromotionService, StateStore, WireProtocol};
 use crate::records::CoordinatorRecord;
-use crate::relay::Links;
 use crate::units::millis;
 
 /// Connections of one database that one node opens at the most before it knows its peers.
@@ -179,6 +180,8 @@
     pub stop_advanced: Notify,
     /// Links to peers.
     pub links: Links,
+    /// Changes of the store.
+    pub feed: Feed,
     homes: RefCell<HomeViews>,
     pools: RefCell<BTreeMap<DatabaseName, Rc<Pool>>>,
     started: Instant,
@@ -217,6 +220,7 @@
             configuration_changed: Notify::new(),
             stop_advanced: Notify::new(),
             links: Links::default(),
+            feed: Feed::default(),
             homes: RefCell::default(),
             pools: RefCell::default(),
             started: Instant::now(),
@@ -417,10 +421,19 @@
 
     fn home_candidates(&self) -> Vec<HomeCandidate> {
         let now = self.now();
+        self.nodes_where(|member| member.is_live(now))
+    }
+
+    /// The nodes that are registered at this moment.
+    pub fn registered_nodes(&self) -> Vec<HomeCandidate> {
+        self.nodes_where(|member| member.gone_at.is_none())
+    }
+
+    fn nodes_where(&self, wanted: impl Fn(&Member) -> bool) -> Vec<HomeCandidate> {
         let members = self.members.borrow();
         members
             .iter()
-            .filter(|(_, member)| member.is_live(now))
+            .filter(|(_, member)| wanted(member))
             .map(|(name, member)| HomeCandidate {
                 node: name.clone(),
                 zone: member.zone.clone(),
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -11,6 +11,7 @@
 use hookpoint_coordination::serving::directory::Database;
 use hookpoint_coordination::serving::topology::Configuration;
 use hookpoint_state::{DatabaseName, GroupName};
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::message::{CallerInput, CallerOutput, Command, DatabaseMessage, DatabaseStatus};
@@ -54,7 +55,7 @@
 pub struct LeaseId(pub u64);
 
 /// One record of the store.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum StoreRecord {
     /// The operator's configuration.
     Configuration(Configuration),
@@ -72,7 +73,7 @@
 }
 
 /// A record with its revision.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StoreChange {
     /// Revision of the change.
     pub revision: u64,
@@ -80,8 +81,31 @@
     pub record: StoreRecord,
 }
 
+/// What a change is about: a later change of the same subject replaces it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ChangeSubject {
+    /// The operator's configuration.
+    Configuration,
+    /// The registration of a database.
+    Database(DatabaseName),
+    /// A key of the fleet's own.
+    Own(String),
+}
+
+impl StoreRecord {
+    /// What the record is about.
+    pub fn subject(&self) -> ChangeSubject {
+        match self {
+            StoreRecord::Configuration(_) => ChangeSubject::Configuration,
+            StoreRecord::Database(database) => ChangeSubject::Database(database.name.clone()),
+            StoreRecord::DatabaseGone(name) => ChangeSubject::Database(name.clone()),
+            StoreRecord::Own { key, .. } => ChangeSubject::Own(key.clone()),
+        }
+    }
+}
+
 /// Records read together with the revision to continue from.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct StoreChanges {
     /// Revision to continue watching from.
     pub revision: u64,
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -5,43 +5,31 @@
 //! commands on its own connection and sends the answers back, so what the database
 //! promises holds end to end. A link that breaks ends its lease; the holder rolls back.
 
-use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures::{SinkExt, StreamExt};
-use hookpoint_coordination::serving::session::{PreparedShape, SessionValues};
-use hookpoint_state::{DatabaseName, Timestamp};
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use hookpoint_coordination::serving::session::SessionValues;
+use hookpoint_state::DatabaseName;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::connection::{Answer, Connection, ConnectionError, TransactionUse};
+use crate::feed;
+use crate::link::{
+    self, LINK_SLACK, LinkReply, LinkRequest, LinkStream, PASSED_OVER, framed, receive, send,
+};
 use crate::message::Command;
 use crate::node::Node;
 use crate::pool::{Lease, Pool};
 use crate::snapshot::Snapshot;
 use crate::units::millis;
 
-/// Largest message on a link.
-const MAX_MESSAGE_BYTES: usize = 4 << 20;
-/// Limit for connecting to a peer.
-const CONNECT_LIMIT: Duration = Duration::from_millis(200);
 /// Limit for a snapshot.
 const SNAPSHOT_LIMIT: Duration = Duration::from_millis(400);
-/// Time that an answer takes on a link beyond the holder's own limit.
-const LINK_SLACK: Duration = Duration::from_millis(60);
 /// Peers that are asked for one lease at the most.
 const PEERS_ASKED: usize = 3;
-/// Links to one peer kept at rest.
-const KEPT_LINKS: usize = 8;
-/// How long a peer that could not lease a database's connection is passed over.
-const PASSED_OVER: Duration = Duration::from_millis(400);
 /// A lease is taken back when its user has been silent for as long as a transaction may
 /// rest and this long besides: a peer that froze or lost power never gives it back.
 const HELD_SLACK: Duration = Duration::from_secs(1);
@@ -50,60 +38,6 @@
 /// Pause after a link could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// A message to the holder.
-#[derive(Serialize, Deserialize)]
-enum LinkRequest {
-    Lease {
-        database: DatabaseName,
-        priority: u8,
-        values: SessionValues,
-        limit_ms: u64,
-    },
-    Exchange {
-        commands: Vec<Command>,
-        limit_ms: u64,
-    },
-    Release,
-    Snapshot,
-}
-
-/// The holder's answer.
-#[derive(Serialize, Deserialize)]
-enum LinkReply {
-    Granted {
-        transaction: TransactionUse,
-        transaction_version: Option<u64>,
-        values: SessionValues,
-        values_unknown: bool,
-        prepared: BTreeSet<PreparedShape>,
-    },
-    Refused,
-    Answers(Vec<Answer>),
-    Broken {
-        timed_out: bool,
-    },
-    Snapshot(Option<Box<Snapshot>>),
-}
-
-type LinkStream = Framed<TcpStream, LengthDelimitedCodec>;
-
-fn framed(stream: TcpStream) -> LinkStream {
-    let _ = stream.set_nodelay(true);
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_MESSAGE_BYTES)
-        .new_framed(stream)
-}
-
-async fn send<T: Serialize>(stream: &mut LinkStream, message: &T) -> io::Result<()> {
-    let bytes = postcard::to_allocvec(message).map_err(io::Error::other)?;
-    stream.send(Bytes::from(bytes)).await
-}
-
-async fn receive<T: DeserializeOwned>(stream: &mut LinkStream) -> io::Result<T> {
-    let frame = stream.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
-    postcard::from_bytes(&frame).map_err(io::Error::other)
-}
-
 /// The way to a leased connection.
 pub struct RelayedChannel {
     stream: LinkStream,
@@ -137,40 +71,6 @@
     }
 }
 
-/// Links at rest, and peers that could not help lately.
-#[derive(Default)]
-pub struct Links {
-    idle: RefCell<BTreeMap<String, Vec<LinkStream>>>,
-    passed_over: RefCell<BTreeMap<(String, DatabaseName), Timestamp>>,
-}
-
-impl Links {
-    fn take(&self, peer: &str) -> Option<LinkStream> {
-        self.idle.borrow_mut().get_mut(peer)?.pop()
-    }
-
-    fn keep(&self, peer: String, stream: LinkStream) {
-        let mut idle = self.idle.borrow_mut();
-        let links = idle.entry(peer).or_default();
-        if links.len() < KEPT_LINKS {
-            links.push(stream);
-        }
-    }
-
-    fn is_passed_over(&self, peer: &str, database: &DatabaseName, now: Timestamp) -> bool {
-        self.passed_over
-            .borrow()
-            .get(&(peer.to_owned(), database.clone()))
-            .is_some_and(|until| now < *until)
-    }
-
-    fn pass_over(&self, peer: &str, database: &DatabaseName, until: Timestamp) {
-        let mut passed_over = self.passed_over.borrow_mut();
-        passed_over.retain(|_, other| *other > until - PASSED_OVER);
-        passed_over.insert((peer.to_owned(), database.clone()), until);
-    }
-}
-
 /// Ends a lease and keeps its link for the next one.
 pub async fn release(node: Rc<Node>, mut channel: RelayedChannel) {
     if send(&mut channel.stream, &LinkRequest::Release)
@@ -240,40 +140,17 @@
     request: &LinkRequest,
     limit: Duration,
 ) -> Result<Connection, NotLent> {
-    if let Some(stream) = node.links.take(peer) {
-        match ask_on(node, stream, peer, database, request, limit).await {
-            Err(NotLent::Broken) => {}
-            other => return other,
-        }
-    }
-    node.counters.count("connections_opened", "link");
-    let connecting = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
-    let Ok(Ok(stream)) = connecting else {
-        return Err(NotLent::Broken);
-    };
-    ask_on(node, framed(stream), peer, database, request, limit).await
-}
-
-async fn ask_on(
-    node: &Rc<Node>,
-    mut stream: LinkStream,
-    peer: &str,
-    database: &DatabaseName,
-    request: &LinkRequest,
-    limit: Duration,
-) -> Result<Connection, NotLent> {
-    let asking = async {
-        send(&mut stream, request).await?;
-        receive(&mut stream).await
-    };
-    match timeout(limit + LINK_SLACK, asking).await {
-        Ok(Ok(LinkReply::Granted {
-            transaction,
-            transaction_version,
-            values,
-            values_unknown,
-            prepared,
-        })) => {
+    match link::call(node, peer, address, request, limit).await {
+        Some((
+            LinkReply::Granted {
+                transaction,
+                transaction_version,
+                values,
+                values_unknown,
+                prepared,
+            },
+            stream,
+        )) => {
             let channel = RelayedChannel {
                 stream,
                 peer: peer.to_owned(),
@@ -286,7 +163,7 @@
             connection.prepared = prepared;
             Ok(connection)
         }
-        Ok(Ok(LinkReply::Refused)) => {
+        Some((LinkReply::Refused, stream)) => {
             node.links.keep(peer.to_owned(), stream);
             Err(NotLent::Refused)
         }
@@ -358,6 +235,9 @@
                 continue;
             }
             LinkRequest::Snapshot => LinkReply::Snapshot(Snapshot::of(&node).map(Box::new)),
+            LinkRequest::Follow { revision } => {
+                LinkReply::Followed(feed::answer(&node, revision).await)
+            }
         };
         if send(&mut stream, &reply).await.is_err() {
             return;
