Let a node end in order, count the holders' word on a primary, and keep connections for the need

- A stop waits for connections that peers use, and lends no more.
- Nodes that hold no connections do not outvote the holders (table: nodes_that_hold_no_connections_do_not_outvote_those_that_do).
- Nodes without connections learn a group's primary from those that have some.

--- /dev/null
+++ b/crates/coordination/src/serving/demand.rs
@@ -0,0 +1,50 @@
+//! How many connections to one database a node keeps open.
+//!
+//! A database takes a bounded number of connections from all nodes together, and for some
+//! seconds it counts those of a node that lost power. So a node keeps only what it lately
+//! needed: what it leaves free lets restarted nodes in at once.
+
+use std::time::Duration;
+
+use hookpoint_state::Timestamp;
+
+/// Length of the window over which the need is measured; the one before counts as well.
+const WINDOW: Duration = Duration::from_secs(2);
+/// Connections kept beyond the need, so that the next request seldom waits for one.
+const SPARE: usize = 1;
+
+/// The most connections that were in use at once, lately.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    window_start: Timestamp,
+    present: usize,
+    before: usize,
+}
+
+impl Demand {
+    /// Notes that `in_use` connections were in use or waited for at once.
+    pub fn note(&mut self, now: Timestamp, in_use: usize) {
+        self.roll(now);
+        self.present = self.present.max(in_use);
+    }
+
+    /// Connections worth keeping open.
+    pub fn kept(&mut self, now: Timestamp) -> usize {
+        self.roll(now);
+        self.present.max(self.before) + SPARE
+    }
+
+    fn roll(&mut self, now: Timestamp) {
+        let elapsed = now.since(self.window_start);
+        if elapsed < WINDOW {
+            return;
+        }
+        self.before = if elapsed < WINDOW * 2 {
+            self.present
+        } else {
+            0
+        };
+        self.present = 0;
+        self.window_start = now;
+    }
+}
--- a/crates/coordination/src/serving/failover.rs
+++ b/crates/coordination/src/serving/failover.rs
@@ -1,9 +1,11 @@
 //! When a group gets another primary, and which one.
 //!
 //! Nobody announces that a primary is dead. A false promotion rolls back commits and
-//! costs a second of writes; a late one costs every write until then. So a majority of
-//! the nodes that answer must have lost the primary, and the ones that answer must be a
-//! majority of the fleet, or the loss must have lasted much longer.
+//! costs a second of writes; a late one costs every write until then. What counts is what
+//! the nodes that hold connections to it see: more of them must have lost it than reach
+//! it, and those that answer must be a majority of the holders, or the loss must have
+//! lasted much longer. Nodes that only lease connections, or know no primary, may be cut
+//! off from the holders or crowded out, so they count only where nobody reaches it.
 
 use std::time::Duration;
 
@@ -26,50 +28,64 @@
     Refused(Duration),
     /// It has said nothing for this long.
     Silent(Duration),
+    /// This node holds no connections to it, and no holder has helped for this long.
+    Unhelped(Duration),
+    /// This node has known no primary for this long.
+    Leaderless(Duration),
     /// This node has not looked.
     Unknown,
 }
 
-impl Observation {
-    fn is_loss(self) -> bool {
-        match self {
-            Observation::Reachable | Observation::Unknown => false,
-            Observation::Refused(lasting) => lasting >= REFUSAL_EVIDENCE,
-            Observation::Silent(lasting) => lasting >= SILENCE_EVIDENCE,
-        }
-    }
+/// Nodes that may testify.
+#[derive(Clone, Copy, Debug)]
+pub struct Witnesses {
+    /// Live nodes.
+    pub members: usize,
+    /// Those of them that hold connections to the primary.
+    pub holders: usize,
+}
 
-    fn lasting(self) -> Duration {
-        match self {
-            Observation::Reachable | Observation::Unknown => Duration::ZERO,
-            Observation::Refused(lasting) | Observation::Silent(lasting) => lasting,
+/// Whether the primary counts as lost, by the observations of the nodes that answered,
+/// the asking one included.
+pub fn is_lost(observations: &[Observation], witnesses: Witnesses) -> bool {
+    let mut reachable = 0;
+    let mut direct = 0;
+    let mut leaderless = 0;
+    let mut unhelped = 0;
+    let mut longest = Duration::ZERO;
+    for observation in observations {
+        let (count, lasting, evidence) = match *observation {
+            Observation::Reachable => {
+                reachable += 1;
+                continue;
+            }
+            Observation::Unknown => continue,
+            Observation::Refused(lasting) => (&mut direct, lasting, REFUSAL_EVIDENCE),
+            Observation::Silent(lasting) => (&mut direct, lasting, SILENCE_EVIDENCE),
+            Observation::Leaderless(lasting) => (&mut leaderless, lasting, SILENCE_EVIDENCE),
+            Observation::Unhelped(lasting) => (&mut unhelped, lasting, SILENCE_EVIDENCE),
+        };
+        if lasting >= evidence {
+            *count += 1;
+            longest = longest.max(lasting);
         }
     }
-}
-
-/// Whether the primary counts as lost.
-///
-/// `observations` are those of the nodes that answered, this one included; `members`
-/// is the number of live nodes.
-pub fn is_lost(observations: &[Observation], members: usize) -> bool {
-    let lost = observations
-        .iter()
-        .filter(|observation| observation.is_loss())
-        .count();
-    let reachable = observations
-        .iter()
-        .filter(|observation| **observation == Observation::Reachable)
-        .count();
-    if lost <= reachable {
+    let long = longest >= LONG_LOSS;
+    if direct > reachable && (direct + reachable >= majority(witnesses.holders) || long) {
+        return true;
+    }
+    if reachable > 0 {
         return false;
     }
-    let quorum = members / 2 + 1;
-    let longest = observations
-        .iter()
-        .map(|observation| observation.lasting())
-        .max()
-        .unwrap_or_default();
-    lost + reachable >= quorum || longest >= LONG_LOSS
+    let without_primary = direct + leaderless;
+    let all = without_primary + unhelped;
+    without_primary >= majority(witnesses.members)
+        || (leaderless > 0 && unhelped == 0 && long)
+        || (all >= majority(witnesses.members) && long)
+}
+
+fn majority(nodes: usize) -> usize {
+    nodes / 2 + 1
 }
 
 /// One replica's state, as it answered for itself.
--- a/crates/coordination/tests/serving.rs
+++ b/crates/coordination/tests/serving.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::demand::Demand;
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
 use hookpoint_coordination::serving::failover::{
-    NoCandidate, Observation, ReplicaState, choose_candidate, is_lost,
+    NoCandidate, Observation, ReplicaState, Witnesses, choose_candidate, is_lost,
 };
 use hookpoint_coordination::serving::freshness::FreshnessLog;
 use hookpoint_coordination::serving::homes::{HomeCandidate, home_count, rank_homes};
@@ -114,10 +115,68 @@
         (&[silent], 1, true),
     ];
     for (observations, members, lost) in cases {
-        assert_eq!(is_lost(observations, members), lost, "{observations:?}");
+        let witnesses = Witnesses {
+            members,
+            holders: members,
+        };
+        assert_eq!(is_lost(observations, witnesses), lost, "{observations:?}");
     }
 }
 
+#[test]
+fn nodes_that_hold_no_connections_do_not_outvote_those_that_do() {
+    use Observation::{Leaderless, Reachable, Silent, Unhelped, Unknown};
+    let silent = Silent(ms(800));
+    let unhelped = Unhelped(ms(1_500));
+    let leaderless = Leaderless(ms(1_500));
+    let witnesses = Witnesses {
+        members: 40,
+        holders: 4,
+    };
+    let cases: [(&str, Vec<Observation>, bool); 9] = [
+        (
+            "crowded out",
+            [vec![Reachable], vec![unhelped; 30]].concat(),
+            false,
+        ),
+        (
+            "restarted",
+            [vec![Reachable], vec![leaderless; 30]].concat(),
+            false,
+        ),
+        (
+            "lost to holders",
+            [vec![silent; 3], vec![Unknown; 37]].concat(),
+            true,
+        ),
+        ("too few holders", vec![silent, silent], false),
+        (
+            "half the holders",
+            [vec![silent; 2], vec![Reachable; 2]].concat(),
+            false,
+        ),
+        ("no holder left, short", vec![unhelped; 36], false),
+        ("no holder left, long", vec![Unhelped(ms(2_600)); 36], true),
+        ("few, long", vec![Unhelped(ms(2_600)); 6], false),
+        ("nobody knows any", vec![leaderless; 30], true),
+    ];
+    for (what, observations, lost) in cases {
+        assert_eq!(is_lost(&observations, witnesses), lost, "{what}");
+    }
+}
+
+#[test]
+fn connections_are_kept_for_the_need_of_the_last_seconds() {
+    let mut demand = Demand::default();
+    demand.note(at(10_000), 4);
+    demand.note(at(10_500), 2);
+    assert_eq!(demand.kept(at(11_900)), 5);
+    demand.note(at(12_100), 1);
+    assert_eq!(demand.kept(at(13_900)), 5);
+    assert_eq!(demand.kept(at(14_200)), 2);
+    assert_eq!(demand.kept(at(30_000)), 1);
+}
+
 fn replica(text: &str, received: u64, draining: bool) -> ReplicaState {
     ReplicaState {
         name: name(text),
--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -118,7 +118,7 @@
     };
     if reason == Reason::Lost {
         let observations: Vec<Observation> = views.iter().map(|view| view.observation).collect();
-        if !is_lost(&observations, node.live_members()) {
+        if !is_lost(&observations, node.witnesses(leader.as_ref())) {
             return;
         }
         log_loss(node, group, leader.as_ref(), &observations);
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -35,6 +35,8 @@
 /// Pause between two questions to the same database while nobody is known to lead.
 const SEARCH_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time in which the holders of connections tell a node that holds none who leads.
+const PEERS_TELL: Duration = Duration::from_millis(600);
 /// Priority of questions about leadership: they go first.
 const QUESTION_PRIORITY: u8 = 0;
 
@@ -55,6 +57,7 @@
         }
         try_unreachable(&node, &trying);
         for pool in node.pools() {
+            pool.trim(node.now());
             pool.refresh_oldest(&node);
         }
     }
@@ -85,6 +88,7 @@
         node.with_group(group, |state| {
             state.leaderless_since.get_or_insert(now);
         });
+        ask_who_leads(node, peers, group);
     }
     if leader.is_none() || lost {
         search(node, asking, group, leader.as_ref());
@@ -95,22 +99,48 @@
     }
 }
 
-/// Has a node that holds connections to the primary tell its newest sample, at most once
-/// in a while; another holder each time.
+/// Has a node that holds connections to the primary tell its newest sample.
 fn ask_for_sample(node: &Rc<Node>, peers: &Rc<Peers>, group: &GroupName, leader: &DatabaseName) {
+    if let Some(number) = next_question(node, group) {
+        ask_holder(node, peers, group, leader, number);
+    }
+}
+
+/// Has a node that holds connections to one of the group's databases tell its primary.
+fn ask_who_leads(node: &Rc<Node>, peers: &Rc<Peers>, group: &GroupName) {
+    let databases = node.by_stated_role(group);
+    if databases.is_empty() {
+        return;
+    }
+    if let Some(number) = next_question(node, group) {
+        let database = &databases[number % databases.len()];
+        ask_holder(node, peers, group, database, number / databases.len());
+    }
+}
+
+/// The number of a question to a peer, if one is due: at most one in a while.
+fn next_question(node: &Rc<Node>, group: &GroupName) -> Option<usize> {
     let now = node.now();
-    let holders = node.holders(leader);
-    let due = node.with_group(group, |state| {
-        let due = now.since(state.sample_asked_at) >= SEARCH_PAUSE;
-        if due {
-            state.sample_asked_at = now;
-            state.samples_asked += 1;
+    node.with_group(group, |state| {
+        if now.since(state.sample_asked_at) < SEARCH_PAUSE {
+            return None;
         }
-        due.then_some(state.samples_asked)
-    });
-    if let Some(number) = due
-        && !holders.is_empty()
-    {
+        state.sample_asked_at = now;
+        state.samples_asked += 1;
+        Some(state.samples_asked)
+    })
+}
+
+/// Asks one of the holders of `database`, another one with each number.
+fn ask_holder(
+    node: &Rc<Node>,
+    peers: &Rc<Peers>,
+    group: &GroupName,
+    database: &DatabaseName,
+    number: usize,
+) {
+    let holders = node.holders(database);
+    if !holders.is_empty() {
         let (_, address) = &holders[number % holders.len()];
         peers.ask_sample(node, group, *address);
     }
@@ -128,9 +158,15 @@
     }
 }
 
+/// Asks the databases of a group which of them leads: those that this node holds
+/// connections to, and after a while the others as well.
 fn search(node: &Rc<Node>, asking: &Rc<Asking>, group: &GroupName, leader: Option<&DatabaseName>) {
+    let now = node.now();
+    let leaderless_since = node.with_group(group, |state| state.leaderless_since);
+    let long = leaderless_since.is_none_or(|since| now.since(since) >= PEERS_TELL);
     for database in node.by_stated_role(group) {
-        if leader != Some(&database) {
+        let held = node.connection_cap(&database) > 0;
+        if leader != Some(&database) && (held || long) {
             ask(node, asking, &database);
         }
     }
@@ -167,10 +203,17 @@
             .await
             .ok_or(AcquireError::NotHeld);
     }
-    if pool.open_connections() > 0 && pool.open_connections() >= cap {
+    if pool.open_connections() > 0 && !pool.may_open(node) {
         return Err(AcquireError::TimedOut);
     }
-    pool.open(node).await
+    match pool.open(node).await {
+        Err(AcquireError::Crowded) => {
+            relay::lease(node, pool, QUESTION_PRIORITY, &values, CONTROL_LIMIT)
+                .await
+                .ok_or(AcquireError::Crowded)
+        }
+        other => other,
+    }
 }
 
 /// Tries to reach databases that this node lost the way to.
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
+use hookpoint_coordination::serving::failover::Witnesses;
 use hookpoint_coordination::serving::homes::{HomeCandidate, home_count, rank_homes};
 use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
 use hookpoint_coordination::serving::selection::Distance;
@@ -172,6 +173,8 @@
     pub stopping_since: Cell<Option<Timestamp>>,
     /// Sessions that are open.
     pub sessions: Cell<usize>,
+    /// Connections that peers use at the moment.
+    pub lent: Cell<usize>,
     /// Wakes all who wait for a change of a primary.
     pub leader_changed: Notify,
     /// Wakes all who wait for configuration.
@@ -216,6 +219,7 @@
             store_steady_since: Cell::default(),
             stopping_since: Cell::new(None),
             sessions: Cell::new(0),
+            lent: Cell::new(0),
             leader_changed: Notify::new(),
             configuration_changed: Notify::new(),
             stop_advanced: Notify::new(),
@@ -363,6 +367,16 @@
         self.home_view(name).holders.clone()
     }
 
+    /// Live nodes, and those of them that hold connections to `leader`.
+    pub fn witnesses(&self, leader: Option<&DatabaseName>) -> Witnesses {
+        let members = self.live_members();
+        let holders = leader.map_or(members, |leader| {
+            let view = self.home_view(leader);
+            view.holders.len() + usize::from(view.cap > 0)
+        });
+        Witnesses { members, holders }
+    }
+
     /// Has the homes worked out anew: members, databases or configuration changed.
     pub fn invalidate_homes(&self) {
         self.homes.borrow_mut().views.clear();
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -244,25 +244,32 @@
         })
     }
 
-    /// What this node sees of a group's primary.
+    /// What this node sees of a group's primary. If the one that asks knows none, what it
+    /// sees of the one that it knows itself.
     pub fn observe(&self, group: &GroupName, leader: Option<&DatabaseName>) -> Observation {
         let now = self.now();
+        let known = self.leader(group);
+        let held = known
+            .as_ref()
+            .is_some_and(|known| self.connection_cap(known) > 0);
         self.with_group(group, |state| {
-            if state.leadership.leader().is_some() && state.leadership.leader() != leader {
-                return Observation::Reachable;
-            }
-            if state.leadership.leader().is_none() {
+            if known.is_none() {
                 let never_seen = state.leadership.reign() == Reign::default();
                 return match state.leaderless_since {
                     Some(since) if never_seen && now.since(since) < FIRST_PRIMARY_TIME => {
                         Observation::Unknown
                     }
-                    Some(since) => Observation::Silent(now.since(since)),
+                    Some(since) => Observation::Leaderless(now.since(since)),
                     None => Observation::Unknown,
                 };
             }
+            if leader.is_some() && known.as_ref() != leader {
+                return Observation::Reachable;
+            }
             match state.contact.lost_since {
-                None => Observation::Reachable,
+                None if held => Observation::Reachable,
+                None => Observation::Unknown,
+                Some(since) if !held => Observation::Unhelped(now.since(since)),
                 Some(since) if state.contact.refused => Observation::Refused(now.since(since)),
                 Some(since) => Observation::Silent(now.since(since)),
             }
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -5,6 +5,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+use hookpoint_coordination::serving::demand::Demand;
 use hookpoint_coordination::serving::leadership::Confirmation;
 use hookpoint_coordination::serving::session::SessionValues;
 use hookpoint_state::{DatabaseName, Timestamp};
@@ -45,6 +46,9 @@
     /// This node holds no connections to the database, or cannot reach it.
     #[error("this node cannot reach the database by itself")]
     NotHeld,
+    /// The database takes no more connections at the moment, and this node has none.
+    #[error("the database takes no more connections")]
+    Crowded,
     /// The database is not listed any more.
     #[error("the database is not listed")]
     Unlisted,
@@ -70,6 +74,7 @@
     verifying: Cell<bool>,
     refused: Cell<bool>,
     service_time: Cell<Duration>,
+    demand: RefCell<Demand>,
 }
 
 impl Pool {
@@ -90,6 +95,7 @@
             verifying: Cell::new(false),
             refused: Cell::new(false),
             service_time: Cell::new(INITIAL_SERVICE_TIME),
+            demand: RefCell::default(),
         }
     }
 
@@ -222,27 +228,31 @@
         if !self.reachable.get() {
             return Err(AcquireError::NotHeld);
         }
+        let node = self.node.upgrade().ok_or(AcquireError::Unlisted)?;
+        self.demand
+            .borrow_mut()
+            .note(node.now(), self.in_flight() + 1);
         if let Some(lease) = self.try_acquire(preferred) {
             return Ok(lease);
         }
-        let node = self.node.upgrade().ok_or(AcquireError::Unlisted)?;
-        let may_open = node.now() >= self.no_opening_until.get();
-        if may_open && self.open.get() < node.connection_cap(&self.database) {
+        if self.may_open(&node) {
             match self.open(&node).await {
-                Err(AcquireError::Connection(ConnectionError::Rejected(failure)))
-                    if failure.code == FailureCode::TooManyConnections =>
-                {
-                    self.no_opening_until.set(node.now() + LIMIT_PAUSE);
-                }
+                Err(AcquireError::Crowded) => {}
                 other => return other,
             }
         }
         if self.open.get() == 0 {
-            return Err(AcquireError::TimedOut);
+            return Err(AcquireError::Crowded);
         }
         self.wait(priority, limit).await
     }
 
+    /// Whether another connection may be opened now.
+    pub fn may_open(&self, node: &Rc<Node>) -> bool {
+        let refused_lately = node.now() < self.no_opening_until.get();
+        !refused_lately && self.open.get() < node.connection_cap(&self.database)
+    }
+
     /// Opens a connection whatever the cap says.
     pub async fn open(self: &Rc<Self>, node: &Rc<Node>) -> Result<Lease, AcquireError> {
         let (address, group) = node
@@ -262,6 +272,12 @@
                 self.leased.set(self.leased.get() + 1);
                 Ok(Lease::new(Rc::clone(self), connection))
             }
+            Err(ConnectionError::Rejected(failure))
+                if failure.code == FailureCode::TooManyConnections =>
+            {
+                self.no_opening_until.set(node.now() + LIMIT_PAUSE);
+                Err(AcquireError::Crowded)
+            }
             Err(error) => {
                 if !matches!(error, ConnectionError::Rejected(_)) {
                     let refused = matches!(error, ConnectionError::Refused(_));
@@ -313,9 +329,21 @@
             self.idle.borrow_mut().push((node.now(), connection));
             return;
         }
+        self.spawn_settling(&node, connection);
+    }
+
+    /// Settles a connection in a task of its own. Until that has begun the connection
+    /// counts as broken: a task that never runs, as the node ends, must not give it back
+    /// for settling again.
+    fn spawn_settling(self: &Rc<Self>, node: &Rc<Node>, mut connection: Connection) {
+        connection.broken = true;
         self.leased.set(self.leased.get() + 1);
-        let lease = Lease::new(Rc::clone(self), connection);
-        tokio::task::spawn_local(async move { settle(&node, lease).await });
+        let mut lease = Lease::new(Rc::clone(self), connection);
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(async move {
+            lease.connection().broken = false;
+            settle(&node, lease).await
+        });
     }
 
     fn release_relayed(&self, connection: Connection) {
@@ -360,10 +388,21 @@
             position.map(|position| idle.remove(position).1)
         };
         if let Some(connection) = stale {
-            self.leased.set(self.leased.get() + 1);
-            let lease = Lease::new(Rc::clone(self), connection);
-            let node = Rc::clone(node);
-            tokio::task::spawn_local(async move { settle(&node, lease).await });
+            self.spawn_settling(node, connection);
+        }
+    }
+
+    /// Closes a connection at rest if more are open than were lately needed.
+    pub fn trim(&self, now: Timestamp) {
+        if self.open.get() <= self.demand.borrow_mut().kept(now) {
+            return;
+        }
+        let oldest = {
+            let mut idle = self.idle.borrow_mut();
+            (!idle.is_empty()).then(|| idle.remove(0))
+        };
+        if oldest.is_some() {
+            self.open.set(self.open.get() - 1);
         }
     }
 
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::message::Command;
 use crate::node::Node;
 use crate::pool::{Lease, Pool};
+use crate::shutdown::StopStage;
 use crate::snapshot::Snapshot;
 use crate::units::millis;
 
@@ -196,8 +197,47 @@
     }
 }
 
+/// A connection of this node's that a peer uses; a stop waits until it comes back.
+struct Lent {
+    node: Rc<Node>,
+    lease: Lease,
+}
+
+impl Lent {
+    fn new(node: &Rc<Node>, lease: Lease) -> Self {
+        node.lent.set(node.lent.get() + 1);
+        Self {
+            node: Rc::clone(node),
+            lease,
+        }
+    }
+}
+
+impl Drop for Lent {
+    fn drop(&mut self) {
+        self.node.lent.set(self.node.lent.get() - 1);
+    }
+}
+
+/// Takes a connection for a peer. A node that stops lends no more once callers have had
+/// time to turn away from it.
+async fn lend(
+    node: &Rc<Node>,
+    database: &DatabaseName,
+    priority: u8,
+    values: &SessionValues,
+    limit: Duration,
+) -> Option<Lent> {
+    if node.stop_stage() >= StopStage::CloseIdle {
+        return None;
+    }
+    let pool = node.pool(database);
+    let lease = pool.acquire_direct(priority, values, limit).await.ok()?;
+    Some(Lent::new(node, lease))
+}
+
 async fn serve_link(node: Rc<Node>, mut stream: LinkStream) {
-    let mut held: Option<Lease> = None;
+    let mut held: Option<Lent> = None;
     loop {
         let limit = if held.is_some() {
             node.transaction_idle() + HELD_SLACK
@@ -219,14 +259,13 @@
             } => {
                 drop(held.take());
                 let limit = Duration::from_millis(limit_ms);
-                let pool = node.pool(&database);
-                held = pool.acquire_direct(priority, &values, limit).await.ok();
-                granted(held.as_mut())
+                held = lend(&node, &database, priority, &values, limit).await;
+                granted(held.as_mut().map(|lent| &mut lent.lease))
             }
             LinkRequest::Exchange { commands, limit_ms } => {
                 let limit = Duration::from_millis(limit_ms);
                 match &mut held {
-                    Some(lease) => run(&node, lease, &commands, limit).await,
+                    Some(lent) => run(&node, &mut lent.lease, &commands, limit).await,
                     None => LinkReply::Broken { timed_out: false },
                 }
             }
--- a/crates/serving/src/shutdown.rs
+++ b/crates/serving/src/shutdown.rs
@@ -42,7 +42,7 @@
     }
 }
 
-/// Stops the node: returns when no session is open or the grace period nears its end.
+/// Stops the node: returns when no session is open and no connection is lent, or the grace period nears its end.
 pub async fn stop(node: &Rc<Node>) {
     if node.stopping_since.get().is_some() {
         return;
@@ -59,7 +59,8 @@
         node.stop_advanced.notify_waiters();
         let elapsed = node.now().since(began);
         let idle_closed = node.stop_stage() >= StopStage::CloseIdle;
-        if elapsed >= limit || (idle_closed && node.sessions.get() == 0) {
+        let unused = node.sessions.get() == 0 && node.lent.get() == 0;
+        if elapsed >= limit || (idle_closed && unused) {
             break;
         }
     }
