Ask loaded replicas for their state again at once

The question is repeated while it is refused, and no answer at all is asked again before the round is given up; where no connection can be opened, one is leased. Test: replicas_too_loaded_to_tell_their_state_are_asked_again_at_once (failed before, 2.3 s; passes).

--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -7,21 +7,30 @@
     Observation, ReplicaState, choose_candidate, is_lost,
 };
 use hookpoint_coordination::serving::selection::Distance;
+use hookpoint_coordination::serving::session::SessionValues;
 use hookpoint_state::{DatabaseName, GroupName, Term, Timestamp};
 use tokio::time::{sleep, timeout};
 
-use crate::message::{Command, DatabaseStatus};
+use crate::message::{Command, DatabaseStatus, FailureCode};
 use crate::node::Node;
 use crate::peers::{PeerView, Peers};
+use crate::pool::{Lease, Pool};
 use crate::ports::{ConditionalWrite, PromotionError, PromotionOrder, WriteOutcome};
 use crate::records::{PROMOTION_PREFIX, PromotionRecord, encode};
+use crate::relay;
 
 /// How long a database that is missing from the store counts as a replica.
 const MISSING_COUNTS: Duration = Duration::from_secs(15);
 /// Pause between rounds.
 const ROUND: Duration = Duration::from_millis(100);
 /// Limit for a replica's answer about itself.
-const STATUS_LIMIT: Duration = Duration::from_millis(250);
+const STATUS_LIMIT: Duration = Duration::from_millis(300);
+/// Pause before a loaded replica is asked again.
+const BUSY_PAUSE: Duration = Duration::from_millis(10);
+/// Rounds of questions before no replica counts as answering.
+const STATUS_ROUNDS: usize = 3;
+/// Priority of questions about state: they go first.
+const STATUS_PRIORITY: u8 = 0;
 /// Limit for a promotion's answer. One without an answer is ordered again: the token and
 /// the candidate are the same, so being carried out twice changes nothing.
 const PROMOTION_LIMIT: Duration = Duration::from_millis(350);
@@ -209,7 +218,7 @@
         .into_iter()
         .filter(|name| Some(name) != leader && is_candidate(node, name))
         .collect();
-    let first = ask_all(node, &replicas, &Command::Status).await;
+    let first = ask_until_some_answer(node, &replicas).await;
     let states = if sync_replicas == 0 {
         first
     } else {
@@ -274,6 +283,20 @@
     }
 }
 
+/// Asks for the state of all, again as long as none of them answers.
+async fn ask_until_some_answer(
+    node: &Rc<Node>,
+    replicas: &[DatabaseName],
+) -> Vec<(DatabaseName, DatabaseStatus)> {
+    for _ in 0..STATUS_ROUNDS {
+        let answers = ask_all(node, replicas, &Command::Status).await;
+        if !answers.is_empty() {
+            return answers;
+        }
+    }
+    Vec::new()
+}
+
 async fn ask_all(
     node: &Rc<Node>,
     replicas: &[DatabaseName],
@@ -295,17 +318,41 @@
     name: &DatabaseName,
     command: Command,
 ) -> Option<DatabaseStatus> {
-    let question = async {
-        let pool = node.pool(name);
-        let mut lease = match pool.try_acquire(&Default::default()) {
-            Some(lease) => lease,
-            None => pool.open(node).await.ok()?,
-        };
-        let answers = lease.exchange(node, &[command], STATUS_LIMIT).await.ok()?;
+    timeout(STATUS_LIMIT, ask_until_taken(node, name, command))
+        .await
+        .ok()
+        .flatten()
+}
+
+/// Asks again for as long as the database refuses the question for load.
+async fn ask_until_taken(
+    node: &Rc<Node>,
+    name: &DatabaseName,
+    command: Command,
+) -> Option<DatabaseStatus> {
+    let mut lease = lease_for_status(node, &node.pool(name)).await?;
+    loop {
+        let question = [command.clone()];
+        let answers = lease.exchange(node, &question, STATUS_LIMIT).await.ok()?;
         let answer = answers.last()?;
-        node.protocol.parse_status(answer.rows.first()?)
-    };
-    timeout(STATUS_LIMIT, question).await.ok().flatten()
+        let code = answer.result.as_ref().err().map(|failure| failure.code);
+        if code != Some(FailureCode::Overloaded) {
+            return node.protocol.parse_status(answer.rows.first()?);
+        }
+        sleep(BUSY_PAUSE).await;
+    }
+}
+
+/// A connection at rest, a new one, or one that another node holds.
+async fn lease_for_status(node: &Rc<Node>, pool: &Rc<Pool>) -> Option<Lease> {
+    let values = SessionValues::new();
+    if let Some(lease) = pool.try_acquire(&values) {
+        return Some(lease);
+    }
+    match pool.open(node).await {
+        Ok(lease) => Some(lease),
+        Err(_) => relay::lease(node, pool, STATUS_PRIORITY, &values, STATUS_LIMIT).await,
+    }
 }
 
 /// Why a promotion was not confirmed.
