Prefer databases that fail less often

A replica that answers questions about its health and fails, resets or leaves unanswered a part of the statements was avoided for 0.8 s after a failure and then preferred again; one that answers FAILED was never avoided. The share of failures, fading without statements, now counts in the choice. Tables: the_share_of_failures_follows_the_newest_and_fades, the_nearest_database_serves_unless_it_is_loaded_or_in_doubt.

--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -10,6 +10,7 @@
 pub mod freshness;
 pub mod homes;
 pub mod leadership;
+pub mod reliability;
 pub mod selection;
 pub mod session;
 pub mod topology;
--- a/crates/coordination/src/serving/selection.rs
+++ b/crates/coordination/src/serving/selection.rs
@@ -4,6 +4,8 @@
 
 use hookpoint_state::DatabaseName;
 
+use super::reliability::WHOLE;
+
 /// How far a database is from this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -39,6 +41,10 @@
     pub slots: usize,
     /// Mean time of one statement there, as measured by this node.
     pub service_time: Duration,
+    /// Share of its statements that failed lately, of [`reliability::WHOLE`].
+    ///
+    /// [`reliability::WHOLE`]: super::reliability::WHOLE
+    pub failing: u32,
     /// Whether it announces its end.
     pub draining: bool,
     /// Whether it failed to answer lately.
@@ -51,6 +57,8 @@
 
 /// Added for a database that should only be used if no other is left.
 const AVOIDED: Duration = Duration::from_millis(2_000);
+/// Added for a database that fails every statement; in proportion for one that fails some.
+const FAILING_COST: Duration = Duration::from_millis(1_200);
 /// Added for the primary.
 const LEADER_COST: Duration = Duration::from_millis(4);
 
@@ -60,6 +68,7 @@
         let waiting = u32::try_from(self.in_flight).unwrap_or(u32::MAX);
         let slots = u32::try_from(self.slots.max(1)).unwrap_or(u32::MAX);
         let mut cost = self.distance.cost() + self.service_time * waiting / slots;
+        cost += FAILING_COST * self.failing / WHOLE;
         if self.leader {
             cost += LEADER_COST;
         }
--- a/crates/coordination/tests/serving.rs
+++ b/crates/coordination/tests/serving.rs
@@ -11,6 +11,7 @@
 use hookpoint_coordination::serving::freshness::FreshnessLog;
 use hookpoint_coordination::serving::homes::{HomeCandidate, home_count, rank_homes};
 use hookpoint_coordination::serving::leadership::{Confirmation, Leadership, ReignPosition};
+use hookpoint_coordination::serving::reliability::Reliability;
 use hookpoint_coordination::serving::selection::{Candidate, Distance, rank};
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
 use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp, ZoneName};
@@ -165,6 +166,26 @@
     }
 }
 
+#[test]
+fn the_share_of_failures_follows_the_newest_and_fades() {
+    let mut reliability = Reliability::default();
+    for _ in 0..30 {
+        reliability.note(at(1_000), true);
+    }
+    assert!(reliability.failing(at(1_000)) > 900);
+    assert!(reliability.failing(at(3_100)) < 500);
+    assert!(reliability.failing(at(60_000)) == 0);
+    for _ in 0..30 {
+        reliability.note(at(1_500), false);
+    }
+    assert!(reliability.failing(at(1_500)) < 50);
+    for number in 0..200 {
+        reliability.note(at(2_000 + number), number % 2 == 0);
+    }
+    let half = reliability.failing(at(2_200));
+    assert!((400..=600).contains(&half), "{half}");
+}
+
 #[test]
 fn connections_are_kept_for_the_need_of_the_last_seconds() {
     let mut demand = Demand::default();
@@ -212,6 +233,7 @@
         in_flight: 0,
         slots: 3,
         service_time: ms(20),
+        failing: 0,
         draining: false,
         suspect: false,
         lagging: false,
@@ -234,6 +256,16 @@
         ..near.clone()
     };
     assert_eq!(rank(vec![suspect, far.clone()])[0], name("far"));
+    let failing = Candidate {
+        failing: 450,
+        ..near.clone()
+    };
+    assert_eq!(rank(vec![failing, far.clone()])[0], name("far"));
+    let seldom_failing = Candidate {
+        failing: 20,
+        ..near.clone()
+    };
+    assert_eq!(rank(vec![seldom_failing, far.clone()])[0], name("near"));
     let draining = Candidate {
         draining: true,
         ..near
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -7,6 +7,7 @@
 
 use hookpoint_coordination::serving::demand::Demand;
 use hookpoint_coordination::serving::leadership::Confirmation;
+use hookpoint_coordination::serving::reliability::Reliability;
 use hookpoint_coordination::serving::session::SessionValues;
 use hookpoint_state::{DatabaseName, Timestamp};
 use thiserror::Error;
@@ -75,6 +76,7 @@
     refused: Cell<bool>,
     service_time: Cell<Duration>,
     demand: RefCell<Demand>,
+    reliability: Cell<Reliability>,
 }
 
 impl Pool {
@@ -96,6 +98,7 @@
             refused: Cell::new(false),
             service_time: Cell::new(INITIAL_SERVICE_TIME),
             demand: RefCell::default(),
+            reliability: Cell::default(),
         }
     }
 
@@ -129,8 +132,23 @@
         self.service_time.get()
     }
 
+    /// Share of the statements that failed lately, of [`reliability::WHOLE`].
+    ///
+    /// [`reliability::WHOLE`]: hookpoint_coordination::serving::reliability::WHOLE
+    pub fn failing(&self, now: Timestamp) -> u32 {
+        self.reliability.get().failing(now)
+    }
+
+    /// Notes whether a statement failed.
+    pub fn note_outcome(&self, now: Timestamp, failed: bool) {
+        let mut reliability = self.reliability.get();
+        reliability.note(now, failed);
+        self.reliability.set(reliability);
+    }
+
     /// Notes that the database did not answer.
     pub fn note_failure(&self, now: Timestamp) {
+        self.note_outcome(now, true);
         self.suspect_until.set(now + SUSPECT_TIME);
     }
 
@@ -156,7 +174,8 @@
     }
 
     /// Notes a served statement.
-    pub fn note_served(&self, elapsed: Duration) {
+    pub fn note_served(&self, now: Timestamp, elapsed: Duration) {
+        self.note_outcome(now, false);
         let mean = self.service_time.get();
         let next = (mean * (SERVICE_TIME_WEIGHT - 1) + elapsed) / SERVICE_TIME_WEIGHT;
         self.service_time.set(next);
@@ -560,7 +579,10 @@
         let relayed = self.connection().is_relayed();
         match &outcome {
             Ok(_) => node.note_contact(&self.pool.database),
-            Err(_) if relayed => node.counters.count("relayed_exchanges", "failed"),
+            Err(_) if relayed => {
+                node.counters.count("relayed_exchanges", "failed");
+                self.pool.note_outcome(node.now(), true);
+            }
             Err(error) => {
                 self.pool.note_failure(node.now());
                 if matches!(error, ConnectionError::TimedOut) {
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -146,7 +146,7 @@
         let now = self.node.now();
         let code = match &answer.result {
             Ok(_) => {
-                lease.pool().note_served(now.since(asked_at));
+                lease.pool().note_served(now, now.since(asked_at));
                 if work.access == Access::Write && matches!(stance, Stance::Alone(_)) {
                     self.confirm(&lease, asked_at, answer.position);
                 }
@@ -163,6 +163,7 @@
                 Attempt::NotRun(AttemptFailure::NoConnection)
             }
             FailureCode::Failed | FailureCode::TimedOut if work.access == Access::Read => {
+                lease.pool().note_outcome(now, true);
                 Attempt::NotRun(AttemptFailure::Failed)
             }
             _ => Attempt::Answered(Box::new((lease, answer))),
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -98,6 +98,7 @@
                     in_flight: pool.in_flight(),
                     slots: database.slots,
                     service_time: pool.service_time(),
+                    failing: pool.failing(now),
                     draining: listed.leaving_since.is_some(),
                     suspect: pool.is_suspect(now),
                     lagging: pool.is_lagging(now),
--- a/crates/serving/src/statement/transaction.rs
+++ b/crates/serving/src/statement/transaction.rs
@@ -37,7 +37,8 @@
         let outcome = lease.exchange(self.node, &commands, self.time_left()).await;
         match outcome.map(|mut answers| answers.pop()) {
             Ok(Some(answer)) => {
-                lease.pool().note_served(self.node.now().since(asked_at));
+                let now = self.node.now();
+                lease.pool().note_served(now, now.since(asked_at));
                 Ok(answer)
             }
             _ => {
