Choose the database with the least expected time

The cost of a database counted the node's own requests there and its mean time only once some were ahead; with many nodes each has one or none, so a loaded database looked as cheap as an idle one. Now the mean time, and the time for which a connection is lately waited for, count in full; both fade back without measurements.

--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -11,6 +11,7 @@
 pub mod homes;
 pub mod leadership;
 pub mod reliability;
+pub mod response_time;
 pub mod selection;
 pub mod session;
 pub mod topology;
--- a/crates/coordination/src/serving/selection.rs
+++ b/crates/coordination/src/serving/selection.rs
@@ -39,6 +39,8 @@
     pub in_flight: usize,
     /// Statements that it works on at once.
     pub slots: usize,
+    /// Time that a connection to it is lately waited for.
+    pub wait: Duration,
     /// Mean time of one statement there, as measured by this node.
     pub service_time: Duration,
     /// Share of its statements that failed lately, of [`reliability::WHOLE`].
@@ -58,7 +60,7 @@
 /// Added for a database that should only be used if no other is left.
 const AVOIDED: Duration = Duration::from_millis(2_000);
 /// Added for a database that fails every statement; in proportion for one that fails some.
-const FAILING_COST: Duration = Duration::from_millis(1_200);
+const FAILING_COST: Duration = Duration::from_millis(400);
 /// Added for the primary.
 const LEADER_COST: Duration = Duration::from_millis(4);
 
@@ -67,7 +69,8 @@
     fn cost(&self) -> Duration {
         let waiting = u32::try_from(self.in_flight).unwrap_or(u32::MAX);
         let slots = u32::try_from(self.slots.max(1)).unwrap_or(u32::MAX);
-        let mut cost = self.distance.cost() + self.service_time * waiting / slots;
+        let ahead = self.service_time * waiting / slots;
+        let mut cost = self.distance.cost() + self.wait + self.service_time + ahead;
         cost += FAILING_COST * self.failing / WHOLE;
         if self.leader {
             cost += LEADER_COST;
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -8,6 +8,7 @@
 use hookpoint_coordination::serving::demand::Demand;
 use hookpoint_coordination::serving::leadership::Confirmation;
 use hookpoint_coordination::serving::reliability::Reliability;
+use hookpoint_coordination::serving::response_time::ResponseTime;
 use hookpoint_coordination::serving::session::SessionValues;
 use hookpoint_state::{DatabaseName, Timestamp};
 use thiserror::Error;
@@ -30,8 +31,6 @@
 const LIMIT_PAUSE: Duration = Duration::from_millis(400);
 /// Idle connections at rest are refreshed after this time.
 const REFRESH_AGE: Duration = Duration::from_secs(2);
-/// Weight of the newest service time in the mean, as one part in this many.
-const SERVICE_TIME_WEIGHT: u32 = 8;
 /// Service time assumed before any is measured.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(20);
 
@@ -74,7 +73,8 @@
     reachable: Cell<bool>,
     verifying: Cell<bool>,
     refused: Cell<bool>,
-    service_time: Cell<Duration>,
+    service_time: Cell<ResponseTime>,
+    wait: Cell<ResponseTime>,
     demand: RefCell<Demand>,
     reliability: Cell<Reliability>,
 }
@@ -96,7 +96,8 @@
             reachable: Cell::new(true),
             verifying: Cell::new(false),
             refused: Cell::new(false),
-            service_time: Cell::new(INITIAL_SERVICE_TIME),
+            service_time: Cell::new(ResponseTime::new(INITIAL_SERVICE_TIME)),
+            wait: Cell::new(ResponseTime::new(Duration::ZERO)),
             demand: RefCell::default(),
             reliability: Cell::default(),
         }
@@ -128,8 +129,20 @@
     }
 
     /// Mean time of a statement.
-    pub fn service_time(&self) -> Duration {
-        self.service_time.get()
+    pub fn service_time(&self, now: Timestamp) -> Duration {
+        self.service_time.get().expected(now)
+    }
+
+    /// Mean time for which a connection is waited for.
+    pub fn expected_wait(&self, now: Timestamp) -> Duration {
+        self.wait.get().expected(now)
+    }
+
+    /// Notes how long a connection was waited for, in vain or not.
+    pub fn note_wait(&self, now: Timestamp, waited: Duration) {
+        let mut wait = self.wait.get();
+        wait.note(now, waited);
+        self.wait.set(wait);
     }
 
     /// Share of the statements that failed lately, of [`reliability::WHOLE`].
@@ -176,9 +189,9 @@
     /// Notes a served statement.
     pub fn note_served(&self, now: Timestamp, elapsed: Duration) {
         self.note_outcome(now, false);
-        let mean = self.service_time.get();
-        let next = (mean * (SERVICE_TIME_WEIGHT - 1) + elapsed) / SERVICE_TIME_WEIGHT;
-        self.service_time.set(next);
+        let mut service_time = self.service_time.get();
+        service_time.note(now, elapsed);
+        self.service_time.set(service_time);
         self.suspect_until.set(Timestamp::default());
     }
 
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -70,6 +70,8 @@
                 self.acquire_limit(work),
             )
             .await;
+        let now = self.node.now();
+        pool.note_wait(now, now.since(asked_at));
         let lease = match acquired {
             Ok(lease) => lease,
             Err(AcquireError::Connection(error)) => {
@@ -194,7 +196,7 @@
         match work.access {
             Access::Write => left,
             Access::Read => {
-                let expected = lease.pool().service_time() * READ_ATTEMPT_FACTOR;
+                let expected = lease.pool().service_time(self.node.now()) * READ_ATTEMPT_FACTOR;
                 left.min(expected.max(LEAST_READ_ATTEMPT))
             }
         }
