Do not take back a refuted primary on an older proof

A refutation now carries the time of its question, and proofs asked for earlier do not count. Table: an_older_proof_does_not_bring_back_a_primary_that_was_refuted (failed before).

--- a/crates/coordination/src/serving/leadership.rs
+++ b/crates/coordination/src/serving/leadership.rs
@@ -40,6 +40,8 @@
     previous: Option<DatabaseName>,
     reign: Reign,
     confirmed_at: Timestamp,
+    /// The database last found not to lead, and when the question was sent.
+    refuted: Option<(DatabaseName, Timestamp)>,
     highest: Option<(Timestamp, Position)>,
     freshness: FreshnessLog,
 }
@@ -48,7 +50,7 @@
     /// Takes a proof that `database` led. Says whether the belief changed.
     pub fn confirm(&mut self, database: &DatabaseName, proof: Confirmation) -> bool {
         let same = self.leader.as_ref() == Some(database);
-        if !same && proof.asked_at < self.confirmed_at {
+        if !same && (proof.asked_at < self.confirmed_at || self.is_refuted(database, &proof)) {
             return false;
         }
         let resumed = self.leader.is_none() && self.previous.as_ref() == Some(database);
@@ -63,6 +65,14 @@
         !same || new_reign
     }
 
+    /// Whether the database was asked later than for this proof and did not lead. Proofs
+    /// that peers pass on may be older than what this node found out itself.
+    fn is_refuted(&self, database: &DatabaseName, proof: &Confirmation) -> bool {
+        self.refuted
+            .as_ref()
+            .is_some_and(|(refuted, asked_at)| refuted == database && proof.asked_at <= *asked_at)
+    }
+
     /// Whether the answer shows a position behind one seen before the question was sent.
     fn rolled_back(&self, proof: &Confirmation) -> bool {
         match (self.highest, proof.position) {
@@ -89,8 +99,10 @@
         }
     }
 
-    /// Takes a proof that `database` does not lead. Says whether it was believed to.
-    pub fn refute(&mut self, database: &DatabaseName) -> bool {
+    /// Takes a proof, asked for at `asked_at`, that `database` does not lead. Says whether
+    /// it was believed to.
+    pub fn refute(&mut self, database: &DatabaseName, asked_at: Timestamp) -> bool {
+        self.refuted = Some((database.clone(), asked_at));
         if self.leader.as_ref() == Some(database) {
             self.leader = None;
             return true;
--- a/crates/coordination/tests/serving.rs
+++ b/crates/coordination/tests/serving.rs
@@ -93,12 +93,23 @@
     let mut leadership = Leadership::default();
     leadership.confirm(&name("a"), proof(10, 20, Position::new(1, 100)));
     let reign = leadership.reign();
-    assert!(leadership.refute(&name("a")));
+    assert!(leadership.refute(&name("a"), at(25)));
     assert_eq!(leadership.leader(), None);
     leadership.confirm(&name("a"), proof(30, 40, Position::new(1, 101)));
     assert_eq!(leadership.reign(), reign);
 }
 
+#[test]
+fn an_older_proof_does_not_bring_back_a_primary_that_was_refuted() {
+    let mut leadership = Leadership::default();
+    leadership.confirm(&name("a"), proof(10, 12, Position::new(1, 100)));
+    assert!(leadership.refute(&name("a"), at(50)));
+    assert!(!leadership.confirm(&name("a"), proof(40, 60, Position::new(1, 101))));
+    assert_eq!(leadership.leader(), None);
+    assert!(leadership.confirm(&name("b"), proof(45, 61, Position::new(2, 90))));
+    assert!(leadership.confirm(&name("a"), proof(70, 72, Position::new(3, 95))));
+}
+
 #[test]
 fn a_primary_is_lost_to_a_majority_of_those_who_answer() {
     use Observation::{Reachable, Refused, Silent, Unknown};
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -256,7 +256,7 @@
             && leader != record.candidate
             && !node.settings.fenced_promotions
         {
-            node.refute_leader(&leader);
+            node.refute_leader(&leader, now);
         }
     }
 }
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -520,14 +520,14 @@
         }
     }
 
-    /// Takes a proof that a database does not lead.
-    pub fn refute_leader(&self, name: &DatabaseName) {
+    /// Takes a proof, asked for at `asked_at`, that a database does not lead.
+    pub fn refute_leader(&self, name: &DatabaseName, asked_at: Timestamp) {
         let Some(database) = self.database(name) else {
             return;
         };
         let now = self.now();
         let changed = self.with_group(&database.group, |state| {
-            let changed = state.leadership.refute(name);
+            let changed = state.leadership.refute(name, asked_at);
             if changed {
                 state.leaderless_since.get_or_insert(now);
                 state.contact = Contact::default();
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -545,7 +545,7 @@
             node.confirm_leader(&database, proof);
         }
         Err(failure) if failure.code == FailureCode::NotPrimary => {
-            node.refute_leader(&database);
+            node.refute_leader(&database, asked_at);
         }
         Err(_) => {}
     }
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -185,6 +185,7 @@
             };
             tried.attempts += 1;
             tried.database = Some(target.database().clone());
+            let began = self.node.now();
             let attempt = self.attempt(work, &target, in_transaction, to_leader).await;
             match attempt {
                 Attempt::Answered(answered) => {
@@ -204,7 +205,8 @@
                     self.node
                         .counters
                         .count("attempts_failed", tried.last_failure);
-                    self.after_failure(failure, &target, &mut avoided).await;
+                    self.after_failure(failure, &target, began, &mut avoided)
+                        .await;
                 }
             }
         }
@@ -214,6 +216,7 @@
         &self,
         failure: AttemptFailure,
         target: &Target,
+        began: Timestamp,
         avoided: &mut BTreeSet<DatabaseName>,
     ) {
         let database = target.database();
@@ -226,7 +229,7 @@
                 self.node.pool(database).note_lagging(self.node.now());
                 avoided.insert(database.clone());
             }
-            AttemptFailure::NotPrimary => self.node.refute_leader(database),
+            AttemptFailure::NotPrimary => self.node.refute_leader(database, began),
             AttemptFailure::NoConnection => {
                 avoided.insert(database.clone());
                 sleep(LEAST_ATTEMPT.min(self.time_left())).await;
