Work homes out only when the members or a database's zone change

Views are kept until what they were worked out from changes, and only the homes are sorted. A module of its own holds them. Nodes without connections ask the databases of a group for its primary after 1.5 s without word from holders, not 0.6 s.

--- a/crates/coordination/src/serving/homes.rs
+++ b/crates/coordination/src/serving/homes.rs
@@ -34,13 +34,38 @@
     zone: &ZoneName,
     nodes: &'a [HomeCandidate],
 ) -> Vec<&'a HomeCandidate> {
-    let mut ranked: Vec<&HomeCandidate> = nodes.iter().collect();
-    ranked.sort_by_cached_key(|candidate| {
-        let far = candidate.zone != *zone;
-        let score = rendezvous_score(database.as_str(), &candidate.node);
-        (far, std::cmp::Reverse(score), candidate.node.clone())
-    });
+    choose_homes(database, zone, nodes, nodes.len())
+}
+
+/// The first `count` of the nodes in the order in which they become home of `database`.
+pub fn choose_homes<'a>(
+    database: &DatabaseName,
+    zone: &ZoneName,
+    nodes: &'a [HomeCandidate],
+    count: usize,
+) -> Vec<&'a HomeCandidate> {
+    let mut ranked: Vec<_> = nodes
+        .iter()
+        .map(|candidate| {
+            let far = candidate.zone != *zone;
+            let score = rendezvous_score(database.as_str(), &candidate.node);
+            (far, std::cmp::Reverse(score), candidate)
+        })
+        .collect();
+    let order = |left: &(bool, std::cmp::Reverse<u64>, &HomeCandidate),
+                 right: &(bool, std::cmp::Reverse<u64>, &HomeCandidate)| {
+        let ties = || left.2.node.cmp(&right.2.node);
+        (left.0, left.1).cmp(&(right.0, right.1)).then_with(ties)
+    };
+    if count < ranked.len() {
+        ranked.select_nth_unstable_by(count, order);
+        ranked.truncate(count);
+    }
+    ranked.sort_unstable_by(order);
     ranked
+        .into_iter()
+        .map(|(_, _, candidate)| candidate)
+        .collect()
 }
 
 /// Weight of `node` for `subject` in rendezvous hashing: the highest wins.
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::directory::Database;
 use hookpoint_state::DatabaseName;
 use tokio::time::{sleep, timeout};
 
@@ -149,11 +150,11 @@
             _ => apply(node, change),
         }
     }
-    node.invalidate_homes();
     node.directory
         .borrow_mut()
         .replace(databases, all.revision, now);
     forget_absent(node, &own_keys);
+    node.homes.borrow_mut().forget_all();
     housekeeping(node);
 }
 
@@ -172,12 +173,12 @@
 
 fn apply(node: &Rc<Node>, change: StoreChange) {
     let now = node.now();
-    node.invalidate_homes();
     match change.record {
         StoreRecord::Configuration(configuration) => node.take_configuration(configuration),
         StoreRecord::Database(database) => {
             let name = database.name.clone();
             let draining = database.draining;
+            forget_homes_if_moved(node, &database);
             node.directory
                 .borrow_mut()
                 .put(database, change.revision, now);
@@ -196,6 +197,16 @@
     }
 }
 
+/// Homes depend on a database's zone and group, not on its state or role.
+fn forget_homes_if_moved(node: &Rc<Node>, database: &Database) {
+    let stayed = node
+        .database(&database.name)
+        .is_some_and(|known| known.zone == database.zone && known.group == database.group);
+    if !stayed {
+        node.homes.borrow_mut().forget_view(&database.name);
+    }
+}
+
 fn remove_database(node: &Rc<Node>, name: &DatabaseName, revision: u64) {
     let now = node.now();
     node.directory.borrow_mut().remove(name, revision, now);
@@ -220,6 +231,7 @@
 
 fn apply_member(node: &Rc<Node>, name: &str, record: Option<MemberRecord>) {
     let now = node.now();
+    node.homes.borrow_mut().forget_all();
     let mut members = node.members.borrow_mut();
     match record {
         Some(record) => {
--- /dev/null
+++ b/crates/serving/src/homes.rs
@@ -0,0 +1,192 @@
+//! Which nodes hold connections to a database, as this node works it out.
+//!
+//! Working it out ranks the whole fleet for each database, so the result is kept until
+//! what it was worked out from changes: the live nodes, the database's zone, or the
+//! configured number of connections.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::failover::Witnesses;
+use hookpoint_coordination::serving::homes::{HomeCandidate, choose_homes, home_count, rank_homes};
+use hookpoint_state::{DatabaseName, Timestamp};
+
+use crate::node::{Member, Node};
+
+/// Connections of one database that one node opens at the most before it knows its peers.
+const CAP_WITHOUT_MEMBERS: usize = 3;
+/// How long a node that no longer registers still counts for the division of connections.
+const MEMBER_MEMORY: Duration = Duration::from_secs(6);
+
+/// Who holds connections to one database.
+struct HomeView {
+    /// Connections that this node may hold.
+    cap: usize,
+    /// The other holders, the preferred first.
+    holders: Vec<(String, SocketAddr)>,
+}
+
+/// What was worked out so far.
+#[derive(Default)]
+pub(crate) struct HomeViews {
+    /// The live nodes, until one of them no longer counts.
+    candidates: Option<(Rc<Vec<HomeCandidate>>, Timestamp)>,
+    views: BTreeMap<DatabaseName, Rc<HomeView>>,
+}
+
+impl HomeViews {
+    /// Members changed: nothing holds any more.
+    pub(crate) fn forget_all(&mut self) {
+        *self = Self::default();
+    }
+
+    /// The configuration changed.
+    pub(crate) fn forget_views(&mut self) {
+        self.views.clear();
+    }
+
+    /// The database was registered elsewhere, or is new.
+    pub(crate) fn forget_view(&mut self, database: &DatabaseName) {
+        self.views.remove(database);
+    }
+}
+
+impl Member {
+    /// When it no longer counts, if it is not registered.
+    fn counts_until(&self) -> Option<Timestamp> {
+        self.gone_at.map(|gone| gone + MEMBER_MEMORY)
+    }
+}
+
+impl Node {
+    /// Nodes that share the connections of the databases.
+    pub fn live_members(&self) -> usize {
+        self.home_candidates().len()
+    }
+
+    /// Connections that this node may have open to a database; 0 if it is not home.
+    pub fn connection_cap(&self, name: &DatabaseName) -> usize {
+        self.home_view(name).cap
+    }
+
+    /// The other nodes that hold connections to a database, the preferred first.
+    pub fn holders(&self, name: &DatabaseName) -> Vec<(String, SocketAddr)> {
+        self.home_view(name).holders.clone()
+    }
+
+    /// One of those, another one with each number; none if there are none.
+    pub fn some_holder(&self, name: &DatabaseName, number: usize) -> Option<SocketAddr> {
+        let view = self.home_view(name);
+        let index = number.checked_rem(view.holders.len())?;
+        Some(view.holders[index].1)
+    }
+
+    /// Live nodes, and those of them that hold connections to `leader`.
+    pub fn witnesses(&self, leader: Option<&DatabaseName>) -> Witnesses {
+        let members = self.live_members();
+        let holders = leader.map_or(members, |leader| {
+            let view = self.home_view(leader);
+            view.holders.len() + usize::from(view.cap > 0)
+        });
+        Witnesses { members, holders }
+    }
+
+    /// The nodes that are registered at this moment.
+    pub fn registered_nodes(&self) -> Vec<HomeCandidate> {
+        let members = self.members.borrow();
+        candidates(
+            members
+                .iter()
+                .filter(|(_, member)| member.gone_at.is_none()),
+        )
+    }
+
+    fn home_candidates(&self) -> Rc<Vec<HomeCandidate>> {
+        let now = self.now();
+        let mut homes = self.homes.borrow_mut();
+        if let Some((known, until)) = &homes.candidates
+            && now < *until
+        {
+            return Rc::clone(known);
+        }
+        let members = self.members.borrow();
+        let counts = |member: &Member| member.counts_until().is_none_or(|until| now < until);
+        let live = members.iter().filter(|(_, member)| counts(member));
+        let found = Rc::new(candidates(live));
+        let until = members
+            .values()
+            .filter_map(Member::counts_until)
+            .filter(|until| now < *until)
+            .min()
+            .unwrap_or(Timestamp(u64::MAX));
+        homes.views.clear();
+        homes.candidates = Some((Rc::clone(&found), until));
+        found
+    }
+
+    fn home_view(&self, name: &DatabaseName) -> Rc<HomeView> {
+        let candidates = self.home_candidates();
+        if let Some(view) = self.homes.borrow().views.get(name) {
+            return Rc::clone(view);
+        }
+        let view = Rc::new(self.work_out_homes(name, &candidates));
+        let mut homes = self.homes.borrow_mut();
+        homes.views.insert(name.clone(), Rc::clone(&view));
+        view
+    }
+
+    /// Whether this node is home of a database, and which others are.
+    ///
+    /// The order of the others differs from node to node among those of one distance, so
+    /// that leases spread over the holders.
+    fn work_out_homes(&self, name: &DatabaseName, candidates: &[HomeCandidate]) -> HomeView {
+        let most = self.most_connections(name);
+        let Some(database) = self.database(name).filter(|_| !candidates.is_empty()) else {
+            return HomeView {
+                cap: CAP_WITHOUT_MEMBERS.min(most),
+                holders: Vec::new(),
+            };
+        };
+        let count = home_count(most, candidates.len());
+        let homes: Vec<HomeCandidate> = choose_homes(name, &database.zone, candidates, count)
+            .into_iter()
+            .cloned()
+            .collect();
+        let is_home = homes.iter().any(|home| home.node == self.settings.name);
+        let own = DatabaseName::new(&self.settings.name);
+        let members = self.members.borrow();
+        let holders = rank_homes(&own, &database.zone, &homes)
+            .into_iter()
+            .filter(|home| home.node != self.settings.name)
+            .filter_map(|home| {
+                let member = members.get(&home.node)?;
+                Some((home.node.clone(), member.peer_address))
+            })
+            .collect();
+        HomeView {
+            cap: if is_home { (most / count).max(1) } else { 0 },
+            holders,
+        }
+    }
+
+    /// Connections that a database takes from all nodes together.
+    fn most_connections(&self, name: &DatabaseName) -> usize {
+        let configuration = self.configuration();
+        let group = self.database(name).map(|database| database.group);
+        configuration
+            .zip(group)
+            .and_then(|(configuration, group)| configuration.groups.get(&group).cloned())
+            .map_or(CAP_WITHOUT_MEMBERS, |group| group.max_connections)
+    }
+}
+
+fn candidates<'a>(members: impl Iterator<Item = (&'a String, &'a Member)>) -> Vec<HomeCandidate> {
+    members
+        .map(|(name, member)| HomeCandidate {
+            node: name.clone(),
+            zone: member.zone.clone(),
+        })
+        .collect()
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod events;
 pub mod feed;
 pub mod follower;
+mod homes;
 pub mod link;
 pub mod message;
 pub mod monitor;
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -36,7 +36,7 @@
 const SEARCH_PAUSE: Duration = Duration::from_millis(100);
 
 /// Time in which the holders of connections tell a node that holds none who leads.
-const PEERS_TELL: Duration = Duration::from_millis(600);
+const PEERS_TELL: Duration = Duration::from_millis(1_500);
 /// Priority of questions about leadership: they go first.
 const QUESTION_PRIORITY: u8 = 0;
 
@@ -139,10 +139,8 @@
     database: &DatabaseName,
     number: usize,
 ) {
-    let holders = node.holders(database);
-    if !holders.is_empty() {
-        let (_, address) = &holders[number % holders.len()];
-        peers.ask_sample(node, group, *address);
+    if let Some(address) = node.some_holder(database, number) {
+        peers.ask_sample(node, group, address);
     }
 }
 
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -7,8 +7,6 @@
 use std::time::{Duration, Instant};
 
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
-use hookpoint_coordination::serving::failover::Witnesses;
-use hookpoint_coordination::serving::homes::{HomeCandidate, home_count, rank_homes};
 use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
 use hookpoint_coordination::serving::selection::Distance;
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
@@ -19,37 +17,15 @@
 use crate::counters::Counters;
 use crate::events::EventLog;
 use crate::feed::Feed;
+use crate::homes::HomeViews;
 use crate::link::Links;
 use crate::pool::Pool;
 use crate::ports::{PromotionService, StateStore, WireProtocol};
 use crate::records::CoordinatorRecord;
 use crate::units::millis;
 
-/// Connections of one database that one node opens at the most before it knows its peers.
-const CAP_WITHOUT_MEMBERS: usize = 3;
-/// How long a node that no longer registers still counts for the division of connections.
-const MEMBER_MEMORY: Duration = Duration::from_secs(6);
-
 /// Rest of a transaction that is allowed where the configuration tells none.
 const DEFAULT_TRANSACTION_IDLE: Duration = Duration::from_secs(3);
-/// How long the homes that were worked out are valid, if nothing else changes.
-const HOMES_VALID: Duration = Duration::from_secs(1);
-
-/// Who holds connections to one database.
-struct HomeView {
-    /// Connections that this node may hold.
-    cap: usize,
-    /// The other holders, the preferred first.
-    holders: Vec<(String, SocketAddr)>,
-}
-
-/// Homes worked out so far.
-#[derive(Default)]
-struct HomeViews {
-    since: Timestamp,
-    views: BTreeMap<DatabaseName, Rc<HomeView>>,
-}
-
 /// Settings of a node.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -116,14 +92,6 @@
     pub gone_at: Option<Timestamp>,
 }
 
-impl Member {
-    /// Whether it is registered, or was until a moment ago.
-    fn is_live(&self, now: Timestamp) -> bool {
-        self.gone_at
-            .is_none_or(|gone| now.since(gone) < MEMBER_MEMORY)
-    }
-}
-
 /// Another holder's or this node's claim to order promotions.
 #[derive(Clone, Debug, Default)]
 pub struct CoordinatorView {
@@ -185,7 +153,8 @@
     pub links: Links,
     /// Changes of the store.
     pub feed: Feed,
-    homes: RefCell<HomeViews>,
+    /// Who holds connections to the databases.
+    pub(crate) homes: RefCell<HomeViews>,
     pools: RefCell<BTreeMap<DatabaseName, Rc<Pool>>>,
     started: Instant,
 }
@@ -271,6 +240,7 @@
         if self.configuration.borrow_mut().offer(configuration) {
             self.log("configuration_in_force", &[("version", version.into())]);
             self.counters.set("configuration_version", version);
+            self.homes.borrow_mut().forget_views();
             self.configuration_changed.notify_waiters();
         }
     }
@@ -337,128 +307,13 @@
         }
     }
 
-    /// Nodes that share the connections of the databases.
-    pub fn live_members(&self) -> usize {
-        let now = self.now();
-        self.members
-            .borrow()
-            .values()
-            .filter(|member| member.is_live(now))
-            .count()
-    }
-
-    /// Connections that a database takes from all nodes together.
-    fn most_connections(&self, name: &DatabaseName) -> usize {
-        let configuration = self.configuration();
-        let group = self.database(name).map(|database| database.group);
-        configuration
-            .zip(group)
-            .and_then(|(configuration, group)| configuration.groups.get(&group).cloned())
-            .map_or(CAP_WITHOUT_MEMBERS, |group| group.max_connections)
-    }
-
-    /// Connections that this node may have open to a database; 0 if it is not home.
-    pub fn connection_cap(&self, name: &DatabaseName) -> usize {
-        self.home_view(name).cap
-    }
-
-    /// The other nodes that hold connections to a database, the preferred first.
-    pub fn holders(&self, name: &DatabaseName) -> Vec<(String, SocketAddr)> {
-        self.home_view(name).holders.clone()
-    }
-
-    /// Live nodes, and those of them that hold connections to `leader`.
-    pub fn witnesses(&self, leader: Option<&DatabaseName>) -> Witnesses {
-        let members = self.live_members();
-        let holders = leader.map_or(members, |leader| {
-            let view = self.home_view(leader);
-            view.holders.len() + usize::from(view.cap > 0)
-        });
-        Witnesses { members, holders }
-    }
-
-    /// Has the homes worked out anew: members, databases or configuration changed.
-    pub fn invalidate_homes(&self) {
-        self.homes.borrow_mut().views.clear();
-    }
-
-    fn home_view(&self, name: &DatabaseName) -> Rc<HomeView> {
-        let now = self.now();
-        {
-            let mut homes = self.homes.borrow_mut();
-            if now.since(homes.since) >= HOMES_VALID {
-                homes.views.clear();
-                homes.since = now;
-            }
-            if let Some(view) = homes.views.get(name) {
-                return Rc::clone(view);
-            }
-        }
-        let view = Rc::new(self.work_out_homes(name));
-        let mut homes = self.homes.borrow_mut();
-        homes.views.insert(name.clone(), Rc::clone(&view));
-        view
-    }
-
-    /// Whether this node is home of a database, and which others are.
-    ///
-    /// The order of the others differs from node to node among those of one distance, so
-    /// that leases spread over the holders.
-    fn work_out_homes(&self, name: &DatabaseName) -> HomeView {
-        let most = self.most_connections(name);
-        let candidates = self.home_candidates();
-        let Some(database) = self.database(name).filter(|_| !candidates.is_empty()) else {
-            return HomeView {
-                cap: CAP_WITHOUT_MEMBERS.min(most),
-                holders: Vec::new(),
-            };
-        };
-        let count = home_count(most, candidates.len());
-        let ranked = rank_homes(name, &database.zone, &candidates);
-        let homes: Vec<HomeCandidate> = ranked.into_iter().take(count).cloned().collect();
-        let is_home = homes.iter().any(|home| home.node == self.settings.name);
-        let own = DatabaseName::new(&self.settings.name);
-        let members = self.members.borrow();
-        let holders = rank_homes(&own, &database.zone, &homes)
-            .into_iter()
-            .filter(|home| home.node != self.settings.name)
-            .filter_map(|home| {
-                let member = members.get(&home.node)?;
-                Some((home.node.clone(), member.peer_address))
-            })
-            .collect();
-        HomeView {
-            cap: if is_home { (most / count).max(1) } else { 0 },
-            holders,
-        }
-    }
-
-    fn home_candidates(&self) -> Vec<HomeCandidate> {
-        let now = self.now();
-        self.nodes_where(|member| member.is_live(now))
-    }
-
-    /// The nodes that are registered at this moment.
-    pub fn registered_nodes(&self) -> Vec<HomeCandidate> {
-        self.nodes_where(|member| member.gone_at.is_none())
-    }
-
-    fn nodes_where(&self, wanted: impl Fn(&Member) -> bool) -> Vec<HomeCandidate> {
-        let members = self.members.borrow();
-        members
-            .iter()
-            .filter(|(_, member)| wanted(member))
-            .map(|(name, member)| HomeCandidate {
-                node: name.clone(),
-                zone: member.zone.clone(),
-            })
-            .collect()
-    }
-
     /// Runs `change` on the state of a group.
     pub fn with_group<T>(&self, group: &GroupName, change: impl FnOnce(&mut GroupState) -> T) -> T {
         let mut groups = self.groups.borrow_mut();
-        change(groups.entry(group.clone()).or_default())
+        match groups.get_mut(group) {
+            Some(state) => change(state),
+            None => change(groups.entry(group.clone()).or_default()),
+        }
     }
 
     /// The database believed to lead a group.
--- a/crates/serving/src/snapshot.rs
+++ b/crates/serving/src/snapshot.rs
@@ -68,7 +68,7 @@
             let mut members = node.members.borrow_mut();
             members.entry(record.node).or_insert(member);
         }
-        node.invalidate_homes();
+        node.homes.borrow_mut().forget_all();
         node.take_configuration(self.configuration);
     }
 }
