Log ordinary statements too, within a budget of their own

They get one folded line with the same inputs and ages, at most ten a second a node, put together only if it is written, so they never crowd out the others. Histograms tell the stages: wait for a connection, database, peer.

--- a/crates/serving/src/events.rs
+++ b/crates/serving/src/events.rs
@@ -17,6 +17,8 @@
 const CHANNEL_LINES: usize = 2_048;
 /// Lines a second for each kind of event.
 const LINES_PER_SECOND: u32 = 40;
+/// The same for events that tell of ordinary work, so that they stay few under load.
+const ORDINARY_LINES_PER_SECOND: u32 = 10;
 /// Length of a budget window.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -55,17 +57,39 @@
 
     /// Writes one event if its budget allows.
     pub fn write(&self, now: Timestamp, event: &'static str, fields: &[(&str, Value)]) {
+        self.write_within(LINES_PER_SECOND, now, event, || fields.to_vec());
+    }
+
+    /// Writes one event of ordinary work if its smaller budget allows; what it tells is
+    /// put together only then.
+    pub fn write_ordinary<'a>(
+        &self,
+        now: Timestamp,
+        event: &'static str,
+        fields: impl FnOnce() -> Vec<(&'a str, Value)>,
+    ) {
+        self.write_within(ORDINARY_LINES_PER_SECOND, now, event, fields);
+    }
+
+    fn write_within<'a>(
+        &self,
+        lines_per_second: u32,
+        now: Timestamp,
+        event: &'static str,
+        fields: impl FnOnce() -> Vec<(&'a str, Value)>,
+    ) {
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(event).or_default();
         if now.since(budget.window_start) >= WINDOW {
             budget.window_start = now;
             budget.written = 0;
         }
-        if budget.written >= LINES_PER_SECOND {
+        if budget.written >= lines_per_second {
             budget.left_out += 1;
             return;
         }
-        let line = self.line(now, event, fields, budget.left_out);
+        let fields = fields();
+        let line = self.line(now, event, &fields, budget.left_out);
         match self.lines.try_send(line) {
             Ok(()) => {
                 budget.written += 1;
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -588,8 +588,11 @@
         commands: &[Command],
         limit: Duration,
     ) -> Result<Vec<Answer>, ConnectionError> {
+        let asked_at = node.now();
         let outcome = self.connection().exchange(commands, limit).await;
         let relayed = self.connection().is_relayed();
+        let stage = if relayed { "peer" } else { "database" };
+        node.counters.observe(stage, node.now().since(asked_at));
         match &outcome {
             Ok(_) => node.note_contact(&self.pool.database),
             Err(_) if relayed => {
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -71,7 +71,9 @@
             )
             .await;
         let now = self.node.now();
-        pool.note_wait(now, now.since(asked_at));
+        let waited = now.since(asked_at);
+        pool.note_wait(now, waited);
+        self.node.counters.observe("wait", waited);
         let lease = match acquired {
             Ok(lease) => lease,
             Err(AcquireError::Connection(error)) => {
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -19,8 +19,8 @@
 use tokio::time::{sleep, timeout};
 
 use self::attempt::{Attempt, AttemptFailure};
-use self::outcome::Tried;
 pub(crate) use self::outcome::rolled_back;
+use self::outcome::{Tried, access_name};
 use self::target::Target;
 use crate::connection::Answer;
 use crate::message::{Command, Failure, FailureCode};
@@ -192,6 +192,8 @@
                     let (lease, answer) = *answered;
                     if tried.attempts > 1 {
                         self.log_outcome(work, &tried, "served_after_retry");
+                    } else {
+                        self.log_served(&work.id, access_name(work.access), target.database());
                     }
                     return Ok((answer, lease));
                 }
--- a/crates/serving/src/statement/outcome.rs
+++ b/crates/serving/src/statement/outcome.rs
@@ -3,6 +3,7 @@
 use hookpoint_coordination::serving::session::Access;
 use hookpoint_coordination::serving::topology::{Consistency, Route};
 use hookpoint_state::DatabaseName;
+use serde_json::Value;
 
 use super::{Request, Work};
 use crate::message::{Failure, FailureCode};
@@ -36,46 +37,63 @@
         Failure::new(FailureCode::Overloaded, RETRY_HINT)
     }
 
+    /// Logs a statement that was not served plainly.
     pub(super) fn log_outcome(&self, work: &Work, tried: &Tried, outcome: &'static str) {
+        let fields = self.outcome_fields(&work.id, access_name(work.access), tried, outcome);
+        self.node.log("statement_decided", &fields);
+    }
+
+    /// Logs a statement or a commit that was served at the first attempt.
+    pub(super) fn log_served(&self, id: &[u8], kind: &'static str, database: &DatabaseName) {
+        let node = self.node;
+        let tried = || Tried {
+            attempts: 1,
+            database: Some(database.clone()),
+            ..Tried::default()
+        };
+        let fields = || self.outcome_fields(id, kind, &tried(), "served");
+        node.events
+            .write_ordinary(node.now(), "statement_served", fields);
+    }
+
+    /// What decided a statement, with the age of each input.
+    fn outcome_fields(
+        &self,
+        id: &[u8],
+        kind: &'static str,
+        tried: &Tried,
+        outcome: &'static str,
+    ) -> Vec<(&'static str, Value)> {
         let now = self.node.now();
         let (leader, reign, confirmed_at, sample) =
             self.node.with_group(&self.route.group, |state| {
                 (
-                    state
-                        .leadership
-                        .leader()
-                        .map(|name| name.as_str().to_owned()),
+                    state.leadership.leader().cloned(),
                     state.leadership.reign(),
                     state.leadership.confirmed_at(),
                     state.leadership.newest_sample(),
                 )
             });
-        let version = self.node.configuration_version();
-        self.node.log(
-            "statement_decided",
-            &[
-                ("request", String::from_utf8_lossy(&work.id).as_ref().into()),
-                ("group", self.route.group.as_str().into()),
-                ("consistency", consistency_name(self.route).into()),
-                ("access", access_name(work.access).into()),
-                ("configuration", version.into()),
-                ("leader", leader.into()),
-                ("reign", reign.0.into()),
-                ("confirmed_ms_ago", millis(now.since(confirmed_at)).into()),
-                (
-                    "sample_ms_ago",
-                    sample.map(|(at, _)| millis(now.since(at))).into(),
-                ),
-                ("held_ms", millis(now.since(self.arrived)).into()),
-                ("attempts", tried.attempts.into()),
-                (
-                    "database",
-                    tried.database.as_ref().map(DatabaseName::as_str).into(),
-                ),
-                ("last_failure", tried.last_failure.into()),
-                ("outcome", outcome.into()),
-            ],
-        );
+        let name = |database: &Option<DatabaseName>| -> Value {
+            database.as_ref().map(DatabaseName::as_str).into()
+        };
+        let sample_age = sample.map(|(asked_at, _)| millis(now.since(asked_at)));
+        vec![
+            ("request", String::from_utf8_lossy(id).as_ref().into()),
+            ("group", self.route.group.as_str().into()),
+            ("consistency", consistency_name(self.route).into()),
+            ("access", kind.into()),
+            ("configuration", self.node.configuration_version().into()),
+            ("leader", name(&leader)),
+            ("reign", reign.0.into()),
+            ("confirmed_ms_ago", millis(now.since(confirmed_at)).into()),
+            ("sample_ms_ago", sample_age.into()),
+            ("held_ms", millis(now.since(self.arrived)).into()),
+            ("attempts", tried.attempts.into()),
+            ("database", name(&tried.database)),
+            ("last_failure", tried.last_failure.into()),
+            ("outcome", outcome.into()),
+        ]
     }
 }
 
@@ -92,7 +110,7 @@
     }
 }
 
-fn access_name(access: Access) -> &'static str {
+pub(super) fn access_name(access: Access) -> &'static str {
     match access {
         Access::Read => "read",
         Access::Write => "write",
--- a/crates/serving/src/statement/transaction.rs
+++ b/crates/serving/src/statement/transaction.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 use super::attempt::AttemptFailure;
-use super::outcome::{Tried, rolled_back};
+use super::outcome::{Tried, access_name, rolled_back};
 use super::{BUSY_PAUSE, LEAST_ATTEMPT, Request, Work};
 use crate::connection::{Answer, ConnectionError};
 use crate::message::{Command, Failure, FailureCode};
@@ -39,6 +39,8 @@
             Ok(Some(answer)) => {
                 let now = self.node.now();
                 lease.pool().note_served(now, now.since(asked_at));
+                let database = lease.pool().database();
+                self.log_served(&work.id, access_name(work.access), database);
                 Ok(answer)
             }
             _ => {
@@ -90,6 +92,7 @@
                 if wrote && answer.result.is_ok() {
                     self.confirm(lease, asked_at, answer.position);
                 }
+                self.log_served(id, "commit", lease.pool().database());
                 Ok(answer)
             }
             _ if wrote => {
--- a/crates/serving/tests/event_log.rs
+++ b/crates/serving/tests/event_log.rs
@@ -52,6 +52,23 @@
     assert!(began.elapsed() < Duration::from_secs(5));
 }
 
+#[test]
+fn ordinary_work_has_a_smaller_budget_and_costs_nothing_beyond_it() {
+    let (sender, lines) = channel();
+    let log = EventLog::new("n", Lines(sender));
+    let mut put_together = 0;
+    for _ in 0..100 {
+        log.write_ordinary(Timestamp::from_millis(1_000), "served", || {
+            put_together += 1;
+            Vec::new()
+        });
+    }
+    assert_eq!(put_together, 10);
+    log.write_ordinary(Timestamp::from_millis(2_100), "served", Vec::new);
+    let told = (0..11).map(|_| next(&lines)).nth(10).unwrap();
+    assert!(told.contains("\"left_out\":90"), "{told}");
+}
+
 #[test]
 fn what_is_over_the_budget_is_counted_in_the_next_line() {
     let (sender, lines) = channel();
--- a/crates/serving/tests/event_names.rs
+++ b/crates/serving/tests/event_names.rs
@@ -5,7 +5,13 @@
 use std::path::Path;
 
 /// Calls that write an event; its name is the first string after them.
-const WRITERS: [&str; 4] = [".log(", "log_order(", "log_primary(", "let event = if"];
+const WRITERS: [&str; 5] = [
+    ".log(",
+    "log_order(",
+    "log_primary(",
+    ".write_ordinary(",
+    "let event = if",
+];
 
 fn sources(folder: &Path, text: &mut String) {
     for entry in fs::read_dir(folder).unwrap() {
@@ -31,7 +37,7 @@
             };
             let direct = before
                 .chars()
-                .all(|letter| letter.is_whitespace() || "node,&order".contains(letter));
+                .all(|letter| letter.is_whitespace() || "node.now(),&order".contains(letter));
             let (name, _) = rest.split_once('"').unwrap();
             if direct || writer == "let event = if" {
                 names.insert(name.to_owned());
