--- a/crates/serving/src/session.rs
+++ b/crates/serving/src/session.rs
@@ -123,19 +123,12 @@
         };
         self.await_configuration().await;
         self.database = database;
+        if self.node.configuration().is_none() {
+            self.refuse_session(not_configured()).await?;
+            return Ok(false);
+        }
         if self.route().is_none() {
-            self.node.counters.count("sessions", "no_such_database");
-            let version = self.node.configuration_version();
-            self.node.log(
-                "session_refused",
-                &[
-                    ("database", self.database.as_str().into()),
-                    ("configuration", version.into()),
-                ],
-            );
-            self.fail(no_such_database());
-            self.flush().await?;
-            self.stream.shutdown().await?;
+            self.refuse_session(no_such_database()).await?;
             return Ok(false);
         }
         self.ready();
@@ -143,6 +136,23 @@
         Ok(true)
     }
 
+    /// Answers the first message with a failure and closes.
+    async fn refuse_session(&mut self, failure: Failure) -> io::Result<()> {
+        self.node.counters.count("sessions", failure.code.as_str());
+        let version = self.node.configuration_version();
+        self.node.log(
+            "session_refused",
+            &[
+                ("database", self.database.as_str().into()),
+                ("configuration", version.into()),
+                ("code", failure.code.as_str().into()),
+            ],
+        );
+        self.fail(failure);
+        self.flush().await?;
+        self.stream.shutdown().await
+    }
+
     async fn await_configuration(&self) {
         if self.node.configuration().is_some() {
             return;
@@ -475,6 +485,12 @@
     Failure::new(FailureCode::Malformed, "not accepted here")
 }
 
+/// The answer of a node that does not know yet which routes there are.
+fn not_configured() -> Failure {
+    let text = "no configuration yet; retry after 500 ms";
+    Failure::new(FailureCode::Overloaded, text)
+}
+
 fn no_such_database() -> Failure {
     Failure::new(FailureCode::NoSuchDatabase, "no route has this name")
 }
