--- a/lab/sim/src/lib.rs
+++ b/lab/sim/src/lib.rs
@@ -9,7 +9,6 @@
 mod checker;
 mod database;
 mod faults;
-pub mod fleet;
 pub mod models;
 mod network;
 mod platform;
--- a/lab/sim/src/schedule.rs
+++ b/lab/sim/src/schedule.rs
@@ -66,11 +66,6 @@
         }));
     }
 
-    /// Moves the time forward to `at`, when nothing is due before it.
-    pub fn advance(&mut self, at: Timestamp) {
-        self.now = self.now.max(at);
-    }
-
     /// Takes the next event that is due before `end`.
     pub fn next_before(&mut self, end: Timestamp) -> Option<E> {
         if self
--- a/lab/src/commands/sim.rs
+++ b/lab/src/commands/sim.rs
@@ -1,5 +1,4 @@
-//! `hookpoint-lab sim`: the simulator, its negative controls, fleets of hollow nodes and
-//! the exhaustive models.
+//! `hookpoint-lab sim`: the simulator, its negative controls and the exhaustive models.
 
 use std::io::IsTerminal;
 use std::num::NonZero;
@@ -7,7 +6,6 @@
 use std::process::ExitCode;
 
 use anyhow::{Context, anyhow, bail};
-use hookpoint_sim::fleet::{self, FleetSettings};
 use hookpoint_sim::models::acknowledge::AcknowledgeModel;
 use hookpoint_sim::models::explore::{Exploration, explore};
 use hookpoint_sim::models::rollout::RolloutModel;
@@ -35,9 +33,6 @@
 pub fn sim(arguments: flags::Sim) -> anyhow::Result<ExitCode> {
     let report = arguments.report.clone();
     let report = report.as_deref();
-    if let Some(nodes) = arguments.fleet {
-        return run_fleet(nodes, &arguments, report);
-    }
     if arguments.models {
         return run_models();
     }
@@ -201,24 +196,6 @@
     Ok(code_of(results.iter().all(|result| result.found_by > 0)))
 }
 
-fn run_fleet(
-    nodes: usize,
-    arguments: &flags::Sim,
-    report: Option<&Path>,
-) -> anyhow::Result<ExitCode> {
-    if nodes < 2 {
-        bail!("a fleet has at least two nodes");
-    }
-    let mut settings = FleetSettings::of_size(nodes);
-    settings.quiet_ms = arguments.quiet_ms.unwrap_or(settings.quiet_ms);
-    let result = fleet::run(&settings);
-    println!("{}", serde_json::to_string_pretty(&result)?);
-    if let Some(path) = report {
-        write_json(path, &result)?;
-    }
-    Ok(ExitCode::SUCCESS)
-}
-
 fn run_models() -> anyhow::Result<ExitCode> {
     let (depth, states) = ACKNOWLEDGE_BOUNDS;
     let acknowledge = explore(&AcknowledgeModel::default(), depth, states);
--- a/lab/src/flags.rs
+++ b/lab/src/flags.rs
@@ -52,10 +52,6 @@
             optional --replay replay: PathBuf
             /// Explores the small models exhaustively.
             optional --models
-            /// Measures a fleet of so many hollow nodes instead.
-            optional --fleet fleet: usize
-            /// Quiet time of the fleet in virtual milliseconds.
-            optional --quiet-ms quiet_ms: u64
             /// Threads; all processors by default.
             optional --threads threads: usize
             /// File for the JSON report.
