Ask the holders about a primary first, and open nothing before the fleet has registered

Now nodes wait 1.5 s at the very first start, a group's first primary is awaited before anyone is asked, and about a known primary only the nodes that hold connections to it are asked, unless that decides nothing. A primary that leaves is replaced without asking while the lease holds.

--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -1,11 +1,13 @@
 //! Replaces lost and leaving primaries, while this node holds the coordinator's record.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hookpoint_coordination::serving::failover::{
     Observation, ReplicaState, choose_candidate, is_lost,
 };
+use hookpoint_coordination::serving::leadership::Reign;
 use hookpoint_coordination::serving::selection::Distance;
 use hookpoint_coordination::serving::session::SessionValues;
 use hookpoint_state::{DatabaseName, GroupName, Term, Timestamp};
@@ -13,7 +15,7 @@
 
 use crate::message::{Command, DatabaseStatus, FailureCode};
 use crate::node::Node;
-use crate::peers::{PeerView, Peers};
+use crate::peers::{FIRST_PRIMARY_TIME, PeerView, Peers};
 use crate::pool::{Lease, Pool};
 use crate::ports::{ConditionalWrite, PromotionError, PromotionOrder, WriteOutcome};
 use crate::records::{PROMOTION_PREFIX, PromotionRecord, encode};
@@ -98,12 +100,21 @@
 }
 
 fn reason(node: &Rc<Node>, group: &GroupName) -> Option<Reason> {
-    let (leader, lost) = node.with_group(group, |state| {
+    let now = node.now();
+    let (leader, lost, awaited) = node.with_group(group, |state| {
         let lost = state.contact.lost_since.is_some();
-        (state.leadership.leader().cloned(), lost)
+        let never_seen = state.leadership.reign() == Reign::default();
+        let lately = state
+            .leaderless_since
+            .is_none_or(|since| now.since(since) < FIRST_PRIMARY_TIME);
+        (
+            state.leadership.leader().cloned(),
+            lost,
+            never_seen && lately,
+        )
     });
     let Some(leader) = leader else {
-        return Some(Reason::Lost);
+        return (!awaited).then_some(Reason::Lost);
     };
     if lost {
         return Some(Reason::Lost);
@@ -121,12 +132,12 @@
         return;
     };
     let leader = node.leader(group);
-    let views = peers.gather(node, group, leader.as_ref()).await;
+    let views = views_of(node, peers, group, leader.as_ref(), reason).await;
     let Some(authority) = authority(node, &views) else {
         return;
     };
     if reason == Reason::Lost {
-        let observations: Vec<Observation> = views.iter().map(|view| view.observation).collect();
+        let observations = observations_of(&views);
         if !is_lost(&observations, node.witnesses(leader.as_ref())) {
             return;
         }
@@ -148,6 +159,47 @@
     }
 }
 
+/// What the nodes see of a primary, as far as it is needed: those that hold connections
+/// to it are asked first, and all nodes only if that decides nothing.
+async fn views_of(
+    node: &Rc<Node>,
+    peers: &Peers,
+    group: &GroupName,
+    leader: Option<&DatabaseName>,
+    reason: Reason,
+) -> Vec<PeerView> {
+    if node.coordinates() && reason == Reason::Leaving {
+        return Vec::new();
+    }
+    if let Some(leader) = leader.filter(|_| node.coordinates()) {
+        let holders: Vec<SocketAddr> = node
+            .holders(leader)
+            .into_iter()
+            .map(|(_, address)| address)
+            .collect();
+        let views = peers.gather(node, group, Some(leader), &holders).await;
+        let seen = observations_of(&views);
+        let witnesses = node.witnesses(Some(leader));
+        let all_hold = witnesses.holders == witnesses.members;
+        let reached = seen.contains(&Observation::Reachable);
+        if all_hold || reached || is_lost(&seen, witnesses) {
+            return views;
+        }
+    }
+    let others: Vec<SocketAddr> = node
+        .members
+        .borrow()
+        .iter()
+        .filter(|(name, _)| **name != node.settings.name)
+        .map(|(_, member)| member.peer_address)
+        .collect();
+    peers.gather(node, group, leader, &others).await
+}
+
+fn observations_of(views: &[PeerView]) -> Vec<Observation> {
+    views.iter().map(|view| view.observation).collect()
+}
+
 fn sync_replicas(node: &Rc<Node>, group: &GroupName) -> u32 {
     node.configuration()
         .and_then(|configuration| configuration.groups.get(group).cloned())
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -32,6 +32,9 @@
 const CONFIRMED_LATELY_UNUSED: Duration = Duration::from_millis(2_000);
 /// Periods without a sample from a peer after which the primary is asked itself.
 const SAMPLES_BEFORE_QUESTION: u32 = 2;
+/// Time in which all nodes register when the whole fleet starts for the first time. Until
+/// then a node knows few of the others and would take itself for home of every database.
+const REGISTRATION_TIME: Duration = Duration::from_millis(1_500);
 /// Pause between two questions to the same database while nobody is known to lead.
 const SEARCH_PAUSE: Duration = Duration::from_millis(100);
 
@@ -50,6 +53,9 @@
 pub async fn monitor(node: Rc<Node>, peers: Rc<Peers>) {
     let asking = Rc::new(Asking::default());
     let trying = Rc::new(Asking::default());
+    if node.settings.first_start {
+        sleep(REGISTRATION_TIME).await;
+    }
     loop {
         sleep(ROUND).await;
         for group in node.configured_groups() {
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -45,6 +45,8 @@
     pub drain_limit: Duration,
     /// Time to live of the node's lease.
     pub lease_time: Duration,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
     /// Whether the promotion service refuses tokens lower than it has seen.
     pub fenced_promotions: bool,
 }
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -25,7 +25,7 @@
 const ANSWER_WAIT: Duration = Duration::from_millis(120);
 
 /// Time in which a group's first primary may still be about to register.
-const FIRST_PRIMARY_TIME: Duration = Duration::from_secs(3);
+pub(crate) const FIRST_PRIMARY_TIME: Duration = Duration::from_secs(3);
 
 /// A datagram between nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -196,12 +196,13 @@
         node.confirm_leader(&sample.leader, proof);
     }
 
-    /// Asks all peers what they see of a primary; this node's own view comes first.
+    /// Asks peers what they see of a primary; this node's own view comes first.
     pub async fn gather(
         &self,
         node: &Rc<Node>,
         group: &GroupName,
         leader: Option<&DatabaseName>,
+        asked: &[SocketAddr],
     ) -> Vec<PeerView> {
         let nonce = self.next_nonce.get();
         self.next_nonce.set(nonce + 1);
@@ -211,10 +212,8 @@
             group: group.clone(),
             leader: leader.cloned(),
         };
-        for (name, member) in &*node.members.borrow() {
-            if *name != node.settings.name {
-                self.send(&question, member.peer_address);
-            }
+        for address in asked {
+            self.send(&question, *address);
         }
         sleep(ANSWER_WAIT).await;
         let answers = self.answers.borrow_mut().remove(&nonce).unwrap_or_default();
