--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -238,7 +238,7 @@
         .iter()
         .all(|view| !view.store_reachable && view.coordinator == own);
     let quorum = views.len() > node.live_members() / 2;
-    (node.settings.fenced_promotions && agreed && quorum).then_some(Authority::Quorum)
+    (node.changeable().fenced_promotions && agreed && quorum).then_some(Authority::Quorum)
 }
 
 fn log_loss(
@@ -444,7 +444,7 @@
         holder: node.settings.name.clone(),
         fencing_token,
     };
-    if node.settings.fenced_promotions {
+    if node.changeable().fenced_promotions {
         tokio::task::spawn_local(announce(Rc::clone(node), order.clone()));
     } else {
         replace_unfenced(node, &order).await?;
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -266,7 +266,7 @@
         });
         if let Some(leader) = leader
             && leader != record.candidate
-            && !node.settings.fenced_promotions
+            && !node.changeable().fenced_promotions
         {
             node.refute_leader(&leader, now);
         }
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -26,6 +26,7 @@
 
 /// Rest of a transaction that is allowed where the configuration tells none.
 const DEFAULT_TRANSACTION_IDLE: Duration = Duration::from_secs(3);
+
 /// Settings of a node.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -33,20 +34,27 @@
     pub name: String,
     /// Its zone.
     pub zone: ZoneName,
-    /// Region of each zone.
-    pub regions: BTreeMap<ZoneName, String>,
     /// Address for datagrams of peers.
     pub peer_address: SocketAddr,
+    /// Time to live of the node's lease.
+    pub lease_time: Duration,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
+    /// What may change while the node runs.
+    pub changeable: ChangeableSettings,
+}
+
+/// Settings that are taken over while the node runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChangeableSettings {
+    /// Region of each zone.
+    pub regions: BTreeMap<ZoneName, String>,
     /// Where other nodes may be asked for what they know.
     pub seed_addresses: Vec<SocketAddr>,
     /// Whole time that a stop may take.
     pub grace_period: Duration,
     /// How long a database that announced its end may still get work.
     pub drain_limit: Duration,
-    /// Time to live of the node's lease.
-    pub lease_time: Duration,
-    /// Whether the whole fleet starts for the first time.
-    pub first_start: bool,
     /// Whether the promotion service refuses tokens lower than it has seen.
     pub fenced_promotions: bool,
 }
@@ -105,8 +113,10 @@
 
 /// The shared state of a node.
 pub struct Node {
-    /// Settings.
+    /// Settings as of the start.
     pub settings: NodeSettings,
+    /// Those that may have changed since.
+    changeable: RefCell<Rc<ChangeableSettings>>,
     /// Spelling of messages.
     pub protocol: Rc<dyn WireProtocol>,
     /// State store.
@@ -171,6 +181,7 @@
         events: EventLog,
     ) -> Rc<Self> {
         Rc::new(Self {
+            changeable: RefCell::new(Rc::new(settings.changeable.clone())),
             settings,
             protocol,
             store,
@@ -207,6 +218,18 @@
         Timestamp::from_millis(60_000) + self.started.elapsed()
     }
 
+    /// The settings in force that may change while the node runs.
+    pub fn changeable(&self) -> Rc<ChangeableSettings> {
+        Rc::clone(&self.changeable.borrow())
+    }
+
+    /// Takes over changed settings. Says whether they differ from those in force.
+    pub fn change_settings(&self, changed: ChangeableSettings) -> bool {
+        let differs = **self.changeable.borrow() != changed;
+        *self.changeable.borrow_mut() = Rc::new(changed);
+        differs
+    }
+
     /// Logs an event.
     pub fn log(&self, event: &'static str, fields: &[(&str, Value)]) {
         self.events.write(self.now(), event, fields);
@@ -268,7 +291,7 @@
         };
         listed
             .leaving_since
-            .is_none_or(|since| self.now().since(since) < self.settings.drain_limit)
+            .is_none_or(|since| self.now().since(since) < self.changeable().drain_limit)
     }
 
     /// The pool of a database.
@@ -302,7 +325,8 @@
         if *zone == self.settings.zone {
             return Distance::SameZone;
         }
-        let regions = &self.settings.regions;
+        let changeable = self.changeable();
+        let regions = &changeable.regions;
         match (regions.get(zone), regions.get(&self.settings.zone)) {
             (Some(there), Some(here)) if there == here => Distance::SameRegion,
             _ => Distance::OtherRegion,
@@ -334,7 +358,7 @@
     /// Where the service does not fence, a replaced primary may still believe to lead, so
     /// only the database of the newest order is taken for the primary.
     fn may_lead(&self, database: &Database) -> bool {
-        self.settings.fenced_promotions
+        self.changeable().fenced_promotions
             || self.with_group(&database.group, |state| {
                 state
                     .promoting
--- a/crates/serving/src/shutdown.rs
+++ b/crates/serving/src/shutdown.rs
@@ -32,9 +32,9 @@
             return StopStage::Running;
         };
         let elapsed = self.now().since(since);
-        if elapsed >= self.settings.grace_period / 2 {
+        if elapsed >= self.changeable().grace_period / 2 {
             StopStage::EndTransactions
-        } else if elapsed >= WITHDRAWAL.min(self.settings.grace_period / 3) {
+        } else if elapsed >= WITHDRAWAL.min(self.changeable().grace_period / 3) {
             StopStage::CloseIdle
         } else {
             StopStage::Withdrawn
@@ -53,7 +53,7 @@
         "stop_requested",
         &[("sessions", node.sessions.get().into())],
     );
-    let limit = node.settings.grace_period * 9 / 10;
+    let limit = node.changeable().grace_period * 9 / 10;
     loop {
         sleep(LOOK).await;
         node.stop_advanced.notify_waiters();
--- a/crates/serving/src/snapshot.rs
+++ b/crates/serving/src/snapshot.rs
@@ -82,7 +82,8 @@
         .filter(|(name, _)| **name != node.settings.name)
         .map(|(_, member)| member.peer_address)
         .collect();
-    let seeds = node.settings.seed_addresses.iter().copied();
+    let changeable = node.changeable();
+    let seeds = changeable.seed_addresses.iter().copied();
     for address in seeds.chain(members).take(PEERS_ASKED) {
         if let Some(snapshot) = relay::fetch_snapshot(address).await {
             node.log(
