--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -13,10 +13,11 @@
 use hookpoint_state::{DatabaseName, GroupName, Term, Timestamp};
 use tokio::time::{sleep, timeout};
 
+use crate::lease::Lease;
 use crate::message::{Command, DatabaseStatus, FailureCode};
 use crate::node::Node;
 use crate::peers::{FIRST_PRIMARY_TIME, PeerView, Peers};
-use crate::pool::{Lease, Pool};
+use crate::pool::Pool;
 use crate::ports::{ConditionalWrite, PromotionError, PromotionOrder, WriteOutcome};
 use crate::records::{PROMOTION_PREFIX, PromotionRecord, encode};
 use crate::relay;
@@ -186,14 +187,9 @@
             return views;
         }
     }
-    let others: Vec<SocketAddr> = node
-        .members
-        .borrow()
-        .iter()
-        .filter(|(name, _)| **name != node.settings.name)
-        .map(|(_, member)| member.peer_address)
-        .collect();
-    peers.gather(node, group, leader, &others).await
+    peers
+        .gather(node, group, leader, &node.other_members())
+        .await
 }
 
 fn observations_of(views: &[PeerView]) -> Vec<Observation> {
--- a/crates/serving/src/homes.rs
+++ b/crates/serving/src/homes.rs
@@ -103,6 +103,16 @@
         )
     }
 
+    /// Addresses of all other nodes that are known.
+    pub fn other_members(&self) -> Vec<SocketAddr> {
+        self.members
+            .borrow()
+            .iter()
+            .filter(|(name, _)| **name != self.settings.name)
+            .map(|(_, member)| member.peer_address)
+            .collect()
+    }
+
     fn home_candidates(&self) -> Rc<Vec<HomeCandidate>> {
         let now = self.now();
         let mut homes = self.homes.borrow_mut();
--- /dev/null
+++ b/crates/serving/src/lease.rs
@@ -0,0 +1,142 @@
+//! A connection on loan, and what brings it back to rest.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::leadership::Confirmation;
+use hookpoint_state::Timestamp;
+
+use crate::connection::{Answer, Connection, ConnectionError, TransactionUse};
+use crate::message::{Command, FailureCode};
+use crate::node::Node;
+use crate::pool::{CONTROL_LIMIT, Pool};
+
+/// A connection on loan; it goes back to its pool when dropped.
+pub struct Lease {
+    connection: Option<Connection>,
+    pool: Rc<Pool>,
+}
+
+impl Lease {
+    pub(crate) fn new(pool: Rc<Pool>, connection: Connection) -> Self {
+        Self {
+            connection: Some(connection),
+            pool,
+        }
+    }
+
+    pub(crate) fn take(&mut self) -> Option<Connection> {
+        self.connection.take()
+    }
+
+    /// The pool it belongs to.
+    pub fn pool(&self) -> &Rc<Pool> {
+        &self.pool
+    }
+
+    /// The connection.
+    pub fn connection(&mut self) -> &mut Connection {
+        self.connection
+            .as_mut()
+            .expect("a lease holds its connection until it is dropped")
+    }
+
+    /// Sends commands and waits for their answers; failures are noted with the pool.
+    pub async fn exchange(
+        &mut self,
+        node: &Rc<Node>,
+        commands: &[Command],
+        limit: Duration,
+    ) -> Result<Vec<Answer>, ConnectionError> {
+        let asked_at = node.now();
+        let outcome = self.connection().exchange(commands, limit).await;
+        let relayed = self.connection().is_relayed();
+        let stage = if relayed { "peer" } else { "database" };
+        node.counters.observe(stage, node.now().since(asked_at));
+        match &outcome {
+            Ok(_) => node.note_contact(self.pool.database()),
+            Err(_) if relayed => {
+                node.counters.count("relayed_exchanges", "failed");
+                self.pool.note_outcome(node.now(), true);
+            }
+            Err(error) => {
+                self.pool.note_failure(node.now());
+                if matches!(error, ConnectionError::TimedOut) {
+                    node.counters.count("database_timeouts", "exchange");
+                    self.pool.verify(node);
+                }
+            }
+        }
+        outcome
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            let pool = Rc::clone(&self.pool);
+            pool.release(connection);
+        }
+    }
+}
+
+/// Ends what a connection's transaction held and, at the primary, opens an unused one.
+///
+/// The answer to the opening also confirms the primary and tells its position.
+pub async fn settle(node: &Rc<Node>, mut lease: Lease) {
+    if node.leads(lease.pool.database()) {
+        let _ = open_unused(node, &mut lease).await;
+    } else if lease.connection().transaction != TransactionUse::None {
+        let _ = lease
+            .exchange(node, &[Command::Rollback], CONTROL_LIMIT)
+            .await;
+    }
+}
+
+/// Opens a plain transaction in which nothing runs yet, in place of one that is open.
+pub async fn open_unused(node: &Rc<Node>, lease: &mut Lease) -> Result<(), ConnectionError> {
+    let mut commands = Vec::with_capacity(2);
+    if lease.connection().transaction != TransactionUse::None {
+        commands.push(Command::Rollback);
+    }
+    commands.push(Command::Begin {
+        read_only: false,
+        after: None,
+    });
+    let asked_at = node.now();
+    let version = node.configuration_version();
+    let answers = lease.exchange(node, &commands, CONTROL_LIMIT).await?;
+    if let Some(answer) = answers.last() {
+        note_begin(node, lease, asked_at, version, answer);
+    }
+    Ok(())
+}
+
+/// Takes the answer to a plain `Begin`: it tells whether the database leads.
+///
+/// `version` is the configuration that was in force when it was sent.
+pub fn note_begin(
+    node: &Rc<Node>,
+    lease: &mut Lease,
+    asked_at: Timestamp,
+    version: Option<u64>,
+    answer: &Answer,
+) {
+    let database = lease.pool.database().clone();
+    match &answer.result {
+        Ok(_) => {
+            lease.connection().transaction = TransactionUse::Unused;
+            lease.connection().transaction_version = version;
+            let proof = Confirmation {
+                asked_at,
+                answered_at: node.now(),
+                position: answer.position,
+            };
+            node.confirm_leader(&database, proof);
+        }
+        Err(failure) if failure.code == FailureCode::NotPrimary => {
+            node.refute_leader(&database, asked_at);
+        }
+        Err(_) => {}
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod feed;
 pub mod follower;
 mod homes;
+pub mod lease;
 pub mod link;
 pub mod message;
 pub mod monitor;
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -13,11 +13,11 @@
 use hookpoint_state::{DatabaseName, GroupName, Timestamp};
 use tokio::time::sleep;
 
-use crate::connection::{ConnectionError, TransactionUse};
-use crate::message::Command;
+use crate::connection::ConnectionError;
+use crate::lease::{Lease, open_unused};
 use crate::node::Node;
 use crate::peers::Peers;
-use crate::pool::{AcquireError, CONTROL_LIMIT, Lease, Pool, note_begin};
+use crate::pool::{AcquireError, CONTROL_LIMIT, Pool};
 use crate::relay;
 
 /// Pause between rounds.
@@ -261,23 +261,9 @@
         }
         Err(_) => return,
     };
-    let mut commands = Vec::with_capacity(2);
-    if lease.connection().transaction != TransactionUse::None {
-        commands.push(Command::Rollback);
-    }
-    commands.push(Command::Begin {
-        read_only: false,
-        after: None,
-    });
     let asked_at = node.now();
-    let version = node.configuration_version();
-    match lease.exchange(node, &commands, CONTROL_LIMIT).await {
-        Ok(answers) => {
-            if let Some(answer) = answers.last() {
-                note_begin(node, &mut lease, asked_at, version, answer);
-            }
-        }
-        Err(error) => note_error(node, database, asked_at, &error),
+    if let Err(error) = open_unused(node, &mut lease).await {
+        note_error(node, database, asked_at, &error);
     }
 }
 
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::demand::Demand;
-use hookpoint_coordination::serving::leadership::Confirmation;
 use hookpoint_coordination::serving::reliability::Reliability;
 use hookpoint_coordination::serving::response_time::ResponseTime;
 use hookpoint_coordination::serving::session::SessionValues;
@@ -14,7 +13,8 @@
 use thiserror::Error;
 use tokio::sync::oneshot;
 
-use crate::connection::{Answer, Connection, ConnectionError, TransactionUse};
+use crate::connection::{Connection, ConnectionError, TransactionUse};
+use crate::lease::{Lease, settle};
 use crate::message::{Command, FailureCode};
 use crate::node::Node;
 use crate::relay;
@@ -335,7 +335,7 @@
     }
 
     /// Gives a connection back: to who waits, or to rest.
-    fn release(self: &Rc<Self>, connection: Connection) {
+    pub(crate) fn release(self: &Rc<Self>, connection: Connection) {
         self.leased.set(self.leased.get() - 1);
         if connection.is_relayed() {
             self.release_relayed(connection);
@@ -440,7 +440,7 @@
 
     /// After a time-out: asks something that needs no slot on a connection at rest. If
     /// that is not answered either, the way to the database is lost.
-    fn verify(self: &Rc<Self>, node: &Rc<Node>) {
+    pub(crate) fn verify(self: &Rc<Self>, node: &Rc<Node>) {
         if self.verifying.replace(true) {
             return;
         }
@@ -493,129 +493,3 @@
         self.pool.waiters.borrow_mut().remove(&self.ticket);
     }
 }
-
-/// Ends what a connection's transaction held and, at the primary, opens an unused one.
-///
-/// The answer to the opening also confirms the primary and tells its position.
-pub async fn settle(node: &Rc<Node>, mut lease: Lease) -> Option<Lease> {
-    let leads = node.leads(&lease.pool.database);
-    let mut commands = Vec::with_capacity(2);
-    if lease.connection().transaction != TransactionUse::None {
-        commands.push(Command::Rollback);
-    }
-    if leads {
-        commands.push(Command::Begin {
-            read_only: false,
-            after: None,
-        });
-    }
-    if commands.is_empty() {
-        return Some(lease);
-    }
-    let asked_at = node.now();
-    let version = node.configuration_version();
-    let answers = lease.exchange(node, &commands, CONTROL_LIMIT).await.ok()?;
-    if leads {
-        let answer = answers.last()?;
-        note_begin(node, &mut lease, asked_at, version, answer);
-    }
-    Some(lease)
-}
-
-/// Takes the answer to a plain `Begin`: it tells whether the database leads.
-///
-/// `version` is the configuration that was in force when it was sent.
-pub fn note_begin(
-    node: &Rc<Node>,
-    lease: &mut Lease,
-    asked_at: Timestamp,
-    version: Option<u64>,
-    answer: &Answer,
-) {
-    let database = lease.pool.database.clone();
-    match &answer.result {
-        Ok(_) => {
-            lease.connection().transaction = TransactionUse::Unused;
-            lease.connection().transaction_version = version;
-            let proof = Confirmation {
-                asked_at,
-                answered_at: node.now(),
-                position: answer.position,
-            };
-            node.confirm_leader(&database, proof);
-        }
-        Err(failure) if failure.code == FailureCode::NotPrimary => {
-            node.refute_leader(&database, asked_at);
-        }
-        Err(_) => {}
-    }
-}
-
-/// A connection on loan; it goes back to its pool when dropped.
-pub struct Lease {
-    connection: Option<Connection>,
-    pool: Rc<Pool>,
-}
-
-impl Lease {
-    fn new(pool: Rc<Pool>, connection: Connection) -> Self {
-        Self {
-            connection: Some(connection),
-            pool,
-        }
-    }
-
-    fn take(&mut self) -> Option<Connection> {
-        self.connection.take()
-    }
-
-    /// The pool it belongs to.
-    pub fn pool(&self) -> &Rc<Pool> {
-        &self.pool
-    }
-
-    /// The connection.
-    pub fn connection(&mut self) -> &mut Connection {
-        self.connection
-            .as_mut()
-            .expect("a lease holds its connection until it is dropped")
-    }
-
-    /// Sends commands and waits for their answers; failures are noted with the pool.
-    pub async fn exchange(
-        &mut self,
-        node: &Rc<Node>,
-        commands: &[Command],
-        limit: Duration,
-    ) -> Result<Vec<Answer>, ConnectionError> {
-        let asked_at = node.now();
-        let outcome = self.connection().exchange(commands, limit).await;
-        let relayed = self.connection().is_relayed();
-        let stage = if relayed { "peer" } else { "database" };
-        node.counters.observe(stage, node.now().since(asked_at));
-        match &outcome {
-            Ok(_) => node.note_contact(&self.pool.database),
-            Err(_) if relayed => {
-                node.counters.count("relayed_exchanges", "failed");
-                self.pool.note_outcome(node.now(), true);
-            }
-            Err(error) => {
-                self.pool.note_failure(node.now());
-                if matches!(error, ConnectionError::TimedOut) {
-                    node.counters.count("database_timeouts", "exchange");
-                    self.pool.verify(node);
-                }
-            }
-        }
-        outcome
-    }
-}
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        if let Some(connection) = self.connection.take() {
-            let pool = Rc::clone(&self.pool);
-            pool.release(connection);
-        }
-    }
-}
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -17,12 +17,13 @@
 
 use crate::connection::{Answer, Connection, ConnectionError, TransactionUse};
 use crate::feed;
+use crate::lease::Lease;
 use crate::link::{
     self, LINK_SLACK, LinkReply, LinkRequest, LinkStream, PASSED_OVER, framed, receive, send,
 };
 use crate::message::Command;
 use crate::node::Node;
-use crate::pool::{Lease, Pool};
+use crate::pool::Pool;
 use crate::shutdown::StopStage;
 use crate::snapshot::Snapshot;
 use crate::units::millis;
--- a/crates/serving/src/session.rs
+++ b/crates/serving/src/session.rs
@@ -14,9 +14,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::connection::Answer;
+use crate::lease::Lease;
 use crate::message::{CallerInput, CallerOutput, Failure, FailureCode, Statement};
 use crate::node::Node;
-use crate::pool::Lease;
 use crate::shutdown::StopStage;
 use crate::statement::{Request, Work, WorkBody, rolled_back};
 
--- a/crates/serving/src/snapshot.rs
+++ b/crates/serving/src/snapshot.rs
@@ -3,7 +3,6 @@
 //!
 //! Versions and revisions go along, so taking a snapshot never replaces newer knowledge.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use hookpoint_coordination::serving::directory::Database;
@@ -75,13 +74,7 @@
 
 /// Takes what seeds or known members know, from the first that answers.
 pub async fn fetch(node: &Rc<Node>) {
-    let members: Vec<SocketAddr> = node
-        .members
-        .borrow()
-        .iter()
-        .filter(|(name, _)| **name != node.settings.name)
-        .map(|(_, member)| member.peer_address)
-        .collect();
+    let members = node.other_members();
     let changeable = node.changeable();
     let seeds = changeable.seed_addresses.iter().copied();
     for address in seeds.chain(members).take(PEERS_ASKED) {
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -10,8 +10,9 @@
 use super::target::Target;
 use super::{Request, Work, least_time, prepared_name};
 use crate::connection::{Answer, ConnectionError, TransactionUse};
+use crate::lease::Lease;
 use crate::message::{Command, FailureCode};
-use crate::pool::{AcquireError, Lease};
+use crate::pool::AcquireError;
 
 /// How long a read waits for a connection to one database.
 const READ_ACQUIRE_LIMIT: Duration = Duration::from_millis(200);
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -23,9 +23,9 @@
 use self::outcome::{Tried, access_name};
 use self::target::Target;
 use crate::connection::Answer;
+use crate::lease::Lease;
 use crate::message::{Command, Failure, FailureCode};
 use crate::node::Node;
-use crate::pool::Lease;
 
 /// Least time left in which another attempt is worth making.
 const LEAST_ATTEMPT: Duration = Duration::from_millis(10);
--- a/crates/serving/src/statement/stance.rs
+++ b/crates/serving/src/statement/stance.rs
@@ -6,8 +6,9 @@
 use super::Request;
 use super::attempt::AttemptFailure;
 use crate::connection::{Answer, ConnectionError, TransactionUse};
+use crate::lease::{Lease, note_begin};
 use crate::message::{Command, FailureCode};
-use crate::pool::{CONTROL_LIMIT, Lease, note_begin};
+use crate::pool::CONTROL_LIMIT;
 
 /// How the connection's transaction has to stand before the statement.
 #[derive(Clone, Copy, Debug)]
--- a/crates/serving/src/statement/transaction.rs
+++ b/crates/serving/src/statement/transaction.rs
@@ -10,8 +10,8 @@
 use super::outcome::{Tried, access_name, rolled_back};
 use super::{BUSY_PAUSE, LEAST_ATTEMPT, Request, Work};
 use crate::connection::{Answer, ConnectionError};
+use crate::lease::Lease;
 use crate::message::{Command, Failure, FailureCode};
-use crate::pool::Lease;
 use crate::units::millis;
 
 impl Request<'_> {
