Use primaries only under a lease where promotions are not fenced

An announcement in the store and a pause of 150 ms is no fence for a node that hears neither. Change: leases of 2 s from the coordinator, or on a majority's votes from a stand-in; an order waits until all acknowledge, or a majority does and what others may hold has run out. The coordinator's record has its own lease of 1.5 s.

--- a/crates/coordination/src/serving/homes.rs
+++ b/crates/coordination/src/serving/homes.rs
@@ -14,6 +14,9 @@
 /// Connections that a home node should have at the least.
 const CONNECTIONS_PER_HOME: usize = 4;
 
+/// What nodes are ranked for when one of them has to claim a record.
+const CLAIM_SUBJECT: &str = "coordinator";
+
 /// One node that may be home.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HomeCandidate {
@@ -68,6 +71,16 @@
         .collect()
 }
 
+/// The nodes in the order in which they claim one record or stand in for who holds it.
+pub fn claim_order(nodes: &[HomeCandidate]) -> Vec<&str> {
+    let mut names: Vec<&str> = nodes.iter().map(|node| node.node.as_str()).collect();
+    names.sort_by_cached_key(|name| {
+        let score = rendezvous_score(CLAIM_SUBJECT, name);
+        (std::cmp::Reverse(score), *name)
+    });
+    names
+}
+
 /// Weight of `node` for `subject` in rendezvous hashing: the highest wins.
 pub(super) fn rendezvous_score(subject: &str, node: &str) -> u64 {
     let mut hasher = SipHasher13::new();
--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -10,6 +10,8 @@
 pub mod freshness;
 pub mod homes;
 pub mod leadership;
+pub mod lease_grantor;
+pub mod primary_lease;
 pub mod reliability;
 pub mod response_time;
 pub mod selection;
--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -16,11 +16,13 @@
 use crate::lease::Lease;
 use crate::message::{Command, DatabaseStatus, FailureCode};
 use crate::node::Node;
-use crate::peers::{FIRST_PRIMARY_TIME, PeerView, Peers};
+use crate::peers::{FIRST_PRIMARY_TIME, PeerMessage, PeerView, Peers};
 use crate::pool::Pool;
 use crate::ports::{ConditionalWrite, PromotionError, PromotionOrder, WriteOutcome};
+use crate::primary_lease::{Announcement, take_announcement};
 use crate::records::{PROMOTION_PREFIX, PromotionRecord, encode};
 use crate::relay;
+use crate::units::millis;
 
 /// How long a database that is missing from the store counts as a replica.
 const MISSING_COUNTS: Duration = Duration::from_secs(15);
@@ -43,8 +45,8 @@
 const REJECTED_PAUSE: Duration = Duration::from_millis(200);
 /// Orders that one coordinator may give.
 const TOKENS_PER_COORDINATOR: u64 = 4_096;
-/// Time in which every node that follows the store hears of an announcement.
-const ANNOUNCEMENT_TIME: Duration = Duration::from_millis(150);
+/// Pause before an announcement is sent again to who has not acknowledged it.
+const ANNOUNCEMENT_PAUSE: Duration = Duration::from_millis(40);
 /// How long replaced primaries that come back are told to step down.
 const STEP_DOWN_TIME: Duration = Duration::from_secs(30);
 /// How often one round tells a database that does not answer.
@@ -150,7 +152,7 @@
     if node.leader(group) != leader {
         return;
     }
-    match order(node, group, &candidate, authority).await {
+    match order(node, peers, group, &candidate, authority).await {
         Ok(()) => await_new_leader(node, group, &candidate).await,
         Err(OrderError::Rejected) => {
             resume_replicas(node, group).await;
@@ -429,6 +431,7 @@
 /// Orders a promotion, again under the same token while it is not answered.
 async fn order(
     node: &Rc<Node>,
+    peers: &Rc<Peers>,
     group: &GroupName,
     candidate: &DatabaseName,
     authority: Authority,
@@ -443,7 +446,7 @@
     if node.changeable().fenced_promotions {
         tokio::task::spawn_local(announce(Rc::clone(node), order.clone()));
     } else {
-        replace_unfenced(node, &order).await?;
+        replace_unfenced(node, peers, &order).await?;
     }
     let began = node.now();
     // The replicas of a synchronous group stay paused until the order is answered: one
@@ -474,26 +477,106 @@
     }
 }
 
-/// Before an order that the service does not fence: every node is told through the store
-/// which database leads next, and the present primary is told to step down.
-async fn replace_unfenced(node: &Rc<Node>, order: &PromotionOrder) -> Result<(), OrderError> {
-    if !announce(Rc::clone(node), order.clone()).await {
-        return Err(OrderError::Rejected);
+/// Before an order that the service does not fence: every node is told which database
+/// leads next, and no lease may be left under which one of them uses the present primary.
+/// That is told to step down as well, which ends what peers of older versions would do.
+async fn replace_unfenced(
+    node: &Rc<Node>,
+    peers: &Rc<Peers>,
+    order: &PromotionOrder,
+) -> Result<(), OrderError> {
+    let announcement = announce(Rc::clone(node), order.clone())
+        .await
+        .ok_or(OrderError::Rejected)?;
+    let stepping_down = step_down_until_replaced(Rc::clone(node), order.clone());
+    tokio::task::spawn_local(stepping_down);
+    withdraw_leases(node, peers, &announcement).await
+}
+
+async fn step_down_until_replaced(node: Rc<Node>, order: PromotionOrder) {
+    let began = node.now();
+    step_down_others(&node, &order).await;
+    while node.now().since(began) < STEP_DOWN_TIME && node.coordinator_revision().is_some() {
+        sleep(STEP_DOWN_PAUSE).await;
+        if node.leader(&order.group).as_ref() == Some(&order.candidate) {
+            step_down_others(&node, &order).await;
+        }
     }
-    sleep(ANNOUNCEMENT_TIME).await;
-    step_down_others(node, order).await;
-    let node = Rc::clone(node);
-    let order = order.clone();
-    tokio::task::spawn_local(async move {
-        let began = node.now();
-        while node.now().since(began) < STEP_DOWN_TIME && node.coordinator_revision().is_some() {
-            sleep(STEP_DOWN_PAUSE).await;
-            if node.leader(&order.group).as_ref() == Some(&order.candidate) {
-                step_down_others(&node, &order).await;
-            }
+}
+
+/// Waits until no node can use the primary that an announcement replaces.
+async fn withdraw_leases(
+    node: &Rc<Node>,
+    peers: &Rc<Peers>,
+    announcement: &Announcement,
+) -> Result<(), OrderError> {
+    let coordinator = node.coordinator_revision().ok_or(OrderError::Rejected)?;
+    let began = node.now();
+    let withdrawal = node.grantor.borrow().withdraw();
+    let mut withdrawal = withdrawal.ok_or(OrderError::Rejected)?;
+    peers.await_acknowledgements(announcement.revision);
+    let outcome = loop {
+        if !node.coordinates() {
+            break Err(OrderError::Rejected);
         }
-    });
-    Ok(())
+        if take_announcement(node, coordinator, announcement) {
+            withdrawal.acknowledge(&node.settings.name, node.voted_for_others());
+        }
+        for (peer, voted) in peers.take_acknowledgements(announcement.revision) {
+            withdrawal.acknowledge(&peer, voted);
+        }
+        let voters = node.voters();
+        if withdrawal.is_complete(&voters, node.now()) {
+            log_withdrawal(node, announcement, &withdrawal.missing(&voters), began);
+            break Ok(());
+        }
+        announce_to(
+            node,
+            peers,
+            coordinator,
+            announcement,
+            &withdrawal.missing(&voters),
+        );
+        sleep(ANNOUNCEMENT_PAUSE).await;
+    };
+    peers.end_acknowledgements(announcement.revision);
+    outcome
+}
+
+fn announce_to(
+    node: &Rc<Node>,
+    peers: &Rc<Peers>,
+    coordinator: u64,
+    announcement: &Announcement,
+    names: &[&String],
+) {
+    let members = node.members.borrow();
+    let message = PeerMessage::Announce {
+        coordinator,
+        announcement: announcement.clone(),
+    };
+    for member in names.iter().filter_map(|name| members.get(*name)) {
+        if member.peer_address != node.settings.peer_address {
+            peers.send(&message, member.peer_address);
+        }
+    }
+}
+
+fn log_withdrawal(
+    node: &Rc<Node>,
+    announcement: &Announcement,
+    missing: &[&String],
+    began: Timestamp,
+) {
+    node.log(
+        "primary_leases_withdrawn",
+        &[
+            ("group", announcement.group.as_str().into()),
+            ("candidate", announcement.candidate.as_str().into()),
+            ("unacknowledged", missing.len().into()),
+            ("waited_ms", millis(node.now().since(began)).into()),
+        ],
+    );
 }
 
 /// Has every database step down that says that it leads, or says nothing, as far as they
@@ -554,8 +637,8 @@
 }
 
 /// Tells the other nodes of an order through the store, as far as that is to be had.
-/// Says whether it was written.
-async fn announce(node: Rc<Node>, order: PromotionOrder) -> bool {
+/// Nothing if it was not written.
+async fn announce(node: Rc<Node>, order: PromotionOrder) -> Option<Announcement> {
     let record = PromotionRecord {
         group: order.group.clone(),
         candidate: order.candidate.clone(),
@@ -572,11 +655,17 @@
         value: encode(&record),
         lease: None,
     };
-    let written = matches!(node.store.write(write).await, Ok(WriteOutcome::Written(_)));
-    if !written {
+    let Ok(WriteOutcome::Written(revision)) = node.store.write(write).await else {
         node.counters.count("promotion_records", "failed");
-    }
-    written
+        return None;
+    };
+    let announcement = Announcement {
+        group: order.group,
+        candidate: order.candidate,
+        revision,
+    };
+    node.learn_promotion(&announcement);
+    Some(announcement)
 }
 
 async fn await_new_leader(node: &Rc<Node>, group: &GroupName, candidate: &DatabaseName) {
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -10,6 +10,7 @@
 use crate::feed;
 use crate::node::{Member, Node};
 use crate::ports::{StoreChange, StoreChanges, StoreError, StoreRecord};
+use crate::primary_lease::Announcement;
 use crate::records::{
     COORDINATOR_KEY, CoordinatorRecord, MEMBER_PREFIX, MemberRecord, PROMOTION_PREFIX,
     PromotionRecord, decode,
@@ -45,6 +46,7 @@
             node.store_steady_since.set(node.now());
             let revision = all.revision;
             apply_all(node, all);
+            node.note_promotions_known(revision);
             node.feed.restart(revision, node.now());
             Some(revision)
         }
@@ -88,6 +90,7 @@
         apply(node, change);
     }
     node.feed.advance(next);
+    node.note_promotions_known(next);
     housekeeping(node);
     next
 }
@@ -121,6 +124,9 @@
 }
 
 fn note_reachable(node: &Rc<Node>, reachable: bool, detail: &str) {
+    if reachable {
+        node.store_heard_at.set(node.now());
+    }
     if node.store_reachable.replace(reachable) == reachable {
         return;
     }
@@ -224,8 +230,8 @@
         }
         view.revision = if record.is_some() { revision } else { 0 };
         view.holder = record;
-    } else if let Some(group) = key.strip_prefix(PROMOTION_PREFIX) {
-        apply_promotion(node, group, value.and_then(decode), revision);
+    } else if key.starts_with(PROMOTION_PREFIX) {
+        apply_promotion(node, value.and_then(decode), revision);
     }
 }
 
@@ -250,26 +256,13 @@
     }
 }
 
-fn apply_promotion(node: &Rc<Node>, group: &str, record: Option<PromotionRecord>, revision: u64) {
-    let known = node
-        .promotion_revisions
-        .borrow_mut()
-        .insert(group.to_owned(), revision);
-    if known == Some(revision) {
-        return;
-    }
+fn apply_promotion(node: &Rc<Node>, record: Option<PromotionRecord>, revision: u64) {
     if let Some(record) = record {
-        let now = node.now();
-        let leader = node.leader(&record.group);
-        node.with_group(&record.group, |state| {
-            state.promoting = Some((record.candidate.clone(), now));
+        node.learn_promotion(&Announcement {
+            group: record.group,
+            candidate: record.candidate,
+            revision,
         });
-        if let Some(leader) = leader
-            && leader != record.candidate
-            && !node.changeable().fenced_promotions
-        {
-            node.refute_leader(&leader, now);
-        }
     }
 }
 
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -4,10 +4,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
 use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
+use hookpoint_coordination::serving::lease_grantor::LeaseGrantor;
+use hookpoint_coordination::serving::primary_lease::PrimaryLease;
 use hookpoint_coordination::serving::selection::Distance;
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
 use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
@@ -27,6 +29,9 @@
 /// Rest of a transaction that is allowed where the configuration tells none.
 const DEFAULT_TRANSACTION_IDLE: Duration = Duration::from_secs(3);
 
+/// A node's clock at its start: far enough from zero for times before it.
+const START: Timestamp = Timestamp(60_000_000);
+
 /// Settings of a node.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -89,6 +94,10 @@
     pub promoting: Option<(DatabaseName, Timestamp)>,
     /// Whether this node is busy replacing its primary.
     pub being_replaced: bool,
+    /// Revision of the newest announcement that this node has acknowledged.
+    pub closed_by: u64,
+    /// Writes and commits that are sent and not answered.
+    pub writes_in_flight: usize,
 }
 
 /// A live peer.
@@ -111,6 +120,13 @@
     pub holder: Option<CoordinatorRecord>,
 }
 
+/// A number that no earlier process of this node had.
+fn new_life() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let nanos = since_epoch.map_or(0, |elapsed| elapsed.as_nanos());
+    u64::try_from(nanos).unwrap_or(u64::MAX) ^ u64::from(std::process::id()).rotate_left(48)
+}
+
 /// The shared state of a node.
 pub struct Node {
     /// Settings as of the start.
@@ -139,12 +155,22 @@
     pub coordinator: RefCell<CoordinatorView>,
     /// Revisions of the promotion records.
     pub promotion_revisions: RefCell<BTreeMap<String, u64>>,
-    /// This node's present lease.
-    pub own_lease: Cell<Option<u64>>,
+    /// Up to which revision of the store all promotions are known.
+    pub promotions_known: Cell<u64>,
+    /// Leave to use primaries, where promotions are not fenced.
+    pub primary_lease: RefCell<PrimaryLease>,
+    /// What this node has granted, as the coordinator or a stand-in.
+    pub grantor: RefCell<LeaseGrantor>,
+    /// Up to which revision of the store the one asked for the lease knows all promotions.
+    pub grantor_knows: Cell<u64>,
+    /// When the store last answered.
+    pub store_heard_at: Cell<Timestamp>,
+    /// Lease that this node's record as the coordinator goes with.
+    pub coordinator_lease: Cell<Option<u64>>,
+    /// Until when that lease surely holds.
+    pub coordinator_until: Cell<Timestamp>,
     /// Promotions that this node has ordered, which are part of their tokens.
     pub promotions_ordered: Cell<u64>,
-    /// Until when this node's lease surely holds.
-    pub lease_until: Cell<Timestamp>,
     /// Whether the store was reachable at the last call of the follower.
     pub store_reachable: Cell<bool>,
     /// Since when the store has been followed without a gap.
@@ -180,6 +206,7 @@
         promotions: Rc<dyn PromotionService>,
         events: EventLog,
     ) -> Rc<Self> {
+        let life = new_life();
         Rc::new(Self {
             changeable: RefCell::new(Rc::new(settings.changeable.clone())),
             settings,
@@ -194,9 +221,14 @@
             members: RefCell::default(),
             coordinator: RefCell::default(),
             promotion_revisions: RefCell::default(),
-            own_lease: Cell::new(None),
+            promotions_known: Cell::new(0),
+            primary_lease: RefCell::new(PrimaryLease::new(life, START)),
+            grantor: RefCell::new(LeaseGrantor::new(life)),
+            grantor_knows: Cell::new(0),
+            store_heard_at: Cell::default(),
+            coordinator_lease: Cell::new(None),
+            coordinator_until: Cell::default(),
             promotions_ordered: Cell::new(0),
-            lease_until: Cell::default(),
             store_reachable: Cell::new(false),
             store_steady_since: Cell::default(),
             stopping_since: Cell::new(None),
@@ -215,7 +247,7 @@
 
     /// Time since the start, on the steady clock; never zero.
     pub fn now(&self) -> Timestamp {
-        Timestamp::from_millis(60_000) + self.started.elapsed()
+        START + self.started.elapsed()
     }
 
     /// The settings in force that may change while the node runs.
@@ -367,8 +399,20 @@
             })
     }
 
-    /// Takes a proof that a database leads.
+    /// Takes a proof that a database leads. Where promotions are not fenced, the position
+    /// in it only counts if this node was allowed to use primaries when it asked: a
+    /// replaced primary's covers nothing.
     pub fn confirm_leader(&self, name: &DatabaseName, proof: Confirmation) {
+        let covered = self.covers_primaries(proof.asked_at);
+        let proof = Confirmation {
+            position: proof.position.filter(|_| covered),
+            ..proof
+        };
+        self.believe_leader(name, proof);
+    }
+
+    /// Takes a proof of this node's own, or one that a peer passes on, as it is.
+    pub(crate) fn believe_leader(&self, name: &DatabaseName, proof: Confirmation) {
         let Some(database) = self.database(name) else {
             return;
         };
--- /dev/null
+++ b/crates/serving/src/office.rs
@@ -0,0 +1,170 @@
+//! The coordinator's record in the store: claiming it while it is free, and keeping it.
+//!
+//! The record goes with a lease of its own, much shorter than a member's: while nobody
+//! coordinates, no primary is replaced.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::homes::claim_order;
+use hookpoint_state::Timestamp;
+use tokio::time::{sleep, timeout};
+
+use crate::node::Node;
+use crate::ports::{ConditionalWrite, LeaseId, StoreError, WriteOutcome};
+use crate::records::{COORDINATOR_KEY, CoordinatorRecord, encode};
+
+/// Time to live of the record.
+const RECORD_TIME: Duration = Duration::from_millis(1_500);
+/// Time before the end of its lease from which it is not relied on any more.
+const RECORD_MARGIN: Duration = Duration::from_millis(300);
+/// Pause between two renewals.
+const RENEWAL_PERIOD: Duration = Duration::from_millis(400);
+/// Limit for a renewal's answer.
+const RENEWAL_LIMIT: Duration = Duration::from_millis(700);
+/// Pause between looks at the record.
+const LOOK: Duration = Duration::from_millis(50);
+/// Pause after a claim that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// How much later than the node before it in rank a node claims a free record, so that
+/// they do not all write at once.
+const RANK_PAUSE: Duration = Duration::from_millis(50);
+/// Ranks that are told apart.
+const RANKS: usize = 6;
+
+/// Claims the record while it is free and keeps it, for as long as the node lives.
+pub async fn serve(node: Rc<Node>) {
+    let mut free_since = None;
+    loop {
+        sleep(LOOK).await;
+        if node.stopping_since.get().is_some() {
+            return;
+        }
+        if !may_claim(&node) {
+            free_since = None;
+            continue;
+        }
+        let now = node.now();
+        let since = *free_since.get_or_insert(now);
+        if now.since(since) < own_turn(&node) {
+            continue;
+        }
+        match claim(&node).await {
+            Some(lease) => hold(&node, lease).await,
+            None => sleep(RETRY_PAUSE).await,
+        }
+        free_since = None;
+    }
+}
+
+fn may_claim(node: &Rc<Node>) -> bool {
+    let free = node.coordinator.borrow().holder.is_none();
+    free && node.store_reachable.get() && node.configuration().is_some()
+}
+
+/// How long this node leaves a free record to those before it.
+fn own_turn(node: &Rc<Node>) -> Duration {
+    let nodes = node.registered_nodes();
+    let place = claim_order(&nodes)
+        .iter()
+        .position(|name| *name == node.settings.name);
+    let rank = place.unwrap_or(RANKS).min(RANKS);
+    RANK_PAUSE * u32::try_from(rank).unwrap_or_default()
+}
+
+async fn claim(node: &Rc<Node>) -> Option<LeaseId> {
+    let asked_at = node.now();
+    let lease = node.store.grant_lease(RECORD_TIME).await.ok()?;
+    let record = CoordinatorRecord {
+        node: node.settings.name.clone(),
+        lease: lease.0,
+    };
+    let write = ConditionalWrite {
+        key: COORDINATOR_KEY.to_owned(),
+        expected_revision: 0,
+        value: encode(&record),
+        lease: Some(lease),
+    };
+    let claimed_at = node.now();
+    let Ok(WriteOutcome::Written(revision)) = node.store.write(write).await else {
+        let _ = node.store.end_lease(lease).await;
+        return None;
+    };
+    node.coordinator_lease.set(Some(lease.0));
+    note_held(node, asked_at);
+    node.grantor.borrow_mut().enter_office(revision, claimed_at);
+    {
+        let mut view = node.coordinator.borrow_mut();
+        view.revision = revision;
+        view.holder = Some(record);
+    }
+    node.log("coordinator_claimed", &[("revision", revision.into())]);
+    Some(lease)
+}
+
+fn note_held(node: &Rc<Node>, asked_at: Timestamp) {
+    node.coordinator_until
+        .set(asked_at + RECORD_TIME - RECORD_MARGIN);
+}
+
+/// Renews the record until it is over, another's, or the node stops.
+async fn hold(node: &Rc<Node>, lease: LeaseId) {
+    while node.coordinator_revision().is_some() {
+        let asked_at = node.now();
+        let renewal = node.store.renew_lease(lease);
+        match timeout(RENEWAL_LIMIT, renewal).await {
+            Ok(Ok(())) => {
+                note_held(node, asked_at);
+                node.store_heard_at.set(node.now());
+                node.grantor.borrow_mut().note_renewed(asked_at);
+            }
+            Ok(Err(StoreError::LeaseOver)) => break,
+            Ok(Err(_)) | Err(_) => {}
+        }
+        sleep(
+            RENEWAL_PERIOD
+                .saturating_sub(node.now().since(asked_at))
+                .max(LOOK),
+        )
+        .await;
+        if node.stopping_since.get().is_some() {
+            let _ = node.store.end_lease(lease).await;
+            break;
+        }
+    }
+    leave(node);
+}
+
+fn leave(node: &Rc<Node>) {
+    node.coordinator_lease.set(None);
+    node.coordinator_until.set(Timestamp::default());
+    node.grantor.borrow_mut().leave_office();
+    let mut view = node.coordinator.borrow_mut();
+    let own = view
+        .holder
+        .as_ref()
+        .is_some_and(|holder| holder.node == node.settings.name);
+    if own {
+        view.holder = None;
+    }
+    drop(view);
+    node.log("coordinator_left", &[]);
+}
+
+impl Node {
+    /// The revision of the coordinator's record, if this life of this node wrote it and no
+    /// newer one is known of.
+    pub fn coordinator_revision(&self) -> Option<u64> {
+        let view = self.coordinator.borrow();
+        let holder = view.holder.as_ref()?;
+        let own =
+            holder.node == self.settings.name && Some(holder.lease) == self.coordinator_lease.get();
+        let newest = self.primary_lease.borrow().coordinator() <= view.revision;
+        (own && newest).then_some(view.revision)
+    }
+
+    /// Whether this node may order promotions on the strength of its lease.
+    pub fn coordinates(&self) -> bool {
+        self.coordinator_revision().is_some() && self.now() < self.coordinator_until.get()
+    }
+}
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -9,12 +9,14 @@
 
 use hookpoint_coordination::serving::failover::Observation;
 use hookpoint_coordination::serving::leadership::{Confirmation, Reign};
+use hookpoint_coordination::serving::primary_lease::{LeaseAnswer, LeaseRequest};
 use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use crate::node::Node;
+use crate::primary_lease::{self, Announcement, Promotions};
 use crate::records::CoordinatorRecord;
 
 /// Largest datagram.
@@ -53,6 +55,38 @@
         /// What it knows.
         sample: PrimarySample,
     },
+    /// May I use primaries?
+    AskLease {
+        /// Who asks.
+        node: String,
+        /// The request, which is a vote as well.
+        request: LeaseRequest,
+        /// What the asking node knows of promotions.
+        promotions: Promotions,
+    },
+    /// The answer to that.
+    TellLease {
+        /// The answer.
+        answer: LeaseAnswer,
+        /// What the answering node knows of promotions.
+        promotions: Promotions,
+    },
+    /// A primary is about to be replaced: use it no more.
+    Announce {
+        /// Revision of the coordinator's record.
+        coordinator: u64,
+        /// What is announced.
+        announcement: Announcement,
+    },
+    /// The answer: it is used no more.
+    Acknowledge {
+        /// Who answers.
+        node: String,
+        /// Revision of the announcement.
+        revision: u64,
+        /// Whether others may have granted leases by its vote.
+        voted_for_others: bool,
+    },
     /// The answer.
     Tell {
         /// Number of the question.
@@ -96,6 +130,8 @@
     next_nonce: Cell<u64>,
     answers: RefCell<BTreeMap<u64, BTreeMap<String, PeerView>>>,
     samples_asked: RefCell<BTreeMap<u64, Timestamp>>,
+    /// Who acknowledged the announcement of a revision.
+    acknowledged: RefCell<BTreeMap<u64, Vec<(String, bool)>>>,
 }
 
 impl Peers {
@@ -106,6 +142,7 @@
             next_nonce: Cell::new(1),
             answers: RefCell::default(),
             samples_asked: RefCell::default(),
+            acknowledged: RefCell::default(),
         }))
     }
 
@@ -157,12 +194,71 @@
                         answers.insert(name, view);
                     }
                 }
+                Ok(message) => self.take_lease_message(&node, message, sender),
                 Err(_) => node.counters.count("peer_datagrams", "unreadable"),
             }
         }
     }
 
-    fn send(&self, message: &PeerMessage, address: SocketAddr) {
+    /// Takes what concerns leases on primaries and announcements.
+    fn take_lease_message(&self, node: &Rc<Node>, message: PeerMessage, sender: SocketAddr) {
+        match message {
+            PeerMessage::AskLease {
+                node: peer,
+                request,
+                promotions,
+            } => {
+                let answer = primary_lease::answer(node, &peer, &request, &promotions);
+                self.send(&answer, sender);
+            }
+            PeerMessage::TellLease { answer, promotions } => {
+                primary_lease::take_answer(node, &answer, &promotions);
+            }
+            PeerMessage::Announce {
+                coordinator,
+                announcement,
+            } if primary_lease::take_announcement(node, coordinator, &announcement) => {
+                let answer = PeerMessage::Acknowledge {
+                    node: node.settings.name.clone(),
+                    revision: announcement.revision,
+                    voted_for_others: node.voted_for_others(),
+                };
+                self.send(&answer, sender);
+            }
+            PeerMessage::Acknowledge {
+                node: peer,
+                revision,
+                voted_for_others,
+            } => {
+                if let Some(names) = self.acknowledged.borrow_mut().get_mut(&revision) {
+                    names.push((peer, voted_for_others));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Begins to take in acknowledgements of an announcement.
+    pub(crate) fn await_acknowledgements(&self, revision: u64) {
+        self.acknowledged.borrow_mut().insert(revision, Vec::new());
+    }
+
+    /// The nodes that have acknowledged it since the last look, and whether others may have
+    /// granted leases by their votes.
+    pub(crate) fn take_acknowledgements(&self, revision: u64) -> Vec<(String, bool)> {
+        let mut acknowledged = self.acknowledged.borrow_mut();
+        acknowledged
+            .get_mut(&revision)
+            .map(std::mem::take)
+            .unwrap_or_default()
+    }
+
+    /// Takes in no more of them.
+    pub(crate) fn end_acknowledgements(&self, revision: u64) {
+        self.acknowledged.borrow_mut().remove(&revision);
+    }
+
+    pub(crate) fn send(&self, message: &PeerMessage, address: SocketAddr) {
         if let Ok(datagram) = postcard::to_allocvec(message) {
             let _ = self.socket.try_send_to(&datagram, address);
         }
@@ -193,7 +289,7 @@
             answered_at: node.now(),
             position: Some(sample.position),
         };
-        node.confirm_leader(&sample.leader, proof);
+        node.believe_leader(&sample.leader, proof);
     }
 
     /// Asks peers what they see of a primary; this node's own view comes first.
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -13,6 +13,7 @@
 use crate::lease::Lease;
 use crate::message::{Command, FailureCode};
 use crate::pool::AcquireError;
+use crate::primary_lease::WriteInFlight;
 
 /// How long a read waits for a connection to one database.
 const READ_ACQUIRE_LIMIT: Duration = Duration::from_millis(200);
@@ -39,6 +40,8 @@
     NoConnection,
     Broken,
     Failed,
+    /// This node may not use primaries at the moment.
+    NoLease,
 }
 
 impl AttemptFailure {
@@ -50,6 +53,7 @@
             AttemptFailure::NoConnection => "no_connection",
             AttemptFailure::Broken => "broken",
             AttemptFailure::Failed => "failed",
+            AttemptFailure::NoLease => "no_lease",
         }
     }
 }
@@ -105,6 +109,13 @@
             Ok(prefix) => prefix,
             Err(failure) => return Attempt::NotRun(failure),
         };
+        let at_primary =
+            matches!(stance, Stance::LeaderTransaction) || work.access == Access::Write;
+        if at_primary && !self.node.may_write(lease.pool().database()) {
+            return Attempt::NotRun(AttemptFailure::NoLease);
+        }
+        let single_write = work.access == Access::Write && matches!(stance, Stance::Alone(_));
+        let _in_flight = single_write.then(|| WriteInFlight::new(self.node, &self.route.group));
         let after = match stance {
             Stance::Alone(after) => after,
             Stance::ReadTransaction(after) => Some(after),
@@ -153,6 +164,10 @@
             Ok(_) => {
                 lease.pool().note_served(now, now.since(asked_at));
                 if work.access == Access::Write && matches!(stance, Stance::Alone(_)) {
+                    let database = lease.pool().database();
+                    if !self.node.may_acknowledge(&self.route.group, database) {
+                        return Attempt::Unknown;
+                    }
                     self.confirm(&lease, asked_at, answer.position);
                 }
                 return Attempt::Answered(Box::new((lease, answer)));
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -116,8 +116,10 @@
     /// While a primary that was lost a moment ago is being replaced, within its own time.
     /// Once that has taken longer than it should, a request is refused at once.
     fn wait_limit(&self) -> Timestamp {
+        let lapsed_since = self.node.lease_lapsed_since();
         let lost_since = self.node.with_group(&self.route.group, |state| {
-            state.contact.lost_since.or(state.leaderless_since)
+            let lost_since = state.contact.lost_since.or(state.leaderless_since);
+            lost_since.or(lapsed_since)
         });
         let now = self.node.now();
         match lost_since {
@@ -223,6 +225,7 @@
     ) {
         let database = target.database();
         match failure {
+            AttemptFailure::NoLease => sleep(LEAST_ATTEMPT.min(self.time_left())).await,
             AttemptFailure::Busy => {
                 avoided.insert(database.clone());
                 sleep(BUSY_PAUSE.min(self.time_left())).await;
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -31,6 +31,9 @@
 
 impl Request<'_> {
     pub(super) fn leader_in_contact(&self) -> Option<DatabaseName> {
+        if !self.node.may_use_primaries() {
+            return None;
+        }
         let now = self.node.now();
         let leader = self.node.with_group(&self.route.group, |state| {
             let lost = state
--- a/crates/serving/src/statement/transaction.rs
+++ b/crates/serving/src/statement/transaction.rs
@@ -12,6 +12,7 @@
 use crate::connection::{Answer, ConnectionError};
 use crate::lease::Lease;
 use crate::message::{Command, Failure, FailureCode};
+use crate::primary_lease::WriteInFlight;
 use crate::units::millis;
 
 impl Request<'_> {
@@ -79,6 +80,13 @@
         }
     }
 
+    /// Whether the answer to a commit may be passed on. Success at a primary that this
+    /// node may no longer use may not last.
+    fn may_pass_on(&self, lease: &Lease, answer: &Answer) -> bool {
+        let database = lease.pool().database();
+        answer.result.is_err() || self.node.may_acknowledge(&self.route.group, database)
+    }
+
     /// Commits the transaction open on `lease`.
     pub(crate) async fn commit(
         &self,
@@ -86,9 +94,13 @@
         lease: &mut Lease,
         wrote: bool,
     ) -> Result<Answer, Failure> {
+        if wrote && !self.node.may_write(lease.pool().database()) {
+            return Err(rolled_back());
+        }
+        let _in_flight = wrote.then(|| WriteInFlight::new(self.node, &self.route.group));
         let asked_at = self.node.now();
         match self.commit_until_taken(id, lease).await {
-            Ok(Some(answer)) => {
+            Ok(Some(answer)) if !wrote || self.may_pass_on(lease, &answer) => {
                 if wrote && answer.result.is_ok() {
                     self.confirm(lease, asked_at, answer.position);
                 }
