Move callers away from a node that has lost its lease on primaries

Cause: a node cut off from store and peers has no lease after 2 s and refused its callers for as long as the cut lasted.

--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -302,9 +302,11 @@
         }
     }
 
-    /// Whether the node can serve callers.
+    /// Whether the node can serve callers. One that has lost its lease on primaries is cut
+    /// off from the others, who serve its callers better.
     pub fn is_ready(&self) -> bool {
         self.stopping_since.get().is_none()
+            && self.lease_lapsed_since().is_none()
             && self.configuration().is_some()
             && self.directory.borrow().iter().next().is_some()
     }
--- a/crates/serving/src/primary_lease.rs
+++ b/crates/serving/src/primary_lease.rs
@@ -41,6 +41,12 @@
     pub known: u64,
 }
 
+/// Lapse after which requests that need a primary are refused at once: their callers reach
+/// other nodes sooner than this one gets a lease again.
+pub(crate) const LAPSE_PASSES: Duration = Duration::from_millis(300);
+/// Lapse after which idle sessions close: callers are no longer sent here by then.
+const SESSIONS_MOVE: Duration = Duration::from_millis(2_200);
+
 /// Keeps the lease for as long as the node lives.
 pub async fn keep(node: Rc<Node>, peers: Rc<Peers>) {
     let mut covered = false;
@@ -50,6 +56,9 @@
             continue;
         }
         renew(&node, &peers);
+        if node.sessions_move_since().is_some() {
+            node.stop_advanced.notify_waiters();
+        }
         let now = node.now();
         let covers = node.primary_lease.borrow().covers(now);
         if covers != covered {
@@ -339,6 +348,14 @@
         !closed && self.may_use_primaries()
     }
 
+    /// When the lease lapsed, if that is so long ago that the sessions from before should
+    /// go on at other nodes.
+    pub(crate) fn sessions_move_since(&self) -> Option<Timestamp> {
+        let now = self.now();
+        self.lease_lapsed_since()
+            .filter(|since| now.since(*since) >= SESSIONS_MOVE)
+    }
+
     /// Since when this node has not been allowed to use primaries, if it was before.
     pub(crate) fn lease_lapsed_since(&self) -> Option<Timestamp> {
         if self.changeable().fenced_promotions {
--- a/crates/serving/src/session.rs
+++ b/crates/serving/src/session.rs
@@ -47,6 +47,7 @@
     let _ = stream.set_nodelay(true);
     let mut session = Session {
         node: Rc::clone(&node),
+        began_at: node.now(),
         stream,
         incoming: BytesMut::new(),
         outgoing: BytesMut::new(),
@@ -71,6 +72,7 @@
 
 struct Session {
     node: Rc<Node>,
+    began_at: Timestamp,
     stream: TcpStream,
     incoming: BytesMut,
     outgoing: BytesMut,
@@ -175,6 +177,7 @@
             let stage = self.node.stop_stage();
             match self.state.phase {
                 Phase::Idle if stage >= StopStage::CloseIdle => return Ok(Next::Close),
+                Phase::Idle if self.moves() => return Ok(Next::Close),
                 _ if stage >= StopStage::EndTransactions => return Ok(Next::Close),
                 _ => {}
             }
@@ -201,6 +204,13 @@
         }
     }
 
+    /// Whether the session should go on at another node: this one has been cut off since
+    /// the session began.
+    fn moves(&self) -> bool {
+        let since = self.node.sessions_move_since();
+        since.is_some_and(|since| self.began_at < since)
+    }
+
     async fn read_input(&mut self) -> io::Result<Option<CallerInput>> {
         loop {
             if let Some(input) = self.node.protocol.decode_caller(&mut self.incoming)? {
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -26,6 +26,7 @@
 use crate::lease::Lease;
 use crate::message::{Command, Failure, FailureCode};
 use crate::node::Node;
+use crate::primary_lease::LAPSE_PASSES;
 
 /// Least time left in which another attempt is worth making.
 const LEAST_ATTEMPT: Duration = Duration::from_millis(10);
@@ -116,12 +117,14 @@
     /// While a primary that was lost a moment ago is being replaced, within its own time.
     /// Once that has taken longer than it should, a request is refused at once.
     fn wait_limit(&self) -> Timestamp {
-        let lapsed_since = self.node.lease_lapsed_since();
+        let now = self.node.now();
+        let lapsed = self.node.lease_lapsed_since();
+        if lapsed.is_some_and(|since| now.since(since) >= LAPSE_PASSES) {
+            return now;
+        }
         let lost_since = self.node.with_group(&self.route.group, |state| {
-            let lost_since = state.contact.lost_since.or(state.leaderless_since);
-            lost_since.or(lapsed_since)
+            state.contact.lost_since.or(state.leaderless_since)
         });
-        let now = self.node.now();
         match lost_since {
             Some(since) if now.since(since) >= REPLACEMENT_TIME => now,
             _ => self.deadline(),
