--- a/crates/coordination/src/serving/primary_lease.rs
+++ b/crates/coordination/src/serving/primary_lease.rs
@@ -234,9 +234,13 @@
     }
 
     /// Whether an announcement of a coordinator may be acknowledged now: no vote for
-    /// anybody else may bind this node. From now on no earlier coordinator is listened to.
+    /// anybody else may bind this node. From now on no earlier coordinator is listened to,
+    /// and the present one, who can be heard, is asked again instead of a stand-in.
     pub fn acknowledge(&mut self, coordinator: u64, now: Timestamp) -> bool {
         self.follow(coordinator, now);
+        if coordinator == self.coordinator && self.grantor != Grantor::Coordinator {
+            self.turn_to(Grantor::Coordinator, now);
+        }
         coordinator == self.coordinator && now.since(self.other_vote) >= VOTE_TIME
     }
 
--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -47,6 +47,8 @@
 const TOKENS_PER_COORDINATOR: u64 = 4_096;
 /// Pause before an announcement is sent again to who has not acknowledged it.
 const ANNOUNCEMENT_PAUSE: Duration = Duration::from_millis(40);
+/// How often it is logged who has not acknowledged.
+const WITHDRAWAL_TOLD: Duration = Duration::from_millis(500);
 /// How long replaced primaries that come back are told to step down.
 const STEP_DOWN_TIME: Duration = Duration::from_secs(30);
 /// How often one round tells a database that does not answer.
@@ -515,21 +517,40 @@
     let withdrawal = node.grantor.borrow().withdraw();
     let mut withdrawal = withdrawal.ok_or(OrderError::Rejected)?;
     peers.await_acknowledgements(announcement.revision);
+    let mut told_at = began;
     let outcome = loop {
         if !node.coordinates() {
             break Err(OrderError::Rejected);
         }
-        if take_announcement(node, coordinator, announcement) {
+        if take_announcement(node, coordinator, &node.settings.name, announcement) {
             withdrawal.acknowledge(&node.settings.name, node.voted_for_others());
         }
         for (peer, voted) in peers.take_acknowledgements(announcement.revision) {
             withdrawal.acknowledge(&peer, voted);
         }
         let voters = node.voters();
-        if withdrawal.is_complete(&voters, node.now()) {
-            log_withdrawal(node, announcement, &withdrawal.missing(&voters), began);
+        let now = node.now();
+        let missing = withdrawal.missing(&voters);
+        if withdrawal.is_complete(&voters, now) {
+            log_withdrawal(
+                node,
+                "primary_leases_withdrawn",
+                announcement,
+                &missing,
+                began,
+            );
             break Ok(());
         }
+        if now.since(told_at) >= WITHDRAWAL_TOLD {
+            told_at = now;
+            log_withdrawal(
+                node,
+                "primary_leases_awaited",
+                announcement,
+                &missing,
+                began,
+            );
+        }
         announce_to(
             node,
             peers,
@@ -553,6 +574,7 @@
     let members = node.members.borrow();
     let message = PeerMessage::Announce {
         coordinator,
+        node: node.settings.name.clone(),
         announcement: announcement.clone(),
     };
     for member in names.iter().filter_map(|name| members.get(*name)) {
@@ -562,18 +584,23 @@
     }
 }
 
+fn names(nodes: &[&String]) -> Vec<String> {
+    nodes.iter().map(|name| (*name).clone()).collect()
+}
+
 fn log_withdrawal(
     node: &Rc<Node>,
+    event: &'static str,
     announcement: &Announcement,
     missing: &[&String],
     began: Timestamp,
 ) {
     node.log(
-        "primary_leases_withdrawn",
+        event,
         &[
             ("group", announcement.group.as_str().into()),
             ("candidate", announcement.candidate.as_str().into()),
-            ("unacknowledged", missing.len().into()),
+            ("unacknowledged", names(missing).into()),
             ("waited_ms", millis(node.now().since(began)).into()),
         ],
     );
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -153,6 +153,8 @@
     pub members: RefCell<BTreeMap<String, Member>>,
     /// Who may order promotions.
     pub coordinator: RefCell<CoordinatorView>,
+    /// Revision and name of the newest coordinator that announced something.
+    pub heard_coordinator: RefCell<Option<(u64, String)>>,
     /// Revisions of the promotion records.
     pub promotion_revisions: RefCell<BTreeMap<String, u64>>,
     /// Up to which revision of the store all promotions are known.
@@ -220,6 +222,7 @@
             groups: RefCell::default(),
             members: RefCell::default(),
             coordinator: RefCell::default(),
+            heard_coordinator: RefCell::default(),
             promotion_revisions: RefCell::default(),
             promotions_known: Cell::new(0),
             primary_lease: RefCell::new(PrimaryLease::new(life, START)),
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -75,6 +75,8 @@
     Announce {
         /// Revision of the coordinator's record.
         coordinator: u64,
+        /// Name of the coordinator, which sends this.
+        node: String,
         /// What is announced.
         announcement: Announcement,
     },
@@ -216,8 +218,15 @@
             }
             PeerMessage::Announce {
                 coordinator,
+                node: sender_name,
                 announcement,
-            } if primary_lease::take_announcement(node, coordinator, &announcement) => {
+            } if primary_lease::take_announcement(
+                node,
+                coordinator,
+                &sender_name,
+                &announcement,
+            ) =>
+            {
                 let answer = PeerMessage::Acknowledge {
                     node: node.settings.name.clone(),
                     revision: announcement.revision,
--- a/crates/serving/src/primary_lease.rs
+++ b/crates/serving/src/primary_lease.rs
@@ -118,8 +118,7 @@
 
 /// The node to ask; none if nobody coordinates, or no other node is known.
 fn grantor_name(node: &Rc<Node>, grantor: Grantor) -> Option<String> {
-    let coordinator = node.coordinator.borrow().holder.clone();
-    let coordinator = coordinator.map(|holder| holder.node);
+    let coordinator = node.coordinator_name();
     match grantor {
         Grantor::Coordinator => coordinator,
         Grantor::StandIn(place) => {
@@ -166,8 +165,10 @@
 pub(crate) fn take_announcement(
     node: &Rc<Node>,
     coordinator: u64,
+    coordinator_name: &str,
     announcement: &Announcement,
 ) -> bool {
+    node.learn_coordinator(coordinator, coordinator_name);
     node.learn_promotion(announcement);
     let now = node.now();
     let ended = node.with_group(&announcement.group, |state| {
@@ -198,6 +199,24 @@
         grantor.answer(peer, request, coordinator, electorate, self.now())
     }
 
+    /// Takes notice of a coordinator that announces something. A node that has lost the
+    /// store learns of a new one only so.
+    fn learn_coordinator(&self, revision: u64, name: &str) {
+        let mut heard = self.heard_coordinator.borrow_mut();
+        if heard.as_ref().is_none_or(|(known, _)| *known < revision) {
+            *heard = Some((revision, name.to_owned()));
+        }
+    }
+
+    /// Name of the newest coordinator that this node knows of.
+    fn coordinator_name(&self) -> Option<String> {
+        let view = self.coordinator.borrow();
+        match self.heard_coordinator.borrow().as_ref() {
+            Some((revision, name)) if *revision > view.revision => Some(name.clone()),
+            _ => view.holder.as_ref().map(|holder| holder.node.clone()),
+        }
+    }
+
     /// Whether others may have granted leases by this node's vote.
     pub(crate) fn voted_for_others(&self) -> bool {
         let now = self.now();
