Refuse at once what would wait longer for a connection than its objective allows

Change: a request joins a database's queue only if the time that its connections are held lets it leave within half its objective; it then keeps its place. Holders tell leasing nodes that their queue is full instead of being passed over.

--- /dev/null
+++ b/crates/coordination/src/serving/admission.rs
@@ -0,0 +1,43 @@
+//! Whether a request may join the queue for a database's connections.
+//!
+//! A queue whose wait is longer than callers' objectives serves everybody late, and what it
+//! serves late is lost to those who could have been served in time. So a request only
+//! joins a queue that it can leave in time; else it is refused at once, and its caller
+//! comes back.
+
+use std::time::Duration;
+
+/// Part of a request's latency objective that it may spend in a queue. The rest is for
+/// the database's own queue, the work, and the way.
+const PATIENCE_DIVISOR: u32 = 2;
+
+/// A queue for connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionQueue {
+    /// Requests that go first.
+    pub ahead: usize,
+    /// Connections that they wait for.
+    pub connections: usize,
+    /// How long one of them is held, lately.
+    pub held: Duration,
+}
+
+impl ConnectionQueue {
+    /// How long a request that joins now waits, if the connections come free evenly.
+    pub fn expected_wait(self) -> Duration {
+        let turns = u32::try_from(self.ahead + 1).unwrap_or(u32::MAX);
+        let connections = u32::try_from(self.connections.max(1)).unwrap_or(u32::MAX);
+        self.held.saturating_mul(turns) / connections
+    }
+
+    /// Whether a request may join that can spend `patience` waiting.
+    pub fn admits(self, patience: Duration) -> bool {
+        self.expected_wait() <= patience
+    }
+}
+
+/// How long a request may wait in a queue: a part of its latency objective, less the time
+/// that has passed since it arrived.
+pub fn patience(target_latency: Duration, elapsed: Duration) -> Duration {
+    (target_latency / PATIENCE_DIVISOR).saturating_sub(elapsed)
+}
--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -17,7 +17,7 @@
 use crate::message::{Command, DatabaseStatus, FailureCode};
 use crate::node::Node;
 use crate::peers::{FIRST_PRIMARY_TIME, PeerMessage, PeerView, Peers};
-use crate::pool::Pool;
+use crate::pool::{Pool, WaitLimits};
 use crate::ports::{ConditionalWrite, PromotionError, PromotionOrder, WriteOutcome};
 use crate::primary_lease::{Announcement, take_announcement};
 use crate::records::{PROMOTION_PREFIX, PromotionRecord, encode};
@@ -401,9 +401,12 @@
     if let Some(lease) = pool.try_acquire(&values) {
         return Some(lease);
     }
+    let limits = WaitLimits::patient(STATUS_LIMIT);
     match pool.open(node).await {
         Ok(lease) => Some(lease),
-        Err(_) => relay::lease(node, pool, STATUS_PRIORITY, &values, STATUS_LIMIT).await,
+        Err(_) => relay::lease(node, pool, STATUS_PRIORITY, &values, limits)
+            .await
+            .ok(),
     }
 }
 
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -1,7 +1,7 @@
 //! A connection on loan, and what brings it back to rest.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hookpoint_coordination::serving::leadership::Confirmation;
 use hookpoint_state::Timestamp;
@@ -15,6 +15,7 @@
 pub struct Lease {
     connection: Option<Connection>,
     pool: Rc<Pool>,
+    taken_at: Instant,
 }
 
 impl Lease {
@@ -22,6 +23,7 @@
         Self {
             connection: Some(connection),
             pool,
+            taken_at: Instant::now(),
         }
     }
 
@@ -75,7 +77,7 @@
     fn drop(&mut self) {
         if let Some(connection) = self.connection.take() {
             let pool = Rc::clone(&self.pool);
-            pool.release(connection);
+            pool.release(connection, self.taken_at.elapsed());
         }
     }
 }
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -40,6 +40,7 @@
         database: DatabaseName,
         priority: u8,
         values: SessionValues,
+        patience_ms: u64,
         limit_ms: u64,
     },
     Exchange {
@@ -65,6 +66,8 @@
         prepared: BTreeSet<PreparedShape>,
     },
     Refused,
+    /// The queue for the database's connections is too long.
+    Overloaded,
     Answers(Vec<Answer>),
     Broken {
         timed_out: bool,
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -17,7 +17,7 @@
 use crate::lease::{Lease, open_unused};
 use crate::node::Node;
 use crate::peers::Peers;
-use crate::pool::{AcquireError, CONTROL_LIMIT, Pool};
+use crate::pool::{AcquireError, CONTROL_LIMIT, Pool, WaitLimits};
 use crate::relay;
 
 /// Pause between rounds.
@@ -198,24 +198,23 @@
 /// A connection to ask on: at rest, new, or another node's if this one has no way.
 async fn lease_for_question(node: &Rc<Node>, pool: &Rc<Pool>) -> Result<Lease, AcquireError> {
     let values = SessionValues::new();
+    let limits = WaitLimits::patient(CONTROL_LIMIT);
     if let Some(lease) = pool.try_acquire(&values) {
         return Ok(lease);
     }
     let cap = node.connection_cap(pool.database());
     if cap == 0 || !pool.is_reachable() {
-        return relay::lease(node, pool, QUESTION_PRIORITY, &values, CONTROL_LIMIT)
+        return relay::lease(node, pool, QUESTION_PRIORITY, &values, limits)
             .await
-            .ok_or(AcquireError::NotHeld);
+            .map_err(|refusal| refusal.or(AcquireError::NotHeld));
     }
     if pool.open_connections() > 0 && !pool.may_open(node) {
         return Err(AcquireError::TimedOut);
     }
     match pool.open(node).await {
-        Err(AcquireError::Crowded) => {
-            relay::lease(node, pool, QUESTION_PRIORITY, &values, CONTROL_LIMIT)
-                .await
-                .ok_or(AcquireError::Crowded)
-        }
+        Err(AcquireError::Crowded) => relay::lease(node, pool, QUESTION_PRIORITY, &values, limits)
+            .await
+            .map_err(|refusal| refusal.or(AcquireError::Crowded)),
         other => other,
     }
 }
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -5,6 +5,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+use hookpoint_coordination::serving::admission::ConnectionQueue;
 use hookpoint_coordination::serving::demand::Demand;
 use hookpoint_coordination::serving::reliability::Reliability;
 use hookpoint_coordination::serving::response_time::ResponseTime;
@@ -34,6 +35,25 @@
 /// Service time assumed before any is measured.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(20);
 
+/// How long a connection is waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaitLimits {
+    /// A queue in which it is expected to take longer is not joined.
+    pub patience: Duration,
+    /// After this time the queue is left.
+    pub limit: Duration,
+}
+
+impl WaitLimits {
+    /// Any queue is joined, and left after `limit`.
+    pub fn patient(limit: Duration) -> Self {
+        Self {
+            patience: Duration::MAX,
+            limit,
+        }
+    }
+}
+
 /// Why no connection was had.
 #[derive(Debug, Error)]
 pub enum AcquireError {
@@ -46,6 +66,9 @@
     /// This node holds no connections to the database, or cannot reach it.
     #[error("this node cannot reach the database by itself")]
     NotHeld,
+    /// The queue for its connections is too long.
+    #[error("the queue for the database's connections is too long")]
+    Overloaded,
     /// The database takes no more connections at the moment, and this node has none.
     #[error("the database takes no more connections")]
     Crowded,
@@ -75,6 +98,7 @@
     refused: Cell<bool>,
     service_time: Cell<ResponseTime>,
     wait: Cell<ResponseTime>,
+    held: Cell<ResponseTime>,
     demand: RefCell<Demand>,
     reliability: Cell<Reliability>,
 }
@@ -98,6 +122,7 @@
             refused: Cell::new(false),
             service_time: Cell::new(ResponseTime::new(INITIAL_SERVICE_TIME)),
             wait: Cell::new(ResponseTime::new(Duration::ZERO)),
+            held: Cell::new(ResponseTime::new(INITIAL_SERVICE_TIME)),
             demand: RefCell::default(),
             reliability: Cell::default(),
         }
@@ -145,6 +170,23 @@
         self.wait.set(wait);
     }
 
+    /// Notes for how long a connection was in use.
+    fn note_held(&self, now: Timestamp, elapsed: Duration) {
+        let mut held = self.held.get();
+        held.note(now, elapsed);
+        self.held.set(held);
+    }
+
+    /// The queue that a request of `priority` would join.
+    fn queue(&self, now: Timestamp, priority: u8) -> ConnectionQueue {
+        let waiters = self.waiters.borrow();
+        ConnectionQueue {
+            ahead: waiters.range(..(priority + 1, 0)).count(),
+            connections: self.open.get(),
+            held: self.held.get().expected(now),
+        }
+    }
+
     /// Share of the statements that failed lately, of [`reliability::WHOLE`].
     ///
     /// [`reliability::WHOLE`]: hookpoint_coordination::serving::reliability::WHOLE
@@ -225,21 +267,21 @@
         self: &Rc<Self>,
         priority: u8,
         preferred: &SessionValues,
-        limit: Duration,
+        limits: WaitLimits,
     ) -> Result<Lease, AcquireError> {
         let node = self.node.upgrade().ok_or(AcquireError::Unlisted)?;
         let direct = if self.reachable.get() && node.connection_cap(&self.database) > 0 {
-            self.acquire_direct(priority, preferred, limit).await
+            self.acquire_direct(priority, preferred, limits).await
         } else {
             Err(AcquireError::NotHeld)
         };
         match direct {
             Err(AcquireError::Connection(ConnectionError::Rejected(_)))
-            | Err(AcquireError::TimedOut)
+            | Err(AcquireError::TimedOut | AcquireError::Overloaded)
             | Ok(_) => direct,
-            Err(error) => relay::lease(&node, self, priority, preferred, limit)
+            Err(error) => relay::lease(&node, self, priority, preferred, limits)
                 .await
-                .ok_or(error),
+                .map_err(|refusal| refusal.or(error)),
         }
     }
 
@@ -255,7 +297,7 @@
         self: &Rc<Self>,
         priority: u8,
         preferred: &SessionValues,
-        limit: Duration,
+        limits: WaitLimits,
     ) -> Result<Lease, AcquireError> {
         if !self.reachable.get() {
             return Err(AcquireError::NotHeld);
@@ -276,7 +318,10 @@
         if self.open.get() == 0 {
             return Err(AcquireError::Crowded);
         }
-        self.wait(priority, limit).await
+        if !self.queue(node.now(), priority).admits(limits.patience) {
+            return Err(AcquireError::Overloaded);
+        }
+        self.wait(priority, limits.limit).await
     }
 
     /// Whether another connection may be opened now.
@@ -334,13 +379,16 @@
         }
     }
 
-    /// Gives a connection back: to who waits, or to rest.
-    pub(crate) fn release(self: &Rc<Self>, connection: Connection) {
+    /// Gives a connection back that was in use for `held`: to who waits, or to rest.
+    pub(crate) fn release(self: &Rc<Self>, connection: Connection, held: Duration) {
         self.leased.set(self.leased.get() - 1);
         if connection.is_relayed() {
             self.release_relayed(connection);
             return;
         }
+        if let Some(node) = self.node.upgrade() {
+            self.note_held(node.now(), held);
+        }
         if connection.broken {
             self.open.set(self.open.get() - 1);
             return;
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -23,7 +23,7 @@
 };
 use crate::message::Command;
 use crate::node::Node;
-use crate::pool::Pool;
+use crate::pool::{AcquireError, Pool, WaitLimits};
 use crate::shutdown::StopStage;
 use crate::snapshot::Snapshot;
 use crate::units::millis;
@@ -89,10 +89,11 @@
     pool: &Rc<Pool>,
     priority: u8,
     values: &SessionValues,
-    limit: Duration,
-) -> Option<Lease> {
+    limits: WaitLimits,
+) -> Result<Lease, NoLease> {
     let database = pool.database();
     let mut asked = 0;
+    let mut refusal = NoLease::NotLent;
     for (peer, address) in node.holders(database) {
         if asked == PEERS_ASKED {
             break;
@@ -105,17 +106,22 @@
             database: database.clone(),
             priority,
             values: values.clone(),
-            limit_ms: millis(limit),
+            patience_ms: millis(limits.patience),
+            limit_ms: millis(limits.limit),
         };
-        match ask(node, &peer, address, database, &request, limit).await {
+        match ask(node, &peer, address, database, &request, limits.limit).await {
             Ok(connection) => {
                 node.counters.count("relayed_leases", "granted");
-                return Some(pool.lend_relayed(connection));
+                return Ok(pool.lend_relayed(connection));
+            }
+            Err(NotLent::Overloaded) => {
+                node.counters.count("relayed_leases", "overloaded");
+                refusal = NoLease::Overloaded;
             }
             Err(reason) => {
                 let label = match reason {
                     NotLent::Broken => "broken",
-                    NotLent::Refused => "refused",
+                    _ => "refused",
                 };
                 node.counters.count("relayed_leases", label);
                 let until = node.now() + PASSED_OVER;
@@ -123,11 +129,32 @@
             }
         }
     }
-    None
+    Err(refusal)
+}
+
+/// Why no peer gave a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoLease {
+    /// None of those asked has one.
+    NotLent,
+    /// The queue of the last one that answered is too long.
+    Overloaded,
+}
+
+impl NoLease {
+    /// The error to tell, `otherwise` if the peers' refusals say nothing.
+    pub(crate) fn or(self, otherwise: AcquireError) -> AcquireError {
+        match self {
+            NoLease::NotLent => otherwise,
+            NoLease::Overloaded => AcquireError::Overloaded,
+        }
+    }
 }
 
 /// Why a peer gave no connection.
 enum NotLent {
+    /// Its queue is too long.
+    Overloaded,
     /// The link broke or the peer did not answer.
     Broken,
     /// It has none to lend; the link is as good as before.
@@ -165,6 +192,10 @@
             connection.prepared = prepared;
             Ok(connection)
         }
+        Some((LinkReply::Overloaded, stream)) => {
+            node.links.keep(peer.to_owned(), stream);
+            Err(NotLent::Overloaded)
+        }
         Some((LinkReply::Refused, stream)) => {
             node.links.keep(peer.to_owned(), stream);
             Err(NotLent::Refused)
@@ -227,14 +258,14 @@
     database: &DatabaseName,
     priority: u8,
     values: &SessionValues,
-    limit: Duration,
-) -> Option<Lent> {
+    limits: WaitLimits,
+) -> Result<Lent, AcquireError> {
     if node.stop_stage() >= StopStage::CloseIdle {
-        return None;
+        return Err(AcquireError::NotHeld);
     }
     let pool = node.pool(database);
-    let lease = pool.acquire_direct(priority, values, limit).await.ok()?;
-    Some(Lent::new(node, lease))
+    let lease = pool.acquire_direct(priority, values, limits).await?;
+    Ok(Lent::new(node, lease))
 }
 
 async fn serve_link(node: Rc<Node>, mut stream: LinkStream) {
@@ -256,12 +287,19 @@
                 database,
                 priority,
                 values,
+                patience_ms,
                 limit_ms,
             } => {
                 drop(held.take());
-                let limit = Duration::from_millis(limit_ms);
-                held = lend(&node, &database, priority, &values, limit).await;
-                granted(held.as_mut().map(|lent| &mut lent.lease))
+                let limits = WaitLimits {
+                    patience: Duration::from_millis(patience_ms),
+                    limit: Duration::from_millis(limit_ms),
+                };
+                match lend(&node, &database, priority, &values, limits).await {
+                    Ok(lent) => granted(&mut held.insert(lent).lease),
+                    Err(AcquireError::Overloaded | AcquireError::TimedOut) => LinkReply::Overloaded,
+                    Err(_) => LinkReply::Refused,
+                }
             }
             LinkRequest::Exchange { commands, limit_ms } => {
                 let limit = Duration::from_millis(limit_ms);
@@ -285,10 +323,7 @@
     }
 }
 
-fn granted(lease: Option<&mut Lease>) -> LinkReply {
-    let Some(lease) = lease else {
-        return LinkReply::Refused;
-    };
+fn granted(lease: &mut Lease) -> LinkReply {
     let connection = lease.connection();
     LinkReply::Granted {
         transaction: connection.transaction,
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hookpoint_coordination::serving::admission::patience;
 use hookpoint_coordination::serving::leadership::Confirmation;
 use hookpoint_coordination::serving::session::Access;
 use hookpoint_state::{Position, Timestamp};
@@ -12,11 +13,9 @@
 use crate::connection::{Answer, ConnectionError, TransactionUse};
 use crate::lease::Lease;
 use crate::message::{Command, FailureCode};
-use crate::pool::AcquireError;
+use crate::pool::{AcquireError, WaitLimits};
 use crate::primary_lease::WriteInFlight;
 
-/// How long a read waits for a connection to one database.
-const READ_ACQUIRE_LIMIT: Duration = Duration::from_millis(200);
 /// Least time that one attempt at a read is given before another database is asked.
 const LEAST_READ_ATTEMPT: Duration = Duration::from_millis(300);
 /// Multiple of the mean service time that one attempt at a read is given.
@@ -42,6 +41,8 @@
     Failed,
     /// This node may not use primaries at the moment.
     NoLease,
+    /// The queue for connections is too long.
+    Overloaded,
 }
 
 impl AttemptFailure {
@@ -54,6 +55,7 @@
             AttemptFailure::Broken => "broken",
             AttemptFailure::Failed => "failed",
             AttemptFailure::NoLease => "no_lease",
+            AttemptFailure::Overloaded => "overloaded",
         }
     }
 }
@@ -72,7 +74,7 @@
             .acquire(
                 self.route.priority,
                 &self.state.values,
-                self.acquire_limit(work),
+                self.wait_limits(work),
             )
             .await;
         let now = self.node.now();
@@ -92,6 +94,9 @@
                     .note_lost_contact(target.database(), asked_at, pool.was_refused());
                 return Attempt::NotRun(AttemptFailure::NoConnection);
             }
+            Err(AcquireError::Overloaded) => {
+                return Attempt::NotRun(AttemptFailure::Overloaded);
+            }
             Err(_) => return Attempt::NotRun(AttemptFailure::NoConnection),
         };
         let stance = match target {
@@ -199,13 +204,13 @@
         self.node.confirm_leader(lease.pool().database(), proof);
     }
 
-    /// How long a connection is waited for. A read tries another database after a while;
-    /// a write has to have time left to be answered, or its outcome would not be known.
-    pub(super) fn acquire_limit(&self, work: &Work) -> Duration {
-        let left = self.time_left().saturating_sub(least_time(work));
-        match work.access {
-            Access::Read => left.min(READ_ACQUIRE_LIMIT),
-            Access::Write => left,
+    /// How long a connection is waited for. A write has to have time left to be answered,
+    /// or its outcome would not be known.
+    fn wait_limits(&self, work: &Work) -> WaitLimits {
+        let elapsed = self.node.now().since(self.arrived);
+        WaitLimits {
+            patience: patience(self.route.target_latency, elapsed),
+            limit: self.time_left().saturating_sub(least_time(work)),
         }
     }
 
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -181,6 +181,10 @@
                 self.read_target(&avoided)
             };
             let Some(target) = target else {
+                if tried.overloaded {
+                    self.log_outcome(work, &tried, "refused");
+                    return Err(self.refusal("overloaded"));
+                }
                 avoided.clear();
                 if let Err(failure) = self.await_target().await {
                     self.log_outcome(work, &tried, "refused");
@@ -208,6 +212,12 @@
                     return Err(Failure::new(FailureCode::OutcomeUnknown, text));
                 }
                 Attempt::NotRun(failure) => {
+                    tried.overloaded |= failure == AttemptFailure::Overloaded;
+                    let only_leader = to_leader || self.required_position().is_none();
+                    if only_leader && tried.overloaded {
+                        self.log_outcome(work, &tried, "refused");
+                        return Err(self.refusal("overloaded"));
+                    }
                     tried.last_failure = failure.as_str();
                     self.node
                         .counters
@@ -242,7 +252,7 @@
                 avoided.insert(database.clone());
                 sleep(LEAST_ATTEMPT.min(self.time_left())).await;
             }
-            AttemptFailure::Broken | AttemptFailure::Failed => {
+            AttemptFailure::Broken | AttemptFailure::Failed | AttemptFailure::Overloaded => {
                 avoided.insert(database.clone());
             }
         }
--- a/crates/serving/src/statement/outcome.rs
+++ b/crates/serving/src/statement/outcome.rs
@@ -18,6 +18,8 @@
     pub(super) attempts: u32,
     pub(super) database: Option<DatabaseName>,
     pub(super) last_failure: &'static str,
+    /// Whether the queue of some database was too long.
+    pub(super) overloaded: bool,
 }
 
 impl Default for Tried {
@@ -26,6 +28,7 @@
             attempts: 0,
             database: None,
             last_failure: "none",
+            overloaded: false,
         }
     }
 }
--- a/crates/serving/src/statement/transaction.rs
+++ b/crates/serving/src/statement/transaction.rs
@@ -49,6 +49,7 @@
                     attempts: 1,
                     database: Some(lease.pool().database().clone()),
                     last_failure: AttemptFailure::Broken.as_str(),
+                    ..Tried::default()
                 };
                 self.log_outcome(work, &tried, "transaction_lost");
                 Err(rolled_back())
