--- a/crates/serving/src/coordinator.rs
+++ b/crates/serving/src/coordinator.rs
@@ -154,7 +154,8 @@
     if node.leader(group) != leader {
         return;
     }
-    match order(node, peers, group, &candidate, authority).await {
+    let replaced = leader.filter(|_| reason == Reason::Lost);
+    match order(node, peers, group, &candidate, replaced.as_ref(), authority).await {
         Ok(()) => await_new_leader(node, group, &candidate).await,
         Err(OrderError::Rejected) => {
             resume_replicas(node, group).await;
@@ -439,6 +440,7 @@
     peers: &Rc<Peers>,
     group: &GroupName,
     candidate: &DatabaseName,
+    replaced: Option<&DatabaseName>,
     authority: Authority,
 ) -> Result<(), OrderError> {
     let fencing_token = next_token(node).ok_or(OrderError::Rejected)?;
@@ -451,7 +453,7 @@
     if node.changeable().fenced_promotions {
         tokio::task::spawn_local(announce(Rc::clone(node), order.clone()));
     } else {
-        replace_unfenced(node, peers, &order).await?;
+        replace_unfenced(node, peers, &order, replaced).await?;
     }
     let began = node.now();
     // The replicas of a synchronous group stay paused until the order is answered: one
@@ -489,13 +491,52 @@
     node: &Rc<Node>,
     peers: &Rc<Peers>,
     order: &PromotionOrder,
+    replaced: Option<&DatabaseName>,
 ) -> Result<(), OrderError> {
     let announcement = announce(Rc::clone(node), order.clone())
         .await
         .ok_or(OrderError::Rejected)?;
+    if replaced.is_none() {
+        step_down_in_background(node, order);
+    }
+    match withdraw_leases(node, peers, &announcement, replaced).await {
+        Ok(()) => {}
+        Err(WithdrawalError::NotCoordinator) => return Err(OrderError::Rejected),
+        Err(WithdrawalError::PrimaryIsBack) => {
+            take_back(node, order, replaced).await;
+            return Err(OrderError::Rejected);
+        }
+    }
+    if replaced.is_some() {
+        step_down_in_background(node, order);
+    }
+    Ok(())
+}
+
+fn step_down_in_background(node: &Rc<Node>, order: &PromotionOrder) {
     let stepping_down = step_down_until_replaced(Rc::clone(node), order.clone());
     tokio::task::spawn_local(stepping_down);
-    withdraw_leases(node, peers, &announcement).await
+}
+
+/// Announces the present primary instead of the candidate, which was not ordered yet.
+async fn take_back(node: &Rc<Node>, order: &PromotionOrder, present: Option<&DatabaseName>) {
+    let Some(present) = present else {
+        return;
+    };
+    let kept = PromotionOrder {
+        candidate: present.clone(),
+        ..order.clone()
+    };
+    log_order(node, &kept, "promotion_taken_back", "the primary answers");
+    announce(Rc::clone(node), kept).await;
+}
+
+/// Why the leases on a primary were not withdrawn.
+enum WithdrawalError {
+    /// This node coordinates no more.
+    NotCoordinator,
+    /// The primary that counted as lost answers this node.
+    PrimaryIsBack,
 }
 
 async fn step_down_until_replaced(node: Rc<Node>, order: PromotionOrder) {
@@ -514,16 +555,22 @@
     node: &Rc<Node>,
     peers: &Rc<Peers>,
     announcement: &Announcement,
-) -> Result<(), OrderError> {
-    let coordinator = node.coordinator_revision().ok_or(OrderError::Rejected)?;
+    replaced: Option<&DatabaseName>,
+) -> Result<(), WithdrawalError> {
+    let coordinator = node
+        .coordinator_revision()
+        .ok_or(WithdrawalError::NotCoordinator)?;
     let began = node.now();
     let withdrawal = node.grantor.borrow().withdraw();
-    let mut withdrawal = withdrawal.ok_or(OrderError::Rejected)?;
+    let mut withdrawal = withdrawal.ok_or(WithdrawalError::NotCoordinator)?;
     peers.await_acknowledgements(announcement.revision);
     let mut told_at = began;
     let outcome = loop {
         if !node.coordinates() {
-            break Err(OrderError::Rejected);
+            break Err(WithdrawalError::NotCoordinator);
+        }
+        if is_back(node, &announcement.group, replaced, began) {
+            break Err(WithdrawalError::PrimaryIsBack);
         }
         if take_announcement(node, coordinator, &node.settings.name, announcement) {
             withdrawal.acknowledge(&node.settings.name, node.voted_for_others());
@@ -567,6 +614,20 @@
     outcome
 }
 
+/// Whether a primary that counted as lost has proved to this node that it leads, asked
+/// after `began`.
+fn is_back(
+    node: &Rc<Node>,
+    group: &GroupName,
+    replaced: Option<&DatabaseName>,
+    began: Timestamp,
+) -> bool {
+    node.with_group(group, |state| {
+        let proof = state.overruled.as_ref();
+        proof.is_some_and(|(name, asked_at)| Some(name) == replaced && *asked_at > began)
+    })
+}
+
 fn announce_to(
     node: &Rc<Node>,
     peers: &Rc<Peers>,
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -94,6 +94,9 @@
     pub promoting: Option<(DatabaseName, Timestamp)>,
     /// Whether this node is busy replacing its primary.
     pub being_replaced: bool,
+    /// The database that last proved to lead though another one was announced, and when
+    /// it was asked.
+    pub overruled: Option<(DatabaseName, Timestamp)>,
     /// Revision of the newest announcement that this node has acknowledged.
     pub closed_by: u64,
     /// Writes and commits that are sent and not answered.
@@ -422,6 +425,9 @@
             return;
         };
         if !self.may_lead(&database) {
+            self.with_group(&database.group, |state| {
+                state.overruled = Some((name.clone(), proof.asked_at));
+            });
             return;
         }
         let now = self.now();
