Watch the store from two nodes of a region instead of two of a zone

Hypothesis: the zones of a region are close; half the watchers save calls, the largest price of the grown deployment.

--- a/crates/coordination/src/serving/feed.rs
+++ b/crates/coordination/src/serving/feed.rs
@@ -1,7 +1,7 @@
 //! Who watches the state store, and the changes that a watcher passes on.
 //!
 //! A store that serves a bounded number of calls cannot be watched by every node of a
-//! large fleet. In a zone with many nodes a few watch it and the others follow one of
+//! large fleet. In a region with many nodes a few watch it and the others follow one of
 //! them. What is passed on is state, not history: of each subject only the newest change
 //! counts, so a log of them is as large as the state itself and no larger.
 
@@ -11,20 +11,29 @@
 
 use super::homes::{HomeCandidate, rendezvous_score};
 
-/// Nodes of a zone up to which each watches the store by itself.
-const SMALL_ZONE: usize = 4;
-/// Nodes that watch the store in a larger zone: one may be lost without a gap.
+/// Nodes of a region up to which each watches the store by itself.
+const SMALL_REGION: usize = 4;
+/// Nodes that watch the store in a larger region: one may be lost without a gap.
 const WATCHERS: usize = 2;
 /// Subjects kept at the most; beyond that the oldest changes are forgotten.
 const SUBJECTS_KEPT: usize = 16_384;
 
-/// The nodes of `zone` that watch the store themselves, the preferred first. Nodes with
-/// the same view of the membership agree on them without a message.
-pub fn store_watchers<'a>(zone: &ZoneName, nodes: &'a [HomeCandidate]) -> Vec<&'a str> {
-    let mut local = nodes_of(zone, nodes);
-    if local.len() > SMALL_ZONE {
+/// Region of each zone. A zone that is not listed is a region of its own.
+pub type Regions = BTreeMap<ZoneName, String>;
+
+/// The nodes of the region of `zone` that watch the store themselves, the preferred first.
+/// Nodes with the same view of the membership agree on them without a message. Zones of a
+/// region are close, and a call to the store costs more than some bytes between them.
+pub fn store_watchers<'a>(
+    zone: &ZoneName,
+    nodes: &'a [HomeCandidate],
+    regions: &Regions,
+) -> Vec<&'a str> {
+    let mut local = nodes_near(zone, nodes, regions);
+    if local.len() > SMALL_REGION {
+        let region = region_of(zone, regions);
         local.sort_by_cached_key(|node| {
-            let score = rendezvous_score(zone.as_str(), node);
+            let score = rendezvous_score(region, node);
             (std::cmp::Reverse(score), *node)
         });
         local.truncate(WATCHERS);
@@ -32,15 +41,20 @@
     local
 }
 
-/// Whether some nodes of `zone` follow the others.
-pub fn has_followers(zone: &ZoneName, nodes: &[HomeCandidate]) -> bool {
-    nodes_of(zone, nodes).len() > SMALL_ZONE
+/// Whether some nodes of the region of `zone` follow the others.
+pub fn has_followers(zone: &ZoneName, nodes: &[HomeCandidate], regions: &Regions) -> bool {
+    nodes_near(zone, nodes, regions).len() > SMALL_REGION
+}
+
+fn region_of<'a>(zone: &'a ZoneName, regions: &'a Regions) -> &'a str {
+    regions.get(zone).map_or(zone.as_str(), String::as_str)
 }
 
-fn nodes_of<'a>(zone: &ZoneName, nodes: &'a [HomeCandidate]) -> Vec<&'a str> {
+fn nodes_near<'a>(zone: &ZoneName, nodes: &'a [HomeCandidate], regions: &Regions) -> Vec<&'a str> {
+    let region = region_of(zone, regions);
     nodes
         .iter()
-        .filter(|candidate| candidate.zone == *zone)
+        .filter(|candidate| region_of(&candidate.zone, regions) == region)
         .map(|candidate| candidate.node.as_str())
         .collect()
 }
--- a/crates/coordination/tests/serving_feed.rs
+++ b/crates/coordination/tests/serving_feed.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use hookpoint_coordination::serving::feed::{ChangeLog, has_followers, store_watchers};
+use hookpoint_coordination::serving::feed::{ChangeLog, Regions, has_followers, store_watchers};
 use hookpoint_coordination::serving::homes::HomeCandidate;
 use hookpoint_state::ZoneName;
 use quickcheck::quickcheck;
@@ -22,21 +22,46 @@
         let mut all = nodes("east", count);
         all.extend(nodes("west", 9));
         let zone = ZoneName::new("east");
-        assert_eq!(store_watchers(&zone, &all).len(), watching, "{count}");
-        assert_eq!(has_followers(&zone, &all), count > 4, "{count}");
+        assert_eq!(
+            store_watchers(&zone, &all, &Regions::new()).len(),
+            watching,
+            "{count}"
+        );
+        assert_eq!(
+            has_followers(&zone, &all, &Regions::new()),
+            count > 4,
+            "{count}"
+        );
     }
 }
 
+#[test]
+fn zones_of_one_region_share_their_watchers() {
+    let mut all = nodes("east", 3);
+    all.extend(nodes("centre", 3));
+    all.extend(nodes("west", 3));
+    let regions = Regions::from([
+        (ZoneName::new("east"), "left".to_owned()),
+        (ZoneName::new("centre"), "left".to_owned()),
+    ]);
+    let watchers = |zone: &str| store_watchers(&ZoneName::new(zone), &all, &regions);
+    assert_eq!(watchers("east").len(), 2);
+    assert_eq!(watchers("east"), watchers("centre"));
+    assert_eq!(watchers("west").len(), 3, "a region of its own");
+    assert!(has_followers(&ZoneName::new("centre"), &all, &regions));
+    assert!(!has_followers(&ZoneName::new("west"), &all, &regions));
+}
+
 #[test]
 fn a_lost_watcher_is_replaced_and_the_other_one_stays() {
     let zone = ZoneName::new("east");
     let mut all = nodes("east", 20);
-    let before: Vec<String> = store_watchers(&zone, &all)
+    let before: Vec<String> = store_watchers(&zone, &all, &Regions::new())
         .into_iter()
         .map(str::to_owned)
         .collect();
     all.retain(|candidate| candidate.node != before[0]);
-    let after = store_watchers(&zone, &all);
+    let after = store_watchers(&zone, &all, &Regions::new());
     assert_eq!(after[0], before[1]);
     assert_eq!(after.len(), 2);
 }
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -1,6 +1,6 @@
 //! Changes of the state store, passed from the nodes that watch it to the others.
 //!
-//! A follower that hears nothing useful from the watchers of its zone watches the store
+//! A follower that hears nothing useful from the watchers of its region watches the store
 //! itself, so a watcher that is lost or cut off costs its followers one time limit.
 
 use std::cell::{Cell, RefCell};
@@ -144,7 +144,7 @@
     }
 }
 
-/// Follows the store through a watcher of this zone. Nothing if this node is to watch the
+/// Follows the store through a watcher of this region. Nothing if this node is to watch the
 /// store itself, as one of the watchers or because none of them helps.
 pub async fn follow_watcher(node: &Rc<Node>, revision: u64) -> Option<StoreChanges> {
     for (watcher, address) in watchers(node) {
@@ -179,7 +179,8 @@
 /// The watchers that this node follows; none if it watches the store itself.
 fn watchers(node: &Rc<Node>) -> Vec<(String, SocketAddr)> {
     let nodes = node.registered_nodes();
-    let names = store_watchers(&node.settings.zone, &nodes);
+    let regions = &node.changeable().regions;
+    let names = store_watchers(&node.settings.zone, &nodes, regions);
     if names.contains(&node.settings.name.as_str()) {
         return Vec::new();
     }
@@ -190,10 +191,16 @@
         .collect()
 }
 
+/// Whether this node watches the store itself.
+pub fn is_watcher(node: &Rc<Node>) -> bool {
+    watchers(node).is_empty()
+}
+
 /// How long one watch of the store waits for a change. A watch that is silent is told
 /// from one with nothing to say by its answer after this time, sooner where others follow.
 pub fn watch_wait(node: &Rc<Node>) -> Duration {
-    if has_followers(&node.settings.zone, &node.registered_nodes()) {
+    let regions = &node.changeable().regions;
+    if has_followers(&node.settings.zone, &node.registered_nodes(), regions) {
         WATCH_WAIT_FOLLOWED
     } else {
         WATCH_WAIT
