Back off from a store that does not serve

Hypothesis: in an outage every node called again each 150 ms, read everything after each refusal, and paid for each refused call.

--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -29,8 +29,10 @@
 const FOLLOW_SLACK: Duration = Duration::from_millis(250);
 /// Knowledge of the store that is older than this is not passed on as the present state.
 const FRESH: Duration = Duration::from_millis(1_700);
-/// How long a watcher that did not help is passed over.
+/// How long a watcher that did not answer is passed over.
 const PASSED_OVER: Duration = Duration::from_secs(2);
+/// The same for one that answered that it does not follow the store at the moment.
+const PASSED_OVER_UNAVAILABLE: Duration = Duration::from_millis(500);
 
 /// A watcher's answer.
 #[derive(Debug, Serialize, Deserialize)]
@@ -56,11 +58,13 @@
     verified_at: Cell<Timestamp>,
     advanced: Notify,
     passed_over: RefCell<Vec<(String, Timestamp)>>,
+    failures: Cell<u32>,
 }
 
 impl Feed {
     /// Begins anew after everything was read.
     pub fn restart(&self, revision: u64, now: Timestamp) {
+        self.failures.set(0);
         self.log.borrow_mut().restart(revision);
         self.advance(revision);
         self.verified_at.set(now);
@@ -83,15 +87,22 @@
 
     /// The store itself has told this node where it stands.
     pub fn note_verified(&self, now: Timestamp) {
+        self.failures.set(0);
         self.verified_at.set(now);
     }
 
     /// The store cannot be followed: those who wait are told so at once.
     pub fn note_lost(&self) {
+        self.failures.set(self.failures.get().saturating_add(1));
         self.verified_at.set(Timestamp::default());
         self.advanced.notify_waiters();
     }
 
+    /// Calls to the store that failed since the last that did not.
+    pub fn failures(&self) -> u32 {
+        self.failures.get()
+    }
+
     fn is_fresh(&self, now: Timestamp) -> bool {
         now.since(self.verified_at.get()) < FRESH
     }
@@ -153,18 +164,23 @@
         }
         let request = LinkRequest::Follow { revision };
         let limit = FOLLOW_WAIT + FOLLOW_SLACK;
-        match link::call(node, &watcher, address, &request, limit).await {
+        let passed_over = match link::call(node, &watcher, address, &request, limit).await {
             Some((LinkReply::Followed(answer), stream)) => {
                 node.links.keep(watcher.clone(), stream);
                 if let FeedAnswer::Changes { changes, steady_ms } = answer {
                     node.counters.count("store_followed", "peer");
+                    node.feed.failures.set(0);
                     note_steady(node, Duration::from_millis(steady_ms));
                     return Some(changes);
                 }
+                PASSED_OVER_UNAVAILABLE
             }
-            _ => node.counters.count("store_followed", "peer_failed"),
-        }
-        node.feed.pass_over(&watcher, node.now() + PASSED_OVER);
+            _ => {
+                node.counters.count("store_followed", "peer_failed");
+                PASSED_OVER
+            }
+        };
+        node.feed.pass_over(&watcher, node.now() + passed_over);
     }
     None
 }
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -21,8 +21,14 @@
 const GATHER: Duration = Duration::from_millis(40);
 /// How long a node that knows nothing waits for the store before it asks its peers.
 const PATIENCE: Duration = Duration::from_millis(250);
-/// Pause after a failed call.
+/// Pause after the first failed call; it doubles with each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause of a node that others follow, or that has no configuration yet.
+const LONGEST_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause of a node that hears of changes from others once they reach the store.
+const LONGEST_PAUSE_FOLLOWING: Duration = Duration::from_millis(1_200);
+/// Failures in a row beyond which the pause no longer doubles.
+const MOST_DOUBLINGS: u32 = 8;
 /// Databases that are missing for this long are forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
@@ -30,7 +36,7 @@
 pub async fn follow(node: Rc<Node>) {
     loop {
         let Some(mut revision) = read_everything(&node).await else {
-            sleep(RETRY_PAUSE).await;
+            sleep(retry_pause(&node)).await;
             continue;
         };
         while let Some(next) = follow_once(&node, revision).await {
@@ -39,6 +45,19 @@
     }
 }
 
+/// How long to wait after a call to the store that failed. An outage concerns all nodes at
+/// once, and refused calls cost as much as others.
+fn retry_pause(node: &Rc<Node>) -> Duration {
+    let failures = node.feed.failures().saturating_sub(1).min(MOST_DOUBLINGS);
+    let waits_for_others = node.configuration().is_some() && !feed::is_watcher(node);
+    let longest = if waits_for_others {
+        LONGEST_PAUSE_FOLLOWING
+    } else {
+        LONGEST_PAUSE
+    };
+    (RETRY_PAUSE * (1 << failures)).min(longest)
+}
+
 async fn read_everything(node: &Rc<Node>) -> Option<u64> {
     match read_or_ask_peers(node).await {
         Ok(all) => {
@@ -111,8 +130,8 @@
         Err(StoreError::HistoryGone) => None,
         Err(error) => {
             note_store_error(node, &error);
-            sleep(RETRY_PAUSE).await;
-            matches!(error, StoreError::NoAnswer(_)).then_some(revision)
+            sleep(retry_pause(node)).await;
+            matches!(error, StoreError::NoAnswer(_) | StoreError::Refused(_)).then_some(revision)
         }
     }
 }
--- a/crates/serving/src/registration.rs
+++ b/crates/serving/src/registration.rs
@@ -9,8 +9,10 @@
 use crate::ports::{ConditionalWrite, LeaseId, StoreError, WriteOutcome};
 use crate::records::{MEMBER_PREFIX, MemberRecord, encode};
 
-/// Pause after a failed call.
+/// Pause after the first failed call; it doubles with each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 /// Pause between looks at the lease.
 const LOOK: Duration = Duration::from_millis(100);
 /// Part of the lease time after which it is renewed.
@@ -18,17 +20,20 @@
 
 /// Keeps the node registered for as long as it lives.
 pub async fn register(node: Rc<Node>) {
+    let mut pause = RETRY_PAUSE;
     loop {
         match take_lease(&node).await {
             Ok(lease) => {
                 hold(&node, lease).await;
                 node.log("lease_lost", &[]);
+                pause = RETRY_PAUSE;
             }
             Err(error) => {
                 node.log("lease_refused", &[("detail", error.to_string().into())]);
+                pause = (pause * 2).min(LONGEST_PAUSE);
             }
         }
-        sleep(RETRY_PAUSE).await;
+        sleep(pause).await;
     }
 }
 
