--- a/crates/serving/src/homes.rs
+++ b/crates/serving/src/homes.rs
@@ -18,7 +18,7 @@
 /// Connections of one database that one node opens at the most before it knows its peers.
 const CAP_WITHOUT_MEMBERS: usize = 3;
 /// How long a node that no longer registers still counts for the division of connections.
-const MEMBER_MEMORY: Duration = Duration::from_secs(6);
+const MEMBER_MEMORY: Duration = Duration::from_millis(3_500);
 
 /// Who holds connections to one database.
 struct HomeView {
