--- a/crates/coordination/src/serving/admission.rs
+++ b/crates/coordination/src/serving/admission.rs
@@ -9,7 +9,7 @@
 
 /// Part of a request's latency objective that it may spend in a queue. The rest is for
 /// the database's own queue, the work, and the way.
-const PATIENCE_DIVISOR: u32 = 2;
+const PATIENCE_DIVISOR: u32 = 6;
 
 /// A queue for connections.
 #[derive(Clone, Copy, Debug)]
