--- /dev/null
+++ b/crates/coordination/tests/serving_primary_lease.rs
@@ -0,0 +1,279 @@
+//! Leases on primaries: who may use one, and when it may be replaced.
+
+use std::time::Duration;
+
+use hookpoint_coordination::serving::lease_grantor::{
+    Electorate, LeaseGrantor, OUTAGE_AUTHORITY, STORE_AUTHORITY, Withdrawal,
+};
+use hookpoint_coordination::serving::primary_lease::{
+    GRANT_TIME, Grantor, LeaseRequest, PrimaryLease, ProcessTime, VOTE_TIME,
+};
+use hookpoint_state::Timestamp;
+
+const LIFE: u64 = 7;
+const COORDINATOR: u64 = 100;
+const MOMENT: Duration = Duration::from_millis(1);
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(60_000 + millis)
+}
+
+fn names(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn electorate(voters: usize, store_heard_at: Timestamp) -> Electorate {
+    Electorate {
+        voters,
+        store_heard_at,
+    }
+}
+
+fn request(coordinator: u64, told: Option<Timestamp>) -> LeaseRequest {
+    LeaseRequest {
+        coordinator,
+        asked_at: ProcessTime {
+            life: 1,
+            time: at(0),
+        },
+        told: told.map(|time| ProcessTime { life: LIFE, time }),
+    }
+}
+
+fn coordinator(claimed_at: Timestamp) -> LeaseGrantor {
+    let mut grantor = LeaseGrantor::new(LIFE);
+    grantor.enter_office(COORDINATOR, claimed_at);
+    grantor
+}
+
+/// Grants `node` a lease at `now`, on the strength of the store.
+fn grant(grantor: &mut LeaseGrantor, node: &str, now: Timestamp) {
+    grantor.note_renewed(now);
+    let request = request(COORDINATOR, None);
+    let answer = grantor.answer(node, &request, COORDINATOR, electorate(3, now), now);
+    assert!(answer.granted);
+}
+
+#[test]
+fn a_lease_counts_from_when_it_was_asked_for() {
+    let mut lease = PrimaryLease::new(1, at(0));
+    lease.follow(COORDINATOR, at(0));
+    let (grantor, request) = lease.request(at(10)).expect("a request is due");
+    assert_eq!(grantor, Grantor::Coordinator);
+    let mut coordinator = coordinator(at(0));
+    let answer = coordinator.answer("a", &request, COORDINATOR, electorate(3, at(5)), at(5));
+    assert!(lease.take(&answer, at(200)), "a slow answer counts as well");
+    assert!(!lease.covers(at(9)));
+    assert!(lease.covers(at(10)));
+    assert!(lease.covers(at(10) + GRANT_TIME - MOMENT));
+    assert!(!lease.covers(at(10) + GRANT_TIME));
+    assert_eq!(
+        lease.lapsed_since(at(10) + GRANT_TIME),
+        Some(at(10) + GRANT_TIME)
+    );
+}
+
+#[test]
+fn answers_to_an_earlier_process_or_coordinator_grant_nothing() {
+    let mut asked = PrimaryLease::new(1, at(0));
+    asked.follow(COORDINATOR, at(0));
+    let (_, request) = asked.request(at(10)).expect("a request is due");
+    let mut coordinator = coordinator(at(0));
+    let answer = coordinator.answer("a", &request, COORDINATOR, electorate(3, at(5)), at(5));
+    let mut restarted = PrimaryLease::new(2, at(0));
+    restarted.follow(COORDINATOR, at(0));
+    restarted.take(&answer, at(20));
+    assert!(!restarted.covers(at(20)));
+    asked.follow(COORDINATOR + 1, at(15));
+    asked.take(&answer, at(20));
+    assert!(!asked.covers(at(20)));
+}
+
+#[test]
+fn a_coordinator_that_does_not_answer_is_passed_over_for_a_stand_in() {
+    let mut lease = PrimaryLease::new(1, at(0));
+    lease.follow(COORDINATOR, at(0));
+    let mut asked = Vec::new();
+    for step in 0..40 {
+        if let Some((grantor, _)) = lease.request(at(step * 50)) {
+            asked.push(grantor);
+        }
+    }
+    assert_eq!(&asked[..2], [Grantor::Coordinator, Grantor::Coordinator]);
+    assert_eq!(asked[2], Grantor::StandIn(0));
+    assert!(asked.contains(&Grantor::StandIn(1)));
+}
+
+/// Votes that reach a grantor without the store, and whether they are enough.
+#[test]
+fn without_the_store_only_a_majority_of_fresh_votes_grants() {
+    let told = at(20_000);
+    let just = told + VOTE_TIME - MOMENT;
+    let late = told + VOTE_TIME;
+    // (voters, votes, when asked, granted)
+    let table = [
+        (3, 1, just, false),
+        (3, 2, just, true),
+        (3, 2, late, false),
+        (4, 2, just, false),
+        (4, 3, just, true),
+        (9, 4, just, false),
+        (9, 5, just, true),
+    ];
+    for (voters, votes, now, granted) in table {
+        let mut grantor = LeaseGrantor::new(LIFE);
+        let mut last = false;
+        for vote in 0..votes {
+            let request = request(COORDINATOR, Some(told));
+            let heard = electorate(voters, told);
+            let name = format!("node-{vote}");
+            last = grantor
+                .answer(&name, &request, COORDINATOR, heard, now)
+                .granted;
+        }
+        assert_eq!(last, granted, "{votes} votes of {voters}");
+    }
+}
+
+#[test]
+fn a_request_that_tells_no_time_back_is_no_vote_however_late_it_comes() {
+    let now = at(20_000);
+    let mut grantor = LeaseGrantor::new(LIFE);
+    for node in ["a", "b", "c"] {
+        let first = request(COORDINATOR, None);
+        let answer = grantor.answer(node, &first, COORDINATOR, electorate(3, now), now);
+        assert!(!answer.granted);
+    }
+    let mut other_life = request(COORDINATOR, Some(now));
+    other_life.told = other_life.told.map(|told| ProcessTime { life: 8, ..told });
+    for node in ["a", "b", "c"] {
+        let answer = grantor.answer(node, &other_life, COORDINATOR, electorate(3, now), now);
+        assert!(!answer.granted);
+    }
+}
+
+#[test]
+fn a_grantor_without_the_store_stops_after_its_time() {
+    let heard = at(0);
+    let now = heard + OUTAGE_AUTHORITY;
+    let mut grantor = LeaseGrantor::new(LIFE);
+    for node in ["a", "b", "c"] {
+        let vote = request(COORDINATOR, Some(now - MOMENT));
+        let answer = grantor.answer(node, &vote, COORDINATOR, electorate(3, heard), now);
+        assert!(!answer.granted);
+    }
+}
+
+#[test]
+fn a_vote_for_another_binds_the_voter() {
+    let mut lease = PrimaryLease::new(1, at(0));
+    lease.follow(COORDINATOR, at(10_000));
+    let mut now = at(10_000);
+    while lease
+        .request(now)
+        .is_none_or(|(grantor, _)| grantor == Grantor::Coordinator)
+    {
+        now = now + Duration::from_millis(50);
+    }
+    assert!(
+        !lease.acknowledge(COORDINATOR, now),
+        "just voted for a stand-in"
+    );
+    assert!(!lease.acknowledge(COORDINATOR, now + VOTE_TIME - MOMENT));
+    assert!(lease.acknowledge(COORDINATOR, now + VOTE_TIME));
+    assert!(
+        !lease.acknowledge(COORDINATOR - 1, now + VOTE_TIME),
+        "an earlier one"
+    );
+    assert!(lease.voted_for_others(now + VOTE_TIME));
+    assert!(!lease.voted_for_others(now + VOTE_TIME + GRANT_TIME));
+}
+
+#[test]
+fn a_process_that_starts_acknowledges_nothing_for_the_time_of_a_vote() {
+    let mut lease = PrimaryLease::new(1, at(0));
+    assert!(!lease.acknowledge(COORDINATOR, at(0) + VOTE_TIME - MOMENT));
+    assert!(lease.acknowledge(COORDINATOR, at(0) + VOTE_TIME));
+}
+
+fn withdrawal(grantor: &LeaseGrantor) -> Withdrawal {
+    grantor.withdraw().expect("it coordinates")
+}
+
+#[test]
+fn a_primary_is_replaced_at_once_when_all_acknowledge() {
+    let voters = names(&["a", "b", "c"]);
+    let mut grantor = coordinator(at(0));
+    let now = at(50);
+    for voter in &voters {
+        grant(&mut grantor, voter, now);
+    }
+    let mut withdrawal = withdrawal(&grantor);
+    for voter in &voters {
+        assert!(!withdrawal.is_complete(&voters, now));
+        withdrawal.acknowledge(voter, true);
+    }
+    assert!(withdrawal.is_complete(&voters, now));
+}
+
+#[test]
+fn the_lease_of_a_node_that_does_not_answer_is_waited_out() {
+    let voters = names(&["a", "b", "c"]);
+    let long_in_office = at(60_000);
+    let mut grantor = coordinator(at(0));
+    for voter in &voters {
+        grant(&mut grantor, voter, long_in_office);
+    }
+    let mut withdrawal = withdrawal(&grantor);
+    withdrawal.acknowledge("a", false);
+    withdrawal.acknowledge("b", false);
+    assert!(!withdrawal.is_complete(&voters, long_in_office + GRANT_TIME - MOMENT));
+    assert!(withdrawal.is_complete(&voters, long_in_office + GRANT_TIME));
+}
+
+#[test]
+fn without_a_majority_nothing_is_replaced() {
+    let voters = names(&["a", "b", "c", "d"]);
+    let grantor = coordinator(at(0));
+    let mut withdrawal = withdrawal(&grantor);
+    withdrawal.acknowledge("a", false);
+    withdrawal.acknowledge("b", false);
+    assert!(!withdrawal.is_complete(&voters, at(3_600_000)));
+    assert!(withdrawal.is_complete(&names(&["a", "b", "d"]), at(3_600_000)));
+}
+
+#[test]
+fn leases_that_others_granted_run_out_before_a_primary_is_replaced() {
+    let voters = names(&["a", "b", "c"]);
+    let now = at(60_000);
+    let grantor = coordinator(at(0));
+    let mut withdrawal = withdrawal(&grantor);
+    withdrawal.acknowledge("a", false);
+    withdrawal.acknowledge("b", true);
+    assert!(
+        !withdrawal.is_complete(&voters, now),
+        "b voted for another lately"
+    );
+    assert!(!withdrawal.is_complete(&voters, now + GRANT_TIME - MOMENT));
+    assert!(withdrawal.is_complete(&voters, now + GRANT_TIME));
+}
+
+#[test]
+fn a_new_coordinator_waits_out_what_its_predecessor_granted() {
+    let voters = names(&["a", "b", "c"]);
+    let grantor = coordinator(at(0));
+    let mut withdrawal = withdrawal(&grantor);
+    withdrawal.acknowledge("a", false);
+    withdrawal.acknowledge("b", false);
+    let ended = at(0) + STORE_AUTHORITY + GRANT_TIME;
+    assert!(!withdrawal.is_complete(&voters, ended - MOMENT));
+    assert!(withdrawal.is_complete(&voters, ended));
+}
+
+#[test]
+fn who_left_office_withdraws_nothing() {
+    let mut grantor = coordinator(at(0));
+    grantor.leave_office();
+    assert!(grantor.withdraw().is_none());
+    assert!(!grantor.has_authority(electorate(1, at(0)), at(1)));
+}
