--- a/lab/sim/src/models/mod.rs
+++ b/lab/sim/src/models/mod.rs
@@ -3,4 +3,5 @@
 
 pub mod acknowledge;
 pub mod explore;
+pub mod primary_lease;
 pub mod rollout;
