--- a/crates/coordination/src/serving/leadership.rs
+++ b/crates/coordination/src/serving/leadership.rs
@@ -125,6 +125,18 @@
         self.reign
     }
 
+    /// The reign to which a position belongs that `database` told with the answer to a
+    /// write. Also while it is being replaced and nobody else is known to lead, since until
+    /// then its positions are those that count. Reign 0 if another one reigns.
+    pub fn reign_of(&self, database: &DatabaseName) -> Reign {
+        let led_last = self.leader.is_none() && self.previous.as_ref() == Some(database);
+        if led_last || self.leader.as_ref() == Some(database) {
+            self.reign
+        } else {
+            Reign::default()
+        }
+    }
+
     /// The least position that covers all commits acknowledged before `horizon`.
     pub fn floor(&self, horizon: Timestamp) -> Option<Position> {
         self.freshness.floor(horizon)
--- a/crates/coordination/tests/serving.rs
+++ b/crates/coordination/tests/serving.rs
@@ -77,6 +77,24 @@
     assert_eq!(leadership.leader(), Some(&name("b")));
 }
 
+/// A commit answered while its primary is being replaced, and what a read of the same
+/// session has to hold then.
+#[test]
+fn a_commit_answered_by_a_primary_that_is_being_replaced_keeps_its_position() {
+    let mut leadership = Leadership::default();
+    leadership.confirm(&name("a"), proof(0, 5, Position::new(1, 90)));
+    leadership.refute(&name("a"), at(100));
+    let held = ReignPosition {
+        reign: leadership.reign_of(&name("a")),
+        position: Position::new(1, 100),
+    };
+    assert_eq!(leadership.translate(held), Some(Position::new(1, 100)));
+    leadership.confirm(&name("b"), proof(200, 205, Position::new(2, 98)));
+    assert_eq!(leadership.translate(held), Some(Position::new(2, 98)));
+    let late = leadership.reign_of(&name("a"));
+    assert_ne!(late, leadership.reign(), "its positions no longer count");
+}
+
 #[test]
 fn a_position_behind_one_seen_before_begins_a_reign() {
     let mut leadership = Leadership::default();
--- a/crates/serving/src/statement/transaction.rs
+++ b/crates/serving/src/statement/transaction.rs
@@ -1,7 +1,7 @@
 //! Later statements of a transaction, and its commit.
 
 use bytes::Bytes;
-use hookpoint_coordination::serving::leadership::{Reign, ReignPosition};
+use hookpoint_coordination::serving::leadership::ReignPosition;
 use hookpoint_coordination::serving::session::Phase;
 use hookpoint_state::DatabaseName;
 use tokio::time::sleep;
@@ -133,11 +133,7 @@
     ) -> Option<ReignPosition> {
         let position = answer.position.filter(|_| answer.result.is_ok())?;
         let reign = self.node.with_group(&self.route.group, |state| {
-            if state.leadership.leader() == Some(database) {
-                state.leadership.reign()
-            } else {
-                Reign::default()
-            }
+            state.leadership.reign_of(database)
         });
         Some(ReignPosition { reign, position })
     }
