--- /dev/null
+++ b/crates/serving/src/coordinator/replicas.rs
@@ -0,0 +1,193 @@
+//! Questions to a group's databases about themselves, and the choice of the next primary.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::failover::{ReplicaState, choose_candidate};
+use hookpoint_coordination::serving::selection::Distance;
+use hookpoint_coordination::serving::session::SessionValues;
+use hookpoint_state::{DatabaseName, GroupName, Term};
+use tokio::time::{sleep, timeout};
+
+use crate::lease::Lease;
+use crate::message::{Command, DatabaseStatus, FailureCode};
+use crate::node::Node;
+use crate::pool::{Pool, WaitLimits};
+use crate::relay;
+
+/// How long a database that is missing from the store counts as a replica.
+const MISSING_COUNTS: Duration = Duration::from_secs(15);
+/// Limit for a replica's answer about itself.
+const STATUS_LIMIT: Duration = Duration::from_millis(300);
+/// Pause before a loaded replica is asked again.
+const BUSY_PAUSE: Duration = Duration::from_millis(10);
+/// Rounds of questions before no replica counts as answering.
+const STATUS_ROUNDS: usize = 3;
+/// Priority of questions about state: they go first.
+const STATUS_PRIORITY: u8 = 0;
+
+pub(super) fn sync_replicas(node: &Rc<Node>, group: &GroupName) -> u32 {
+    node.configuration()
+        .and_then(|configuration| configuration.groups.get(group).cloned())
+        .map_or(0, |group| group.sync_replicas)
+}
+
+/// Lets replicas receive again that were paused for a promotion that did not come.
+pub(super) async fn resume_replicas(node: &Rc<Node>, group: &GroupName) {
+    if sync_replicas(node, group) > 0 {
+        let databases = node.by_stated_role(group);
+        ask_all(node, &databases, &Command::ResumeReplication).await;
+    }
+}
+
+/// Asks the replicas what they hold and chooses the one to lead.
+pub(super) async fn find_candidate(
+    node: &Rc<Node>,
+    group: &GroupName,
+    leader: Option<&DatabaseName>,
+) -> Option<DatabaseName> {
+    let sync_replicas = sync_replicas(node, group);
+    let replicas: Vec<DatabaseName> = node
+        .by_stated_role(group)
+        .into_iter()
+        .filter(|name| Some(name) != leader && is_candidate(node, name))
+        .collect();
+    let first = ask_until_some_answer(node, &replicas).await;
+    let states = if sync_replicas == 0 {
+        first
+    } else {
+        let newest = first.iter().map(|(_, status)| status.term).max()?;
+        let term = Term(newest.0 + 1);
+        ask_all(node, &replicas, &Command::PauseReplication { term }).await
+    };
+    if let Some((name, _)) = states.iter().find(|(_, status)| status.primary) {
+        node.log(
+            "primary_found",
+            &[
+                ("group", group.as_str().into()),
+                ("database", name.as_str().into()),
+            ],
+        );
+        return None;
+    }
+    let states: Vec<ReplicaState> = states
+        .into_iter()
+        .map(|(name, status)| replica_state(node, name, status))
+        .collect();
+    match choose_candidate(&states, replicas.len(), sync_replicas) {
+        Ok(candidate) => Some(candidate),
+        Err(error) => {
+            resume_replicas(node, group).await;
+            node.log(
+                "no_candidate",
+                &[
+                    ("group", group.as_str().into()),
+                    ("detail", error.to_string().into()),
+                ],
+            );
+            None
+        }
+    }
+}
+
+/// A database that is missing from the store, for a crash or an outage, may be the only
+/// one that holds a commit, so it counts until the others have long received all of it.
+fn is_candidate(node: &Rc<Node>, name: &DatabaseName) -> bool {
+    let now = node.now();
+    let directory = node.directory.borrow();
+    directory.get(name).is_some_and(|listed| {
+        let since = listed.leaving_since.unwrap_or(now);
+        !listed.missing || now.since(since) < MISSING_COUNTS
+    })
+}
+
+fn replica_state(node: &Rc<Node>, name: DatabaseName, status: DatabaseStatus) -> ReplicaState {
+    let (draining, distance) = {
+        let directory = node.directory.borrow();
+        directory.get(&name).map_or((true, None), |listed| {
+            let distance = node.distance(&listed.database.zone);
+            (listed.leaving_since.is_some(), Some(distance))
+        })
+    };
+    ReplicaState {
+        name,
+        received: status.received,
+        draining,
+        preferred: distance.is_some_and(|distance| distance <= Distance::SameRegion),
+    }
+}
+
+/// Asks for the state of all, again as long as none of them answers.
+async fn ask_until_some_answer(
+    node: &Rc<Node>,
+    replicas: &[DatabaseName],
+) -> Vec<(DatabaseName, DatabaseStatus)> {
+    for _ in 0..STATUS_ROUNDS {
+        let answers = ask_all(node, replicas, &Command::Status).await;
+        if !answers.is_empty() {
+            return answers;
+        }
+    }
+    Vec::new()
+}
+
+pub(super) async fn ask_all(
+    node: &Rc<Node>,
+    replicas: &[DatabaseName],
+    command: &Command,
+) -> Vec<(DatabaseName, DatabaseStatus)> {
+    let questions = replicas.iter().map(|name| {
+        let command = command.clone();
+        async move {
+            let status = ask_status(node, name, command).await?;
+            Some((name.clone(), status))
+        }
+    });
+    let answers = futures::future::join_all(questions).await;
+    answers.into_iter().flatten().collect()
+}
+
+async fn ask_status(
+    node: &Rc<Node>,
+    name: &DatabaseName,
+    command: Command,
+) -> Option<DatabaseStatus> {
+    timeout(STATUS_LIMIT, ask_until_taken(node, name, command))
+        .await
+        .ok()
+        .flatten()
+}
+
+/// Asks again for as long as the database refuses the question for load.
+async fn ask_until_taken(
+    node: &Rc<Node>,
+    name: &DatabaseName,
+    command: Command,
+) -> Option<DatabaseStatus> {
+    let mut lease = lease_for_status(node, &node.pool(name)).await?;
+    loop {
+        let question = [command.clone()];
+        let answers = lease.exchange(node, &question, STATUS_LIMIT).await.ok()?;
+        let answer = answers.last()?;
+        let code = answer.result.as_ref().err().map(|failure| failure.code);
+        if code != Some(FailureCode::Overloaded) {
+            return node.protocol.parse_status(answer.rows.first()?);
+        }
+        sleep(BUSY_PAUSE).await;
+    }
+}
+
+/// A connection at rest, a new one, or one that another node holds.
+async fn lease_for_status(node: &Rc<Node>, pool: &Rc<Pool>) -> Option<Lease> {
+    let values = SessionValues::new();
+    if let Some(lease) = pool.try_acquire(&values) {
+        return Some(lease);
+    }
+    let limits = WaitLimits::patient(STATUS_LIMIT);
+    match pool.open(node).await {
+        Ok(lease) => Some(lease),
+        Err(_) => relay::lease(node, pool, STATUS_PRIORITY, &values, limits)
+            .await
+            .ok(),
+    }
+}
--- /dev/null
+++ b/crates/serving/src/coordinator/step_down.rs
@@ -0,0 +1,73 @@
+//! Telling replaced primaries to step down, where the promotion service does not fence.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hookpoint_state::{DatabaseName, Term};
+use tokio::time::sleep;
+
+use super::replicas::ask_all;
+use crate::message::Command;
+use crate::node::Node;
+use crate::ports::PromotionOrder;
+
+/// How long replaced primaries that come back are told to step down.
+const STEP_DOWN_TIME: Duration = Duration::from_secs(30);
+/// How often one round tells a database that does not answer.
+const STEP_DOWN_ATTEMPTS: usize = 3;
+/// Pause between two such rounds.
+const STEP_DOWN_PAUSE: Duration = Duration::from_millis(250);
+
+pub(super) fn step_down_in_background(node: &Rc<Node>, order: &PromotionOrder) {
+    let stepping_down = step_down_until_replaced(Rc::clone(node), order.clone());
+    tokio::task::spawn_local(stepping_down);
+}
+
+async fn step_down_until_replaced(node: Rc<Node>, order: PromotionOrder) {
+    let began = node.now();
+    step_down_others(&node, &order).await;
+    while node.now().since(began) < STEP_DOWN_TIME && node.coordinator_revision().is_some() {
+        sleep(STEP_DOWN_PAUSE).await;
+        if node.leader(&order.group).as_ref() == Some(&order.candidate) {
+            step_down_others(&node, &order).await;
+        }
+    }
+}
+
+/// Has every database step down that says that it leads, or says nothing, as far as they
+/// can be reached.
+async fn step_down_others(node: &Rc<Node>, order: &PromotionOrder) {
+    let databases = node.by_stated_role(&order.group);
+    let states = ask_all(node, &databases, &Command::Status).await;
+    let Some(newest) = states.iter().map(|(_, status)| status.term).max() else {
+        return;
+    };
+    let candidate_leads = states
+        .iter()
+        .any(|(name, status)| *name == order.candidate && status.primary);
+    let term = if candidate_leads {
+        newest
+    } else {
+        Term(newest.0 + 1)
+    };
+    let replicas: Vec<&DatabaseName> = states
+        .iter()
+        .filter(|(_, status)| !status.primary)
+        .map(|(name, _)| name)
+        .collect();
+    let mut others: Vec<DatabaseName> = databases
+        .iter()
+        .filter(|name| **name != order.candidate && !replicas.contains(name))
+        .cloned()
+        .collect();
+    for _ in 0..STEP_DOWN_ATTEMPTS {
+        if others.is_empty() {
+            return;
+        }
+        for name in &others {
+            node.log("step_down_ordered", &[("database", name.as_str().into())]);
+        }
+        let answered = ask_all(node, &others, &Command::StepDown { term }).await;
+        others.retain(|name| answered.iter().all(|(done, _)| done != name));
+    }
+}
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -12,7 +12,7 @@
 use hookpoint_coordination::serving::primary_lease::PrimaryLease;
 use hookpoint_coordination::serving::selection::Distance;
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
-use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
+use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp, ZoneName};
 use serde_json::Value;
 use tokio::sync::Notify;
 
@@ -123,6 +123,11 @@
     pub holder: Option<CoordinatorRecord>,
 }
 
+/// A position for the log: term and number, parted by a point.
+fn written(position: Position) -> String {
+    format!("{}.{}", position.term.0, position.lsn.0)
+}
+
 /// A number that no earlier process of this node had.
 fn new_life() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -449,7 +454,7 @@
                     ("group", database.group.as_str().into()),
                     ("database", name.as_str().into()),
                     ("reign", reign.0.into()),
-                    ("position", format!("{:?}", proof.position).into()),
+                    ("position", proof.position.map(written).into()),
                 ],
             );
             self.leader_changed.notify_waiters();
