Ask somebody else for a lease after refusals, also from the coordinator

The coordinator missed two requests, the others turned to a stand-in and had a majority there; the coordinator answered itself in vain, as only silence made a node turn, and never got a lease again in the outage. After four refusals a node now asks the stand-in, and from there the coordinator again.

--- a/crates/coordination/src/serving/primary_lease.rs
+++ b/crates/coordination/src/serving/primary_lease.rs
@@ -27,8 +27,9 @@
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 /// Unanswered requests in a row after which the next node is asked.
 const FAILURES_BEFORE_NEXT: u32 = 2;
-/// Answers without a grant after which a stand-in is given up.
-const REFUSALS_BEFORE_RETURN: u32 = 4;
+/// Answers without a grant after which somebody else is asked: who answers may not be the
+/// one that the others vote for.
+const REFUSALS_BEFORE_TURN: u32 = 4;
 
 /// Tells the time of one process: no other process is meant by it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -204,9 +205,12 @@
             return;
         }
         self.refusals += 1;
-        let stand_in = self.grantor != Grantor::Coordinator;
-        if stand_in && self.refusals >= REFUSALS_BEFORE_RETURN {
-            self.turn_to(Grantor::Coordinator, now);
+        if self.refusals >= REFUSALS_BEFORE_TURN {
+            let other = match self.grantor {
+                Grantor::Coordinator => Grantor::StandIn(0),
+                Grantor::StandIn(_) => Grantor::Coordinator,
+            };
+            self.turn_to(other, now);
         }
     }
 
--- a/crates/coordination/tests/serving_primary_lease.rs
+++ b/crates/coordination/tests/serving_primary_lease.rs
@@ -104,6 +104,32 @@
     assert!(asked.contains(&Grantor::StandIn(1)));
 }
 
+/// A coordinator that has lost the store asks itself in vain while the others vote for a
+/// stand-in.
+#[test]
+fn a_node_that_is_refused_asks_who_the_others_may_vote_for() {
+    let mut lease = PrimaryLease::new(1, at(0));
+    lease.follow(COORDINATOR, at(0));
+    let mut alone = LeaseGrantor::new(LIFE);
+    let mut asked = Vec::new();
+    for step in 0..60 {
+        let now = at(20_000 + step * 50);
+        if let Some((grantor, request)) = lease.request(now) {
+            asked.push(grantor);
+            let answer = alone.answer("a", &request, COORDINATOR, electorate(3, now), now);
+            lease.take(&answer, now);
+        }
+    }
+    assert!(asked.contains(&Grantor::StandIn(0)), "{asked:?}");
+    let turned = asked
+        .iter()
+        .position(|grantor| *grantor != Grantor::Coordinator);
+    assert!(
+        asked[turned.unwrap()..].contains(&Grantor::Coordinator),
+        "and comes back"
+    );
+}
+
 /// Votes that reach a grantor without the store, and whether they are enough.
 #[test]
 fn without_the_store_only_a_majority_of_fresh_votes_grants() {
