--- a/crates/serving/src/coordinator/order.rs
+++ b/crates/serving/src/coordinator/order.rs
@@ -140,12 +140,12 @@
     let Some(present) = present else {
         return;
     };
-    let kept = PromotionOrder {
+    let order = PromotionOrder {
         candidate: present.clone(),
         ..order.clone()
     };
-    log_order(node, &kept, "promotion_taken_back", "the primary answers");
-    announce(Rc::clone(node), kept).await;
+    log_order(node, &order, "promotion_taken_back", "the primary answers");
+    announce(Rc::clone(node), order).await;
 }
 
 fn authority_name(authority: Authority) -> &'static str {
--- a/crates/serving/src/coordinator/withdrawal.rs
+++ b/crates/serving/src/coordinator/withdrawal.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hookpoint_state::{DatabaseName, GroupName, Timestamp};
+use serde_json::Value;
 use tokio::time::sleep;
 
 use crate::node::Node;
@@ -55,23 +56,17 @@
         let now = node.now();
         let missing = withdrawal.missing(&voters);
         if withdrawal.is_complete(&voters, now) {
-            log_withdrawal(
-                node,
+            node.log(
                 "primary_leases_withdrawn",
-                announcement,
-                &missing,
-                began,
+                &told(node, announcement, &missing, began),
             );
             break Ok(());
         }
         if now.since(told_at) >= WITHDRAWAL_TOLD {
             told_at = now;
-            log_withdrawal(
-                node,
+            node.log(
                 "primary_leases_awaited",
-                announcement,
-                &missing,
-                began,
+                &told(node, announcement, &missing, began),
             );
         }
         announce_to(
@@ -125,20 +120,17 @@
     nodes.iter().map(|name| (*name).clone()).collect()
 }
 
-fn log_withdrawal(
+/// What is logged of a withdrawal.
+fn told(
     node: &Rc<Node>,
-    event: &'static str,
     announcement: &Announcement,
     missing: &[&String],
     began: Timestamp,
-) {
-    node.log(
-        event,
-        &[
-            ("group", announcement.group.as_str().into()),
-            ("candidate", announcement.candidate.as_str().into()),
-            ("unacknowledged", names(missing).into()),
-            ("waited_ms", millis(node.now().since(began)).into()),
-        ],
-    );
+) -> [(&'static str, Value); 4] {
+    [
+        ("group", announcement.group.as_str().into()),
+        ("candidate", announcement.candidate.as_str().into()),
+        ("unacknowledged", names(missing).into()),
+        ("waited_ms", millis(node.now().since(began)).into()),
+    ]
 }
