Keep an announcement's revision with its group, and write shared steps once

Read once more: the revisions of announcements stood in a map of their own beside the groups whose state they belong to, looked up in six places; times were noted by three copies; majority and the order by rendezvous weight stood twice; whom a withdrawal waits for was worked out twice a round.

--- a/crates/coordination/src/serving/failover.rs
+++ b/crates/coordination/src/serving/failover.rs
@@ -84,7 +84,8 @@
         || (all >= majority(witnesses.members) && long)
 }
 
-fn majority(nodes: usize) -> usize {
+/// The least number of `nodes` that any other as large shares a node with.
+pub(super) fn majority(nodes: usize) -> usize {
     nodes / 2 + 1
 }
 
--- a/crates/coordination/src/serving/feed.rs
+++ b/crates/coordination/src/serving/feed.rs
@@ -9,7 +9,7 @@
 
 use hookpoint_state::ZoneName;
 
-use super::homes::{HomeCandidate, rendezvous_score};
+use super::homes::{HomeCandidate, sort_by_score};
 
 /// Nodes of a region up to which each watches the store by itself.
 const SMALL_REGION: usize = 4;
@@ -31,11 +31,7 @@
 ) -> Vec<&'a str> {
     let mut local = nodes_near(zone, nodes, regions);
     if local.len() > SMALL_REGION {
-        let region = region_of(zone, regions);
-        local.sort_by_cached_key(|node| {
-            let score = rendezvous_score(region, node);
-            (std::cmp::Reverse(score), *node)
-        });
+        sort_by_score(region_of(zone, regions), &mut local);
         local.truncate(WATCHERS);
     }
     local
--- a/crates/coordination/src/serving/homes.rs
+++ b/crates/coordination/src/serving/homes.rs
@@ -74,15 +74,20 @@
 /// The nodes in the order in which they claim one record or stand in for who holds it.
 pub fn claim_order(nodes: &[HomeCandidate]) -> Vec<&str> {
     let mut names: Vec<&str> = nodes.iter().map(|node| node.node.as_str()).collect();
+    sort_by_score(CLAIM_SUBJECT, &mut names);
+    names
+}
+
+/// Puts nodes in the order of their weights for `subject`, the highest first.
+pub(super) fn sort_by_score(subject: &str, names: &mut [&str]) {
     names.sort_by_cached_key(|name| {
-        let score = rendezvous_score(CLAIM_SUBJECT, name);
+        let score = rendezvous_score(subject, name);
         (std::cmp::Reverse(score), *name)
     });
-    names
 }
 
 /// Weight of `node` for `subject` in rendezvous hashing: the highest wins.
-pub(super) fn rendezvous_score(subject: &str, node: &str) -> u64 {
+fn rendezvous_score(subject: &str, node: &str) -> u64 {
     let mut hasher = SipHasher13::new();
     hasher.write(subject.as_bytes());
     hasher.write_u8(0);
--- a/crates/coordination/src/serving/lease_grantor.rs
+++ b/crates/coordination/src/serving/lease_grantor.rs
@@ -6,6 +6,7 @@
 
 use hookpoint_state::Timestamp;
 
+use super::failover::majority;
 use super::primary_lease::{GRANT_TIME, LeaseAnswer, LeaseRequest, ProcessTime, VOTE_TIME};
 
 /// How long after a renewal in the state store, counted from when it was asked for, no
@@ -212,7 +213,7 @@
 
     /// Whether what others granted on a majority's votes has run out. Every majority has a
     /// node in common with those that acknowledged: it is bound to nobody else since, and
-    /// tells who it votes for of the announcement.
+    /// tells whom it votes for of the announcement.
     fn others_have_ended(&mut self, voters: &[String], now: Timestamp) -> bool {
         let count =
             |set: &BTreeSet<String>| voters.iter().filter(|node| set.contains(*node)).count();
@@ -227,7 +228,3 @@
         now.since(majority_at) >= GRANT_TIME
     }
 }
-
-fn majority(nodes: usize) -> usize {
-    nodes / 2 + 1
-}
--- a/crates/serving/src/coordinator/order.rs
+++ b/crates/serving/src/coordinator/order.rs
@@ -23,6 +23,7 @@
 const TOKENS_PER_COORDINATOR: u64 = 4_096;
 /// Pause between two orders of the same promotion.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+
 /// On what strength a promotion is ordered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Authority {
@@ -108,7 +109,7 @@
 
 /// Before an order that the service does not fence: every node is told which database
 /// leads next, and no lease may be left under which one of them uses the present primary.
-/// That is told to step down as well, which ends what peers of older versions would do.
+/// That is told to step down as well, so that it no longer takes itself for the primary.
 async fn replace_unfenced(
     node: &Rc<Node>,
     peers: &Rc<Peers>,
@@ -175,14 +176,10 @@
         candidate: order.candidate.clone(),
         fencing_token: order.fencing_token,
     };
-    let known = node
-        .promotion_revisions
-        .borrow()
-        .get(order.group.as_str())
-        .copied();
+    let known = node.with_group(&order.group, |state| state.announced_at);
     let write = ConditionalWrite {
         key: format!("{PROMOTION_PREFIX}{}", order.group),
-        expected_revision: known.unwrap_or(0),
+        expected_revision: known,
         value: encode(&record),
         lease: None,
     };
--- a/crates/serving/src/coordinator/withdrawal.rs
+++ b/crates/serving/src/coordinator/withdrawal.rs
@@ -16,6 +16,7 @@
 const ANNOUNCEMENT_PAUSE: Duration = Duration::from_millis(40);
 /// How often it is logged who has not acknowledged.
 const WITHDRAWAL_TOLD: Duration = Duration::from_millis(500);
+
 /// Why the leases on a primary were not withdrawn.
 pub(super) enum WithdrawalError {
     /// This node coordinates no more.
@@ -69,13 +70,7 @@
                 &told(node, announcement, &missing, began),
             );
         }
-        announce_to(
-            node,
-            peers,
-            coordinator,
-            announcement,
-            &withdrawal.missing(&voters),
-        );
+        announce_to(node, peers, coordinator, announcement, &missing);
         sleep(ANNOUNCEMENT_PAUSE).await;
     };
     peers.end_acknowledgements(announcement.revision);
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -92,6 +92,8 @@
     pub leaderless_since: Option<Timestamp>,
     /// Database that a promotion was ordered for, and when that was learnt.
     pub promoting: Option<(DatabaseName, Timestamp)>,
+    /// Revision of that promotion's record in the store; 0 if there is none.
+    pub announced_at: u64,
     /// Whether this node is busy replacing its primary.
     pub being_replaced: bool,
     /// The database that last proved to lead though another one was announced, and when
@@ -163,8 +165,6 @@
     pub coordinator: RefCell<CoordinatorView>,
     /// Revision and name of the newest coordinator that announced something.
     pub heard_coordinator: RefCell<Option<(u64, String)>>,
-    /// Revisions of the promotion records.
-    pub promotion_revisions: RefCell<BTreeMap<String, u64>>,
     /// Up to which revision of the store all promotions are known.
     pub promotions_known: Cell<u64>,
     /// Leave to use primaries, where promotions are not fenced.
@@ -231,7 +231,6 @@
             members: RefCell::default(),
             coordinator: RefCell::default(),
             heard_coordinator: RefCell::default(),
-            promotion_revisions: RefCell::default(),
             promotions_known: Cell::new(0),
             primary_lease: RefCell::new(PrimaryLease::new(life, START)),
             grantor: RefCell::new(LeaseGrantor::new(life)),
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -163,23 +163,14 @@
 
     /// Notes how long a connection was waited for, in vain or not.
     pub fn note_wait(&self, now: Timestamp, waited: Duration) {
-        let mut wait = self.wait.get();
-        wait.note(now, waited);
-        self.wait.set(wait);
-    }
-
-    /// Notes for how long a connection was in use.
-    fn note_held(&self, now: Timestamp, elapsed: Duration) {
-        let mut held = self.held.get();
-        held.note(now, elapsed);
-        self.held.set(held);
+        note_time(&self.wait, now, waited);
     }
 
     /// The queue that a request of `priority` would join.
     fn queue(&self, now: Timestamp, priority: u8) -> ConnectionQueue {
         let waiters = self.waiters.borrow();
         ConnectionQueue {
-            ahead: waiters.range(..(priority + 1, 0)).count(),
+            ahead: waiters.range(..=(priority, u64::MAX)).count(),
             connections: self.open.get(),
             held: self.held.get().expected(now),
         }
@@ -229,9 +220,7 @@
     /// Notes a served statement.
     pub fn note_served(&self, now: Timestamp, elapsed: Duration) {
         self.note_outcome(now, false);
-        let mut service_time = self.service_time.get();
-        service_time.note(now, elapsed);
-        self.service_time.set(service_time);
+        note_time(&self.service_time, now, elapsed);
         self.suspect_until.set(Timestamp::default());
     }
 
@@ -385,7 +374,7 @@
             return;
         }
         if let Some(node) = self.node.upgrade() {
-            self.note_held(node.now(), held);
+            note_time(&self.held, node.now(), held);
         }
         if connection.broken {
             self.open.set(self.open.get() - 1);
@@ -494,6 +483,12 @@
     }
 }
 
+fn note_time(estimate: &Cell<ResponseTime>, now: Timestamp, elapsed: Duration) {
+    let mut changed = estimate.get();
+    changed.note(now, elapsed);
+    estimate.set(changed);
+}
+
 struct OpeningSlot<'a> {
     pool: &'a Pool,
 }
--- a/crates/serving/src/primary_lease.rs
+++ b/crates/serving/src/primary_lease.rs
@@ -1,5 +1,5 @@
-//! Keeps this node's lease on the use of primaries, and grants the others theirs while
-//! this node coordinates. Only services that do not fence promotions need it.
+//! Keeps this node's lease on the use of primaries, and grants the others theirs, as the
+//! coordinator or a stand-in. Only services that do not fence promotions need it.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -240,15 +240,16 @@
 
     /// What this node knows of promotions, for one that knows all up to `revision`.
     fn promotions_after(&self, revision: u64) -> Promotions {
-        let revisions = self.promotion_revisions.borrow();
-        let later = revisions.iter().filter(|(_, known)| **known > revision);
-        let newer = later.filter_map(|(group, known)| {
-            let group = GroupName::new(group);
-            let promoting = self.with_group(&group, |state| state.promoting.clone());
+        let groups = self.groups.borrow();
+        let later = groups
+            .iter()
+            .filter(|(_, state)| state.announced_at > revision);
+        let newer = later.filter_map(|(group, state)| {
+            let (candidate, _) = state.promoting.as_ref()?;
             Some(Announcement {
-                candidate: promoting?.0,
-                group,
-                revision: *known,
+                group: group.clone(),
+                candidate: candidate.clone(),
+                revision: state.announced_at,
             })
         });
         Promotions {
@@ -268,48 +269,37 @@
     /// in a moment. A lease taken before that would leave them in doubt.
     fn writes_end_soon(&self) -> bool {
         let now = self.now();
-        let revisions = self.promotion_revisions.borrow();
-        let groups = self.groups.borrow();
-        revisions.iter().any(|(group, revision)| {
-            groups.get(&GroupName::new(group)).is_some_and(|state| {
-                let since = state.promoting.as_ref().map_or(now, |(_, since)| *since);
-                let open = state.closed_by < *revision && state.writes_in_flight > 0;
-                open && now.since(since) < WRITES_END
-            })
+        self.groups.borrow().values().any(|state| {
+            let since = state.promoting.as_ref().map_or(now, |(_, since)| *since);
+            let open = state.closed_by < state.announced_at && state.writes_in_flight > 0;
+            open && now.since(since) < WRITES_END
         })
     }
 
     /// Nothing that a replaced primary answers from now on is passed on as done. A lease
     /// granted after an announcement does not cover the primary that it replaces.
     fn close_all_replaced(&self) {
-        let revisions = self.promotion_revisions.borrow();
-        let mut groups = self.groups.borrow_mut();
-        for (group, revision) in revisions.iter() {
-            if let Some(state) = groups.get_mut(&GroupName::new(group)) {
-                state.closed_by = state.closed_by.max(*revision);
-            }
+        for state in self.groups.borrow_mut().values_mut() {
+            state.closed_by = state.closed_by.max(state.announced_at);
         }
     }
 
     /// Takes an announcement; one that is not newer than what is known is passed over.
     pub(crate) fn learn_promotion(&self, announcement: &Announcement) {
         let group = &announcement.group;
-        let known = self
-            .promotion_revisions
-            .borrow()
-            .get(group.as_str())
-            .copied();
-        if known >= Some(announcement.revision) {
-            return;
-        }
-        self.promotion_revisions
-            .borrow_mut()
-            .insert(group.as_str().to_owned(), announcement.revision);
         let now = self.now();
         let candidate = &announcement.candidate;
-        self.with_group(group, |state| {
-            state.promoting = Some((candidate.clone(), now));
+        let newer = self.with_group(group, |state| {
+            let newer = announcement.revision > state.announced_at;
+            if newer {
+                state.announced_at = announcement.revision;
+                state.promoting = Some((candidate.clone(), now));
+            }
+            newer
         });
+        if !newer {
+            return;
+        }
         let replaced = self.leader(group).filter(|leader| leader != candidate);
         if let Some(replaced) = replaced
             && !self.changeable().fenced_promotions
@@ -352,17 +342,12 @@
         if self.changeable().fenced_promotions {
             return true;
         }
-        let announced = self
-            .promotion_revisions
-            .borrow()
-            .get(group.as_str())
-            .copied();
         let closed = self.with_group(group, |state| {
             let replaced = state
                 .promoting
                 .as_ref()
                 .is_some_and(|(candidate, _)| candidate != database);
-            replaced && Some(state.closed_by) >= announced
+            replaced && state.closed_by >= state.announced_at
         });
         !closed && self.may_use_primaries()
     }
