Keep asking the newest coordinator when its record lapses

One node alone heard by a watch that the coordinator's record had lapsed in the outage. It then knew nobody to ask as the coordinator, turned to the first stand-in, which was itself, and was refused for as long as the outage lasted, while the two others voted for the coordinator that lived on. Ruled out: load on the machine (the trace shows every answer in time), votes that are too old. The newest coordinator stays known without its record; the view of it is a type of its own, with a table that fails on the old rule.

--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -4,6 +4,7 @@
 //! All of it is deterministic. Time is an argument, and nothing here does I/O.
 
 pub mod admission;
+pub mod coordinator;
 pub mod demand;
 pub mod directory;
 pub mod failover;
--- /dev/null
+++ b/crates/coordination/tests/serving_coordinator.rs
@@ -0,0 +1,48 @@
+//! What a node knows of coordinators.
+
+use hookpoint_coordination::serving::coordinator::{CoordinatorRecord, CoordinatorView};
+
+fn record(node: &str) -> CoordinatorRecord {
+    CoordinatorRecord {
+        node: node.to_owned(),
+        lease: 1,
+    }
+}
+
+/// A record lapsed in an outage of the store, and one node alone heard of that. It asked
+/// stand-ins in vain, as the others went on voting for the coordinator.
+#[test]
+fn a_coordinator_whose_record_is_gone_stays_the_one_to_ask() {
+    let mut view = CoordinatorView::default();
+    view.take_record(7, Some(record("first")));
+    view.take_record(9, None);
+    assert_eq!(view.holder(), None);
+    assert_eq!(view.revision(), 0);
+    assert_eq!(view.newest(), Some("first"));
+    view.forget_record();
+    assert_eq!(view.newest(), Some("first"));
+}
+
+#[test]
+fn the_newest_coordinator_is_asked_however_it_was_heard_of() {
+    let mut view = CoordinatorView::default();
+    assert_eq!(view.newest(), None);
+    view.take_record(7, Some(record("first")));
+    view.learn(12, "second");
+    assert_eq!(view.newest(), Some("second"));
+    view.learn(7, "first");
+    assert_eq!(view.newest(), Some("second"));
+    assert_eq!(view.holder(), Some(&record("first")));
+    view.take_record(15, Some(record("third")));
+    assert_eq!(view.newest(), Some("third"));
+}
+
+#[test]
+fn an_older_record_is_passed_over() {
+    let mut view = CoordinatorView::default();
+    view.take_record(9, Some(record("second")));
+    view.take_record(7, Some(record("first")));
+    assert_eq!(view.holder(), Some(&record("second")));
+    view.take_record(8, None);
+    assert_eq!(view.revision(), 9);
+}
--- a/crates/serving/src/coordinator/mod.rs
+++ b/crates/serving/src/coordinator/mod.rs
@@ -179,7 +179,7 @@
         return Some(Authority::Lease);
     }
     node.coordinator_revision()?;
-    let own = node.coordinator.borrow().holder.clone();
+    let own = node.coordinator.borrow().holder().cloned();
     let agreed = views
         .iter()
         .all(|view| !view.store_reachable && view.coordinator == own);
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::coordinator::CoordinatorRecord;
 use hookpoint_coordination::serving::directory::Database;
 use hookpoint_state::DatabaseName;
 use tokio::time::{sleep, timeout};
@@ -12,8 +13,7 @@
 use crate::ports::{StoreChange, StoreChanges, StoreError, StoreRecord};
 use crate::primary_lease::Announcement;
 use crate::records::{
-    COORDINATOR_KEY, CoordinatorRecord, MEMBER_PREFIX, MemberRecord, PROMOTION_PREFIX,
-    PromotionRecord, decode,
+    COORDINATOR_KEY, MEMBER_PREFIX, MemberRecord, PROMOTION_PREFIX, PromotionRecord, decode,
 };
 use crate::snapshot;
 
@@ -192,7 +192,7 @@
         }
     }
     if !present.iter().any(|key| key == COORDINATOR_KEY) {
-        *node.coordinator.borrow_mut() = Default::default();
+        node.coordinator.borrow_mut().forget_record();
     }
 }
 
@@ -243,12 +243,7 @@
         apply_member(node, name, value.and_then(decode));
     } else if key == COORDINATOR_KEY {
         let record: Option<CoordinatorRecord> = value.and_then(decode);
-        let mut view = node.coordinator.borrow_mut();
-        if revision < view.revision {
-            return;
-        }
-        view.revision = if record.is_some() { revision } else { 0 };
-        view.holder = record;
+        node.coordinator.borrow_mut().take_record(revision, record);
     } else if key.starts_with(PROMOTION_PREFIX) {
         apply_promotion(node, value.and_then(decode), revision);
     }
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use hookpoint_coordination::serving::coordinator::CoordinatorView;
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
 use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
 use hookpoint_coordination::serving::lease_grantor::LeaseGrantor;
@@ -23,7 +24,6 @@
 use crate::link::Links;
 use crate::pool::Pool;
 use crate::ports::{PromotionService, StateStore, WireProtocol};
-use crate::records::CoordinatorRecord;
 use crate::units::millis;
 
 /// Rest of a transaction that is allowed where the configuration tells none.
@@ -116,15 +116,6 @@
     pub gone_at: Option<Timestamp>,
 }
 
-/// Another holder's or this node's claim to order promotions.
-#[derive(Clone, Debug, Default)]
-pub struct CoordinatorView {
-    /// Revision of the record; 0 if absent.
-    pub revision: u64,
-    /// Who holds it.
-    pub holder: Option<CoordinatorRecord>,
-}
-
 /// A position for the log: term and number, parted by a point.
 fn written(position: Position) -> String {
     format!("{}.{}", position.term.0, position.lsn.0)
@@ -163,8 +154,6 @@
     pub members: RefCell<BTreeMap<String, Member>>,
     /// Who may order promotions.
     pub coordinator: RefCell<CoordinatorView>,
-    /// Revision and name of the newest coordinator that announced something.
-    pub heard_coordinator: RefCell<Option<(u64, String)>>,
     /// Up to which revision of the store all promotions are known.
     pub promotions_known: Cell<u64>,
     /// Leave to use primaries, where promotions are not fenced.
@@ -230,7 +219,6 @@
             groups: RefCell::default(),
             members: RefCell::default(),
             coordinator: RefCell::default(),
-            heard_coordinator: RefCell::default(),
             promotions_known: Cell::new(0),
             primary_lease: RefCell::new(PrimaryLease::new(life, START)),
             grantor: RefCell::new(LeaseGrantor::new(life)),
--- a/crates/serving/src/office.rs
+++ b/crates/serving/src/office.rs
@@ -6,13 +6,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::coordinator::CoordinatorRecord;
 use hookpoint_coordination::serving::homes::claim_order;
 use hookpoint_state::Timestamp;
 use tokio::time::{sleep, timeout};
 
 use crate::node::Node;
 use crate::ports::{ConditionalWrite, LeaseId, StoreError, WriteOutcome};
-use crate::records::{COORDINATOR_KEY, CoordinatorRecord, encode};
+use crate::records::{COORDINATOR_KEY, encode};
 
 /// Time to live of the record.
 const RECORD_TIME: Duration = Duration::from_millis(1_500);
@@ -58,7 +59,7 @@
 }
 
 fn may_claim(node: &Rc<Node>) -> bool {
-    let free = node.coordinator.borrow().holder.is_none();
+    let free = node.coordinator.borrow().holder().is_none();
     free && node.store_reachable.get() && node.configuration().is_some()
 }
 
@@ -93,11 +94,9 @@
     node.coordinator_lease.set(Some(lease.0));
     note_held(node, asked_at);
     node.grantor.borrow_mut().enter_office(revision, claimed_at);
-    {
-        let mut view = node.coordinator.borrow_mut();
-        view.revision = revision;
-        view.holder = Some(record);
-    }
+    node.coordinator
+        .borrow_mut()
+        .take_record(revision, Some(record));
     node.log("coordinator_claimed", &[("revision", revision.into())]);
     Some(lease)
 }
@@ -141,11 +140,10 @@
     node.grantor.borrow_mut().leave_office();
     let mut view = node.coordinator.borrow_mut();
     let own = view
-        .holder
-        .as_ref()
+        .holder()
         .is_some_and(|holder| holder.node == node.settings.name);
     if own {
-        view.holder = None;
+        view.forget_record();
     }
     drop(view);
     node.log("coordinator_left", &[]);
@@ -156,11 +154,11 @@
     /// newer one is known of.
     pub fn coordinator_revision(&self) -> Option<u64> {
         let view = self.coordinator.borrow();
-        let holder = view.holder.as_ref()?;
+        let holder = view.holder()?;
         let own =
             holder.node == self.settings.name && Some(holder.lease) == self.coordinator_lease.get();
-        let newest = self.primary_lease.borrow().coordinator() <= view.revision;
-        (own && newest).then_some(view.revision)
+        let newest = self.primary_lease.borrow().coordinator() <= view.revision();
+        (own && newest).then_some(view.revision())
     }
 
     /// Whether this node may order promotions on the strength of its lease.
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::coordinator::CoordinatorRecord;
 use hookpoint_coordination::serving::failover::Observation;
 use hookpoint_coordination::serving::leadership::{Confirmation, Reign};
 use hookpoint_coordination::serving::primary_lease::{LeaseAnswer, LeaseRequest};
@@ -17,7 +18,6 @@
 
 use crate::node::Node;
 use crate::primary_lease::{self, Announcement, Promotions};
-use crate::records::CoordinatorRecord;
 
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 4 << 10;
@@ -168,7 +168,7 @@
                         node: node.settings.name.clone(),
                         observation: told,
                         store_reachable: node.store_reachable.get(),
-                        coordinator: node.coordinator.borrow().holder.clone(),
+                        coordinator: node.coordinator.borrow().holder().cloned(),
                     };
                     self.send(&answer, sender);
                 }
@@ -325,7 +325,7 @@
         let own = PeerView {
             observation: node.observe(group, leader),
             store_reachable: node.store_reachable.get(),
-            coordinator: node.coordinator.borrow().holder.clone(),
+            coordinator: node.coordinator.borrow().holder().cloned(),
         };
         std::iter::once(own).chain(answers.into_values()).collect()
     }
--- a/crates/serving/src/primary_lease.rs
+++ b/crates/serving/src/primary_lease.rs
@@ -70,7 +70,7 @@
 
 fn log_change(node: &Rc<Node>, covers: bool, now: Timestamp) {
     if covers {
-        let coordinator = node.coordinator.borrow().revision;
+        let coordinator = node.coordinator.borrow().revision();
         node.log("primary_lease_held", &[("coordinator", coordinator.into())]);
         node.leader_changed.notify_waiters();
     } else {
@@ -86,7 +86,7 @@
         return;
     }
     let mut lease = node.primary_lease.borrow_mut();
-    lease.follow(node.coordinator.borrow().revision, now);
+    lease.follow(node.coordinator.borrow().revision(), now);
     let Some((grantor, request)) = lease.request(now) else {
         return;
     };
@@ -118,13 +118,14 @@
 
 /// The node to ask; none if nobody coordinates, or no other node is known.
 fn grantor_name(node: &Rc<Node>, grantor: Grantor) -> Option<String> {
-    let coordinator = node.coordinator_name();
+    let view = node.coordinator.borrow();
+    let coordinator = view.newest();
     match grantor {
-        Grantor::Coordinator => coordinator,
+        Grantor::Coordinator => coordinator.map(str::to_owned),
         Grantor::StandIn(place) => {
             let nodes = node.registered_nodes();
             let mut order = claim_order(&nodes);
-            order.retain(|name| Some(*name) != coordinator.as_deref());
+            order.retain(|name| Some(*name) != coordinator);
             let place = place.checked_rem(order.len())?;
             Some(order[place].to_owned())
         }
@@ -168,7 +169,9 @@
     coordinator_name: &str,
     announcement: &Announcement,
 ) -> bool {
-    node.learn_coordinator(coordinator, coordinator_name);
+    node.coordinator
+        .borrow_mut()
+        .learn(coordinator, coordinator_name);
     node.learn_promotion(announcement);
     let now = node.now();
     let ended = node.with_group(&announcement.group, |state| {
@@ -199,24 +202,6 @@
         grantor.answer(peer, request, coordinator, electorate, self.now())
     }
 
-    /// Takes notice of a coordinator that announces something. A node that has lost the
-    /// store learns of a new one only so.
-    fn learn_coordinator(&self, revision: u64, name: &str) {
-        let mut heard = self.heard_coordinator.borrow_mut();
-        if heard.as_ref().is_none_or(|(known, _)| *known < revision) {
-            *heard = Some((revision, name.to_owned()));
-        }
-    }
-
-    /// Name of the newest coordinator that this node knows of.
-    fn coordinator_name(&self) -> Option<String> {
-        let view = self.coordinator.borrow();
-        match self.heard_coordinator.borrow().as_ref() {
-            Some((revision, name)) if *revision > view.revision => Some(name.clone()),
-            _ => view.holder.as_ref().map(|holder| holder.node.clone()),
-        }
-    }
-
     /// Whether others may have granted leases by this node's vote.
     pub(crate) fn voted_for_others(&self) -> bool {
         let now = self.now();
--- a/crates/serving/src/records.rs
+++ b/crates/serving/src/records.rs
@@ -23,15 +23,6 @@
     pub peer_address: SocketAddr,
 }
 
-/// The holder of the right to order promotions.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CoordinatorRecord {
-    /// Node name.
-    pub node: String,
-    /// The lease that the record goes with. It tells lives of one node apart.
-    pub lease: u64,
-}
-
 /// An ordered promotion, written so that other nodes learn of it sooner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromotionRecord {
