Take over the coordinator's record after a restart, and ask for leases without polls

Change: a coordinator that starts again writes over the record that its earlier process left behind; it tells all nodes by datagram that it coordinates; answers and news of a coordinator wake the task that keeps the lease; the office and the monitor look at once when the configuration is there.

--- a/crates/coordination/src/serving/coordinator.rs
+++ b/crates/coordination/src/serving/coordinator.rs
@@ -64,6 +64,18 @@
         self.revision
     }
 
+    /// The record, if a process of `node` wrote it that no longer runs: not the one that
+    /// holds `lease`.
+    pub fn left_behind(&self, node: &str, lease: Option<u64>) -> Option<&CoordinatorRecord> {
+        self.holder()
+            .filter(|record| record.node == node && Some(record.lease) != lease)
+    }
+
+    /// Revision of the newest coordinator known of; 0 if there is none.
+    pub fn newest_revision(&self) -> u64 {
+        self.newest.as_ref().map_or(0, |(revision, _)| *revision)
+    }
+
     /// Name of the newest coordinator known of, whether its record is there or not.
     pub fn newest(&self) -> Option<&str> {
         self.newest.as_ref().map(|(_, node)| node.as_str())
--- a/crates/coordination/tests/serving_coordinator.rs
+++ b/crates/coordination/tests/serving_coordinator.rs
@@ -37,6 +37,18 @@
     assert_eq!(view.newest(), Some("third"));
 }
 
+/// A process that starts again finds its predecessor's record, which it may replace.
+#[test]
+fn a_record_is_left_behind_by_an_earlier_process_of_the_same_node_only() {
+    let mut view = CoordinatorView::default();
+    assert!(view.left_behind("first", None).is_none());
+    view.take_record(7, Some(record("first")));
+    assert!(view.left_behind("first", None).is_some());
+    assert!(view.left_behind("first", Some(2)).is_some());
+    assert!(view.left_behind("first", Some(1)).is_none());
+    assert!(view.left_behind("second", None).is_none());
+}
+
 #[test]
 fn an_older_record_is_passed_over() {
     let mut view = CoordinatorView::default();
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -11,7 +11,7 @@
 
 use hookpoint_coordination::serving::session::SessionValues;
 use hookpoint_state::{DatabaseName, GroupName, Timestamp};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::connection::ConnectionError;
 use crate::lease::{Lease, prove_leadership};
@@ -57,7 +57,7 @@
         sleep(REGISTRATION_TIME).await;
     }
     loop {
-        sleep(ROUND).await;
+        let _ = timeout(ROUND, node.configuration_changed.notified()).await;
         for group in node.configured_groups() {
             look_after(&node, &peers, &asking, &group);
         }
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -182,6 +182,8 @@
     pub lent: Cell<usize>,
     /// Wakes all who wait for a change of a primary.
     pub leader_changed: Notify,
+    /// Wakes the task that keeps the lease on primaries: something is due.
+    pub lease_due: Notify,
     /// Wakes all who wait for configuration.
     pub configuration_changed: Notify,
     /// Wakes sessions when a stop is asked for or advances.
@@ -233,6 +235,7 @@
             sessions: Cell::new(0),
             lent: Cell::new(0),
             leader_changed: Notify::new(),
+            lease_due: Notify::new(),
             configuration_changed: Notify::new(),
             stop_advanced: Notify::new(),
             links: Links::default(),
--- a/crates/serving/src/office.rs
+++ b/crates/serving/src/office.rs
@@ -12,7 +12,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::node::Node;
+use crate::peers::Peers;
 use crate::ports::{ConditionalWrite, LeaseId, StoreError, WriteOutcome};
+use crate::primary_lease;
 use crate::records::{COORDINATOR_KEY, encode};
 
 /// Time to live of the record.
@@ -34,10 +36,10 @@
 const RANKS: usize = 6;
 
 /// Claims the record while it is free and keeps it, for as long as the node lives.
-pub async fn serve(node: Rc<Node>) {
+pub async fn serve(node: Rc<Node>, peers: Rc<Peers>) {
     let mut free_since = None;
     loop {
-        sleep(LOOK).await;
+        let _ = timeout(LOOK, node.configuration_changed.notified()).await;
         if node.stopping_since.get().is_some() {
             return;
         }
@@ -47,11 +49,15 @@
         }
         let now = node.now();
         let since = *free_since.get_or_insert(now);
-        if now.since(since) < own_turn(&node) {
+        let left_behind = left_behind(&node);
+        if left_behind.is_none() && now.since(since) < own_turn(&node) {
             continue;
         }
-        match claim(&node).await {
-            Some(lease) => hold(&node, lease).await,
+        match claim(&node, left_behind).await {
+            Some((lease, revision)) => {
+                primary_lease::tell_coordinator(&node, &peers, revision);
+                hold(&node, lease).await;
+            }
             None => sleep(RETRY_PAUSE).await,
         }
         free_since = None;
@@ -59,10 +65,19 @@
 }
 
 fn may_claim(node: &Rc<Node>) -> bool {
-    let free = node.coordinator.borrow().holder().is_none();
+    let free = node.coordinator.borrow().holder().is_none() || left_behind(node).is_some();
     free && node.store_reachable.get() && node.configuration().is_some()
 }
 
+/// Revision of a record that an earlier process of this node left behind. It coordinates
+/// no more, so this one need not wait until the record lapses.
+fn left_behind(node: &Rc<Node>) -> Option<u64> {
+    let view = node.coordinator.borrow();
+    let own_lease = node.coordinator_lease.get();
+    view.left_behind(&node.settings.name, own_lease)?;
+    Some(view.revision())
+}
+
 /// How long this node leaves a free record to those before it.
 fn own_turn(node: &Rc<Node>) -> Duration {
     let nodes = node.registered_nodes();
@@ -73,7 +88,9 @@
     RANK_PAUSE * u32::try_from(rank).unwrap_or_default()
 }
 
-async fn claim(node: &Rc<Node>) -> Option<LeaseId> {
+/// Writes the record, over one that was left behind if there is such. Its lease and its
+/// revision.
+async fn claim(node: &Rc<Node>, left_behind: Option<u64>) -> Option<(LeaseId, u64)> {
     let asked_at = node.now();
     let lease = node.store.grant_lease(RECORD_TIME).await.ok()?;
     let record = CoordinatorRecord {
@@ -82,7 +99,7 @@
     };
     let write = ConditionalWrite {
         key: COORDINATOR_KEY.to_owned(),
-        expected_revision: 0,
+        expected_revision: left_behind.unwrap_or(0),
         value: encode(&record),
         lease: Some(lease),
     };
@@ -98,7 +115,7 @@
         .borrow_mut()
         .take_record(revision, Some(record));
     node.log("coordinator_claimed", &[("revision", revision.into())]);
-    Some(lease)
+    Some((lease, revision))
 }
 
 fn note_held(node: &Rc<Node>, asked_at: Timestamp) {
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -71,6 +71,13 @@
         /// What the answering node knows of promotions.
         promotions: Promotions,
     },
+    /// The sender coordinates from now on.
+    TellCoordinator {
+        /// Revision of its record.
+        revision: u64,
+        /// Its name.
+        node: String,
+    },
     /// A primary is about to be replaced: use it no more.
     Announce {
         /// Revision of the coordinator's record.
@@ -213,6 +220,10 @@
                 let answer = primary_lease::answer(node, &peer, &request, &promotions);
                 self.send(&answer, sender);
             }
+            PeerMessage::TellCoordinator {
+                revision,
+                node: coordinator,
+            } => primary_lease::take_coordinator(node, revision, &coordinator),
             PeerMessage::TellLease { answer, promotions } => {
                 primary_lease::take_answer(node, &answer, &promotions);
             }
--- a/crates/serving/src/primary_lease.rs
+++ b/crates/serving/src/primary_lease.rs
@@ -9,13 +9,13 @@
 use hookpoint_coordination::serving::primary_lease::{Grantor, LeaseAnswer, LeaseRequest};
 use hookpoint_state::{DatabaseName, GroupName, Timestamp};
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::node::Node;
 use crate::peers::{PeerMessage, Peers};
 use crate::units::millis;
 
-/// Pause between looks at the lease.
+/// Longest pause between looks at the lease.
 const LOOK: Duration = Duration::from_millis(50);
 /// How long writes in flight at a primary that is about to be replaced hold back this
 /// node's acknowledgement. What is answered later is in doubt.
@@ -51,7 +51,7 @@
 pub async fn keep(node: Rc<Node>, peers: Rc<Peers>) {
     let mut covered = false;
     loop {
-        sleep(LOOK).await;
+        let _ = timeout(LOOK, node.lease_due.notified()).await;
         if node.changeable().fenced_promotions {
             continue;
         }
@@ -86,7 +86,7 @@
         return;
     }
     let mut lease = node.primary_lease.borrow_mut();
-    lease.follow(node.coordinator.borrow().revision(), now);
+    lease.follow(node.coordinator.borrow().newest_revision(), now);
     let Some((grantor, request)) = lease.request(now) else {
         return;
     };
@@ -99,6 +99,7 @@
         node.close_all_replaced();
         node.primary_lease.borrow_mut().take(&answer, now);
         node.grantor_knows.set(node.promotions_known.get());
+        node.lease_due.notify_one();
         return;
     }
     let address = node
@@ -159,6 +160,25 @@
     if node.primary_lease.borrow_mut().take(answer, node.now()) {
         node.grantor_knows.set(promotions.known);
     }
+    node.lease_due.notify_one();
+}
+
+/// Tells all nodes that this one coordinates: they ask it for leases at once.
+pub(crate) fn tell_coordinator(node: &Node, peers: &Peers, revision: u64) {
+    let message = PeerMessage::TellCoordinator {
+        revision,
+        node: node.settings.name.clone(),
+    };
+    for address in node.other_members() {
+        peers.send(&message, address);
+    }
+    node.lease_due.notify_one();
+}
+
+/// Takes notice of a coordinator.
+pub(crate) fn take_coordinator(node: &Node, revision: u64, name: &str) {
+    node.coordinator.borrow_mut().learn(revision, name);
+    node.lease_due.notify_one();
 }
 
 /// Takes an announcement that a coordinator makes before it orders. Says whether this
