Let a transaction join only shorter queues while others wait for connections

Hypothesis: a transaction takes a connection and slots for several statements, so where a primary has too much to do, each one that waits keeps several single statements from being served. Change: with others ahead of it a transaction has a quarter of a statement's patience; the next in turn always may wait.

--- a/crates/coordination/src/serving/admission.rs
+++ b/crates/coordination/src/serving/admission.rs
@@ -7,10 +7,25 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Part of a request's latency objective that it may spend in a queue. The rest is for
 /// the database's own queue, the work, and the way.
 const PATIENCE_DIVISOR: u32 = 6;
 
+/// What a request takes of a connection once it has one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Use {
+    /// One statement.
+    Statement,
+    /// A transaction: several statements, its end, and the caller's pauses between them.
+    Transaction,
+}
+
+/// Part of a single statement's patience that a transaction has for a queue in which others
+/// are ahead: it takes the place of several of them.
+const TRANSACTION_DIVISOR: u32 = 4;
+
 /// A queue for connections.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionQueue {
@@ -31,8 +46,10 @@
     }
 
     /// Whether a request may join that can spend `patience` waiting.
-    pub fn admits(self, patience: Duration) -> bool {
-        self.expected_wait() <= patience
+    pub fn admits(self, patience: Duration, wanted: Use) -> bool {
+        let others_first = wanted == Use::Transaction && self.ahead > 0;
+        let divisor = if others_first { TRANSACTION_DIVISOR } else { 1 };
+        self.expected_wait() <= patience / divisor
     }
 }
 
--- a/crates/coordination/tests/serving_admission.rs
+++ b/crates/coordination/tests/serving_admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hookpoint_coordination::serving::admission::{ConnectionQueue, patience};
+use hookpoint_coordination::serving::admission::{ConnectionQueue, Use, patience};
 use quickcheck::quickcheck;
 
 fn millis(millis: u64) -> Duration {
@@ -33,13 +33,36 @@
     for (ahead, connections, held, patience, joined) in table {
         let queue = queue(ahead, connections, held);
         assert_eq!(
-            queue.admits(millis(patience)),
+            queue.admits(millis(patience), Use::Statement),
             joined,
             "{queue:?} {patience}"
         );
     }
 }
 
+#[test]
+fn a_transaction_joins_a_shorter_queue_unless_it_is_next() {
+    // (ahead, patience ms, a statement joins, a transaction joins)
+    let table = [
+        (0, 20, true, true),
+        (0, 19, false, false),
+        (1, 40, true, false),
+        (1, 159, true, false),
+        (1, 160, true, true),
+        (4, 99, false, false),
+    ];
+    for (ahead, patience, statement, transaction) in table {
+        let queue = queue(ahead, 1, 20);
+        let admits = |wanted| queue.admits(millis(patience), wanted);
+        assert_eq!(admits(Use::Statement), statement, "{queue:?} {patience}");
+        assert_eq!(
+            admits(Use::Transaction),
+            transaction,
+            "{queue:?} {patience}"
+        );
+    }
+}
+
 #[test]
 fn patience_is_a_part_of_the_objective_and_runs_out() {
     assert!(patience(millis(600), millis(0)) < millis(600));
@@ -49,7 +72,8 @@
 
 quickcheck! {
     /// A longer queue, fewer connections or a longer use never make a queue joinable.
-    fn worse_queues_are_joined_no_sooner(ahead: u8, connections: u8, held: u8, limit: u16) -> bool {
+    fn worse_queues_are_joined_no_sooner(ahead: u8, connections: u8, held: u8, limit: u16, transaction: bool) -> bool {
+        let wanted = if transaction { Use::Transaction } else { Use::Statement };
         let limit = millis(u64::from(limit));
         let own = queue(ahead.into(), connections.into(), held.into());
         let worse = [
@@ -57,6 +81,6 @@
             queue(ahead.into(), connections.saturating_sub(1).into(), held.into()),
             queue(ahead.into(), connections.into(), u64::from(held) + 1),
         ];
-        own.admits(limit) || worse.iter().all(|queue| !queue.admits(limit))
+        own.admits(limit, wanted) || worse.iter().all(|queue| !queue.admits(limit, wanted))
     }
 }
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -5,7 +5,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use hookpoint_coordination::serving::admission::ConnectionQueue;
+use hookpoint_coordination::serving::admission::{ConnectionQueue, Use};
 use hookpoint_coordination::serving::demand::Demand;
 use hookpoint_coordination::serving::reliability::Reliability;
 use hookpoint_coordination::serving::response_time::ResponseTime;
@@ -38,6 +38,8 @@
 pub struct WaitLimits {
     /// A queue in which it is expected to take longer is not joined.
     pub patience: Duration,
+    /// What the connection is wanted for.
+    pub wanted: Use,
     /// After this time the queue is left.
     pub limit: Duration,
 }
@@ -47,6 +49,7 @@
     pub fn patient(limit: Duration) -> Self {
         Self {
             patience: Duration::MAX,
+            wanted: Use::Statement,
             limit,
         }
     }
@@ -305,7 +308,10 @@
         if self.open.get() == 0 {
             return Err(AcquireError::Crowded);
         }
-        if !self.queue(node.now(), priority).admits(limits.patience) {
+        if !self
+            .queue(node.now(), priority)
+            .admits(limits.patience, limits.wanted)
+        {
             return Err(AcquireError::Overloaded);
         }
         self.wait(priority, limits.limit).await
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -106,6 +106,7 @@
             database: database.clone(),
             priority,
             values: values.clone(),
+            wanted: limits.wanted,
             patience_ms: millis(limits.patience),
             limit_ms: millis(limits.limit),
         };
@@ -285,11 +286,13 @@
                 database,
                 priority,
                 values,
+                wanted,
                 patience_ms,
                 limit_ms,
             } => {
                 drop(held.take());
                 let limits = WaitLimits {
+                    wanted,
                     patience: Duration::from_millis(patience_ms),
                     limit: Duration::from_millis(limit_ms),
                 };
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hookpoint_coordination::serving::admission::patience;
+use hookpoint_coordination::serving::admission::{Use, patience};
 use hookpoint_coordination::serving::leadership::Confirmation;
 use hookpoint_coordination::serving::session::Access;
 use hookpoint_state::{Position, Timestamp};
@@ -74,7 +74,7 @@
             .acquire(
                 self.route.priority,
                 &self.state.values,
-                self.wait_limits(work),
+                self.wait_limits(work, in_transaction),
             )
             .await;
         let now = self.node.now();
@@ -206,9 +206,15 @@
 
     /// How long a connection is waited for. A write has to have time left to be answered,
     /// or its outcome would not be known.
-    fn wait_limits(&self, work: &Work) -> WaitLimits {
+    fn wait_limits(&self, work: &Work, in_transaction: bool) -> WaitLimits {
         let elapsed = self.node.now().since(self.arrived);
+        let wanted = if in_transaction {
+            Use::Transaction
+        } else {
+            Use::Statement
+        };
         WaitLimits {
+            wanted,
             patience: patience(self.route.target_latency, elapsed),
             limit: self.time_left().saturating_sub(least_time(work)),
         }
