Watch the store from one node a region, and register over a known record

Hypothesis: on 71 machines half of the calls to the store are watches, many of them answered for a member that came or went; after a loss of all power each node makes two calls more than it needs to register. Change: one watcher in each large region, that of another one stands in for it; changes that concern members only are gathered for 250 ms; a node writes over the member record that its earlier process left.

--- a/crates/coordination/src/serving/feed.rs
+++ b/crates/coordination/src/serving/feed.rs
@@ -13,7 +13,7 @@
 
 /// Nodes of a region up to which each watches the store by itself.
 const SMALL_REGION: usize = 4;
-/// Nodes that watch the store in a larger region: one may be lost without a gap.
+/// Watchers that a follower turns to: one may be lost without a gap.
 const WATCHERS: usize = 2;
 /// Subjects kept at the most; beyond that the oldest changes are forgotten.
 const SUBJECTS_KEPT: usize = 16_384;
@@ -21,19 +21,46 @@
 /// Region of each zone. A zone that is not listed is a region of its own.
 pub type Regions = BTreeMap<ZoneName, String>;
 
-/// The nodes of the region of `zone` that watch the store themselves, the preferred first.
-/// Nodes with the same view of the membership agree on them without a message. Zones of a
-/// region are close, and a call to the store costs more than some bytes between them.
+/// The nodes that watch the store for the nodes of `zone`, the preferred first; all nodes
+/// of a small region watch it themselves.
+///
+/// One watches in each larger region, and that of another one stands in for it: zones of a
+/// region are close, and a call to the store costs more than some bytes between regions.
+/// Where no other region is as large, two watch in the one. Nodes with the same view of the
+/// membership agree on all of this without a message.
 pub fn store_watchers<'a>(
     zone: &ZoneName,
     nodes: &'a [HomeCandidate],
     regions: &Regions,
 ) -> Vec<&'a str> {
-    let mut local = nodes_near(zone, nodes, regions);
-    if local.len() > SMALL_REGION {
-        sort_by_score(region_of(zone, regions), &mut local);
-        local.truncate(WATCHERS);
+    let own = region_of(zone, regions);
+    let mut by_region: BTreeMap<&str, Vec<&'a str>> = BTreeMap::new();
+    for candidate in nodes {
+        let region = region_of(&candidate.zone, regions);
+        by_region.entry(region).or_default().push(&candidate.node);
     }
+    let mut local = by_region.remove(own).unwrap_or_default();
+    if local.len() <= SMALL_REGION {
+        return local;
+    }
+    sort_by_score(own, &mut local);
+    let mut afar: Vec<&str> = by_region
+        .into_iter()
+        .filter(|(_, members)| members.len() > SMALL_REGION)
+        .map(|(region, mut members)| {
+            sort_by_score(region, &mut members);
+            members[0]
+        })
+        .collect();
+    sort_by_score(own, &mut afar);
+    let substitutes = if afar.is_empty() {
+        local.split_off(1)
+    } else {
+        afar
+    };
+    local.truncate(1);
+    local.extend(substitutes);
+    local.truncate(WATCHERS);
     local
 }
 
--- a/crates/coordination/tests/serving_feed.rs
+++ b/crates/coordination/tests/serving_feed.rs
@@ -52,6 +52,18 @@
     assert!(!has_followers(&ZoneName::new("west"), &all, &regions));
 }
 
+#[test]
+fn large_regions_have_one_watcher_each_that_stand_in_for_one_another() {
+    let mut all = nodes("east", 20);
+    all.extend(nodes("west", 20));
+    all.extend(nodes("north", 4));
+    let watchers = |zone: &str| store_watchers(&ZoneName::new(zone), &all, &Regions::new());
+    let (east, west) = (watchers("east"), watchers("west"));
+    assert_eq!(east, [west[1], west[0]]);
+    assert!(east[0].starts_with("east") && west[0].starts_with("west"));
+    assert_eq!(watchers("north").len(), 4, "a small region watches itself");
+}
+
 #[test]
 fn a_lost_watcher_is_replaced_and_the_other_one_stays() {
     let zone = ZoneName::new("east");
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -19,6 +19,8 @@
 
 /// Pause after a watch that told of changes: those of the next moment come together.
 const GATHER: Duration = Duration::from_millis(40);
+/// The same where only nodes came or went: many do at once, and nothing waits for that.
+const GATHER_MEMBERS: Duration = Duration::from_millis(250);
 /// How long a node that knows nothing waits for the store before it asks its peers.
 const PATIENCE: Duration = Duration::from_millis(250);
 /// Pause after the first failed call; it doubles with each further one.
@@ -120,10 +122,10 @@
         Ok(changes) => {
             note_reachable(node, true, "watch");
             node.feed.note_verified(node.now());
-            let changed = !changes.changes.is_empty();
+            let pause = gathering_pause(&changes.changes);
             let next = take_changes(node, changes, revision);
-            if changed {
-                sleep(GATHER).await;
+            if let Some(pause) = pause {
+                sleep(pause).await;
             }
             Some(next)
         }
@@ -136,6 +138,19 @@
     }
 }
 
+/// How long to wait for further changes after these; nothing if there were none.
+fn gathering_pause(changes: &[StoreChange]) -> Option<Duration> {
+    let of_member = |change: &StoreChange| match &change.record {
+        StoreRecord::Own { key, .. } => key.starts_with(MEMBER_PREFIX),
+        _ => false,
+    };
+    if changes.is_empty() {
+        return None;
+    }
+    let only_members = changes.iter().all(of_member);
+    Some(if only_members { GATHER_MEMBERS } else { GATHER })
+}
+
 fn note_store_error(node: &Rc<Node>, error: &StoreError) {
     node.counters.count("store_calls", "failed");
     node.feed.note_lost();
@@ -240,6 +255,10 @@
 
 fn apply_own(node: &Rc<Node>, key: &str, value: Option<&[u8]>, revision: u64) {
     if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
+        if *name == node.settings.name {
+            let revision = value.map_or(0, |_| revision);
+            node.own_record_revision.set(revision);
+        }
         apply_member(node, name, value.and_then(decode));
     } else if key == COORDINATOR_KEY {
         let record: Option<CoordinatorRecord> = value.and_then(decode);
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -152,6 +152,8 @@
     pub groups: RefCell<BTreeMap<GroupName, GroupState>>,
     /// Peers, this node included.
     pub members: RefCell<BTreeMap<String, Member>>,
+    /// Revision of this node's own member record as last seen in the store; 0 if absent.
+    pub own_record_revision: Cell<u64>,
     /// Who may order promotions.
     pub coordinator: RefCell<CoordinatorView>,
     /// Up to which revision of the store all promotions are known.
@@ -220,6 +222,7 @@
             directory: RefCell::default(),
             groups: RefCell::default(),
             members: RefCell::default(),
+            own_record_revision: Cell::new(0),
             coordinator: RefCell::default(),
             promotions_known: Cell::new(0),
             primary_lease: RefCell::new(PrimaryLease::new(life, START)),
--- a/crates/serving/src/registration.rs
+++ b/crates/serving/src/registration.rs
@@ -51,7 +51,8 @@
         zone: node.settings.zone.clone(),
         peer_address: node.settings.peer_address,
     };
-    let mut expected_revision = 0;
+    // An earlier process may have left a record behind.
+    let mut expected_revision = node.own_record_revision.get();
     loop {
         let write = ConditionalWrite {
             key: key.clone(),
