Open no more connections than a database's slots can use

Cause: with 53 connections before three slots the queue of the overloaded primaries stood in the database, full at times (BUSY), where a statement of high priority waits behind all others and every statement of a transaction waits anew; a trial with pools printed showed 75 to 95 ms a statement there instead of 34. Ruled out: the caller's side (their pause after a refusal does not depend on us), replicas that lag. Change: all nodes together open at most 8 connections a slot; the rest waits at the nodes.

--- a/crates/coordination/src/serving/homes.rs
+++ b/crates/coordination/src/serving/homes.rs
@@ -14,6 +14,11 @@
 /// Connections that a home node should have at the least.
 const CONNECTIONS_PER_HOME: usize = 4;
 
+/// Connections worth having for each slot of a database: some are on their way or rest in
+/// a transaction. What is sent on more of them waits in the database, where it cannot be
+/// ordered, moved or given up, and each statement of a transaction waits there anew.
+const CONNECTIONS_PER_SLOT: usize = 8;
+
 /// What nodes are ranked for when one of them has to claim a record.
 const CLAIM_SUBJECT: &str = "coordinator";
 
@@ -26,6 +31,15 @@
     pub zone: ZoneName,
 }
 
+/// Connections that all nodes together should open to a database that takes
+/// `max_connections` and works on `slots` statements at once; 0 if that is not known.
+pub fn useful_connections(max_connections: usize, slots: usize) -> usize {
+    match slots {
+        0 => max_connections,
+        slots => max_connections.min(slots * CONNECTIONS_PER_SLOT),
+    }
+}
+
 /// Number of home nodes of a database that takes `max_connections`, in a fleet of `nodes`.
 pub fn home_count(max_connections: usize, nodes: usize) -> usize {
     (max_connections / CONNECTIONS_PER_HOME).clamp(1, nodes.max(1))
--- a/crates/coordination/tests/serving.rs
+++ b/crates/coordination/tests/serving.rs
@@ -9,7 +9,9 @@
     NoCandidate, Observation, ReplicaState, Witnesses, choose_candidate, is_lost,
 };
 use hookpoint_coordination::serving::freshness::FreshnessLog;
-use hookpoint_coordination::serving::homes::{HomeCandidate, home_count, rank_homes};
+use hookpoint_coordination::serving::homes::{
+    HomeCandidate, home_count, rank_homes, useful_connections,
+};
 use hookpoint_coordination::serving::leadership::{Confirmation, Leadership, ReignPosition};
 use hookpoint_coordination::serving::reliability::Reliability;
 use hookpoint_coordination::serving::response_time::ResponseTime;
@@ -378,6 +380,9 @@
 
 #[test]
 fn a_small_fleet_is_home_of_everything_and_a_large_one_is_not() {
+    assert_eq!(useful_connections(53, 3), 24, "what its slots can use");
+    assert_eq!(useful_connections(23, 3), 23, "no more than it takes");
+    assert_eq!(useful_connections(23, 0), 23, "slots not known");
     assert_eq!(home_count(36, 7), 7);
     assert_eq!(home_count(36, 300), 9);
     assert_eq!(home_count(2, 300), 1);
--- a/crates/serving/src/homes.rs
+++ b/crates/serving/src/homes.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::failover::Witnesses;
-use hookpoint_coordination::serving::homes::{HomeCandidate, choose_homes, home_count, rank_homes};
+use hookpoint_coordination::serving::homes::{
+    HomeCandidate, choose_homes, home_count, rank_homes, useful_connections,
+};
 use hookpoint_state::{DatabaseName, Timestamp};
 
 use crate::node::{Member, Node};
@@ -159,6 +161,7 @@
                 holders: Vec::new(),
             };
         };
+        let most = useful_connections(most, database.slots);
         let count = home_count(most, candidates.len());
         let homes: Vec<HomeCandidate> = choose_homes(name, &database.zone, candidates, count)
             .into_iter()
