--- a/crates/coordination/src/serving/admission.rs
+++ b/crates/coordination/src/serving/admission.rs
@@ -15,7 +15,7 @@
 
 /// What a request takes of a connection once it has one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Use {
+pub enum ConnectionUse {
     /// One statement.
     Statement,
     /// A transaction: several statements, its end, and the caller's pauses between them.
@@ -46,8 +46,8 @@
     }
 
     /// Whether a request may join that can spend `patience` waiting.
-    pub fn admits(self, patience: Duration, wanted: Use) -> bool {
-        let others_first = wanted == Use::Transaction && self.ahead > 0;
+    pub fn admits(self, patience: Duration, wanted: ConnectionUse) -> bool {
+        let others_first = wanted == ConnectionUse::Transaction && self.ahead > 0;
         let divisor = if others_first { TRANSACTION_DIVISOR } else { 1 };
         self.expected_wait() <= patience / divisor
     }
--- a/crates/coordination/tests/serving_admission.rs
+++ b/crates/coordination/tests/serving_admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hookpoint_coordination::serving::admission::{ConnectionQueue, Use, patience};
+use hookpoint_coordination::serving::admission::{ConnectionQueue, ConnectionUse, patience};
 use quickcheck::quickcheck;
 
 fn millis(millis: u64) -> Duration {
@@ -33,7 +33,7 @@
     for (ahead, connections, held, patience, joined) in table {
         let queue = queue(ahead, connections, held);
         assert_eq!(
-            queue.admits(millis(patience), Use::Statement),
+            queue.admits(millis(patience), ConnectionUse::Statement),
             joined,
             "{queue:?} {patience}"
         );
@@ -54,9 +54,13 @@
     for (ahead, patience, statement, transaction) in table {
         let queue = queue(ahead, 1, 20);
         let admits = |wanted| queue.admits(millis(patience), wanted);
-        assert_eq!(admits(Use::Statement), statement, "{queue:?} {patience}");
         assert_eq!(
-            admits(Use::Transaction),
+            admits(ConnectionUse::Statement),
+            statement,
+            "{queue:?} {patience}"
+        );
+        assert_eq!(
+            admits(ConnectionUse::Transaction),
             transaction,
             "{queue:?} {patience}"
         );
@@ -73,7 +77,7 @@
 quickcheck! {
     /// A longer queue, fewer connections or a longer use never make a queue joinable.
     fn worse_queues_are_joined_no_sooner(ahead: u8, connections: u8, held: u8, limit: u16, transaction: bool) -> bool {
-        let wanted = if transaction { Use::Transaction } else { Use::Statement };
+        let wanted = if transaction { ConnectionUse::Transaction } else { ConnectionUse::Statement };
         let limit = millis(u64::from(limit));
         let own = queue(ahead.into(), connections.into(), held.into());
         let worse = [
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
-use hookpoint_coordination::serving::admission::Use;
+use hookpoint_coordination::serving::admission::ConnectionUse;
 use hookpoint_coordination::serving::session::{PreparedShape, SessionValues};
 use hookpoint_state::{DatabaseName, Timestamp};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -42,7 +42,7 @@
         priority: u8,
         values: SessionValues,
         /// What the connection is wanted for.
-        wanted: Use,
+        wanted: ConnectionUse,
         patience_ms: u64,
         limit_ms: u64,
     },
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool.rs
@@ -5,7 +5,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use hookpoint_coordination::serving::admission::{ConnectionQueue, Use};
+use hookpoint_coordination::serving::admission::{ConnectionQueue, ConnectionUse};
 use hookpoint_coordination::serving::demand::Demand;
 use hookpoint_coordination::serving::reliability::Reliability;
 use hookpoint_coordination::serving::response_time::ResponseTime;
@@ -39,7 +39,7 @@
     /// A queue in which it is expected to take longer is not joined.
     pub patience: Duration,
     /// What the connection is wanted for.
-    pub wanted: Use,
+    pub wanted: ConnectionUse,
     /// After this time the queue is left.
     pub limit: Duration,
 }
@@ -49,7 +49,7 @@
     pub fn patient(limit: Duration) -> Self {
         Self {
             patience: Duration::MAX,
-            wanted: Use::Statement,
+            wanted: ConnectionUse::Statement,
             limit,
         }
     }
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hookpoint_coordination::serving::admission::{Use, patience};
+use hookpoint_coordination::serving::admission::{ConnectionUse, patience};
 use hookpoint_coordination::serving::leadership::Confirmation;
 use hookpoint_coordination::serving::session::Access;
 use hookpoint_state::{Position, Timestamp};
@@ -209,9 +209,9 @@
     fn wait_limits(&self, work: &Work, in_transaction: bool) -> WaitLimits {
         let elapsed = self.node.now().since(self.arrived);
         let wanted = if in_transaction {
-            Use::Transaction
+            ConnectionUse::Transaction
         } else {
-            Use::Statement
+            ConnectionUse::Statement
         };
         WaitLimits {
             wanted,
