--- a/crates/coordination/src/serving/topology.rs
+++ b/crates/coordination/src/serving/topology.rs
@@ -7,6 +7,8 @@
 use hookpoint_state::GroupName;
 use serde::{Deserialize, Serialize};
 
+use super::tenancy::Tenants;
+
 /// What a route promises about the age of what is read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Consistency {
@@ -31,6 +33,8 @@
     pub target_latency: Duration,
     /// 0 is served first.
     pub priority: u8,
+    /// Whether callers without a tenant's key may use it.
+    pub open: bool,
 }
 
 /// One replicated group as configured.
@@ -51,6 +55,8 @@
     pub routes: BTreeMap<String, Rc<Route>>,
     /// Groups by name.
     pub groups: BTreeMap<GroupName, Group>,
+    /// Who may use routes that are not open, and how much.
+    pub tenants: Tenants,
     /// How long an open transaction may rest before it may be ended.
     pub transaction_idle: Option<Duration>,
 }
--- a/crates/coordination/tests/serving.rs
+++ b/crates/coordination/tests/serving.rs
@@ -16,6 +16,7 @@
 use hookpoint_coordination::serving::reliability::Reliability;
 use hookpoint_coordination::serving::response_time::ResponseTime;
 use hookpoint_coordination::serving::selection::{Candidate, Distance, rank};
+use hookpoint_coordination::serving::tenancy::Principal;
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
 use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp, ZoneName};
 use quickcheck::quickcheck;
@@ -236,10 +237,10 @@
 #[test]
 fn connections_are_kept_for_the_need_of_the_last_seconds() {
     let mut demand = Demand::default();
-    demand.note(at(10_000), 4);
-    demand.note(at(10_500), 2);
+    demand.note(at(10_000), &Principal::Anonymous, 4);
+    demand.note(at(10_500), &Principal::Anonymous, 2);
     assert_eq!(demand.kept(at(11_900)), 5);
-    demand.note(at(12_100), 1);
+    demand.note(at(12_100), &Principal::Anonymous, 1);
     assert_eq!(demand.kept(at(13_900)), 5);
     assert_eq!(demand.kept(at(14_200)), 2);
     assert_eq!(demand.kept(at(30_000)), 1);
--- a/crates/serving/src/connection.rs
+++ b/crates/serving/src/connection.rs
@@ -8,6 +8,7 @@
 
 use bytes::{Bytes, BytesMut};
 use hookpoint_coordination::serving::session::{Phase, PreparedShape, SessionValues};
+use hookpoint_coordination::serving::tenancy::Principal;
 use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -86,6 +87,8 @@
     channel: Channel,
     /// The database.
     pub database: DatabaseName,
+    /// On whose behalf it was opened, which holds for its life.
+    pub principal: Principal,
     /// Whether a transaction is open on it.
     pub in_transaction: bool,
     /// Session values set on it.
@@ -101,12 +104,13 @@
 }
 
 impl Connection {
-    /// Connects and opens a session with `database` of `group`.
+    /// Connects and opens a session with `database` of `group` on behalf of `principal`.
     pub async fn open(
         protocol: Rc<dyn WireProtocol>,
         address: SocketAddr,
         group: &GroupName,
         database: &DatabaseName,
+        principal: &Principal,
         limit: Duration,
     ) -> Result<Self, ConnectionError> {
         let opening = async {
@@ -120,10 +124,11 @@
             let start = Command::Start {
                 group: group.as_str().to_owned(),
                 database: database.as_str().to_owned(),
+                principal: principal.clone(),
             };
             channel.send(&[start]).await?;
             channel.receive_start().await?;
-            Ok(Self::new(Channel::Direct(channel), database))
+            Ok(Self::new(Channel::Direct(channel), database, principal))
         };
         timeout(limit, opening)
             .await
@@ -131,14 +136,19 @@
     }
 
     /// A connection that another node holds and lends.
-    pub fn relayed(channel: RelayedChannel, database: &DatabaseName) -> Self {
-        Self::new(Channel::Relayed(channel), database)
+    pub fn relayed(
+        channel: RelayedChannel,
+        database: &DatabaseName,
+        principal: &Principal,
+    ) -> Self {
+        Self::new(Channel::Relayed(channel), database, principal)
     }
 
-    fn new(channel: Channel, database: &DatabaseName) -> Self {
+    fn new(channel: Channel, database: &DatabaseName, principal: &Principal) -> Self {
         Self {
             channel,
             database: database.clone(),
+            principal: principal.clone(),
             in_transaction: false,
             values: SessionValues::new(),
             values_unknown: false,
--- a/crates/serving/src/coordinator/replicas.rs
+++ b/crates/serving/src/coordinator/replicas.rs
@@ -12,7 +12,7 @@
 use crate::lease::Lease;
 use crate::message::{Command, DatabaseStatus, FailureCode};
 use crate::node::Node;
-use crate::pool::{Pool, WaitLimits};
+use crate::pool::{ConnectionRequest, Pool, WaitLimits};
 use crate::relay;
 
 /// How long a database that is missing from the store counts as a replica.
@@ -180,14 +180,17 @@
 /// A connection at rest, a new one, or one that another node holds.
 async fn lease_for_status(node: &Rc<Node>, pool: &Rc<Pool>) -> Option<Lease> {
     let values = SessionValues::new();
-    if let Some(lease) = pool.try_acquire(&values) {
+    if let Some(lease) = pool.try_acquire(None, &values) {
         return Some(lease);
     }
-    let limits = WaitLimits::patient(STATUS_LIMIT);
-    match pool.open(node).await {
+    let question = ConnectionRequest {
+        principal: None,
+        priority: STATUS_PRIORITY,
+        values: &values,
+        limits: WaitLimits::patient(STATUS_LIMIT),
+    };
+    match pool.open(node, None).await {
         Ok(lease) => Some(lease),
-        Err(_) => relay::lease(node, pool, STATUS_PRIORITY, &values, limits)
-            .await
-            .ok(),
+        Err(_) => relay::lease(node, pool, question).await.ok(),
     }
 }
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -67,6 +67,8 @@
     revision: Cell<u64>,
     /// When the store itself last told where it stands: this node, or an upstream.
     verified_at: Cell<Timestamp>,
+    /// The same, and it outlasts the loss of the store.
+    news_at: Cell<Timestamp>,
     caught_up: Cell<bool>,
     advanced: Notify,
     passed_over: RefCell<Vec<(String, Timestamp)>>,
@@ -124,6 +126,7 @@
         self.change_own_tries(OwnTries::note_store_known);
         self.caught_up.set(true);
         self.verified_at.set(self.verified_at.get().max(when));
+        self.news_at.set(self.news_at.get().max(when));
     }
 
     /// Takes in whether the store answered a call of this node's own.
@@ -166,6 +169,11 @@
         self.caught_up.get()
     }
 
+    /// When the store told, directly or through others, of the state that is known here.
+    pub fn news_at(&self) -> Timestamp {
+        self.news_at.get()
+    }
+
     /// Whether what is known here may be taken for the store's present state.
     pub fn is_fresh(&self, now: Timestamp) -> bool {
         now.since(self.verified_at.get()) < FRESH
--- a/crates/serving/src/homes.rs
+++ b/crates/serving/src/homes.rs
@@ -13,7 +13,8 @@
 use hookpoint_coordination::serving::homes::{
     HomeCandidate, Start, choose_homes, home_count, rank_homes, useful_connections,
 };
-use hookpoint_state::{DatabaseName, Timestamp};
+use hookpoint_coordination::serving::token_holders::choose_token_holders;
+use hookpoint_state::{DatabaseName, TenantName, Timestamp, ZoneName};
 
 use crate::node::{Member, Node};
 use crate::records::MemberRecord;
@@ -21,7 +22,7 @@
 /// Connections of one database that one node opens at the most before it knows its peers.
 const CAP_WITHOUT_MEMBERS: usize = 3;
 /// How long a node that no longer registers still counts for the division of connections.
-const MEMBER_MEMORY: Duration = Duration::from_millis(3_500);
+pub(crate) const MEMBER_MEMORY: Duration = Duration::from_millis(3_500);
 
 /// Another node and where it is asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,6 +47,8 @@
     /// The live nodes, until one of them no longer counts.
     candidates: Option<(Rc<Vec<HomeCandidate>>, Timestamp)>,
     views: BTreeMap<DatabaseName, Rc<HomeView>>,
+    /// Who holds tenants' tokens.
+    token_views: BTreeMap<TenantName, Rc<[Peer]>>,
 }
 
 impl HomeViews {
@@ -57,6 +60,7 @@
     /// The configuration changed.
     pub(crate) fn forget_views(&mut self) {
         self.views.clear();
+        self.token_views.clear();
     }
 
     /// The database was registered elsewhere, or is new.
@@ -188,7 +192,7 @@
             .collect()
     }
 
-    fn home_candidates(&self) -> Rc<Vec<HomeCandidate>> {
+    pub(crate) fn home_candidates(&self) -> Rc<Vec<HomeCandidate>> {
         let now = self.now();
         let mut homes = self.homes.borrow_mut();
         if let Some((known, until)) = &homes.candidates
@@ -200,13 +204,14 @@
         let counts = |member: &Member| member.counts_until().is_none_or(|until| now < until);
         let live = members.iter().filter(|(_, member)| counts(member));
         let found = Rc::new(candidates(live));
+        self.tokens.note_members(&found, now);
         let until = members
             .values()
             .filter_map(Member::counts_until)
             .filter(|until| now < *until)
             .min()
             .unwrap_or(Timestamp(u64::MAX));
-        homes.views.clear();
+        homes.forget_views();
         homes.candidates = Some((Rc::clone(&found), until));
         found
     }
@@ -222,6 +227,27 @@
         view
     }
 
+    /// The nodes, this one maybe among them, that hold the tokens of a tenant, the nearest
+    /// first; `count` at the most.
+    pub(crate) fn token_holders(&self, tenant: &TenantName, count: usize) -> Rc<[Peer]> {
+        let candidates = self.home_candidates();
+        if let Some(known) = self.homes.borrow().token_views.get(tenant) {
+            return Rc::clone(known);
+        }
+        let regions = &self.changeable().regions;
+        let region = |zone: &ZoneName| regions.get(zone).cloned();
+        let mut chosen = choose_token_holders(tenant, &candidates, region, count);
+        chosen.sort_by_key(|holder| self.distance(&holder.zone));
+        let holders: Rc<[Peer]> = chosen
+            .into_iter()
+            .filter_map(|holder| self.peer(&holder.node))
+            .collect();
+        let mut homes = self.homes.borrow_mut();
+        let kept = Rc::clone(&holders);
+        homes.token_views.insert(tenant.clone(), kept);
+        holders
+    }
+
     /// Whether this node is home of a database, and which others are.
     ///
     /// The order of the others differs from node to node among those of one distance, so
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -37,4 +37,5 @@
 pub mod snapshot;
 pub mod socket;
 mod statement;
+mod tokens;
 pub mod units;
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -10,6 +10,7 @@
 use futures::{SinkExt, StreamExt};
 use hookpoint_coordination::serving::admission::ConnectionUse;
 use hookpoint_coordination::serving::session::{PreparedShape, SessionValues};
+use hookpoint_coordination::serving::tenancy::Principal;
 use hookpoint_state::{DatabaseName, Timestamp};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::net::TcpStream;
@@ -42,6 +43,8 @@
 pub(crate) enum LinkRequest {
     Lease {
         database: DatabaseName,
+        /// On whose behalf statements will run; none for a question of the node's own.
+        principal: Option<Principal>,
         priority: u8,
         values: SessionValues,
         /// What the connection is wanted for.
--- a/crates/serving/src/message.rs
+++ b/crates/serving/src/message.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use hookpoint_coordination::serving::session::{Access, Phase, PreparedShape};
+use hookpoint_coordination::serving::tenancy::{KeyDigest, Principal};
 use hookpoint_state::{Position, Term};
 use serde::{Deserialize, Serialize};
 
@@ -28,6 +29,8 @@
     UnknownPrepared,
     /// No route has this name.
     NoSuchDatabase,
+    /// The caller's key is not known, or no longer; nothing ran.
+    Denied,
     /// The message cannot be understood or does not fit the session's state.
     Malformed,
     /// The message is too large.
@@ -52,6 +55,7 @@
             FailureCode::TimedOut => "timed_out",
             FailureCode::UnknownPrepared => "unknown_prepared",
             FailureCode::NoSuchDatabase => "no_such_database",
+            FailureCode::Denied => "denied",
             FailureCode::Malformed => "malformed",
             FailureCode::TooLarge => "too_large",
             FailureCode::OutcomeUnknown => "outcome_unknown",
@@ -135,6 +139,8 @@
     Start {
         /// The database it names: the host of a route.
         database: String,
+        /// What the caller says it is, as the digest of a tenant's key.
+        key: KeyDigest,
     },
     /// One statement.
     Query {
@@ -173,6 +179,8 @@
         group: String,
         /// The database that is meant.
         database: String,
+        /// On whose behalf statements will run on it.
+        principal: Principal,
     },
     /// Opens a transaction.
     Begin {
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -17,9 +17,10 @@
 use crate::lease::{Lease, prove_leadership};
 use crate::node::Node;
 use crate::peers::Peers;
-use crate::pool::{AcquireError, CONTROL_LIMIT, Pool, WaitLimits};
+use crate::pool::{AcquireError, CONTROL_LIMIT, ConnectionRequest, Pool, WaitLimits};
 use crate::relay;
 use crate::second_way;
+use crate::tokens;
 
 /// Pause between rounds.
 const ROUND: Duration = Duration::from_millis(50);
@@ -63,6 +64,7 @@
             look_after(&node, &peers, &asking, &group);
         }
         try_unreachable(&node, &trying);
+        tokens::look_for_holders(&node);
         for pool in node.pools() {
             pool.trim(node.now());
         }
@@ -206,21 +208,26 @@
 /// A connection to ask on: at rest, new, or another node's if this one has no way.
 async fn lease_for_question(node: &Rc<Node>, pool: &Rc<Pool>) -> Result<Lease, AcquireError> {
     let values = SessionValues::new();
-    let limits = WaitLimits::patient(CONTROL_LIMIT);
-    if let Some(lease) = pool.try_acquire(&values) {
+    if let Some(lease) = pool.try_acquire(None, &values) {
         return Ok(lease);
     }
+    let question = ConnectionRequest {
+        principal: None,
+        priority: QUESTION_PRIORITY,
+        values: &values,
+        limits: WaitLimits::patient(CONTROL_LIMIT),
+    };
     let cap = node.connection_cap(pool.database());
     if cap == 0 || !pool.is_reachable() {
-        return relay::lease(node, pool, QUESTION_PRIORITY, &values, limits)
+        return relay::lease(node, pool, question)
             .await
             .map_err(|refusal| refusal.or(AcquireError::NotHeld));
     }
     if pool.open_connections() > 0 && !pool.may_open(node) {
         return Err(AcquireError::TimedOut);
     }
-    match pool.open(node).await {
-        Err(AcquireError::Crowded) => relay::lease(node, pool, QUESTION_PRIORITY, &values, limits)
+    match pool.open(node, question.principal).await {
+        Err(AcquireError::Crowded) => relay::lease(node, pool, question)
             .await
             .map_err(|refusal| refusal.or(AcquireError::Crowded)),
         other => other,
@@ -241,7 +248,7 @@
         let node = Rc::clone(node);
         let trying = Rc::clone(trying);
         tokio::task::spawn_local(async move {
-            if pool.open(&node).await.is_ok() {
+            if pool.open(&node, None).await.is_ok() {
                 node.log(
                     "dependency_regained",
                     &[("dependency", database.as_str().into())],
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -11,7 +11,9 @@
 use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
 use hookpoint_coordination::serving::lease_grantor::LeaseGrantor;
 use hookpoint_coordination::serving::primary_lease::PrimaryLease;
+use hookpoint_coordination::serving::quota::QuotaBounds;
 use hookpoint_coordination::serving::selection::Distance;
+use hookpoint_coordination::serving::tenancy::RevocationPolicy;
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
 use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp, ZoneName};
 use serde_json::Value;
@@ -26,6 +28,7 @@
 use crate::pool::Pool;
 use crate::ports::{LeaseId, PromotionService, StateStore, WireProtocol};
 use crate::reachability::Reachability;
+use crate::tokens::Tokens;
 use crate::units::millis;
 
 /// Rest of a transaction that is allowed where the configuration tells none.
@@ -66,6 +69,10 @@
     pub drain_limit: Duration,
     /// Whether the promotion service refuses tokens lower than it has seen.
     pub fenced_promotions: bool,
+    /// How exactly tenants' limits are kept; none if they are not counted.
+    pub quota: Option<QuotaBounds>,
+    /// Whether keys pass on a node that is cut off.
+    pub revocation: RevocationPolicy,
 }
 
 /// How this node sees a group's primary.
@@ -205,6 +212,10 @@
     pub links: Links,
     /// Which peers answer.
     pub reachability: Reachability,
+    /// Tokens for tenants' operations.
+    pub(crate) tokens: Tokens,
+    /// When this node's lease was last taken or renewed.
+    pub(crate) lease_renewed_at: Cell<Timestamp>,
     /// Changes of the store.
     pub feed: Feed,
     /// Who holds connections to the databases.
@@ -259,6 +270,8 @@
             stop_advanced: Notify::new(),
             links: Links::default(),
             reachability: Reachability::default(),
+            tokens: Tokens::default(),
+            lease_renewed_at: Cell::new(START),
             feed: Feed::default(),
             homes: RefCell::default(),
             pools: RefCell::default(),
@@ -271,6 +284,11 @@
         START + self.started.elapsed()
     }
 
+    /// The clock at the start.
+    pub(crate) fn started_at(&self) -> Timestamp {
+        START
+    }
+
     /// The settings in force that may change while the node runs.
     pub fn changeable(&self) -> Rc<ChangeableSettings> {
         Rc::clone(&self.changeable.borrow())
@@ -300,6 +318,12 @@
             .unwrap_or_default()
     }
 
+    /// Whether what this node knows of keys is young enough to let callers pass.
+    pub(crate) fn keys_pass(&self) -> bool {
+        let age = self.now().since(self.feed.news_at());
+        self.changeable().revocation.accepts(age)
+    }
+
     /// Version of the configuration in force.
     pub fn configuration_version(&self) -> Option<u64> {
         self.configuration.borrow().version()
@@ -331,6 +355,8 @@
     pub fn is_ready(&self) -> bool {
         self.stopping_since.get().is_none()
             && self.lease_lapsed_since().is_none()
+            && self.can_count()
+            && self.uncounted_since().is_none()
             && self.configuration().is_some()
             && self.directory.borrow().iter().next().is_some()
     }
--- a/crates/serving/src/peer_message.rs
+++ b/crates/serving/src/peer_message.rs
@@ -6,7 +6,8 @@
 use hookpoint_coordination::serving::coordinator::CoordinatorRecord;
 use hookpoint_coordination::serving::failover::Observation;
 use hookpoint_coordination::serving::primary_lease::{LeaseAnswer, LeaseRequest};
-use hookpoint_state::{DatabaseName, GroupName, Position};
+use hookpoint_coordination::serving::quota::TokenAnswer;
+use hookpoint_state::{DatabaseName, GroupName, Position, TenantName};
 use serde::{Deserialize, Serialize};
 
 use crate::primary_lease::{Announcement, Promotions};
@@ -53,6 +54,24 @@
         /// What the answering node knows of promotions.
         promotions: Promotions,
     },
+    /// May this tenant run one more operation?
+    AskToken {
+        /// Number of the question.
+        nonce: u64,
+        /// The tenant.
+        tenant: TenantName,
+        /// How long the operation may wait for the token, in microseconds.
+        patience_us: u64,
+    },
+    /// The answer to that, of a node that holds its tokens.
+    TellToken {
+        /// Number of the question.
+        nonce: u64,
+        /// Who answers.
+        node: String,
+        /// The answer.
+        answer: TokenAnswer,
+    },
     /// Are you there?
     Probe,
     /// The answer to that.
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -20,6 +20,7 @@
 use crate::peer_message::{PeerMessage, PrimarySample};
 use crate::primary_lease;
 use crate::reachability;
+use crate::tokens;
 
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 4 << 10;
@@ -124,6 +125,23 @@
                 }
             }
             PeerMessage::TellSample { nonce, sample } => self.take_sample(node, nonce, &sample),
+            PeerMessage::AskToken {
+                nonce,
+                tenant,
+                patience_us,
+            } => {
+                let answer = PeerMessage::TellToken {
+                    nonce,
+                    node: node.settings.name.clone(),
+                    answer: tokens::grant(node, &tenant, Duration::from_micros(patience_us)),
+                };
+                self.send(&answer, sender);
+            }
+            PeerMessage::TellToken {
+                nonce,
+                node: peer,
+                answer,
+            } => tokens::take_answer(node, nonce, &peer, answer),
             message => self.take_lease_message(node, message, sender),
         }
     }
@@ -144,6 +162,15 @@
         }
     }
 
+    /// Sends the questions for tokens for as long as the node lives.
+    pub async fn send_token_questions(self: Rc<Self>, node: Rc<Node>) {
+        loop {
+            for (question, address) in node.tokens.due_questions().await {
+                self.send(&question, address);
+            }
+        }
+    }
+
     /// Takes what concerns leases on primaries and announcements.
     fn take_lease_message(&self, node: &Rc<Node>, message: PeerMessage, sender: SocketAddr) {
         match message {
--- a/crates/serving/src/pool.rs
+++ b/crates/serving/src/pool/mod.rs
@@ -1,4 +1,9 @@
 //! The connections of one database: open ones at rest, and who waits for one.
+//!
+//! A connection is opened on behalf of one principal and serves no other.
+
+mod idle;
+mod waiters;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -10,10 +15,12 @@
 use hookpoint_coordination::serving::reliability::Reliability;
 use hookpoint_coordination::serving::response_time::ResponseTime;
 use hookpoint_coordination::serving::session::SessionValues;
+use hookpoint_coordination::serving::tenancy::Principal;
 use hookpoint_state::{DatabaseName, Timestamp};
 use thiserror::Error;
-use tokio::sync::oneshot;
 
+use self::idle::IdleConnections;
+use self::waiters::{Ticket, Turn, Waiter, Waiters};
 use crate::connection::{Connection, ConnectionError};
 use crate::lease::{Lease, roll_back};
 use crate::message::{Command, FailureCode};
@@ -59,6 +66,20 @@
     }
 }
 
+/// What a connection is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionRequest<'a> {
+    /// On whose behalf statements will run on it; none for a question of this node's own,
+    /// which is nobody's statement: any connection serves.
+    pub principal: Option<&'a Principal>,
+    /// 0 is served first.
+    pub priority: u8,
+    /// Session values that it should have already.
+    pub values: &'a SessionValues,
+    /// How long it is waited for.
+    pub limits: WaitLimits,
+}
+
 /// Why no connection was had.
 #[derive(Debug, Error)]
 pub enum AcquireError {
@@ -82,19 +103,14 @@
     Unlisted,
 }
 
-struct Waiter {
-    sender: oneshot::Sender<Lease>,
-}
-
 /// The pool of one database.
 pub struct Pool {
     node: Weak<Node>,
     database: DatabaseName,
-    idle: RefCell<Vec<Connection>>,
+    idle: RefCell<IdleConnections>,
     open: Cell<usize>,
     leased: Cell<usize>,
-    waiters: RefCell<BTreeMap<(u8, u64), Waiter>>,
-    next_waiter: Cell<u64>,
+    waiters: RefCell<Waiters>,
     suspect_until: Cell<Timestamp>,
     lagging_until: Cell<Timestamp>,
     no_opening_until: Cell<Timestamp>,
@@ -104,6 +120,7 @@
     service_time: Cell<ResponseTime>,
     wait: Cell<ResponseTime>,
     held: Cell<ResponseTime>,
+    in_use: RefCell<BTreeMap<Principal, usize>>,
     demand: RefCell<Demand>,
     reliability: Cell<Reliability>,
 }
@@ -118,7 +135,6 @@
             open: Cell::new(0),
             leased: Cell::new(0),
             waiters: RefCell::default(),
-            next_waiter: Cell::new(0),
             suspect_until: Cell::default(),
             lagging_until: Cell::default(),
             no_opening_until: Cell::default(),
@@ -128,6 +144,7 @@
             service_time: Cell::new(ResponseTime::new(INITIAL_SERVICE_TIME)),
             wait: Cell::new(ResponseTime::new(Duration::ZERO)),
             held: Cell::new(ResponseTime::new(INITIAL_SERVICE_TIME)),
+            in_use: RefCell::default(),
             demand: RefCell::default(),
             reliability: Cell::default(),
         }
@@ -175,9 +192,8 @@
 
     /// The queue that a request of `priority` would join.
     fn queue(&self, now: Timestamp, priority: u8) -> ConnectionQueue {
-        let waiters = self.waiters.borrow();
         ConnectionQueue {
-            ahead: waiters.range(..=(priority, u64::MAX)).count(),
+            ahead: self.waiters.borrow().ahead_of(priority),
             connections: self.open.get(),
             held: self.held.get().expected(now),
         }
@@ -231,42 +247,53 @@
         self.suspect_until.set(Timestamp::default());
     }
 
-    /// Takes a connection at rest, if there is a usable one.
+    /// Takes a connection at rest of a principal, or of any if none is told, if there is a
+    /// usable one.
     ///
     /// One that already has the session values `preferred` goes first.
-    pub fn try_acquire(self: &Rc<Self>, preferred: &SessionValues) -> Option<Lease> {
+    pub fn try_acquire(
+        self: &Rc<Self>,
+        principal: Option<&Principal>,
+        preferred: &SessionValues,
+    ) -> Option<Lease> {
         loop {
-            let mut connection = self.take_idle(preferred)?;
+            let mut connection = self.idle.borrow_mut().take(principal, preferred)?;
             if connection.is_usable() {
-                self.leased.set(self.leased.get() + 1);
-                return Some(Lease::new(Rc::clone(self), connection));
+                return Some(self.lend(connection));
             }
             self.open.set(self.open.get() - 1);
         }
     }
 
-    fn take_idle(&self, preferred: &SessionValues) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        let matching = idle
-            .iter()
-            .rposition(|connection| connection.values == *preferred);
-        match matching {
-            Some(position) => Some(idle.remove(position)),
-            None => idle.pop(),
+    /// Counts a connection as in use.
+    fn lend(self: &Rc<Self>, connection: Connection) -> Lease {
+        self.leased.set(self.leased.get() + 1);
+        let mut in_use = self.in_use.borrow_mut();
+        *in_use.entry(connection.principal.clone()).or_default() += 1;
+        drop(in_use);
+        Lease::new(Rc::clone(self), connection)
+    }
+
+    /// Counts a connection of `principal` as no longer in use.
+    fn take_back(&self, principal: &Principal) {
+        self.leased.set(self.leased.get() - 1);
+        let mut in_use = self.in_use.borrow_mut();
+        if let Some(count) = in_use.get_mut(principal) {
+            *count -= 1;
+            if *count == 0 {
+                in_use.remove(principal);
+            }
         }
     }
 
     /// Takes a connection of this node's own, or leases one from a node that holds them.
     pub async fn acquire(
         self: &Rc<Self>,
-        priority: u8,
-        preferred: &SessionValues,
-        limits: WaitLimits,
+        request: ConnectionRequest<'_>,
     ) -> Result<Lease, AcquireError> {
         let node = self.node.upgrade().ok_or(AcquireError::Unlisted)?;
         let direct = if self.reachable.get() && node.connection_cap(&self.database) > 0 {
-            self.acquire_direct(&node, priority, preferred, limits)
-                .await
+            self.acquire_direct(&node, request).await
         } else {
             Err(AcquireError::NotHeld)
         };
@@ -274,11 +301,8 @@
             Err(AcquireError::Connection(ConnectionError::Rejected(_)))
             | Err(AcquireError::TimedOut | AcquireError::Overloaded)
             | Ok(_) => direct,
-            Err(error) => match relay::lease(&node, self, priority, preferred, limits).await {
-                Err(NoLease::Silent) => {
-                    self.acquire_as_substitute(&node, priority, preferred, limits)
-                        .await
-                }
+            Err(error) => match relay::lease(&node, self, request).await {
+                Err(NoLease::Silent) => self.acquire_as_substitute(&node, request).await,
                 outcome => outcome.map_err(|refusal| refusal.or(error)),
             },
         }
@@ -289,22 +313,19 @@
     async fn acquire_as_substitute(
         self: &Rc<Self>,
         node: &Rc<Node>,
-        priority: u8,
-        preferred: &SessionValues,
-        limits: WaitLimits,
+        request: ConnectionRequest<'_>,
     ) -> Result<Lease, AcquireError> {
         if !self.reachable.get() && self.is_suspect(node.now()) {
             return Err(AcquireError::NotHeld);
         }
         node.counters.count("connections", "substitute");
-        self.acquire_within(node, SUBSTITUTE_CONNECTIONS, priority, preferred, limits)
+        self.acquire_within(node, SUBSTITUTE_CONNECTIONS, request)
             .await
     }
 
     /// Lends a connection that another node holds.
     pub fn lend_relayed(self: &Rc<Self>, connection: Connection) -> Lease {
-        self.leased.set(self.leased.get() + 1);
-        Lease::new(Rc::clone(self), connection)
+        self.lend(connection)
     }
 
     /// Takes a connection of this node's own: one at rest, a new one, or the next that
@@ -312,16 +333,13 @@
     pub async fn acquire_direct(
         self: &Rc<Self>,
         node: &Rc<Node>,
-        priority: u8,
-        preferred: &SessionValues,
-        limits: WaitLimits,
+        request: ConnectionRequest<'_>,
     ) -> Result<Lease, AcquireError> {
         if !self.reachable.get() {
             return Err(AcquireError::NotHeld);
         }
         let cap = node.connection_cap(&self.database);
-        self.acquire_within(node, cap, priority, preferred, limits)
-            .await
+        self.acquire_within(node, cap, request).await
     }
 
     /// The same with at most `cap` connections open.
@@ -329,18 +347,14 @@
         self: &Rc<Self>,
         node: &Rc<Node>,
         cap: usize,
-        priority: u8,
-        preferred: &SessionValues,
-        limits: WaitLimits,
+        request: ConnectionRequest<'_>,
     ) -> Result<Lease, AcquireError> {
-        self.demand
-            .borrow_mut()
-            .note(node.now(), self.in_flight() + 1);
-        if let Some(lease) = self.try_acquire(preferred) {
+        self.note_demand(node.now(), request.principal);
+        if let Some(lease) = self.try_acquire(request.principal, request.values) {
             return Ok(lease);
         }
-        if self.may_open_within(cap, node.now()) {
-            match self.open(node).await {
+        if self.may_open_within(cap, node.now()) || self.make_room(cap, node.now()) {
+            match self.open(node, request.principal).await {
                 Err(AcquireError::Crowded) => {}
                 other => return other,
             }
@@ -349,12 +363,33 @@
             return Err(AcquireError::Crowded);
         }
         if !self
-            .queue(node.now(), priority)
-            .admits(limits.patience, limits.wanted)
+            .queue(node.now(), request.priority)
+            .admits(request.limits.patience, request.limits.wanted)
         {
             return Err(AcquireError::Overloaded);
         }
-        self.wait(priority, limits.limit).await
+        self.wait(node, request).await
+    }
+
+    /// Notes that one more connection is wanted.
+    fn note_demand(&self, now: Timestamp, principal: Option<&Principal>) {
+        let principal = principal.unwrap_or(&Principal::Anonymous);
+        let in_use = self.in_use.borrow().get(principal).copied();
+        let waiting = self.waiters.borrow().len_of(principal);
+        let wanted = in_use.unwrap_or_default() + waiting + 1;
+        self.demand.borrow_mut().note(now, principal, wanted);
+    }
+
+    /// Closes a connection at rest, which is another principal's, for one that is wanted now.
+    fn make_room(&self, cap: usize, now: Timestamp) -> bool {
+        if now < self.no_opening_until.get() || self.open.get() > cap {
+            return false;
+        }
+        let closed = self.idle.borrow_mut().take_oldest().is_some();
+        if closed {
+            self.open.set(self.open.get() - 1);
+        }
+        closed
     }
 
     /// Whether another connection may be opened now.
@@ -367,25 +402,43 @@
         !refused_lately && self.open.get() < cap
     }
 
-    /// Opens a connection whatever the cap says.
-    pub async fn open(self: &Rc<Self>, node: &Rc<Node>) -> Result<Lease, AcquireError> {
+    /// Opens a connection whatever the cap says; in nobody's name if no principal is told.
+    pub async fn open(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        principal: Option<&Principal>,
+    ) -> Result<Lease, AcquireError> {
+        self.open_in(Place::new(self), node, principal).await
+    }
+
+    async fn open_in(
+        self: &Rc<Self>,
+        place: Place,
+        node: &Rc<Node>,
+        principal: Option<&Principal>,
+    ) -> Result<Lease, AcquireError> {
         let (address, group) = node
             .database(&self.database)
             .map(|database| (database.address, database.group))
             .ok_or(AcquireError::Unlisted)?;
-        self.open.set(self.open.get() + 1);
-        let slot = OpeningSlot { pool: self };
-        let protocol = Rc::clone(&node.protocol);
         node.counters.count("connections_opened", "database");
-        let opened =
-            Connection::open(protocol, address, &group, &self.database, CONNECT_LIMIT).await;
-        match opened {
+        let protocol = Rc::clone(&node.protocol);
+        let database = &self.database;
+        let principal = principal.unwrap_or(&Principal::Anonymous);
+        let opening = Connection::open(
+            protocol,
+            address,
+            &group,
+            database,
+            principal,
+            CONNECT_LIMIT,
+        );
+        match opening.await {
             Ok(mut connection) => {
-                std::mem::forget(slot);
+                place.fill();
                 connection.heard_at = node.now();
                 self.reachable.set(true);
-                self.leased.set(self.leased.get() + 1);
-                Ok(Lease::new(Rc::clone(self), connection))
+                Ok(self.lend(connection))
             }
             Err(ConnectionError::Rejected(failure))
                 if failure.code == FailureCode::TooManyConnections =>
@@ -405,21 +458,25 @@
         }
     }
 
-    async fn wait(self: &Rc<Self>, priority: u8, limit: Duration) -> Result<Lease, AcquireError> {
-        let ticket = (priority, self.next_waiter.get());
-        self.next_waiter.set(ticket.1 + 1);
-        let (sender, receiver) = oneshot::channel();
-        self.waiters.borrow_mut().insert(ticket, Waiter { sender });
+    async fn wait(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        request: ConnectionRequest<'_>,
+    ) -> Result<Lease, AcquireError> {
+        let joining =
+            |waiters: &mut Waiters| waiters.join(request.priority, request.principal, node.now());
+        let (ticket, receiver) = joining(&mut self.waiters.borrow_mut());
         let _guard = WaiterGuard { pool: self, ticket };
-        match tokio::time::timeout(limit, receiver).await {
-            Ok(Ok(lease)) => Ok(lease),
+        match tokio::time::timeout(request.limits.limit, receiver).await {
+            Ok(Ok(Turn::Connection(lease))) => Ok(*lease),
+            Ok(Ok(Turn::Place(place))) => self.open_in(place, node, request.principal).await,
             _ => Err(AcquireError::TimedOut),
         }
     }
 
     /// Gives a connection back that was in use for `held`: to who waits, or to rest.
     pub(crate) fn release(self: &Rc<Self>, connection: Connection, held: Duration) {
-        self.leased.set(self.leased.get() - 1);
+        self.take_back(&connection.principal);
         if connection.is_relayed() {
             self.release_relayed(connection);
             return;
@@ -431,16 +488,16 @@
             self.open.set(self.open.get() - 1);
             return;
         }
-        let Some(connection) = self.hand_over(connection) else {
+        let Some(node) = self.node.upgrade() else {
             return;
         };
-        let Some(node) = self.node.upgrade() else {
+        let Some(connection) = self.hand_over(&node, connection) else {
             return;
         };
         if connection.in_transaction {
             self.spawn_roll_back(&node, connection);
         } else {
-            self.idle.borrow_mut().push(connection);
+            self.idle.borrow_mut().put(connection);
         }
     }
 
@@ -449,8 +506,7 @@
     /// it back for that again.
     fn spawn_roll_back(self: &Rc<Self>, node: &Rc<Node>, mut connection: Connection) {
         connection.broken = true;
-        self.leased.set(self.leased.get() + 1);
-        let mut lease = Lease::new(Rc::clone(self), connection);
+        let mut lease = self.lend(connection);
         let node = Rc::clone(node);
         tokio::task::spawn_local(async move {
             lease.connection().broken = false;
@@ -467,34 +523,54 @@
         }
     }
 
-    fn hand_over(self: &Rc<Self>, connection: Connection) -> Option<Connection> {
-        let mut connection = connection;
+    /// Gives a connection to who is next. Returns it if nobody waits.
+    fn hand_over(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        mut connection: Connection,
+    ) -> Option<Connection> {
         loop {
-            let Some((_, waiter)) = self.waiters.borrow_mut().pop_first() else {
+            let principal = connection.principal.clone();
+            let next = self.waiters.borrow_mut().take_next(&principal, node.now());
+            let Some(waiter) = next else {
                 return Some(connection);
             };
-            self.leased.set(self.leased.get() + 1);
-            let lease = Lease::new(Rc::clone(self), connection);
-            match waiter.sender.send(lease) {
+            if waiter.needs_another_than(&principal) {
+                drop(connection);
+                self.pass_place_on(node, Place::of_closed(self), waiter);
+                return None;
+            }
+            let lease = Box::new(self.lend(connection));
+            match waiter.sender.send(Turn::Connection(lease)) {
                 Ok(()) => return None,
-                Err(mut lease) => {
-                    self.leased.set(self.leased.get() - 1);
+                Err(Turn::Connection(mut lease)) => {
+                    self.take_back(&principal);
                     connection = lease.take()?;
                 }
+                Err(Turn::Place(_)) => return None,
             }
         }
     }
 
+    /// Gives the place of a closed connection to `waiter`, or to who comes after it if that
+    /// one has gone. A place that nobody wants is free.
+    fn pass_place_on(self: &Rc<Self>, node: &Rc<Node>, place: Place, waiter: Waiter) {
+        let mut unwanted = waiter.sender.send(Turn::Place(place)).err();
+        while let Some(Turn::Place(place)) = unwanted {
+            let next = self
+                .waiters
+                .borrow_mut()
+                .take_next(&Principal::Anonymous, node.now());
+            unwanted = next.and_then(|waiter| waiter.sender.send(Turn::Place(place)).err());
+        }
+    }
+
     /// Closes a connection at rest if more are open than were lately needed.
     pub fn trim(&self, now: Timestamp) {
         if self.open.get() <= self.demand.borrow_mut().kept(now) {
             return;
         }
-        let oldest = {
-            let mut idle = self.idle.borrow_mut();
-            (!idle.is_empty()).then(|| idle.remove(0))
-        };
-        if oldest.is_some() {
+        if self.idle.borrow_mut().take_oldest().is_some() {
             self.open.set(self.open.get() - 1);
         }
     }
@@ -522,7 +598,7 @@
     /// Whether the database answers what needs no slot. Without a connection at rest that is
     /// not found out.
     async fn answers(self: &Rc<Self>, node: &Rc<Node>) -> bool {
-        let Some(lease) = self.try_acquire(&SessionValues::new()) else {
+        let Some(lease) = self.try_acquire(None, &SessionValues::new()) else {
             return true;
         };
         let question = async |lease: &mut Lease| {
@@ -535,15 +611,13 @@
 
     /// Closes the connections at rest on which nothing was heard since `since`.
     pub(crate) fn close_unheard_since(&self, since: Timestamp) {
-        let mut idle = self.idle.borrow_mut();
-        let before = idle.len();
-        idle.retain(|connection| connection.heard_at >= since);
-        self.open.set(self.open.get() - (before - idle.len()));
+        let closed = self.idle.borrow_mut().close_unheard_since(since);
+        self.open.set(self.open.get() - closed);
     }
 
     /// Closes the connections at rest.
     pub fn close_idle(&self) {
-        let closed = self.idle.borrow_mut().drain(..).count();
+        let closed = self.idle.borrow_mut().close_all();
         self.open.set(self.open.get() - closed);
     }
 }
@@ -554,23 +628,48 @@
     estimate.set(changed);
 }
 
-struct OpeningSlot<'a> {
-    pool: &'a Pool,
+/// A place among the open connections; free again when dropped before it is filled.
+struct Place {
+    pool: Rc<Pool>,
+    filled: bool,
+}
+
+impl Place {
+    /// Takes one more.
+    fn new(pool: &Rc<Pool>) -> Self {
+        pool.open.set(pool.open.get() + 1);
+        Self::of_closed(pool)
+    }
+
+    /// The place of a connection that was closed and is still counted as open.
+    fn of_closed(pool: &Rc<Pool>) -> Self {
+        Self {
+            pool: Rc::clone(pool),
+            filled: false,
+        }
+    }
+
+    /// A connection stands in it from now on.
+    fn fill(mut self) {
+        self.filled = true;
+    }
 }
 
-impl Drop for OpeningSlot<'_> {
+impl Drop for Place {
     fn drop(&mut self) {
-        self.pool.open.set(self.pool.open.get() - 1);
+        if !self.filled {
+            self.pool.open.set(self.pool.open.get() - 1);
+        }
     }
 }
 
 struct WaiterGuard<'a> {
     pool: &'a Pool,
-    ticket: (u8, u64),
+    ticket: Ticket,
 }
 
 impl Drop for WaiterGuard<'_> {
     fn drop(&mut self) {
-        self.pool.waiters.borrow_mut().remove(&self.ticket);
+        self.pool.waiters.borrow_mut().leave(self.ticket);
     }
 }
--- a/crates/serving/src/primary_lease.rs
+++ b/crates/serving/src/primary_lease.rs
@@ -358,11 +358,12 @@
         !closed && self.may_use_primaries()
     }
 
-    /// When the lease lapsed, if that is so long ago that the sessions from before should
-    /// go on at other nodes.
+    /// Since when this node has been cut off from what it needs to serve callers, if that is
+    /// so long ago that the sessions from before should go on at other nodes.
     pub(crate) fn sessions_move_since(&self) -> Option<Timestamp> {
         let now = self.now();
         self.lease_lapsed_since()
+            .or_else(|| self.uncounted_since())
             .filter(|since| now.since(*since) >= SESSIONS_MOVE)
     }
 
--- a/crates/serving/src/reachability.rs
+++ b/crates/serving/src/reachability.rs
@@ -51,7 +51,8 @@
         self.probe_due.notify_one();
     }
 
-    fn probe_ahead(&self, peer: &Peer, now: Timestamp) {
+    /// Probes a peer that may be silent, unless that was done a moment ago.
+    pub(crate) fn probe_ahead(&self, peer: &Peer, now: Timestamp) {
         if self.contacts.borrow_mut().probe_ahead(&peer.name, now) {
             self.probe(peer);
         }
--- a/crates/serving/src/registration.rs
+++ b/crates/serving/src/registration.rs
@@ -63,6 +63,7 @@
     if let Some(lease) = node.lease_found.take() {
         match node.store.renew_lease(lease).await {
             Ok(()) => {
+                node.lease_renewed_at.set(node.now());
                 node.log("lease_resumed", &[("lease", lease.0.into())]);
                 return Ok(lease);
             }
@@ -73,6 +74,7 @@
     }
     let lease = node.store.grant_lease(node.settings.lease_time).await?;
     write_member(node, lease).await?;
+    node.lease_renewed_at.set(node.now());
     node.log("lease_taken", &[("lease", lease.0.into())]);
     Ok(lease)
 }
@@ -152,7 +154,9 @@
 
 /// Renews the lease, and writes the record again if that vanished without the lease.
 async fn renew(node: &Rc<Node>, lease: LeaseId, record_vanished: bool) -> Result<(), StoreError> {
+    let asked_at = node.now();
     node.store.renew_lease(lease).await?;
+    node.lease_renewed_at.set(asked_at);
     if record_vanished {
         write_member(node, lease).await?;
     }
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -5,13 +5,15 @@
 //! commands on its own connection and sends the answers back, so what the database
 //! promises holds end to end. A link that breaks ends its lease; the holder rolls back.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hookpoint_coordination::serving::session::SessionValues;
+use hookpoint_coordination::serving::session::{PreparedShape, SessionValues};
+use hookpoint_coordination::serving::tenancy::Principal;
 use hookpoint_state::DatabaseName;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -27,7 +29,7 @@
 use crate::message::Command;
 use crate::node::Node;
 use crate::packed;
-use crate::pool::{AcquireError, Pool, WaitLimits};
+use crate::pool::{AcquireError, ConnectionRequest, Pool, WaitLimits};
 use crate::shutdown::StopStage;
 use crate::snapshot::Snapshot;
 use crate::units::millis;
@@ -91,11 +93,10 @@
 pub async fn lease(
     node: &Rc<Node>,
     pool: &Rc<Pool>,
-    priority: u8,
-    values: &SessionValues,
-    limits: WaitLimits,
+    wanted: ConnectionRequest<'_>,
 ) -> Result<Lease, NoLease> {
     let database = pool.database();
+    let limits = wanted.limits;
     let mut asked = 0;
     let mut refusal = NoLease::NotLent;
     let holders = node.holders(database);
@@ -114,14 +115,17 @@
         asked += 1;
         let request = LinkRequest::Lease {
             database: database.clone(),
-            priority,
-            values: values.clone(),
+            principal: wanted.principal.cloned(),
+            priority: wanted.priority,
+            values: wanted.values.clone(),
             wanted: limits.wanted,
             patience_ms: millis(limits.patience),
             limit_ms: millis(limits.limit),
         };
-        match ask(node, peer, &holders, database, &request, limits.limit).await {
-            Ok(connection) => {
+        match ask(node, peer, &holders, &request, limits.limit).await {
+            Ok(granted) => {
+                let principal = wanted.principal.unwrap_or(&Principal::Anonymous);
+                let connection = granted.into_connection(database, principal);
                 node.counters.count("relayed_leases", "granted");
                 return Ok(pool.lend_relayed(connection));
             }
@@ -176,14 +180,33 @@
     Refused,
 }
 
+/// A connection that a peer lends, as it stands.
+struct Granted {
+    channel: RelayedChannel,
+    in_transaction: bool,
+    values: SessionValues,
+    values_unknown: bool,
+    prepared: BTreeSet<PreparedShape>,
+}
+
+impl Granted {
+    fn into_connection(self, database: &DatabaseName, principal: &Principal) -> Connection {
+        let mut connection = Connection::relayed(self.channel, database, principal);
+        connection.in_transaction = self.in_transaction;
+        connection.values = self.values;
+        connection.values_unknown = self.values_unknown;
+        connection.prepared = self.prepared;
+        connection
+    }
+}
+
 async fn ask(
     node: &Rc<Node>,
     peer: &Peer,
     holders: &[Peer],
-    database: &DatabaseName,
     request: &LinkRequest,
     limit: Duration,
-) -> Result<Connection, NotLent> {
+) -> Result<Granted, NotLent> {
     match link::call(node, peer, holders, request, limit).await {
         Some((
             LinkReply::Granted {
@@ -198,12 +221,13 @@
                 stream,
                 peer: peer.name.clone(),
             };
-            let mut connection = Connection::relayed(channel, database);
-            connection.in_transaction = in_transaction;
-            connection.values = values;
-            connection.values_unknown = values_unknown;
-            connection.prepared = prepared;
-            Ok(connection)
+            Ok(Granted {
+                channel,
+                in_transaction,
+                values,
+                values_unknown,
+                prepared,
+            })
         }
         Some((LinkReply::Overloaded, stream)) => {
             node.links.keep(peer.name.clone(), stream);
@@ -287,15 +311,13 @@
 async fn lend(
     node: &Rc<Node>,
     database: &DatabaseName,
-    priority: u8,
-    values: &SessionValues,
-    limits: WaitLimits,
+    wanted: ConnectionRequest<'_>,
 ) -> Result<Lent, AcquireError> {
     if node.stop_stage() >= StopStage::CloseIdle {
         return Err(AcquireError::NotHeld);
     }
     let pool = node.pool(database);
-    let lease = pool.acquire_direct(node, priority, values, limits).await?;
+    let lease = pool.acquire_direct(node, wanted).await?;
     Ok(Lent::new(node, lease))
 }
 
@@ -316,6 +338,7 @@
         let reply = match request {
             LinkRequest::Lease {
                 database,
+                principal,
                 priority,
                 values,
                 wanted,
@@ -328,7 +351,13 @@
                     patience: Duration::from_millis(patience_ms),
                     limit: Duration::from_millis(limit_ms),
                 };
-                match lend(&node, &database, priority, &values, limits).await {
+                let wanted = ConnectionRequest {
+                    principal: principal.as_ref(),
+                    priority,
+                    values: &values,
+                    limits,
+                };
+                match lend(&node, &database, wanted).await {
                     Ok(lent) => granted(&mut held.insert(lent).lease),
                     Err(AcquireError::Overloaded | AcquireError::TimedOut) => LinkReply::Overloaded,
                     Err(_) => LinkReply::Refused,
--- a/crates/serving/src/second_way.rs
+++ b/crates/serving/src/second_way.rs
@@ -63,7 +63,7 @@
     question: impl AsyncFn(&mut Lease) -> Result<(), ConnectionError>,
 ) -> Option<()> {
     let asking = async {
-        match pool.open(node).await {
+        match pool.open(node, None).await {
             Ok(mut lease) => question(&mut lease).await.ok(),
             // The refusal is the database's own word.
             Err(AcquireError::Crowded) => {
--- a/crates/serving/src/session.rs
+++ b/crates/serving/src/session.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use hookpoint_coordination::serving::leadership::ReignPosition;
 use hookpoint_coordination::serving::session::{Access, Phase, SessionState};
+use hookpoint_coordination::serving::tenancy::{Denial, KeyDigest, Principal, identify};
 use hookpoint_coordination::serving::topology::Route;
 use hookpoint_state::Timestamp;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -35,6 +36,7 @@
 /// An open transaction of the caller's.
 struct Transaction {
     route: Rc<Route>,
+    principal: Principal,
     began_at: Timestamp,
     read_only: bool,
     wrote: bool,
@@ -53,6 +55,7 @@
         incoming: BytesMut::new(),
         outgoing: BytesMut::new(),
         database: String::new(),
+        key: KeyDigest::of(&[]),
         state: SessionState::default(),
         own_position: None,
         transaction: None,
@@ -78,6 +81,8 @@
     incoming: BytesMut,
     outgoing: BytesMut,
     database: String,
+    /// Which key the caller named.
+    key: KeyDigest,
     state: SessionState,
     own_position: Option<ReignPosition>,
     transaction: Option<Transaction>,
@@ -114,8 +119,8 @@
 
     async fn start(&mut self) -> io::Result<bool> {
         let input = timeout(START_LIMIT, self.read_input()).await;
-        let database = match input {
-            Ok(Ok(Some(CallerInput::Start { database }))) => database,
+        let (database, key) = match input {
+            Ok(Ok(Some(CallerInput::Start { database, key }))) => (database, key),
             Ok(Ok(Some(CallerInput::End) | None)) | Err(_) => return Ok(false),
             Ok(Ok(Some(_))) => {
                 self.fail(malformed());
@@ -126,12 +131,13 @@
         };
         self.await_configuration().await;
         self.database = database;
+        self.key = key;
         if self.node.configuration().is_none() {
             self.refuse_session(not_configured()).await?;
             return Ok(false);
         }
-        if self.route().is_none() {
-            self.refuse_session(no_such_database()).await?;
+        if let Err(failure) = self.admission() {
+            self.refuse_session(failure).await?;
             return Ok(false);
         }
         self.ready();
@@ -164,9 +170,47 @@
         let _ = timeout(CONFIGURATION_WAIT, changed).await;
     }
 
-    fn route(&self) -> Option<Rc<Route>> {
+    /// The session's route and on whose behalf it is used, by the configuration in force.
+    fn admission(&self) -> Result<(Rc<Route>, Principal), Failure> {
+        let configuration = self.node.configuration().ok_or_else(not_configured)?;
+        let route = configuration.routes.get(&self.database);
+        let route = route.ok_or_else(no_such_database)?;
+        let keys_pass = self.node.keys_pass();
+        let identified = identify(&configuration.tenants, route, &self.key, keys_pass);
+        match identified {
+            Ok(principal) => Ok((Rc::clone(route), principal)),
+            Err(denial) => Err(self.denied(denial)),
+        }
+    }
+
+    fn denied(&self, denial: Denial) -> Failure {
+        let reason = match denial {
+            Denial::UnknownKey => "unknown_key",
+            Denial::Partitioned => "partitioned",
+        };
+        self.node.counters.count("denied", reason);
+        self.node.log(
+            "caller_denied",
+            &[
+                ("database", self.database.as_str().into()),
+                ("reason", reason.into()),
+                ("configuration", self.node.configuration_version().into()),
+            ],
+        );
+        Failure::new(FailureCode::Denied, "the key is not valid here")
+    }
+
+    /// Whether the caller may no longer go on with its transaction: its key was withdrawn or
+    /// has become another tenant's since.
+    fn denial_of(&self, transaction: &Transaction) -> Option<Failure> {
         let configuration = self.node.configuration()?;
-        configuration.routes.get(&self.database).cloned()
+        let route = &transaction.route;
+        let keys_pass = self.node.keys_pass();
+        match identify(&configuration.tenants, route, &self.key, keys_pass) {
+            Ok(principal) if principal == transaction.principal => None,
+            Ok(_) => Some(rolled_back()),
+            Err(denial) => Some(self.denied(denial)),
+        }
     }
 
     /// Waits for a message, the end of a rest, or a stop that concerns this session.
@@ -299,13 +343,17 @@
             self.refuse_locally(malformed());
             return;
         }
-        let Some(route) = self.route() else {
-            self.fail(no_such_database());
-            self.ready();
-            return;
+        let (route, principal) = match self.admission() {
+            Ok(admitted) => admitted,
+            Err(failure) => {
+                self.fail(failure);
+                self.ready();
+                return;
+            }
         };
         self.transaction = Some(Transaction {
             route,
+            principal,
             began_at: arrived,
             read_only,
             wrote: false,
@@ -343,6 +391,7 @@
     fn request<'a>(
         &'a self,
         route: &'a Route,
+        principal: &'a Principal,
         fresh_from: Timestamp,
         arrived: Timestamp,
     ) -> Request<'a> {
@@ -350,6 +399,7 @@
             node: &self.node,
             state: &self.state,
             route,
+            principal,
             fresh_from,
             arrived,
             own_position: self.own_position,
@@ -358,12 +408,15 @@
     }
 
     async fn run_single(&mut self, work: Work, arrived: Timestamp) {
-        let Some(route) = self.route() else {
-            self.fail(no_such_database());
-            self.ready();
-            return;
+        let (route, principal) = match self.admission() {
+            Ok(admitted) => admitted,
+            Err(failure) => {
+                self.fail(failure);
+                self.ready();
+                return;
+            }
         };
-        let request = self.request(&route, arrived, arrived);
+        let request = self.request(&route, &principal, arrived, arrived);
         let outcome = request.run_single(&work).await;
         match outcome {
             Ok((answer, database)) => {
@@ -384,8 +437,15 @@
         arrived: Timestamp,
         mut transaction: Transaction,
     ) {
+        if let Some(failure) = self.denial_of(&transaction) {
+            self.state.phase = Phase::Failed;
+            self.fail(failure);
+            self.ready();
+            return;
+        }
         let route = Rc::clone(&transaction.route);
-        let request = self.request(&route, transaction.began_at, arrived);
+        let principal = transaction.principal.clone();
+        let request = self.request(&route, &principal, transaction.began_at, arrived);
         let outcome = match &mut transaction.lease {
             Some(lease) => request.run_in(&work, lease).await,
             None => {
@@ -424,8 +484,15 @@
             self.done_locally();
             return;
         };
+        if let Some(failure) = self.denial_of(&transaction) {
+            drop(lease);
+            self.fail(failure);
+            self.ready();
+            return;
+        }
         let route = Rc::clone(&transaction.route);
-        let request = self.request(&route, transaction.began_at, arrived);
+        let principal = transaction.principal.clone();
+        let request = self.request(&route, &principal, transaction.began_at, arrived);
         match request.commit(&id, &mut lease, transaction.wrote).await {
             Ok(answer) => {
                 if transaction.wrote {
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -14,7 +14,7 @@
 use crate::connection::{Answer, ConnectionError};
 use crate::lease::Lease;
 use crate::message::{Command, FailureCode};
-use crate::pool::{AcquireError, WaitLimits};
+use crate::pool::{AcquireError, ConnectionRequest, WaitLimits};
 use crate::primary_lease::WriteInFlight;
 
 /// What became of one attempt.
@@ -66,13 +66,13 @@
     ) -> Attempt {
         let pool = self.node.pool(target.database());
         let asked_at = self.node.now();
-        let acquired = pool
-            .acquire(
-                self.route.priority,
-                &self.state.values,
-                self.wait_limits(work, in_transaction),
-            )
-            .await;
+        let wanted = ConnectionRequest {
+            principal: Some(self.principal),
+            priority: self.route.priority,
+            values: &self.state.values,
+            limits: self.wait_limits(work, in_transaction),
+        };
+        let acquired = pool.acquire(wanted).await;
         let now = self.node.now();
         let waited = now.since(asked_at);
         pool.note_wait(now, waited);
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod outcome;
+mod quota;
 mod stance;
 mod target;
 mod transaction;
@@ -15,6 +16,7 @@
 use bytes::Bytes;
 use hookpoint_coordination::serving::leadership::ReignPosition;
 use hookpoint_coordination::serving::session::{Access, Phase, PreparedShape, SessionState};
+use hookpoint_coordination::serving::tenancy::Principal;
 use hookpoint_coordination::serving::topology::Route;
 use hookpoint_state::{DatabaseName, Position, Timestamp};
 use tokio::time::{sleep, timeout};
@@ -96,6 +98,8 @@
     pub node: &'a Rc<Node>,
     pub state: &'a SessionState,
     pub route: &'a Route,
+    /// On whose behalf it runs.
+    pub principal: &'a Principal,
     /// When its first byte, or that of its transaction, was seen.
     pub fresh_from: Timestamp,
     /// When this statement arrived.
@@ -147,6 +151,7 @@
 
     /// Runs a single statement outside any transaction of the caller's.
     pub(crate) async fn run_single(&self, work: &Work) -> Result<(Answer, DatabaseName), Failure> {
+        self.take_token(work).await?;
         let (answer, lease) = self.run_until_answered(work, false).await?;
         let database = lease.pool().database().clone();
         Ok((answer, database))
@@ -158,6 +163,7 @@
         work: &Work,
         read_only: bool,
     ) -> Result<(Answer, Lease), Failure> {
+        self.take_token(work).await?;
         self.run_until_answered(work, !read_only).await
     }
 
--- a/crates/serving/tests/packed.rs
+++ b/crates/serving/tests/packed.rs
@@ -18,6 +18,7 @@
         consistency: Consistency::ReadYourWrites(Duration::from_millis(1_500)),
         statement_timeout: Duration::from_millis(700 + number as u64 % 300),
         target_latency: Duration::from_millis(400),
+        open: true,
         priority: 1,
     };
     let name = |number: usize| format!("{:x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
