Followers that lack history hear everything from their upstream

Trace: the store forgot its history at 7 s with version 15 unheard; the fleet's watcher read everything anew by 9.3 s, and then answered each follower that it lacks some of the changes they asked for. They turned to the second upstream, which was cut off from the store and passed on what it had known, less than 6.7 s old, until 12.1 s; all had the version by 14.9 s, 7.6 s after its acknowledgement. Ruled out: keys (the same happens to routes), the watcher's own return (2.1 s). A log that began with a listing knows everything, so it is told.

--- a/crates/coordination/src/serving/feed.rs
+++ b/crates/coordination/src/serving/feed.rs
@@ -207,6 +207,8 @@
 pub struct ChangeLog<Subject, Change> {
     /// The log holds every change after this revision; none if nothing is known yet.
     complete_after: Option<u64>,
+    /// Whether the log holds the newest of every subject, whenever that changed.
+    whole: bool,
     changes: BTreeMap<(u64, Subject), Change>,
     newest: BTreeMap<Subject, u64>,
 }
@@ -215,6 +217,7 @@
     fn default() -> Self {
         Self {
             complete_after: None,
+            whole: false,
             changes: BTreeMap::new(),
             newest: BTreeMap::new(),
         }
@@ -222,11 +225,13 @@
 }
 
 impl<Subject: Ord + Clone, Change: Clone> ChangeLog<Subject, Change> {
-    /// Begins anew after a listing of everything that was read at `revision`.
+    /// Begins anew after a listing of everything that was read at `revision`; each record of the
+    /// listing is to be recorded next.
     pub fn restart(&mut self, revision: u64) {
         self.changes.clear();
         self.newest.clear();
         self.complete_after = Some(revision);
+        self.whole = true;
     }
 
     /// Takes a change; one that is older than the newest of its subject is passed over.
@@ -247,10 +252,16 @@
     fn forget_oldest(&mut self) {
         if let Some(((revision, subject), _)) = self.changes.pop_first() {
             self.newest.remove(&subject);
+            self.whole = false;
             self.complete_after = self.complete_after.max(Some(revision));
         }
     }
 
+    /// The newest change of every subject; nothing if some are not known here.
+    pub fn everything(&self) -> Option<Vec<Change>> {
+        self.whole.then(|| self.changes.values().cloned().collect())
+    }
+
     /// The changes after `revision`; nothing if some of them are not known here.
     pub fn since(&self, revision: u64) -> Option<Vec<Change>> {
         if self
--- a/crates/coordination/tests/serving_feed.rs
+++ b/crates/coordination/tests/serving_feed.rs
@@ -302,3 +302,22 @@
     let next = turns(&mut own_tries, "front-1", begin, 202)[0];
     assert_eq!(next - begin, first);
 }
+
+#[test]
+fn a_log_that_began_with_a_listing_knows_everything_until_it_forgets() {
+    let mut log: ChangeLog<u32, &str> = ChangeLog::default();
+    assert_eq!(log.everything(), None);
+    log.record(9, 1, "before any listing");
+    assert_eq!(log.everything(), None);
+    log.restart(10);
+    log.record(3, 1, "listed");
+    log.record(7, 2, "listed");
+    log.record(12, 1, "changed");
+    assert_eq!(log.since(9), None);
+    assert_eq!(log.since(10), Some(vec!["changed"]));
+    assert_eq!(log.everything(), Some(vec!["listed", "changed"]));
+    for revision in 0..20_000_u32 {
+        log.record(u64::from(revision) + 20, revision + 10, "many");
+    }
+    assert_eq!(log.everything(), None);
+}
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -48,6 +48,9 @@
     Changes {
         /// The changes and the revision to go on from: [`StoreChanges`], packed.
         changes: Bytes,
+        /// Whether they are all records that the store holds: some of the changes after the
+        /// revision asked for are not known, but what came of them is.
+        everything: bool,
         /// How long the upstream has followed the store without a gap, in milliseconds.
         steady_ms: u64,
         /// How long ago the store itself told of this state, in milliseconds.
@@ -80,8 +83,8 @@
 
 /// Changes as they are sent to followers.
 struct PackedChanges {
-    /// The follower knows everything up to this revision.
-    after: u64,
+    /// The follower knows everything up to this revision; none if they are everything.
+    after: Option<u64>,
     /// The changes are all up to this one.
     revision: u64,
     bytes: Bytes,
@@ -91,6 +94,8 @@
 pub enum Followed {
     /// The changes that it told of; none if there were none in a while.
     Changes(StoreChanges),
+    /// Everything that the store holds.
+    Everything(StoreChanges),
     /// Upstreams answered that they do not reach the store.
     StoreLost,
     /// There is none, or none answered.
@@ -99,10 +104,13 @@
 
 impl Feed {
     /// Begins anew after everything was read.
-    pub fn restart(&self, revision: u64) {
+    pub fn restart(&self, all: &StoreChanges) {
         self.failures.set(0);
-        self.log.borrow_mut().restart(revision);
-        self.advance(revision);
+        self.log.borrow_mut().restart(all.revision);
+        for change in &all.changes {
+            self.record(change);
+        }
+        self.advance(all.revision);
     }
 
     /// Takes in one change.
@@ -196,10 +204,10 @@
         self.log.borrow().since(revision)
     }
 
-    /// Packs `changes`, which are all after `after`; those that were packed last are neither
-    /// copied nor packed again.
-    fn pack(&self, after: u64, changes: &[Rc<StoreChange>]) -> Result<Bytes, PackError> {
-        let revision = self.revision.get().max(after);
+    /// Packs `changes`, which are all after `after`, or everything; those that were packed last
+    /// are neither copied nor packed again.
+    fn pack(&self, after: Option<u64>, changes: &[Rc<StoreChange>]) -> Result<Bytes, PackError> {
+        let revision = self.revision.get().max(after.unwrap_or_default());
         if let Some(last) = &*self.packed.borrow()
             && (last.after, last.revision) == (after, revision)
         {
@@ -235,23 +243,34 @@
             continue;
         }
         let Some(changes) = feed.changes_since(revision) else {
-            return FeedAnswer::Incomplete;
+            let everything = feed.log.borrow().everything();
+            return match everything {
+                Some(all) => changes_answer(node, None, &all),
+                None => FeedAnswer::Incomplete,
+            };
         };
         if !changes.is_empty() || now >= until {
-            let Ok(changes) = feed.pack(revision, &changes) else {
-                node.counters.count("store_followed", "not_packed");
-                return FeedAnswer::Incomplete;
-            };
-            return FeedAnswer::Changes {
-                changes,
-                steady_ms: millis(now.since(node.store_steady_since.get())),
-                age_ms: millis(now.since(feed.verified_at.get())),
-            };
+            return changes_answer(node, Some(revision), &changes);
         }
         let _ = timeout(until.since(now), advanced).await;
     }
 }
 
+/// The answer that tells of `changes`, which are all after `after`, or everything.
+fn changes_answer(node: &Rc<Node>, after: Option<u64>, changes: &[Rc<StoreChange>]) -> FeedAnswer {
+    let now = node.now();
+    let Ok(packed) = node.feed.pack(after, changes) else {
+        node.counters.count("store_followed", "not_packed");
+        return FeedAnswer::Incomplete;
+    };
+    FeedAnswer::Changes {
+        changes: packed,
+        everything: after.is_none(),
+        steady_ms: millis(now.since(node.store_steady_since.get())),
+        age_ms: millis(now.since(node.feed.verified_at.get())),
+    }
+}
+
 /// Follows the store through an upstream.
 pub async fn follow_upstream(node: &Rc<Node>, revision: u64) -> Followed {
     let mut store_lost = false;
@@ -262,6 +281,7 @@
         let passed_over = match ask(node, &upstream, revision).await {
             Some(FeedAnswer::Changes {
                 changes,
+                everything,
                 steady_ms,
                 age_ms,
             }) => match unpack(node, &upstream, &changes) {
@@ -270,7 +290,11 @@
                     let age = Duration::from_millis(age_ms);
                     node.feed.note_verified(node.now() - age);
                     note_steady(node, Duration::from_millis(steady_ms));
-                    return Followed::Changes(changes);
+                    return if everything {
+                        Followed::Everything(changes)
+                    } else {
+                        Followed::Changes(changes)
+                    };
                 }
                 None => PASSED_OVER,
             },
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -105,14 +105,9 @@
         Ok(all) => {
             note_reachable(node, true, "read");
             node.store_steady_since.set(node.now());
-            let revision = all.revision;
-            if freshness == ReadFreshness::Present {
-                node.own_record_revision.set(0);
-            }
-            apply_all(node, all);
-            node.note_promotions_known(revision);
-            node.feed.restart(revision);
-            if freshness == ReadFreshness::Present {
+            let present = freshness == ReadFreshness::Present;
+            let revision = take_everything(node, all, present);
+            if present {
                 node.feed.note_verified(node.now());
             }
             Some(revision)
@@ -125,6 +120,19 @@
     }
 }
 
+/// Takes in everything that the store holds, in its present state or an older one. Returns the
+/// revision to go on from.
+fn take_everything(node: &Rc<Node>, all: StoreChanges, present: bool) -> u64 {
+    let revision = all.revision;
+    if present {
+        node.own_record_revision.set(0);
+    }
+    node.feed.restart(&all);
+    apply_all(node, all);
+    node.note_promotions_known(revision);
+    revision
+}
+
 /// A node that starts takes a listing that may be old, and catches up from its revision on;
 /// it has promised nothing yet that an older configuration could break.
 fn listing_freshness(node: &Rc<Node>) -> ReadFreshness {
@@ -159,6 +167,12 @@
             node.feed.note_served(false);
             Some(take_changes(node, changes, revision))
         }
+        Followed::Everything(all) => {
+            note_reachable(node, true, "peer");
+            node.feed.note_served(false);
+            node.counters.count("store_followed", "peer_everything");
+            Some(take_everything(node, all, true))
+        }
         Followed::StoreLost if !own_try_is_due(node) => {
             note_reachable(node, false, "upstreams do not reach it");
             sleep(UPSTREAM_PAUSE).await;
