--- a/crates/coordination/src/serving/quota.rs
+++ b/crates/coordination/src/serving/quota.rs
@@ -25,6 +25,15 @@
 /// runs twice, as the first answer was lost: one in fifty.
 const HEADROOM_DIVISOR: u64 = 50;
 
+/// Part of an operation's latency objective that it may wait for a token that is on its way.
+/// Unlike a queue that wait is known beforehand: who would wait for longer is refused at once.
+const PATIENCE_DIVISOR: u32 = 3;
+
+/// How long an operation may wait for a token that has passed `elapsed` of its objective.
+pub fn token_patience(target_latency: Duration, elapsed: Duration) -> Duration {
+    (target_latency / PATIENCE_DIVISOR).saturating_sub(elapsed)
+}
+
 /// A new holder grants nothing for this long: until the nodes that still ask the one before
 /// it have heard of the change, which takes a follower of the store well under a second.
 pub const TAKEOVER_PAUSE: Duration = Duration::from_millis(1_500);
--- a/crates/coordination/src/serving/token_holders.rs
+++ b/crates/coordination/src/serving/token_holders.rs
@@ -1,9 +1,8 @@
 //! Which nodes hold a tenant's tokens.
 //!
-//! They stand in different regions, or zones where there are no more regions, so that one
-//! is near to each caller and a cut leaves part of the limit on each side. Among the nodes of
-//! a place those with the most bandwidth come first: they stay when small ones are added and
-//! removed, and each change of a holder costs its part of the limit for a moment.
+//! They stand in different regions, then in different zones, so that one is near to each caller.
+//! Within a place any node may be one: a cut then leaves about as much of the limit on each
+//! side as there are nodes, and so callers.
 
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
@@ -12,8 +11,8 @@
 
 use super::homes::{HomeCandidate, rendezvous_score};
 
-/// Holders of one tenant at the most.
-pub const MOST_HOLDERS: usize = 3;
+/// Holders of one tenant at the most: one for each zone of the known deployments.
+pub const MOST_HOLDERS: usize = 6;
 
 /// The `count` nodes that hold the tokens of `tenant`; `region` tells where a zone is.
 pub fn choose_token_holders<'a>(
@@ -25,11 +24,7 @@
     let mut ranked: Vec<&HomeCandidate> = nodes.iter().collect();
     ranked.sort_by_cached_key(|candidate| {
         let score = rendezvous_score(tenant.as_str(), &candidate.node);
-        (
-            Reverse(candidate.bandwidth_mbps),
-            Reverse(score),
-            candidate.node.clone(),
-        )
+        (Reverse(score), candidate.node.clone())
     });
     let mut chosen: Vec<&HomeCandidate> = Vec::with_capacity(count);
     let mut regions = BTreeSet::new();
--- a/crates/serving/src/statement/quota.rs
+++ b/crates/serving/src/statement/quota.rs
@@ -1,7 +1,7 @@
 //! Whether the tenant may run another operation: a single statement, or a transaction, which
 //! counts with its first statement.
 
-use hookpoint_coordination::serving::admission::patience;
+use hookpoint_coordination::serving::quota::token_patience;
 
 use super::{Request, Work};
 use crate::message::{Failure, FailureCode};
@@ -9,14 +9,14 @@
 use crate::units::millis;
 
 impl Request<'_> {
-    /// Takes a token for the operation that begins with `work`. It waits as long as it would
-    /// in a queue for a connection; else it is refused, and nothing has run.
+    /// Takes a token for the operation that begins with `work`, or refuses it; then nothing has
+    /// run.
     pub(super) async fn take_token(&self, work: &Work) -> Result<(), Failure> {
         let Some(tenant) = self.principal.tenant() else {
             return Ok(());
         };
         let elapsed = self.node.now().since(self.arrived);
-        let patience = patience(self.route.target_latency, elapsed).min(self.time_left());
+        let patience = token_patience(self.route.target_latency, elapsed).min(self.time_left());
         let outcome = tokens::take(self.node, tenant, patience).await;
         let waited = self.node.now().since(self.arrived);
         self.node.counters.observe("token", waited);
--- a/crates/serving/src/tokens.rs
+++ b/crates/serving/src/tokens.rs
@@ -30,8 +30,8 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(130);
 /// Pause between looks whether the other nodes are known.
 const FLEET_LOOK: Duration = Duration::from_millis(10);
-/// After this time without an answer of any holder a node counts as cut off.
-const CUT_OFF_AFTER: Duration = Duration::from_secs(1);
+/// Pause between looks whether the holders answer.
+const HOLDERS_LOOK: Duration = Duration::from_millis(250);
 
 /// What a node keeps of tokens.
 #[derive(Default)]
@@ -49,8 +49,9 @@
     next_nonce: Cell<u64>,
     due: RefCell<Vec<(PeerMessage, SocketAddr)>>,
     question_due: Notify,
-    /// The last question that no holder answered: for whom, and when it was asked first.
-    unanswered: RefCell<Option<(TenantName, Timestamp)>>,
+    /// Since when most tenants' operations cannot be counted here.
+    uncounted_since: Cell<Option<Timestamp>>,
+    looked_at: Cell<Timestamp>,
 }
 
 /// Why an operation may not run.
@@ -126,12 +127,6 @@
         self.awaiting.borrow_mut().insert(nonce, sender);
         (nonce, receiver)
     }
-
-    fn note_unanswered(&self, tenant: &TenantName, asked_at: Timestamp) {
-        let mut unanswered = self.unanswered.borrow_mut();
-        let since = unanswered.as_ref().map_or(asked_at, |(_, since)| *since);
-        *unanswered = Some((tenant.clone(), since));
-    }
 }
 
 impl Node {
@@ -160,13 +155,21 @@
         !counted || self.knows_fleet()
     }
 
-    /// Since when no node that counts tenants' operations has answered: others serve this
-    /// node's callers better.
+    /// Since when most tenants' operations cannot be counted here, as no holder of their tokens
+    /// answers: others serve this node's callers better.
     pub(crate) fn uncounted_since(&self) -> Option<Timestamp> {
-        let unanswered = self.tokens.unanswered.borrow();
-        let (_, since) = unanswered.as_ref()?;
-        let cut_off = self.now().since(*since) >= CUT_OFF_AFTER;
-        cut_off.then_some(*since)
+        self.tokens.uncounted_since.get()
+    }
+
+    /// Whether a holder of the tenant's tokens may answer.
+    fn counts(&self, tenant: &TenantName) -> bool {
+        let Some(limit) = self.grant_limit(tenant) else {
+            return true;
+        };
+        let holders = self.token_holders(tenant, limit.holders(MOST_HOLDERS));
+        holders.iter().any(|holder| {
+            holder.name == self.settings.name || self.reachability.may_ask(holder, self.now())
+        })
     }
 }
 
@@ -194,7 +197,6 @@
 /// Takes the answer to a question that may still be open.
 pub(crate) fn take_answer(node: &Node, nonce: u64, peer: &str, answer: TokenAnswer) {
     reachability::note_heard(node, peer);
-    node.tokens.unanswered.take();
     let waiting = node.tokens.awaiting.borrow_mut().remove(&nonce);
     let unused = waiting.is_none_or(|waiting| waiting.send(answer).is_err());
     if unused {
@@ -216,7 +218,6 @@
     await_fleet(node, asked_at + patience).await;
     let holders = node.token_holders(tenant, limit.holders(MOST_HOLDERS));
     let mut soonest: Option<(Timestamp, &Peer)> = None;
-    let mut answered = false;
     for holder in holders.iter() {
         let mut dry_until = node.tokens.dry_until(tenant, holder);
         if dry_until <= node.now() {
@@ -226,22 +227,14 @@
                     dry_until = node.now() + Duration::from_micros(retry_after_us);
                     node.tokens.note_dry(tenant, holder, dry_until);
                 }
-                Some(TokenAnswer::NotHeld) => {
-                    answered = true;
-                    continue;
-                }
-                None => continue,
+                Some(TokenAnswer::NotHeld) | None => continue,
             }
         }
-        answered = true;
         if soonest.is_none_or(|(until, _)| dry_until < until) {
             soonest = Some((dry_until, holder));
         }
     }
     let Some((until, holder)) = soonest else {
-        if !answered {
-            node.tokens.note_unanswered(tenant, asked_at);
-        }
         return Err(NoToken::NotCounted);
     };
     let left = (asked_at + patience).since(node.now());
@@ -327,23 +320,24 @@
     }
 }
 
-/// Looks whether a holder of the last tenant in vain asked for is heard again.
+/// Looks now and then whether the holders of tenants' tokens answer.
 pub(crate) fn look_for_holders(node: &Node) {
-    node.tokens.forget_past(node.now());
-    let unanswered = node.tokens.unanswered.borrow().clone();
-    let Some((tenant, _)) = unanswered else {
+    let now = node.now();
+    let tokens = &node.tokens;
+    if now.since(tokens.looked_at.get()) < HOLDERS_LOOK || !node.knows_fleet() {
         return;
-    };
-    let Some(limit) = node.grant_limit(&tenant) else {
-        node.tokens.unanswered.take();
+    }
+    tokens.looked_at.set(now);
+    tokens.forget_past(now);
+    let Some(configuration) = node.configuration() else {
         return;
     };
-    let holders = node.token_holders(&tenant, limit.holders(MOST_HOLDERS));
-    let heard = holders.iter().any(|holder| {
-        let other = holder.name != node.settings.name;
-        other && node.reachability.may_ask(holder, node.now())
-    });
-    if heard {
-        node.tokens.unanswered.take();
+    let tenants = configuration.tenants.limits.keys();
+    let uncounted = tenants.filter(|tenant| !node.counts(tenant)).count();
+    if uncounted * 2 <= configuration.tenants.limits.len() {
+        tokens.uncounted_since.set(None);
+    } else if tokens.uncounted_since.get().is_none() {
+        tokens.uncounted_since.set(Some(now));
+        node.log("limits_not_counted", &[("tenants", uncounted.into())]);
     }
 }
