--- a/crates/coordination/src/serving/homes.rs
+++ b/crates/coordination/src/serving/homes.rs
@@ -10,7 +10,7 @@
 use std::hash::Hasher;
 use std::time::Duration;
 
-use hookpoint_state::{DatabaseName, ZoneName};
+use hookpoint_state::{DatabaseName, TenantName, ZoneName};
 use siphasher::sip::SipHasher13;
 
 /// Connections that a home node should have at the least.
@@ -89,6 +89,12 @@
         .collect()
 }
 
+/// Weight of `node` for the connections of `tenant`: where the tenant's are kept, so that its
+/// next statement finds one open. The highest wins.
+pub fn tenant_weight(tenant: &TenantName, node: &str) -> u64 {
+    rendezvous_score(tenant.as_str(), node)
+}
+
 /// The nodes in the order in which they claim one record or stand in for who holds it.
 pub fn claim_order(nodes: &[HomeCandidate]) -> Vec<&str> {
     let mut names: Vec<&str> = nodes.iter().map(|node| node.node.as_str()).collect();
--- a/crates/serving/src/homes.rs
+++ b/crates/serving/src/homes.rs
@@ -4,6 +4,7 @@
 //! what it was worked out from changes: the live nodes, the database's zone, or the
 //! configured number of connections.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,8 +12,9 @@
 
 use hookpoint_coordination::serving::failover::Witnesses;
 use hookpoint_coordination::serving::homes::{
-    HomeCandidate, Start, choose_homes, home_count, rank_homes, useful_connections,
+    HomeCandidate, Start, choose_homes, home_count, rank_homes, tenant_weight, useful_connections,
 };
+use hookpoint_coordination::serving::tenancy::Principal;
 use hookpoint_coordination::serving::token_holders::choose_token_holders;
 use hookpoint_state::{DatabaseName, TenantName, Timestamp, ZoneName};
 
@@ -118,6 +120,32 @@
         Rc::clone(&self.home_view(name).holders)
     }
 
+    /// The other nodes that hold connections to a database, those first that keep the
+    /// principal's.
+    pub(crate) fn holders_for(&self, name: &DatabaseName, principal: &Principal) -> Rc<[Peer]> {
+        let holders = self.holders(name);
+        let Some(tenant) = principal.tenant() else {
+            return holders;
+        };
+        let mut ranked = holders.to_vec();
+        ranked.sort_by_cached_key(|holder| Reverse(tenant_weight(tenant, &holder.name)));
+        ranked.into()
+    }
+
+    /// Whether this node keeps the principal's connections to a database, of which it is home.
+    pub(crate) fn keeps_connections_of(&self, name: &DatabaseName, principal: &Principal) -> bool {
+        let Some(tenant) = principal.tenant() else {
+            return true;
+        };
+        let own = tenant_weight(tenant, &self.settings.name);
+        let now = self.now();
+        let holders = self.holders(name);
+        let mut others = holders
+            .iter()
+            .filter(|holder| !self.reachability.is_silent(holder, now));
+        others.all(|other| tenant_weight(tenant, &other.name) < own)
+    }
+
     /// Whether the members that this node knows may be taken for the fleet. Until then it
     /// opens just what requests wait for.
     pub(crate) fn knows_fleet(&self) -> bool {
--- a/crates/serving/src/pool/mod.rs
+++ b/crates/serving/src/pool/mod.rs
@@ -292,7 +292,19 @@
         request: ConnectionRequest<'_>,
     ) -> Result<Lease, AcquireError> {
         let node = self.node.upgrade().ok_or(AcquireError::Unlisted)?;
-        let direct = if self.reachable.get() && node.connection_cap(&self.database) > 0 {
+        self.note_demand(node.now(), request.principal);
+        if let Some(lease) = self.try_acquire(request.principal, request.values) {
+            return Ok(lease);
+        }
+        let is_home = self.reachable.get() && node.connection_cap(&self.database) > 0;
+        let principal = request.principal.unwrap_or(&Principal::Anonymous);
+        if is_home && !node.keeps_connections_of(&self.database, principal) {
+            return match relay::lease(&node, self, request).await {
+                Ok(lease) => Ok(lease),
+                Err(_) => self.acquire_direct(&node, request).await,
+            };
+        }
+        let direct = if is_home {
             self.acquire_direct(&node, request).await
         } else {
             Err(AcquireError::NotHeld)
--- a/crates/serving/src/reachability.rs
+++ b/crates/serving/src/reachability.rs
@@ -38,6 +38,11 @@
         approach == Approach::Send
     }
 
+    /// Whether a peer answers neither requests nor probes.
+    pub(crate) fn is_silent(&self, peer: &Peer, now: Timestamp) -> bool {
+        self.contacts.borrow().is_silent(&peer.name, now)
+    }
+
     /// The peers to probe, as soon as there are some.
     pub(crate) async fn due_probes(&self) -> Vec<SocketAddr> {
         while self.due.borrow().is_empty() {
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -99,7 +99,8 @@
     let limits = wanted.limits;
     let mut asked = 0;
     let mut refusal = NoLease::NotLent;
-    let holders = node.holders(database);
+    let principal = wanted.principal.unwrap_or(&Principal::Anonymous);
+    let holders = node.holders_for(database, principal);
     let mut answering = 0;
     for peer in holders.iter() {
         if asked == PEERS_ASKED {
@@ -124,7 +125,6 @@
         };
         match ask(node, peer, &holders, &request, limits.limit).await {
             Ok(granted) => {
-                let principal = wanted.principal.unwrap_or(&Principal::Anonymous);
                 let connection = granted.into_connection(database, principal);
                 node.counters.count("relayed_leases", "granted");
                 return Ok(pool.lend_relayed(connection));
