--- a/crates/coordination/src/serving/homes.rs
+++ b/crates/coordination/src/serving/homes.rs
@@ -14,7 +14,7 @@
 use siphasher::sip::SipHasher13;
 
 /// Connections that a home node should have at the least.
-const CONNECTIONS_PER_HOME: usize = 4;
+const CONNECTIONS_PER_HOME: usize = 8;
 
 /// Connections worth having for each slot of a database: some are on their way or rest in
 /// a transaction. What is sent on more of them waits in the database, where it cannot be
--- a/crates/coordination/src/serving/quota.rs
+++ b/crates/coordination/src/serving/quota.rs
@@ -6,8 +6,8 @@
 //! dry or does not answer. A token is used within [`TOKEN_LIFE`] or not at all.
 //!
 //! The bound holds without agreement: a holder never grants more than its part, whoever else
-//! is alive, cut off or frozen; one that starts begins with an empty bucket, as the process
-//! before it may have granted all it had; a token that is lost on its way is never used.
+//! is alive, cut off or frozen; one that starts begins with no more than came back while its
+//! process was away, as the process before it may have granted all it had; a token that is lost on its way is never used.
 //! What a tenant loses by a holder that is away is that holder's part.
 
 use std::collections::BTreeMap;
@@ -38,9 +38,15 @@
 /// it have heard of the change, which takes a follower of the store well under a second.
 pub const TAKEOVER_PAUSE: Duration = Duration::from_millis(1_500);
 
-/// Least burst of one holder, in operations. Less than one could never be granted; one more
-/// evens out when operations come.
-const LEAST_BURST_OF_HOLDER: u64 = 2;
+/// Least burst of one holder, in operations: a small tenant's operations come so unevenly that
+/// a holder with less is dry while others are not.
+const LEAST_BURST_OF_HOLDER: u64 = 8;
+
+/// Least time from the last token of a process that ended to the first one of the process that
+/// replaces it: the platform starts it after half a second, and it has to read who the others
+/// are. A bucket begins with what would have come back meanwhile, so that callers who return
+/// after a loss of all power need not wait for it.
+pub const LEAST_RESTART: Duration = Duration::from_millis(300);
 
 /// Buckets are kept in millionths of an operation: a rate in operations a second adds itself
 /// each microsecond.
@@ -164,11 +170,12 @@
 }
 
 impl TokenBucket {
-    /// An empty bucket that begins to fill at `from`.
+    /// A bucket of a process that started, or takes over, at `from`.
     pub fn new(limit: GrantLimit, from: Timestamp) -> Self {
+        let returned = product(limit.rate, micros(LEAST_RESTART)).min(limit.burst);
         Self {
             limit,
-            level: 0,
+            level: i128::from(returned),
             updated_at: from,
         }
     }
