--- a/crates/coordination/src/serving/quota.rs
+++ b/crates/coordination/src/serving/quota.rs
@@ -40,7 +40,7 @@
 
 /// Least burst of one holder, in operations: a small tenant's operations come so unevenly that
 /// a holder with less is dry while others are not.
-const LEAST_BURST_OF_HOLDER: u64 = 8;
+const LEAST_BURST_OF_HOLDER: u64 = 4;
 
 /// Least time from the last token of a process that ended to the first one of the process that
 /// replaces it: the platform starts it after half a second, and it has to read who the others
