--- /dev/null
+++ b/crates/serving/src/pool/acquire.rs
@@ -0,0 +1,238 @@
+//! Getting a connection: one at rest, a new one, the next that becomes free, or one that another
+//! node holds.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::tenancy::Principal;
+use hookpoint_state::Timestamp;
+
+use super::place::Place;
+use super::waiters::{Ticket, Turn, Waiters};
+use super::{AcquireError, ConnectionRequest, Pool};
+use crate::connection::{Connection, ConnectionError};
+use crate::lease::Lease;
+use crate::message::FailureCode;
+use crate::node::Node;
+use crate::relay::{self, NoLease};
+
+/// Limit for connecting and opening a session.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// How long no connection is opened after the database refused one for their number.
+const LIMIT_PAUSE: Duration = Duration::from_millis(400);
+/// Connections of a node that is not home of a database while no home node answers: all nodes
+/// of a fleet parted from the homes may need one, and a database takes a bounded number.
+const SUBSTITUTE_CONNECTIONS: usize = 1;
+
+impl Pool {
+    /// Takes a connection of this node's own, or leases one from a node that holds them.
+    pub async fn acquire(
+        self: &Rc<Self>,
+        request: ConnectionRequest<'_>,
+    ) -> Result<Lease, AcquireError> {
+        let node = self.node.upgrade().ok_or(AcquireError::Unlisted)?;
+        self.note_demand(node.now(), request.principal);
+        if let Some(lease) = self.try_acquire(request.principal, request.values) {
+            return Ok(lease);
+        }
+        let is_home = self.reachable.get() && node.connection_cap(&self.database) > 0;
+        let principal = request.principal.unwrap_or(&Principal::Anonymous);
+        if is_home && !node.keeps_connections_of(&self.database, principal) {
+            return match relay::lease(&node, self, request).await {
+                Ok(lease) => Ok(lease),
+                Err(_) => self.acquire_direct(&node, request).await,
+            };
+        }
+        let direct = if is_home {
+            self.acquire_direct(&node, request).await
+        } else {
+            Err(AcquireError::NotHeld)
+        };
+        match direct {
+            Err(AcquireError::Connection(ConnectionError::Rejected(_)))
+            | Err(AcquireError::TimedOut | AcquireError::Overloaded)
+            | Ok(_) => direct,
+            Err(error) => match relay::lease(&node, self, request).await {
+                Err(NoLease::Silent) => self.acquire_as_substitute(&node, request).await,
+                outcome => outcome.map_err(|refusal| refusal.or(error)),
+            },
+        }
+    }
+
+    /// Takes a connection of this node's own though it is not home: none of the nodes that
+    /// are answers.
+    async fn acquire_as_substitute(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        request: ConnectionRequest<'_>,
+    ) -> Result<Lease, AcquireError> {
+        if !self.reachable.get() && self.is_suspect(node.now()) {
+            return Err(AcquireError::NotHeld);
+        }
+        node.counters.count("connections", "substitute");
+        self.acquire_within(node, SUBSTITUTE_CONNECTIONS, request)
+            .await
+    }
+
+    /// Lends a connection that another node holds.
+    pub fn lend_relayed(self: &Rc<Self>, connection: Connection) -> Lease {
+        self.lend(connection)
+    }
+
+    /// Takes a connection of this node's own: one at rest, a new one, or the next that
+    /// becomes free.
+    pub async fn acquire_direct(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        request: ConnectionRequest<'_>,
+    ) -> Result<Lease, AcquireError> {
+        if !self.reachable.get() {
+            return Err(AcquireError::NotHeld);
+        }
+        let cap = node.connection_cap(&self.database);
+        self.acquire_within(node, cap, request).await
+    }
+
+    /// The same with at most `cap` connections open.
+    async fn acquire_within(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        cap: usize,
+        request: ConnectionRequest<'_>,
+    ) -> Result<Lease, AcquireError> {
+        self.note_demand(node.now(), request.principal);
+        if let Some(lease) = self.try_acquire(request.principal, request.values) {
+            return Ok(lease);
+        }
+        if self.may_open_within(cap, node.now()) || self.make_room(cap, node.now()) {
+            match self.open(node, request.principal).await {
+                Err(AcquireError::Crowded) => {}
+                other => return other,
+            }
+        }
+        if self.open.get() == 0 {
+            return Err(AcquireError::Crowded);
+        }
+        if !self
+            .queue(node.now(), request.priority)
+            .admits(request.limits.patience, request.limits.wanted)
+        {
+            return Err(AcquireError::Overloaded);
+        }
+        self.wait(node, request).await
+    }
+
+    /// Notes that one more connection is wanted.
+    fn note_demand(&self, now: Timestamp, principal: Option<&Principal>) {
+        let principal = principal.unwrap_or(&Principal::Anonymous);
+        let in_use = self.in_use.borrow().get(principal).copied();
+        let waiting = self.waiters.borrow().len_of(principal);
+        let wanted = in_use.unwrap_or_default() + waiting + 1;
+        self.demand.borrow_mut().note(now, principal, wanted);
+    }
+
+    /// Closes a connection at rest, which is another principal's, for one that is wanted now.
+    fn make_room(&self, cap: usize, now: Timestamp) -> bool {
+        if now < self.no_opening_until.get() || self.open.get() > cap {
+            return false;
+        }
+        let closed = self.idle.borrow_mut().take_oldest().is_some();
+        if closed {
+            self.open.set(self.open.get() - 1);
+        }
+        closed
+    }
+
+    /// Whether another connection may be opened now.
+    pub fn may_open(&self, node: &Rc<Node>) -> bool {
+        self.may_open_within(node.connection_cap(&self.database), node.now())
+    }
+
+    fn may_open_within(&self, cap: usize, now: Timestamp) -> bool {
+        let refused_lately = now < self.no_opening_until.get();
+        !refused_lately && self.open.get() < cap
+    }
+
+    /// Opens a connection whatever the cap says; in nobody's name if no principal is told.
+    pub async fn open(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        principal: Option<&Principal>,
+    ) -> Result<Lease, AcquireError> {
+        self.open_in(Place::new(self), node, principal).await
+    }
+
+    async fn open_in(
+        self: &Rc<Self>,
+        place: Place,
+        node: &Rc<Node>,
+        principal: Option<&Principal>,
+    ) -> Result<Lease, AcquireError> {
+        let (address, group) = node
+            .database(&self.database)
+            .map(|database| (database.address, database.group))
+            .ok_or(AcquireError::Unlisted)?;
+        node.counters.count("connections_opened", "database");
+        let protocol = Rc::clone(&node.protocol);
+        let database = &self.database;
+        let principal = principal.unwrap_or(&Principal::Anonymous);
+        let opening = Connection::open(
+            protocol,
+            address,
+            &group,
+            database,
+            principal,
+            CONNECT_LIMIT,
+        );
+        match opening.await {
+            Ok(mut connection) => {
+                place.fill();
+                connection.heard_at = node.now();
+                self.reachable.set(true);
+                Ok(self.lend(connection))
+            }
+            Err(ConnectionError::Rejected(failure))
+                if failure.code == FailureCode::TooManyConnections =>
+            {
+                self.no_opening_until.set(node.now() + LIMIT_PAUSE);
+                Err(AcquireError::Crowded)
+            }
+            Err(error) => {
+                if !matches!(error, ConnectionError::Rejected(_)) {
+                    let refused = matches!(error, ConnectionError::Refused(_));
+                    self.refused.set(refused);
+                    self.note_failure(node.now());
+                    self.note_unreachable();
+                }
+                Err(error.into())
+            }
+        }
+    }
+
+    async fn wait(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        request: ConnectionRequest<'_>,
+    ) -> Result<Lease, AcquireError> {
+        let joining =
+            |waiters: &mut Waiters| waiters.join(request.priority, request.principal, node.now());
+        let (ticket, receiver) = joining(&mut self.waiters.borrow_mut());
+        let _guard = WaiterGuard { pool: self, ticket };
+        match tokio::time::timeout(request.limits.limit, receiver).await {
+            Ok(Ok(Turn::Connection(lease))) => Ok(*lease),
+            Ok(Ok(Turn::Place(place))) => self.open_in(place, node, request.principal).await,
+            _ => Err(AcquireError::TimedOut),
+        }
+    }
+}
+
+struct WaiterGuard<'a> {
+    pool: &'a Pool,
+    ticket: Ticket,
+}
+
+impl Drop for WaiterGuard<'_> {
+    fn drop(&mut self) {
+        self.pool.waiters.borrow_mut().leave(self.ticket);
+    }
+}
--- a/crates/serving/src/pool/waiters.rs
+++ b/crates/serving/src/pool/waiters.rs
@@ -7,7 +7,7 @@
 use hookpoint_state::Timestamp;
 use tokio::sync::oneshot;
 
-use super::Place;
+use super::place::Place;
 use crate::lease::Lease;
 
 /// Priority, then order of arrival.
--- /dev/null
+++ b/crates/serving/src/session/admission.rs
@@ -0,0 +1,55 @@
+//! Whether a session's caller may use its route, as of now.
+
+use std::rc::Rc;
+
+use hookpoint_coordination::serving::tenancy::{Denial, Principal, identify};
+use hookpoint_coordination::serving::topology::Route;
+
+use super::{Session, Transaction, no_such_database, not_configured};
+use crate::message::{Failure, FailureCode};
+use crate::statement::rolled_back;
+
+impl Session {
+    /// The session's route and on whose behalf it is used, by the configuration in force.
+    pub(super) fn admission(&self) -> Result<(Rc<Route>, Principal), Failure> {
+        let configuration = self.node.configuration().ok_or_else(not_configured)?;
+        let route = configuration.routes.get(&self.database);
+        let route = route.ok_or_else(no_such_database)?;
+        let keys_pass = self.node.keys_pass();
+        let identified = identify(&configuration.tenants, route, &self.key, keys_pass);
+        match identified {
+            Ok(principal) => Ok((Rc::clone(route), principal)),
+            Err(denial) => Err(self.denied(denial)),
+        }
+    }
+
+    fn denied(&self, denial: Denial) -> Failure {
+        let reason = match denial {
+            Denial::UnknownKey => "unknown_key",
+            Denial::Partitioned => "partitioned",
+        };
+        self.node.counters.count("denied", reason);
+        self.node.log(
+            "caller_denied",
+            &[
+                ("database", self.database.as_str().into()),
+                ("reason", reason.into()),
+                ("configuration", self.node.configuration_version().into()),
+            ],
+        );
+        Failure::new(FailureCode::Denied, "the key is not valid here")
+    }
+
+    /// Whether the caller may no longer go on with its transaction: its key was withdrawn or
+    /// has become another tenant's since.
+    pub(super) fn denial_of(&self, transaction: &Transaction) -> Option<Failure> {
+        let configuration = self.node.configuration()?;
+        let route = &transaction.route;
+        let keys_pass = self.node.keys_pass();
+        match identify(&configuration.tenants, route, &self.key, keys_pass) {
+            Ok(principal) if principal == transaction.principal => None,
+            Ok(_) => Some(rolled_back()),
+            Err(denial) => Some(self.denied(denial)),
+        }
+    }
+}
--- a/crates/serving/src/session.rs
+++ b/crates/serving/src/session/mod.rs
@@ -1,5 +1,7 @@
 //! One caller's session: its messages in, its answers out, in order.
 
+mod admission;
+
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
@@ -8,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use hookpoint_coordination::serving::leadership::ReignPosition;
 use hookpoint_coordination::serving::session::{Access, Phase, SessionState};
-use hookpoint_coordination::serving::tenancy::{Denial, KeyDigest, Principal, identify};
+use hookpoint_coordination::serving::tenancy::{KeyDigest, Principal};
 use hookpoint_coordination::serving::topology::Route;
 use hookpoint_state::Timestamp;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -170,49 +172,6 @@
         let _ = timeout(CONFIGURATION_WAIT, changed).await;
     }
 
-    /// The session's route and on whose behalf it is used, by the configuration in force.
-    fn admission(&self) -> Result<(Rc<Route>, Principal), Failure> {
-        let configuration = self.node.configuration().ok_or_else(not_configured)?;
-        let route = configuration.routes.get(&self.database);
-        let route = route.ok_or_else(no_such_database)?;
-        let keys_pass = self.node.keys_pass();
-        let identified = identify(&configuration.tenants, route, &self.key, keys_pass);
-        match identified {
-            Ok(principal) => Ok((Rc::clone(route), principal)),
-            Err(denial) => Err(self.denied(denial)),
-        }
-    }
-
-    fn denied(&self, denial: Denial) -> Failure {
-        let reason = match denial {
-            Denial::UnknownKey => "unknown_key",
-            Denial::Partitioned => "partitioned",
-        };
-        self.node.counters.count("denied", reason);
-        self.node.log(
-            "caller_denied",
-            &[
-                ("database", self.database.as_str().into()),
-                ("reason", reason.into()),
-                ("configuration", self.node.configuration_version().into()),
-            ],
-        );
-        Failure::new(FailureCode::Denied, "the key is not valid here")
-    }
-
-    /// Whether the caller may no longer go on with its transaction: its key was withdrawn or
-    /// has become another tenant's since.
-    fn denial_of(&self, transaction: &Transaction) -> Option<Failure> {
-        let configuration = self.node.configuration()?;
-        let route = &transaction.route;
-        let keys_pass = self.node.keys_pass();
-        match identify(&configuration.tenants, route, &self.key, keys_pass) {
-            Ok(principal) if principal == transaction.principal => None,
-            Ok(_) => Some(rolled_back()),
-            Err(denial) => Some(self.denied(denial)),
-        }
-    }
-
     /// Waits for a message, the end of a rest, or a stop that concerns this session.
     async fn next(&mut self) -> io::Result<Next> {
         loop {
