--- a/lab/sim/src/models/mod.rs
+++ b/lab/sim/src/models/mod.rs
@@ -4,4 +4,5 @@
 pub mod acknowledge;
 pub mod explore;
 pub mod primary_lease;
+pub mod quota;
 pub mod rollout;
