Interfaces of the new parts: allowed regions, evacuations, coldness and lives of databases; entries that cannot be read

The adapter now takes allowed_regions of routes and tenants, cold starts of services, born and cold_remaining_ms of databases, requests to evacuate a zone, and the bounds that go with them. An entry whose state or role is not a known word, or whose fields are missing or of another type, names no database any more (an unknown state was taken for ready before); it is logged and counted. Nothing acts on the new terms yet, except that a zone whose evacuation has been known for half of its time gets nothing.

--- a/crates/coordination/src/serving/directory.rs
+++ b/crates/coordination/src/serving/directory.rs
@@ -20,6 +20,13 @@
     Replica,
 }
 
+/// When a database's process started, as the database tells it: Unix milliseconds.
+///
+/// It tells two lives of one name apart and is compared with nothing but itself; this
+/// node's clocks know nothing of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DatabaseStart(pub u64);
+
 /// One database as registered.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Database {
@@ -37,6 +44,10 @@
     pub draining: bool,
     /// Role as it states it.
     pub role: StatedRole,
+    /// Start of its present life; none if it does not tell.
+    pub started: Option<DatabaseStart>,
+    /// How much longer it is cold, from when it wrote this.
+    pub cold_for: Duration,
 }
 
 /// A registered database with what is known of its leaving.
--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -5,9 +5,11 @@
 
 pub mod admission;
 pub mod attempt_limit;
+pub mod cold_start;
 pub mod coordinator;
 pub mod demand;
 pub mod directory;
+pub mod evacuation;
 pub mod failover;
 pub mod feed;
 pub mod freshness;
--- a/crates/coordination/src/serving/tenancy.rs
+++ b/crates/coordination/src/serving/tenancy.rs
@@ -4,11 +4,11 @@
 //! for each statement from the newest configuration, so a key that was withdrawn or that
 //! moved to another tenant binds open sessions as well.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
-use hookpoint_state::TenantName;
+use hookpoint_state::{RegionName, TenantName};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -46,6 +46,9 @@
     pub limits: BTreeMap<TenantName, Option<OperationLimit>>,
     /// Which tenant holds each key.
     pub keys: BTreeMap<KeyDigest, TenantName>,
+    /// Regions that a tenant's statements may run in and pass through; a tenant without an
+    /// entry may use any.
+    pub allowed_regions: BTreeMap<TenantName, BTreeSet<RegionName>>,
 }
 
 impl Tenants {
--- a/crates/coordination/src/serving/topology.rs
+++ b/crates/coordination/src/serving/topology.rs
@@ -1,12 +1,13 @@
 //! The configuration in force: routes, groups and limits under one version.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use hookpoint_state::GroupName;
+use hookpoint_state::{GroupName, RegionName};
 use serde::{Deserialize, Serialize};
 
+use super::cold_start::ColdStart;
 use super::tenancy::Tenants;
 
 /// What a route promises about the age of what is read.
@@ -35,6 +36,8 @@
     pub priority: u8,
     /// Whether callers without a tenant's key may use it.
     pub open: bool,
+    /// Regions that its statements may run in and pass through; empty if any may.
+    pub allowed_regions: BTreeSet<RegionName>,
 }
 
 /// One replicated group as configured.
@@ -44,6 +47,8 @@
     pub max_connections: usize,
     /// Replicas that have to hold a commit before it is acknowledged.
     pub sync_replicas: u32,
+    /// How its databases warm up after a start; none if they are warm at once.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// A whole configuration. Versions climb and never go back.
--- a/crates/coordination/tests/serving.rs
+++ b/crates/coordination/tests/serving.rs
@@ -341,6 +341,8 @@
         slots: 3,
         draining,
         role: StatedRole::Replica,
+        started: None,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/coordination/tests/serving_tenancy.rs
+++ b/crates/coordination/tests/serving_tenancy.rs
@@ -17,6 +17,7 @@
         target_latency: Duration::from_millis(600),
         priority: 1,
         open,
+        allowed_regions: std::collections::BTreeSet::new(),
     }
 }
 
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -5,12 +5,14 @@
 
 use hookpoint_coordination::serving::coordinator::CoordinatorRecord;
 use hookpoint_coordination::serving::directory::Database;
-use hookpoint_state::DatabaseName;
+use hookpoint_state::{DatabaseName, ZoneName};
 use tokio::time::{sleep, timeout};
 
 use crate::feed::{self, Followed};
 use crate::node::{Member, Node};
-use crate::ports::{LeaseId, ReadFreshness, StoreChange, StoreChanges, StoreError, StoreRecord};
+use crate::ports::{
+    ChangeSubject, LeaseId, ReadFreshness, StoreChange, StoreChanges, StoreError, StoreRecord,
+};
 use crate::primary_lease::Announcement;
 use crate::records::{
     COORDINATOR_KEY, MEMBER_PREFIX, MemberRecord, PROMOTION_PREFIX, PromotionRecord, decode,
@@ -274,8 +276,13 @@
     let now = node.now();
     let mut databases = Vec::new();
     let mut own_keys = Vec::new();
+    let mut evacuations = Vec::new();
     for change in all.changes {
         match change.record {
+            StoreRecord::Evacuation {
+                zone,
+                requested: true,
+            } => evacuations.push((zone, change.revision)),
             StoreRecord::Database(database) => databases.push((database, change.revision)),
             StoreRecord::Own { ref key, .. } => {
                 own_keys.push(key.clone());
@@ -287,6 +294,7 @@
     node.directory
         .borrow_mut()
         .replace(databases, all.revision, now);
+    take_evacuations(node, &evacuations, all.revision);
     forget_absent(node, &own_keys);
     node.homes.borrow_mut().forget_all();
     housekeeping(node);
@@ -325,12 +333,50 @@
             );
         }
         StoreRecord::DatabaseGone(name) => remove_database(node, &name, change.revision),
+        StoreRecord::Evacuation { zone, requested } => {
+            let changed =
+                node.evacuations
+                    .borrow_mut()
+                    .take(&zone, requested, change.revision, now);
+            if changed {
+                log_evacuation(node, &zone, requested, change.revision);
+            }
+        }
+        StoreRecord::Unreadable { subject, reason } => {
+            node.counters.count("store_records", "unreadable");
+            node.log("record_unreadable", &[("detail", reason.into())]);
+            if let ChangeSubject::Database(name) = subject {
+                remove_database(node, &name, change.revision);
+            }
+        }
         StoreRecord::Own { key, value, lease } => {
             apply_own(node, &key, value.as_deref(), lease, change.revision);
         }
     }
 }
 
+/// Takes the requests of a complete listing read at `revision`; those that it lacks have ended.
+fn take_evacuations(node: &Rc<Node>, listed: &[(ZoneName, u64)], revision: u64) {
+    let mut evacuations = node.evacuations.borrow_mut();
+    let changed = evacuations.replace(listed, revision, node.now());
+    drop(evacuations);
+    for zone in changed {
+        let requested = listed.iter().any(|(present, _)| *present == zone);
+        log_evacuation(node, &zone, requested, revision);
+    }
+}
+
+fn log_evacuation(node: &Rc<Node>, zone: &ZoneName, requested: bool, revision: u64) {
+    node.log(
+        "evacuation_changed",
+        &[
+            ("zone", zone.as_str().into()),
+            ("requested", requested.into()),
+            ("revision", revision.into()),
+        ],
+    );
+}
+
 /// Homes depend on a database's zone and group, not on its state or role.
 fn forget_homes_if_moved(node: &Rc<Node>, database: &Database) {
     let stayed = node
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -6,8 +6,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use hookpoint_coordination::serving::cold_start::ColdStartBounds;
 use hookpoint_coordination::serving::coordinator::CoordinatorView;
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
+use hookpoint_coordination::serving::evacuation::{Evacuations, ZoneStanding};
 use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
 use hookpoint_coordination::serving::lease_grantor::LeaseGrantor;
 use hookpoint_coordination::serving::primary_lease::PrimaryLease;
@@ -57,7 +59,7 @@
 }
 
 /// Settings that are taken over while the node runs.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ChangeableSettings {
     /// Region of each zone.
     pub regions: BTreeMap<ZoneName, String>,
@@ -73,6 +75,25 @@
     pub quota: Option<QuotaBounds>,
     /// Whether keys pass on a node that is cut off.
     pub revocation: RevocationPolicy,
+    /// Within which time of its acknowledgement a configuration has to be in force.
+    pub configuration_limit: Duration,
+    /// Time after its request by which an evacuated zone's databases get nothing any more.
+    pub evacuation_limit: Duration,
+    /// How exactly the rate of cold databases is kept.
+    pub cold_start: ColdStartBounds,
+    /// Losses that the fleet has to bear at once.
+    pub fault_tolerance: FaultTolerance,
+    /// Promotions that the service takes a second.
+    pub promotions_per_second: f64,
+}
+
+/// Losses that the fleet has to bear at once without breaking a promise.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FaultTolerance {
+    /// Whole zones.
+    pub zones: u32,
+    /// Whole regions.
+    pub regions: u32,
 }
 
 /// How this node sees a group's primary.
@@ -163,6 +184,8 @@
     pub(crate) configured_at: Cell<Option<Timestamp>>,
     /// Databases.
     pub directory: RefCell<Directory>,
+    /// Zones that the operator evacuates.
+    pub(crate) evacuations: RefCell<Evacuations>,
     /// Groups.
     pub groups: RefCell<BTreeMap<GroupName, GroupState>>,
     /// Peers, this node included.
@@ -246,6 +269,7 @@
             configuration: RefCell::default(),
             configured_at: Cell::default(),
             directory: RefCell::default(),
+            evacuations: RefCell::default(),
             groups: RefCell::default(),
             members: RefCell::default(),
             own_record_revision: Cell::new(0),
@@ -373,6 +397,9 @@
         let Some(listed) = directory.get(name) else {
             return false;
         };
+        if self.zone_standing(&listed.database.zone) == ZoneStanding::Evacuated {
+            return false;
+        }
         listed
             .leaving_since
             .is_none_or(|since| self.now().since(since) < self.changeable().drain_limit)
@@ -404,6 +431,13 @@
         });
     }
 
+    /// What the databases of a zone may be used for at the moment.
+    pub(crate) fn zone_standing(&self, zone: &ZoneName) -> ZoneStanding {
+        let limit = self.changeable().evacuation_limit;
+        let evacuations = self.evacuations.borrow();
+        evacuations.standing(zone, limit, Duration::ZERO, self.now())
+    }
+
     /// How far a database is.
     pub fn distance(&self, zone: &ZoneName) -> Distance {
         if *zone == self.settings.zone {
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use hookpoint_coordination::serving::directory::Database;
 use hookpoint_coordination::serving::topology::Configuration;
-use hookpoint_state::{DatabaseName, GroupName};
+use hookpoint_state::{DatabaseName, GroupName, ZoneName};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -63,6 +63,20 @@
     Database(Database),
     /// A database's registration is gone.
     DatabaseGone(DatabaseName),
+    /// The operator's request that a zone's databases get nothing any more, or its end.
+    Evacuation {
+        /// The zone.
+        zone: ZoneName,
+        /// Whether it is in force.
+        requested: bool,
+    },
+    /// A record that cannot be read. It says nothing; what it was about is as if it were gone.
+    Unreadable {
+        /// What it should be about.
+        subject: ChangeSubject,
+        /// Why it cannot be read.
+        reason: String,
+    },
     /// A record of the fleet's own.
     Own {
         /// Key, without the fleet's prefix.
@@ -84,12 +98,14 @@
 }
 
 /// What a change is about: a later change of the same subject replaces it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ChangeSubject {
     /// The operator's configuration.
     Configuration,
     /// The registration of a database.
     Database(DatabaseName),
+    /// The evacuation of a zone.
+    Evacuation(ZoneName),
     /// A key of the fleet's own.
     Own(String),
 }
@@ -101,6 +117,8 @@
             StoreRecord::Configuration(_) => ChangeSubject::Configuration,
             StoreRecord::Database(database) => ChangeSubject::Database(database.name.clone()),
             StoreRecord::DatabaseGone(name) => ChangeSubject::Database(name.clone()),
+            StoreRecord::Evacuation { zone, .. } => ChangeSubject::Evacuation(zone.clone()),
+            StoreRecord::Unreadable { subject, .. } => subject.clone(),
             StoreRecord::Own { key, .. } => ChangeSubject::Own(key.clone()),
         }
     }
--- a/crates/serving/tests/packed.rs
+++ b/crates/serving/tests/packed.rs
@@ -19,6 +19,7 @@
         statement_timeout: Duration::from_millis(700 + number as u64 % 300),
         target_latency: Duration::from_millis(400),
         open: true,
+        allowed_regions: Default::default(),
         priority: 1,
     };
     let name = |number: usize| format!("{:x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
