--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod relay;
 mod second_way;
 pub mod session;
+pub mod settings;
 pub mod shutdown;
 pub mod snapshot;
 pub mod socket;
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -6,16 +6,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use hookpoint_coordination::serving::cold_start::ColdStartBounds;
 use hookpoint_coordination::serving::coordinator::CoordinatorView;
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
 use hookpoint_coordination::serving::evacuation::{Evacuations, ZoneStanding};
 use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
 use hookpoint_coordination::serving::lease_grantor::LeaseGrantor;
 use hookpoint_coordination::serving::primary_lease::PrimaryLease;
-use hookpoint_coordination::serving::quota::QuotaBounds;
 use hookpoint_coordination::serving::selection::Distance;
-use hookpoint_coordination::serving::tenancy::RevocationPolicy;
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
 use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp, ZoneName};
 use serde_json::Value;
@@ -30,6 +27,7 @@
 use crate::pool::Pool;
 use crate::ports::{LeaseId, PromotionService, StateStore, WireProtocol};
 use crate::reachability::Reachability;
+use crate::settings::{ChangeableSettings, NodeSettings};
 use crate::tokens::Tokens;
 use crate::units::millis;
 
@@ -39,63 +37,6 @@
 /// A node's clock at its start: far enough from zero for times before it.
 const START: Timestamp = Timestamp(60_000_000);
 
-/// Settings of a node.
-#[derive(Clone, Debug)]
-pub struct NodeSettings {
-    /// Name of the node.
-    pub name: String,
-    /// Its zone.
-    pub zone: ZoneName,
-    /// Address for datagrams of peers.
-    pub peer_address: SocketAddr,
-    /// Bandwidth of the node's link, in megabits a second; 0 if that is not known.
-    pub bandwidth_mbps: u32,
-    /// Time to live of the node's lease.
-    pub lease_time: Duration,
-    /// Whether the whole fleet starts for the first time.
-    pub first_start: bool,
-    /// What may change while the node runs.
-    pub changeable: ChangeableSettings,
-}
-
-/// Settings that are taken over while the node runs.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ChangeableSettings {
-    /// Region of each zone.
-    pub regions: BTreeMap<ZoneName, String>,
-    /// Where other nodes may be asked for what they know.
-    pub seed_addresses: Vec<SocketAddr>,
-    /// Whole time that a stop may take.
-    pub grace_period: Duration,
-    /// How long a database that announced its end may still get work.
-    pub drain_limit: Duration,
-    /// Whether the promotion service refuses tokens lower than it has seen.
-    pub fenced_promotions: bool,
-    /// How exactly tenants' limits are kept; none if they are not counted.
-    pub quota: Option<QuotaBounds>,
-    /// Whether keys pass on a node that is cut off.
-    pub revocation: RevocationPolicy,
-    /// Within which time of its acknowledgement a configuration has to be in force.
-    pub configuration_limit: Duration,
-    /// Time after its request by which an evacuated zone's databases get nothing any more.
-    pub evacuation_limit: Duration,
-    /// How exactly the rate of cold databases is kept.
-    pub cold_start: ColdStartBounds,
-    /// Losses that the fleet has to bear at once.
-    pub fault_tolerance: FaultTolerance,
-    /// Promotions that the service takes a second.
-    pub promotions_per_second: f64,
-}
-
-/// Losses that the fleet has to bear at once without breaking a promise.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct FaultTolerance {
-    /// Whole zones.
-    pub zones: u32,
-    /// Whole regions.
-    pub regions: u32,
-}
-
 /// How this node sees a group's primary.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Contact {
