--- a/crates/coordination/src/serving/homes.rs
+++ b/crates/coordination/src/serving/homes.rs
@@ -113,6 +113,11 @@
     rendezvous_score(tenant.as_str(), node)
 }
 
+/// Weight of `node` when `subject` chooses a few of many; the highest wins.
+pub fn choice_weight(subject: &str, node: &str) -> u64 {
+    rendezvous_score(subject, node)
+}
+
 /// The nodes in the order in which they claim one record or stand in for who holds it.
 pub fn claim_order(nodes: &[HomeCandidate]) -> Vec<&str> {
     let mut names: Vec<&str> = nodes.iter().map(|node| node.node.as_str()).collect();
--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -14,6 +14,7 @@
 pub mod feed;
 pub mod freshness;
 pub mod homes;
+pub mod isolation;
 pub mod leadership;
 pub mod lease_grantor;
 pub mod peer_contact;
--- /dev/null
+++ b/crates/serving/src/isolation.rs
@@ -0,0 +1,120 @@
+//! Notices that this node is cut off from the fleet, and has its callers go to other nodes.
+
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::homes::choice_weight;
+use hookpoint_coordination::serving::isolation::{Isolation, IsolationChange, Surroundings};
+use hookpoint_state::{Timestamp, ZoneName};
+
+use crate::homes::Peer;
+use crate::node::Node;
+use crate::units::millis;
+
+/// A group that no request asked for in this time says nothing about this node.
+const IN_USE: Duration = Duration::from_secs(3);
+/// Peers of each other zone that are asked: a zone whose two died may be taken for silent,
+/// which alone does not count.
+const PEERS_A_ZONE: usize = 2;
+
+impl Node {
+    /// Since when this node has been cut off from the fleet.
+    pub(crate) fn isolated_since(&self) -> Option<Timestamp> {
+        self.isolation.get().since()
+    }
+
+    /// Groups in use, and how many of them lack their primary here.
+    fn groups_in_use(&self) -> (usize, usize) {
+        let now = self.now();
+        let groups = self.groups.borrow();
+        let in_use = groups
+            .values()
+            .filter(|state| now.since(state.used_at) < IN_USE);
+        let (mut all, mut without_primary) = (0, 0);
+        for state in in_use {
+            all += 1;
+            let lost = state.contact.lost_since.is_some();
+            without_primary += usize::from(lost || state.leadership.leader().is_none());
+        }
+        (all, without_primary)
+    }
+
+    /// A few peers of each other zone, the same ones at each call while the members stay.
+    fn peers_of_other_zones(&self) -> Vec<Peer> {
+        let mut by_zone: BTreeMap<ZoneName, Vec<(Reverse<u64>, String)>> = BTreeMap::new();
+        for candidate in self.registered_nodes() {
+            if candidate.zone != self.settings.zone {
+                let weight = choice_weight(&self.settings.name, &candidate.node);
+                let zone = by_zone.entry(candidate.zone).or_default();
+                zone.push((Reverse(weight), candidate.node));
+            }
+        }
+        let mut chosen = Vec::new();
+        for mut candidates in by_zone.into_values() {
+            candidates.sort();
+            candidates.truncate(PEERS_A_ZONE);
+            chosen.extend(candidates);
+        }
+        chosen
+            .iter()
+            .filter_map(|(_, name)| self.peer(name))
+            .collect()
+    }
+
+    /// What this node sees. Peers are only asked where primaries are missing.
+    fn surroundings(&self) -> Surroundings {
+        let (groups, groups_without_primary) = self.groups_in_use();
+        let mut seen = Surroundings {
+            groups,
+            groups_without_primary,
+            ..Surroundings::default()
+        };
+        if seen.lack_primaries() {
+            let now = self.now();
+            let peers = self.peers_of_other_zones();
+            seen.peers = peers.len();
+            for peer in &peers {
+                self.reachability.probe_ahead(peer, now);
+                seen.silent_peers += usize::from(self.reachability.is_silent(peer, now));
+            }
+        }
+        seen
+    }
+}
+
+/// Looks whether this node is cut off; called now and then.
+pub(crate) fn look(node: &Rc<Node>) {
+    let seen = node.surroundings();
+    let now = node.now();
+    let change = change_with(&node.isolation, |isolation| isolation.note(seen, now));
+    match change {
+        Some(IsolationChange::Isolated) => node.log(
+            "node_isolated",
+            &[
+                ("groups", seen.groups.into()),
+                ("groups_without_primary", seen.groups_without_primary.into()),
+                ("peers", seen.peers.into()),
+                ("silent_peers", seen.silent_peers.into()),
+            ],
+        ),
+        Some(IsolationChange::Rejoined(away)) => {
+            node.log("node_rejoined", &[("away_ms", millis(away).into())]);
+        }
+        None => {}
+    }
+    let isolated = node.isolated_since().is_some();
+    node.counters.set("node_isolated", u64::from(isolated));
+    if isolated && node.sessions_move_since().is_some() {
+        node.stop_advanced.notify_waiters();
+    }
+}
+
+fn change_with<T>(cell: &Cell<Isolation>, change: impl FnOnce(&mut Isolation) -> T) -> T {
+    let mut isolation = cell.get();
+    let outcome = change(&mut isolation);
+    cell.set(isolation);
+    outcome
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod feed;
 pub mod follower;
 pub mod homes;
+mod isolation;
 pub mod lease;
 pub mod link;
 pub mod message;
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -14,6 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::connection::ConnectionError;
+use crate::isolation;
 use crate::lease::{Lease, prove_leadership};
 use crate::node::Node;
 use crate::peers::Peers;
@@ -65,6 +66,7 @@
         }
         try_unreachable(&node, &trying);
         tokens::look_for_holders(&node);
+        isolation::look(&node);
         for pool in node.pools() {
             pool.trim(node.now());
         }
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -9,6 +9,7 @@
 use hookpoint_coordination::serving::coordinator::CoordinatorView;
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
 use hookpoint_coordination::serving::evacuation::{Evacuations, ZoneStanding};
+use hookpoint_coordination::serving::isolation::Isolation;
 use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
 use hookpoint_coordination::serving::lease_grantor::LeaseGrantor;
 use hookpoint_coordination::serving::primary_lease::PrimaryLease;
@@ -176,6 +177,8 @@
     pub links: Links,
     /// Which peers answer.
     pub reachability: Reachability,
+    /// Whether this node is cut off from the fleet.
+    pub(crate) isolation: Cell<Isolation>,
     /// Tokens for tenants' operations.
     pub(crate) tokens: Tokens,
     /// When this node's lease was last taken or renewed.
@@ -235,6 +238,7 @@
             stop_advanced: Notify::new(),
             links: Links::default(),
             reachability: Reachability::default(),
+            isolation: Cell::default(),
             tokens: Tokens::default(),
             lease_renewed_at: Cell::new(START),
             feed: Feed::default(),
@@ -320,6 +324,7 @@
     pub fn is_ready(&self) -> bool {
         self.stopping_since.get().is_none()
             && self.lease_lapsed_since().is_none()
+            && self.isolated_since().is_none()
             && self.can_count()
             && self.uncounted_since().is_none()
             && self.configuration().is_some()
--- a/crates/serving/src/primary_lease.rs
+++ b/crates/serving/src/primary_lease.rs
@@ -364,6 +364,7 @@
         let now = self.now();
         self.lease_lapsed_since()
             .or_else(|| self.uncounted_since())
+            .or_else(|| self.isolated_since())
             .filter(|since| now.since(*since) >= SESSIONS_MOVE)
     }
 
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -129,6 +129,9 @@
         if lapsed.is_some_and(|since| now.since(since) >= LAPSE_PASSES) {
             return now;
         }
+        if self.node.isolated_since().is_some() {
+            return now;
+        }
         let lost_since = self.node.with_group(&self.route.group, |state| {
             state.contact.lost_since.or(state.leaderless_since)
         });
