Age of news of the store: one owner, carried along the tree, with a bound at which a node turns elsewhere

Cause: an upstream passed on as present what the store had told up to 6.7 s before, and nodes that the store turned away followed others, which followed them; so a fleet whose two first nodes were refused took its own knowledge for news until it ran out of age.

Change: coordination::serving::store_news decides. A follower says how old its knowledge is, and is answered when there is newer word of the store, not each 0.8 s; the answer's way counts as age. A node that the store turns away says so at once, passes nothing on and is left out of the tree; the next one in order takes over with a short watch, the others after it in turns of 30 ms. A node turns elsewhere when its knowledge is 3 s old (three quarters of the limit at most). A watch whose answer is overdue goes on while others are asked.

--- a/crates/coordination/src/serving/feed.rs
+++ b/crates/coordination/src/serving/feed.rs
@@ -11,9 +11,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hookpoint_state::{Timestamp, ZoneName};
+use hookpoint_state::ZoneName;
 
 use super::homes::{HomeCandidate, rendezvous_score};
+use super::store_news::TryOrder;
 
 /// Nodes of a region up to which each watches the store by itself.
 const SMALL_REGION: usize = 4;
@@ -41,17 +42,21 @@
 /// the fleet's watcher, or from its substitute, and each other one from its parent in the
 /// region's tree, or from that one's. Nodes with the same view of the membership agree on
 /// all of this without a message. Those that `helps` rules out are left out, so nodes that
-/// are cut off together find one of them to follow.
+/// are cut off together find one of them to follow. A node that rules itself out, as the store
+/// turns it away, follows others wherever they are.
 pub fn store_upstreams<'a>(
     own: &HomeCandidate,
     nodes: &'a [HomeCandidate],
     regions: &'a Regions,
     helps: impl Fn(&str) -> bool,
 ) -> Vec<&'a str> {
-    let mut large = large_regions(nodes, regions, helps);
+    let mut large = large_regions(nodes, regions, &helps);
     let own_region = region_of(&own.zone, regions);
     let Some(in_region) = large.remove(own_region) else {
-        return Vec::new();
+        if helps(&own.node) {
+            return Vec::new();
+        }
+        return upstreams_afar(own, nodes, regions, helps);
     };
     let mut first_nodes = vec![in_region[0]];
     first_nodes.extend(large.values().map(|members| members[0]));
@@ -64,9 +69,34 @@
     }
     let mut upstreams = ancestors(&own.node, &in_region);
     upstreams.extend(watchers.iter().take(2).map(|watcher| watcher.node.as_str()));
+    first_distinct(upstreams, &own.node)
+}
+
+/// The nodes that `own` hears from when no other node of its region passes changes on and it
+/// cannot watch the store itself: those that watch, nearby ones first.
+fn upstreams_afar<'a>(
+    own: &HomeCandidate,
+    nodes: &'a [HomeCandidate],
+    regions: &'a Regions,
+    helps: impl Fn(&str) -> bool,
+) -> Vec<&'a str> {
+    let own_region = region_of(&own.zone, regions);
+    let helping = || nodes.iter().filter(|node| helps(&node.node));
+    let is_near = |node: &&HomeCandidate| region_of(&node.zone, regions) == own_region;
+    let large = large_regions(nodes, regions, &helps);
+    let first_nodes = large.values().map(|members| members[0]).collect();
+    let upstreams = ranked(WATCH_SUBJECT, helping().filter(is_near).collect())
+        .into_iter()
+        .chain(ranked(WATCH_SUBJECT, first_nodes))
+        .chain(ranked(WATCH_SUBJECT, helping().collect()));
+    first_distinct(upstreams.map(|node| node.node.as_str()), &own.node)
+}
+
+/// The first of `names` without repetition and without the node itself.
+fn first_distinct<'a>(names: impl IntoIterator<Item = &'a str>, own: &str) -> Vec<&'a str> {
     let mut distinct: Vec<&str> = Vec::new();
-    for name in upstreams {
-        if name != own.node && !distinct.contains(&name) {
+    for name in names {
+        if name != own && !distinct.contains(&name) {
             distinct.push(name);
         }
     }
@@ -74,6 +104,23 @@
     distinct
 }
 
+/// When `own` tries the store among the nodes of its region, if those that watch it are lost:
+/// in the order in which they pass changes on.
+pub fn try_order(own: &HomeCandidate, nodes: &[HomeCandidate], regions: &Regions) -> TryOrder {
+    let region = region_of(&own.zone, regions);
+    let in_region = |node: &&HomeCandidate| region_of(&node.zone, regions) == region;
+    let members = ranked(region, nodes.iter().filter(in_region).collect());
+    let place = members.iter().position(|node| node.node == own.node);
+    TryOrder {
+        rank: count(place.unwrap_or(members.len())),
+        nodes: count(members.len()),
+    }
+}
+
+fn count(nodes: usize) -> u32 {
+    u32::try_from(nodes).unwrap_or(u32::MAX)
+}
+
 /// The node's parent in its region's tree, that one's parent, and so on. A node that does
 /// not help has the first one as its parent.
 fn ancestors<'a>(own: &str, in_region: &[&'a HomeCandidate]) -> Vec<&'a str> {
@@ -110,11 +157,11 @@
         .max(LEAST_FOLLOWERS)
 }
 
-/// Nodes in the region of `zone`.
-pub fn region_size(zone: &ZoneName, nodes: &[HomeCandidate], regions: &Regions) -> usize {
+/// Whether so few nodes are in the region of `zone` that each watches the store by itself.
+pub fn is_small_region(zone: &ZoneName, nodes: &[HomeCandidate], regions: &Regions) -> bool {
     let region = region_of(zone, regions);
     let in_region = |candidate: &&HomeCandidate| region_of(&candidate.zone, regions) == region;
-    nodes.iter().filter(in_region).count()
+    nodes.iter().filter(in_region).count() <= SMALL_REGION
 }
 
 /// The nodes that help of each region that is not small, the first ones first.
@@ -156,46 +203,6 @@
     regions.get(zone).map_or(zone.as_str(), String::as_str)
 }
 
-/// When a node that follows others tries a store itself that those do not reach.
-///
-/// An outage concerns all nodes at once, so they try in turns: each once in a period, the
-/// first time after a part of it that depends on the node's name. A node that the store
-/// answers goes on by itself.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct OwnTries {
-    /// Whether the store answered the last try.
-    served: bool,
-    due_at: Option<Timestamp>,
-}
-
-impl OwnTries {
-    /// Takes in whether the store answered a call of this node's own.
-    pub fn note_served(&mut self, served: bool) {
-        self.served = served;
-    }
-
-    /// The store's present state is known again: the next outage begins with a first turn.
-    pub fn note_store_known(&mut self) {
-        self.due_at = None;
-    }
-
-    /// Whether the node called `name` tries the store now, with one turn in each `period`.
-    pub fn take_turn(&mut self, name: &str, period: Duration, now: Timestamp) -> bool {
-        if self.served {
-            return true;
-        }
-        let Some(due_at) = self.due_at else {
-            self.due_at = Some(now + share_of(name, period));
-            return false;
-        };
-        if now < due_at {
-            return false;
-        }
-        self.due_at = Some(now + period);
-        true
-    }
-}
-
 /// Part of a period, spread evenly by name: when a node does what all would do at once.
 pub fn share_of(name: &str, period: Duration) -> Duration {
     let share = u32::try_from(rendezvous_score(WATCH_SUBJECT, name) >> 48).unwrap_or(0);
--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -23,6 +23,7 @@
 pub mod response_time;
 pub mod selection;
 pub mod session;
+pub mod store_news;
 pub mod tenancy;
 pub mod token_holders;
 pub mod topology;
--- a/crates/coordination/tests/serving_feed.rs
+++ b/crates/coordination/tests/serving_feed.rs
@@ -1,11 +1,10 @@
 //! Who watches the state store, and the log of changes that watchers pass on.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
-use hookpoint_coordination::serving::feed::{ChangeLog, OwnTries, Regions, store_upstreams};
+use hookpoint_coordination::serving::feed::{ChangeLog, Regions, store_upstreams};
 use hookpoint_coordination::serving::homes::HomeCandidate;
-use hookpoint_state::{Timestamp, ZoneName};
+use hookpoint_state::ZoneName;
 use quickcheck::quickcheck;
 
 fn nodes(zone: &str, count: usize) -> Vec<HomeCandidate> {
@@ -207,6 +206,24 @@
     assert_eq!(followed.len(), 2, "{followed:?}");
 }
 
+#[test]
+fn nodes_that_the_store_turns_away_follow_others_wherever_they_are() {
+    let mut all = nodes("east", 20);
+    all.extend(nodes("west", 20));
+    all.extend(nodes("north", 3));
+    let regions = Regions::new();
+    for lost in ["east", "west", "north"] {
+        let away = |name: &str| name.starts_with(lost);
+        for own in all.iter().filter(|own| away(&own.node)) {
+            let followed = store_upstreams(own, &all, &regions, |name| !away(name));
+            assert_eq!(followed.len(), 2, "{}: {followed:?}", own.node);
+            assert!(!followed.iter().any(|name| away(name)), "{followed:?}");
+        }
+    }
+    let none = store_upstreams(&all[0], &all, &regions, |_| false);
+    assert!(none.is_empty(), "{none:?}");
+}
+
 #[test]
 fn a_lost_first_node_leaves_its_region_an_upstream() {
     let regions = Regions::new();
@@ -253,56 +270,6 @@
     }
 }
 
-const PERIOD: Duration = Duration::from_millis(2_000);
-
-fn at(millis: u64) -> Timestamp {
-    Timestamp::default() + Duration::from_millis(millis)
-}
-
-/// When the node takes its turns, in milliseconds, looking every 10 ms from `begin` on.
-fn turns(own_tries: &mut OwnTries, name: &str, begin: u64, looks: u64) -> Vec<u64> {
-    (0..looks)
-        .map(|look| begin + look * 10)
-        .filter(|now| own_tries.take_turn(name, PERIOD, at(*now)))
-        .collect()
-}
-
-#[test]
-fn a_node_tries_a_store_that_is_away_once_in_a_period() {
-    for number in 0..50 {
-        let name = format!("front-{number}");
-        let taken = turns(&mut OwnTries::default(), &name, 0, 1_000);
-        assert!((4..=6).contains(&taken.len()), "{name}: {taken:?}");
-        assert!(taken[0] <= 2_010, "{name}: {taken:?}");
-    }
-}
-
-#[test]
-fn the_nodes_of_a_region_do_not_try_together() {
-    let mut in_each_part = [0; 4];
-    for number in 0..200 {
-        let name = format!("front-{number}");
-        let first = turns(&mut OwnTries::default(), &name, 0, 202)[0];
-        in_each_part[usize::try_from(first.min(1_999) / 500).unwrap()] += 1;
-    }
-    for count in in_each_part {
-        assert!((30..=70).contains(&count), "{in_each_part:?}");
-    }
-}
-
-#[test]
-fn a_node_that_the_store_answers_goes_on_and_the_next_outage_begins_anew() {
-    let mut own_tries = OwnTries::default();
-    let first = turns(&mut own_tries, "front-1", 0, 202)[0];
-    own_tries.note_served(true);
-    assert!(own_tries.take_turn("front-1", PERIOD, at(first)));
-    own_tries.note_served(false);
-    own_tries.note_store_known();
-    let begin = 60_000;
-    let next = turns(&mut own_tries, "front-1", begin, 202)[0];
-    assert_eq!(next - begin, first);
-}
-
 #[test]
 fn a_log_that_began_with_a_listing_knows_everything_until_it_forgets() {
     let mut log: ChangeLog<u32, &str> = ChangeLog::default();
--- /dev/null
+++ b/crates/coordination/tests/serving_store_news.rs
@@ -0,0 +1,154 @@
+//! The age of knowledge of the state store, and the search for newer.
+
+use std::time::Duration;
+
+use hookpoint_coordination::serving::store_news::{
+    NewsLimits, Reply, StoreNews, TryOrder, patience,
+};
+use hookpoint_state::Timestamp;
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn at(time_ms: u64) -> Timestamp {
+    Timestamp::default() + millis(60_000 + time_ms)
+}
+
+#[test]
+fn a_node_turns_elsewhere_well_before_its_configuration_is_too_old() {
+    for limit_ms in [3_000, 4_000, 5_000, 6_000, 8_000] {
+        let limit = millis(limit_ms);
+        let limits = NewsLimits::of(limit);
+        assert!(limits.watch <= millis(2_000), "{limits:?}");
+        assert!(limits.oldest <= limit * 3 / 4, "{limits:?}");
+        // A watcher finds a silent store before its followers turn from it.
+        assert!(limits.oldest >= patience(limits.watch), "{limits:?}");
+    }
+}
+
+#[test]
+fn a_follower_is_told_what_is_newer_and_nothing_else() {
+    let until = at(3_000);
+    // When the store told here, and the follower; what changed; now; the reply.
+    let cases = [
+        (1_000, 0, false, 1_000, Reply::News),
+        (1_000, 1_000, false, 1_000, Reply::Wait),
+        (1_100, 1_000, false, 1_100, Reply::Wait),
+        (1_100, 1_000, true, 1_100, Reply::News),
+        (1_000, 2_000, false, 2_000, Reply::Wait),
+        (1_000, 1_000, false, 3_000, Reply::NothingNew),
+    ];
+    for (told, known, changed, now, expected) in cases {
+        let mut news = StoreNews::default();
+        news.note_told(at(told));
+        let reply = news.reply(at(known), changed, until, at(now));
+        assert_eq!(reply, expected, "{told} {known} {changed} {now}");
+        news.note_turned_away(at(now));
+        let reply = news.reply(at(known), changed, until, at(now));
+        assert_eq!(reply, Reply::StoreLost, "turned away");
+    }
+}
+
+/// A node of a region with some number of others that looks for news since 0.
+fn searching() -> StoreNews {
+    let mut news = StoreNews::default();
+    news.note_told(at(0));
+    news.note_nothing_heard(at(0));
+    news
+}
+
+/// When the node tries a store that turns it away, in milliseconds, looking every 10 ms.
+fn tries(news: &mut StoreNews, order: TryOrder, begin: u64, until: u64) -> Vec<u64> {
+    let mut tried = Vec::new();
+    for now in (begin..until).step_by(10) {
+        if news.try_is_due(order, at(now)) {
+            news.note_turned_away(at(now));
+            tried.push(now);
+        }
+    }
+    tried
+}
+
+#[test]
+fn a_node_tries_a_store_that_is_away_once_in_a_period() {
+    for (nodes, most) in [(7, 9), (30, 4)] {
+        for rank in 0..nodes {
+            let tried = tries(&mut searching(), TryOrder { rank, nodes }, 0, 10_000);
+            assert!((most - 1..=most).contains(&tried.len()), "{tried:?}");
+            assert!(tried[0] <= 910, "{rank} of {nodes}: {tried:?}");
+        }
+    }
+}
+
+#[test]
+fn the_nodes_of_a_region_do_not_try_together() {
+    for nodes in [30, 200] {
+        let mut in_each_part = [0_u32; 3];
+        for rank in 0..nodes {
+            let first = tries(&mut searching(), TryOrder { rank, nodes }, 0, 1_000)[0];
+            in_each_part[usize::try_from(first.min(899) / 300).unwrap()] += 1;
+        }
+        for count in in_each_part {
+            let share = nodes / 3;
+            assert!((share - 2..=share + 2).contains(&count), "{in_each_part:?}");
+        }
+    }
+}
+
+#[test]
+fn a_node_that_the_store_answers_goes_on_and_the_next_outage_begins_anew() {
+    let order = TryOrder { rank: 5, nodes: 20 };
+    let mut news = searching();
+    let first = tries(&mut news, order, 0, 1_000)[0];
+    assert!(!news.watches(at(first)));
+    news.note_told(at(first));
+    assert!(news.watches(at(first)));
+    let begin = 60_000;
+    assert_eq!(tries(&mut news, order, 2_000, 3_000), Vec::<u64>::new());
+    news.note_nothing_heard(at(begin));
+    let next = tries(&mut news, order, begin, begin + 1_000)[0];
+    assert_eq!(next - begin, first);
+}
+
+#[test]
+fn a_watcher_that_was_turned_away_leaves_watching_to_others_and_tries_again() {
+    let mut news = StoreNews::default();
+    news.note_told(at(0));
+    news.note_turned_away(at(1_000));
+    news.note_nothing_heard(at(1_000));
+    assert!(!news.watches(at(1_500)), "it asks others first");
+    news.note_heard(at(1_500));
+    assert!(!news.watches(at(2_900)), "it hears from others");
+    assert!(news.watches(at(3_000)), "a try now and then");
+    assert!(news.is_turned_away(at(3_400)), "until the try is answered");
+    assert!(news.watch_wait(millis(2_000), at(3_000)) < millis(100));
+    news.note_told(at(3_010));
+    assert_eq!(news.watch_wait(millis(2_000), at(3_010)), millis(2_000));
+    assert!(!news.is_turned_away(at(3_010)));
+}
+
+#[test]
+fn a_peer_that_the_store_turned_away_is_left_out_for_a_while() {
+    let mut news = StoreNews::default();
+    assert!(news.helps("east-1", at(0)));
+    news.leave_out("east-1", at(0));
+    assert!(!news.helps("east-1", at(500)));
+    assert!(news.helps("east-2", at(500)));
+    assert!(news.helps("east-1", at(3_000)));
+    news.leave_out("east-1", at(4_000));
+    news.ask_all_again();
+    assert!(news.helps("east-1", at(4_000)));
+}
+
+#[test]
+fn what_a_peer_heard_earlier_makes_nothing_younger_and_ends_no_search() {
+    let mut news = StoreNews::default();
+    news.note_told(at(1_000));
+    news.note_nothing_heard(at(4_000));
+    news.note_heard(at(900));
+    assert_eq!(news.told_at(), at(1_000));
+    let order = TryOrder { rank: 0, nodes: 5 };
+    assert!(news.try_is_due(order, at(4_000)), "it still searches");
+    assert!(!news.is_fresh(at(4_000), NewsLimits::of(millis(6_000))));
+}
--- a/crates/serving/src/coordinator_record.rs
+++ b/crates/serving/src/coordinator_record.rs
@@ -11,6 +11,7 @@
 use hookpoint_state::Timestamp;
 use tokio::time::{sleep, timeout};
 
+use crate::feed;
 use crate::node::Node;
 use crate::peers::Peers;
 use crate::ports::{ConditionalWrite, LeaseId, StoreError, WriteOutcome};
@@ -69,9 +70,7 @@
 /// since it started may just not know of the holder.
 fn may_claim(node: &Rc<Node>) -> bool {
     let free = node.coordinator.borrow().holder().is_none() || left_behind(node).is_some();
-    free && node.store_reachable.get()
-        && node.feed.is_fresh(node.now())
-        && node.configuration().is_some()
+    free && node.store_reachable.get() && feed::is_fresh(node) && node.configuration().is_some()
 }
 
 /// Revision of a record that an earlier process of this node left behind. It coordinates
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -1,14 +1,17 @@
 //! Changes of the state store, passed from the node that watches it to the others.
 //!
-//! A node that hears nothing useful from its upstreams watches the store itself, so an
-//! upstream that is lost or cut off costs its followers one time limit.
+//! How old this node's knowledge is, and where it turns for newer, is decided by
+//! `hookpoint_coordination::serving::store_news`.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hookpoint_coordination::serving::feed::{ChangeLog, OwnTries, region_size, store_upstreams};
+use hookpoint_coordination::serving::feed::{
+    ChangeLog, is_small_region, store_upstreams, try_order,
+};
+use hookpoint_coordination::serving::store_news::{NewsLimits, Reply, StoreNews};
 use hookpoint_state::Timestamp;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -21,21 +24,19 @@
 use crate::ports::{ChangeSubject, StoreChange, StoreChanges};
 use crate::units::millis;
 
-/// How long a watcher waits for a change before it answers that there is none.
-const FOLLOW_WAIT: Duration = Duration::from_millis(800);
 /// How long one watch of the store waits for a change. A watch that is silent is told from
 /// one with nothing to say by its answer after this time.
-pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(2_000);
-/// Time that its answer may be late: a large configuration takes its time on a slow link,
-/// and an upstream that does not answer is found out by probes long before.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Time that an upstream's answer may be late: a large configuration takes its time on a slow
+/// link, and an upstream that does not answer is found out by probes long before.
 const FOLLOW_SLACK: Duration = Duration::from_millis(800);
-/// Knowledge of the store that is older than this is not passed on as the present state: a
-/// watch without changes, its answer, and five passes from node to node.
-const FRESH: Duration = Duration::from_millis(6_700);
 /// How long an upstream may leave probes unanswered. One that passes a large configuration
 /// to all its followers fills its link; a follower that turned from it for that would have
 /// the store send it the whole configuration, which takes longer and fills links as well.
 const UPSTREAM_SILENCE: Duration = Duration::from_millis(700);
+/// Upstreams asked in one round at the most, before a node looks whether it is to try the
+/// store itself. If the store turns away a third of all nodes, five in a row are rare.
+const ASKED_IN_A_ROUND: usize = 5;
 /// How long a watcher that did not answer is passed over.
 const PASSED_OVER: Duration = Duration::from_secs(2);
 /// The same for one that lacks some of the changes.
@@ -55,9 +56,13 @@
         steady_ms: u64,
         /// How long ago the store itself told of this state, in milliseconds.
         age_ms: u64,
+        /// How long the upstream held the question back, in milliseconds.
+        held_ms: u64,
     },
-    /// The upstream does not reach the store at the moment.
+    /// The store turns the upstream away at the moment.
     StoreLost,
+    /// The upstream knows nothing newer than the follower.
+    NothingNew,
     /// It lacks some of the changes.
     Incomplete,
 }
@@ -68,15 +73,11 @@
     log: RefCell<ChangeLog<ChangeSubject, Rc<StoreChange>>>,
     /// Up to where this node follows the store.
     revision: Cell<u64>,
-    /// When the store itself last told where it stands: this node, or an upstream.
-    verified_at: Cell<Timestamp>,
-    /// The same, and it outlasts the loss of the store.
-    news_at: Cell<Timestamp>,
+    news: RefCell<StoreNews>,
     caught_up: Cell<bool>,
     advanced: Notify,
     passed_over: RefCell<Vec<(String, Timestamp)>>,
     failures: Cell<u32>,
-    own_tries: Cell<OwnTries>,
     /// What was last packed for a follower: most of them ask for the same.
     packed: RefCell<Option<PackedChanges>>,
 }
@@ -96,10 +97,8 @@
     Changes(StoreChanges),
     /// Everything that the store holds.
     Everything(StoreChanges),
-    /// Upstreams answered that they do not reach the store.
-    StoreLost,
-    /// There is none, or none answered.
-    Nobody,
+    /// No upstream told anything newer.
+    Nothing,
 }
 
 impl Feed {
@@ -128,31 +127,26 @@
         self.advanced.notify_waiters();
     }
 
-    /// The store itself told at `when` where it stands: this node, or an upstream.
-    pub fn note_verified(&self, when: Timestamp) {
+    /// The store answered a call of this node's own at `when`.
+    pub fn note_told(&self, when: Timestamp) {
         self.failures.set(0);
-        self.change_own_tries(OwnTries::note_store_known);
         self.caught_up.set(true);
-        self.verified_at.set(self.verified_at.get().max(when));
-        self.news_at.set(self.news_at.get().max(when));
-    }
-
-    /// Takes in whether the store answered a call of this node's own.
-    pub fn note_served(&self, served: bool) {
-        self.change_own_tries(|own_tries| own_tries.note_served(served));
+        self.news.borrow_mut().note_told(when);
+        self.advanced.notify_waiters();
     }
 
-    fn change_own_tries<T>(&self, change: impl FnOnce(&mut OwnTries) -> T) -> T {
-        let mut own_tries = self.own_tries.get();
-        let outcome = change(&mut own_tries);
-        self.own_tries.set(own_tries);
-        outcome
+    fn note_heard(&self, when: Timestamp) {
+        self.failures.set(0);
+        self.caught_up.set(true);
+        self.news.borrow_mut().note_heard(when);
+        self.advanced.notify_waiters();
     }
 
-    /// The store cannot be followed: those who wait are told so at once.
-    pub fn note_lost(&self) {
+    /// A call of this node's own failed, or its answer is overdue: those who wait here are told
+    /// so at once.
+    pub fn note_turned_away(&self, now: Timestamp) {
         self.failures.set(self.failures.get().saturating_add(1));
-        self.verified_at.set(Timestamp::default());
+        self.news.borrow_mut().note_turned_away(now);
         self.advanced.notify_waiters();
     }
 
@@ -161,11 +155,6 @@
         self.failures.get()
     }
 
-    /// Whether it is this node's turn to try the store, once in a `period`.
-    pub fn take_turn(&self, name: &str, period: Duration, now: Timestamp) -> bool {
-        self.change_own_tries(|own_tries| own_tries.take_turn(name, period, now))
-    }
-
     /// Takes in that a peer told what it knows.
     pub fn note_caught_up(&self) {
         self.caught_up.set(true);
@@ -179,12 +168,12 @@
 
     /// When the store told, directly or through others, of the state that is known here.
     pub fn news_at(&self) -> Timestamp {
-        self.news_at.get()
+        self.news.borrow().told_at()
     }
 
-    /// Whether what is known here may be taken for the store's present state.
-    pub fn is_fresh(&self, now: Timestamp) -> bool {
-        now.since(self.verified_at.get()) < FRESH
+    /// Pause before upstreams that told nothing newer are asked again.
+    pub fn search_pause(&self, now: Timestamp) -> Duration {
+        self.news.borrow().search_pause(now)
     }
 
     fn is_passed_over(&self, watcher: &str, now: Timestamp) -> bool {
@@ -227,37 +216,63 @@
     }
 }
 
-/// Answers a follower: as soon as something changed after `revision`, or after a while.
-pub async fn answer(node: &Rc<Node>, revision: u64) -> FeedAnswer {
+/// What a follower asks.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct FollowQuestion {
+    /// It knows everything up to this revision.
+    revision: u64,
+    /// How long ago the store told of that, in milliseconds.
+    age_ms: u64,
+    /// How long the answer may be held back, in milliseconds.
+    hold_ms: u64,
+}
+
+/// Answers a follower: as soon as there is newer word of the store than it has.
+pub async fn answer(node: &Rc<Node>, question: &FollowQuestion) -> FeedAnswer {
     let feed = &node.feed;
-    let until = node.now() + FOLLOW_WAIT;
+    let asked_at = node.now();
+    let known_at = asked_at - Duration::from_millis(question.age_ms);
+    let until = asked_at + Duration::from_millis(question.hold_ms);
     loop {
         let advanced = feed.advanced.notified();
         let now = node.now();
-        if !feed.is_fresh(now) {
-            if feed.failures() > 0 || now >= until {
-                return FeedAnswer::StoreLost;
-            }
-            // This node has just started: its first watch is on its way.
-            let _ = timeout(until.since(now), advanced).await;
-            continue;
-        }
-        let Some(changes) = feed.changes_since(revision) else {
-            let everything = feed.log.borrow().everything();
-            return match everything {
-                Some(all) => changes_answer(node, None, &all),
-                None => FeedAnswer::Incomplete,
-            };
-        };
-        if !changes.is_empty() || now >= until {
-            return changes_answer(node, Some(revision), &changes);
+        let changes = feed.changes_since(question.revision);
+        let changed = changes.as_ref().is_some_and(|changes| !changes.is_empty());
+        match feed.news.borrow().reply(known_at, changed, until, now) {
+            Reply::News => return news_answer(node, question.revision, changes, asked_at),
+            Reply::StoreLost => return FeedAnswer::StoreLost,
+            Reply::NothingNew => return FeedAnswer::NothingNew,
+            Reply::Wait => {}
         }
         let _ = timeout(until.since(now), advanced).await;
     }
 }
 
+/// The answer that tells of `changes`, which are all after `revision`, or of everything if some
+/// of those are not known.
+fn news_answer(
+    node: &Rc<Node>,
+    revision: u64,
+    changes: Option<Vec<Rc<StoreChange>>>,
+    asked_at: Timestamp,
+) -> FeedAnswer {
+    if let Some(changes) = changes {
+        return changes_answer(node, Some(revision), &changes, asked_at);
+    }
+    let everything = node.feed.log.borrow().everything();
+    match everything {
+        Some(all) => changes_answer(node, None, &all, asked_at),
+        None => FeedAnswer::Incomplete,
+    }
+}
+
 /// The answer that tells of `changes`, which are all after `after`, or everything.
-fn changes_answer(node: &Rc<Node>, after: Option<u64>, changes: &[Rc<StoreChange>]) -> FeedAnswer {
+fn changes_answer(
+    node: &Rc<Node>,
+    after: Option<u64>,
+    changes: &[Rc<StoreChange>],
+    asked_at: Timestamp,
+) -> FeedAnswer {
     let now = node.now();
     let Ok(packed) = node.feed.pack(after, changes) else {
         node.counters.count("store_followed", "not_packed");
@@ -267,28 +282,35 @@
         changes: packed,
         everything: after.is_none(),
         steady_ms: millis(now.since(node.store_steady_since.get())),
-        age_ms: millis(now.since(node.feed.verified_at.get())),
+        // Rounded up: knowledge never gets younger on its way.
+        age_ms: millis(now.since(node.feed.news_at())) + 1,
+        held_ms: millis(now.since(asked_at)),
     }
 }
 
-/// Follows the store through an upstream.
+/// Follows the store through an upstream. One that the store turns away tells so at once, and
+/// the next one is asked.
 pub async fn follow_upstream(node: &Rc<Node>, revision: u64) -> Followed {
-    let mut store_lost = false;
-    for upstream in upstreams(node) {
-        if node.feed.is_passed_over(&upstream.name, node.now()) {
-            continue;
-        }
+    let mut asked: Vec<String> = Vec::new();
+    while let Some(upstream) = next_upstream(node, &asked) {
+        asked.push(upstream.name.clone());
+        let asked_at = node.now();
         let passed_over = match ask(node, &upstream, revision).await {
             Some(FeedAnswer::Changes {
                 changes,
                 everything,
                 steady_ms,
                 age_ms,
+                held_ms,
             }) => match unpack(node, &upstream, &changes) {
                 Some(changes) => {
                     node.counters.count("store_followed", "peer");
-                    let age = Duration::from_millis(age_ms);
-                    node.feed.note_verified(node.now() - age);
+                    // All of the time that the upstream did not hold the question back may
+                    // be the answer's way.
+                    let held = Duration::from_millis(held_ms);
+                    let way = node.now().since(asked_at).saturating_sub(held);
+                    let age = Duration::from_millis(age_ms) + way;
+                    node.feed.note_heard(node.now() - age);
                     note_steady(node, Duration::from_millis(steady_ms));
                     return if everything {
                         Followed::Everything(changes)
@@ -299,7 +321,13 @@
                 None => PASSED_OVER,
             },
             Some(FeedAnswer::StoreLost) => {
-                store_lost = true;
+                node.counters.count("store_followed", "peer_turned_away");
+                let mut news = node.feed.news.borrow_mut();
+                news.leave_out(&upstream.name, node.now());
+                continue;
+            }
+            Some(FeedAnswer::NothingNew) => {
+                node.counters.count("store_followed", "peer_behind");
                 continue;
             }
             Some(FeedAnswer::Incomplete) => PASSED_OVER_INCOMPLETE,
@@ -311,17 +339,39 @@
         let until = node.now() + passed_over;
         node.feed.pass_over(&upstream.name, until);
     }
-    if store_lost {
-        Followed::StoreLost
-    } else {
-        Followed::Nobody
+    let mut news = node.feed.news.borrow_mut();
+    news.note_nothing_heard(node.now());
+    if asked.is_empty() {
+        news.ask_all_again();
+    }
+    Followed::Nothing
+}
+
+/// The next upstream to ask in a round, after those that were asked in it.
+fn next_upstream(node: &Rc<Node>, asked: &[String]) -> Option<Peer> {
+    if asked.len() == ASKED_IN_A_ROUND {
+        return None;
     }
+    let now = node.now();
+    upstreams(node)
+        .into_iter()
+        .filter(|upstream| !asked.contains(&upstream.name))
+        .find(|upstream| !node.feed.is_passed_over(&upstream.name, now))
 }
 
 /// Asks an upstream for the changes after `revision`. Nothing if it does not answer.
 async fn ask(node: &Rc<Node>, upstream: &Peer, revision: u64) -> Option<FeedAnswer> {
-    let request = LinkRequest::Follow { revision };
-    let limit = FOLLOW_WAIT + FOLLOW_SLACK;
+    let asked_at = node.now();
+    let (age, hold) = {
+        let news = node.feed.news.borrow();
+        (news.age(asked_at), news.hold(asked_at, limits(node)))
+    };
+    let request = LinkRequest::Follow(FollowQuestion {
+        revision,
+        age_ms: millis(age),
+        hold_ms: millis(hold),
+    });
+    let limit = hold + FOLLOW_SLACK;
     match link::call_for_much(node, upstream, &request, limit, UPSTREAM_SILENCE).await {
         Some((LinkReply::Followed(answer), stream)) => {
             node.links.keep(upstream.name.clone(), stream);
@@ -355,51 +405,72 @@
     node.store_steady_since.set(own.max(since));
 }
 
-/// Nodes registered in this node's region, itself included.
-pub fn nodes_in_region(node: &Rc<Node>) -> usize {
-    let regions = &node.changeable().regions;
-    region_size(&node.settings.zone, &node.registered_nodes(), regions)
+fn limits(node: &Node) -> NewsLimits {
+    NewsLimits::of(node.changeable().configuration_limit)
 }
 
-/// Whether this node counts in the order of those that pass changes on.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum OwnPlace {
-    Counted,
-    LeftOut,
+/// Whether what is known here may be taken for the store's present state.
+pub fn is_fresh(node: &Node) -> bool {
+    let news = node.feed.news.borrow();
+    news.is_fresh(node.now(), limits(node))
 }
 
-/// The nodes that this node follows; none if it watches the store itself. While it does not
-/// reach the store it follows others, though it is the one to watch.
-fn upstreams(node: &Rc<Node>) -> Vec<Peer> {
-    let own_place = if node.feed.failures() == 0 {
-        OwnPlace::Counted
+/// Whether this node watches the store now.
+pub fn watches(node: &Rc<Node>) -> bool {
+    let names = upstream_names(node, |name| {
+        node.answers(name) && node.feed.news.borrow().helps(name, node.now())
+    });
+    names.is_empty() && node.feed.news.borrow().watches(node.now())
+}
+
+/// Whether this node tries the store itself, as its upstreams told nothing newer. The one that
+/// is to watch always does; the other nodes of a region take turns.
+pub fn own_try_is_due(node: &Rc<Node>) -> bool {
+    if is_watcher(node) {
+        return true;
+    }
+    let regions = &node.changeable().regions;
+    let order = try_order(&node.as_candidate(), &node.registered_nodes(), regions);
+    node.feed.news.borrow().try_is_due(order, node.now())
+}
+
+/// How long the next watch of the store waits for a change.
+pub fn watch_wait(node: &Rc<Node>) -> Duration {
+    let regions = &node.changeable().regions;
+    let longest = if is_small_region(&node.settings.zone, &node.registered_nodes(), regions) {
+        // Nobody follows this node.
+        WATCH_WAIT
     } else {
-        OwnPlace::LeftOut
+        limits(node).watch
     };
-    upstream_names(node, own_place)
-        .iter()
-        .filter_map(|name| node.peer(name))
-        .collect()
+    node.feed.news.borrow().watch_wait(longest, node.now())
 }
 
-fn upstream_names(node: &Rc<Node>, own_place: OwnPlace) -> Vec<String> {
-    let nodes = node.registered_nodes();
-    let own = node.as_candidate();
-    let helps = |name: &str| {
-        if name == own.node {
-            own_place == OwnPlace::Counted
-        } else {
-            node.answers(name)
+/// The nodes that this node follows; none if it watches the store itself. While the store
+/// turns it away it follows others, though it is the one to watch.
+fn upstreams(node: &Rc<Node>) -> Vec<Peer> {
+    let now = node.now();
+    let turned_away = node.feed.news.borrow().is_turned_away(now);
+    let names = upstream_names(node, |name| {
+        if name == node.settings.name {
+            return !turned_away;
         }
-    };
+        node.answers(name) && node.feed.news.borrow().helps(name, now)
+    });
+    names.iter().filter_map(|name| node.peer(name)).collect()
+}
+
+fn upstream_names(node: &Rc<Node>, helps: impl Fn(&str) -> bool) -> Vec<String> {
+    let nodes = node.registered_nodes();
     let regions = &node.changeable().regions;
-    store_upstreams(&own, &nodes, regions, helps)
+    store_upstreams(&node.as_candidate(), &nodes, regions, helps)
         .into_iter()
         .map(str::to_owned)
         .collect()
 }
 
-/// Whether this node is one of those that watch the store itself.
+/// Whether this node is the one to watch the store itself, if the store answers all nodes.
 pub fn is_watcher(node: &Rc<Node>) -> bool {
-    upstream_names(node, OwnPlace::Counted).is_empty()
+    let own = &node.settings.name;
+    upstream_names(node, |name| name == own || node.answers(name)).is_empty()
 }
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -5,7 +5,8 @@
 
 use hookpoint_coordination::serving::coordinator::CoordinatorRecord;
 use hookpoint_coordination::serving::directory::Database;
-use hookpoint_state::{DatabaseName, ZoneName};
+use hookpoint_coordination::serving::store_news::patience;
+use hookpoint_state::{DatabaseName, Timestamp, ZoneName};
 use tokio::time::{sleep, timeout};
 
 use crate::feed::{self, Followed};
@@ -30,7 +31,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause of a node that others follow, or that has no configuration yet.
 const LONGEST_PAUSE: Duration = Duration::from_millis(200);
-/// Longest pause of a node that hears of changes from others once they reach the store.
+/// Longest pause between listings of a node that hears of changes from others once they reach
+/// the store.
 const LONGEST_PAUSE_FOLLOWING: Duration = Duration::from_millis(1_200);
 /// Failures in a row beyond which the pause no longer doubles.
 const MOST_DOUBLINGS: u32 = 8;
@@ -45,15 +47,6 @@
 const FIRST_START_PAUSE: Duration = Duration::from_millis(1_000);
 /// Such listings at the most: a listing may be seconds old.
 const FIRST_START_LISTINGS: u32 = 4;
-/// Time between two tries of a region's followers to reach a store that their upstreams do
-/// not reach: the upstreams try all the time, and refused calls cost as much as others.
-const OWN_TRY_SPACING: Duration = Duration::from_millis(200);
-/// Longest time between two such tries of one node. The store may turn away just the
-/// upstreams, and configurations have to be in force within a few seconds.
-const LONGEST_OWN_TRY_PERIOD: Duration = Duration::from_millis(3_000);
-/// Pause before upstreams that do not reach the store are asked again.
-const UPSTREAM_PAUSE: Duration = Duration::from_millis(500);
-
 /// Follows the store for as long as the node lives.
 pub async fn follow(node: Rc<Node>) {
     loop {
@@ -110,7 +103,7 @@
             let present = freshness == ReadFreshness::Present;
             let revision = take_everything(node, all, present);
             if present {
-                node.feed.note_verified(node.now());
+                node.feed.note_told(node.now());
             }
             Some(revision)
         }
@@ -163,38 +156,43 @@
 /// Follows the store for a moment, through an upstream or by a watch of this node's
 /// own. Returns the revision to go on from, or nothing if all is to be read again.
 async fn follow_once(node: &Rc<Node>, revision: u64) -> Option<u64> {
-    match feed::follow_upstream(node, revision).await {
+    if feed::watches(node) {
+        return watch_once(node, revision).await;
+    }
+    let followed = feed::follow_upstream(node, revision).await;
+    if let Some(next) = take_followed(node, followed, revision) {
+        return Some(next);
+    }
+    if feed::own_try_is_due(node) {
+        return watch_once(node, revision).await;
+    }
+    pause_search(node).await;
+    Some(revision)
+}
+
+/// Takes in what an upstream told. Returns the revision to go on from; nothing if none told
+/// anything newer.
+fn take_followed(node: &Rc<Node>, followed: Followed, revision: u64) -> Option<u64> {
+    match followed {
         Followed::Changes(changes) => {
             note_reachable(node, true, "peer");
-            node.feed.note_served(false);
             Some(take_changes(node, changes, revision))
         }
         Followed::Everything(all) => {
             note_reachable(node, true, "peer");
-            node.feed.note_served(false);
             node.counters.count("store_followed", "peer_everything");
             Some(take_everything(node, all, true))
         }
-        Followed::StoreLost if !own_try_is_due(node) => {
-            note_reachable(node, false, "upstreams do not reach it");
-            sleep(UPSTREAM_PAUSE).await;
-            Some(revision)
-        }
-        Followed::StoreLost | Followed::Nobody => watch_once(node, revision).await,
+        Followed::Nothing => None,
     }
 }
 
-/// Whether this node tries the store itself though its upstreams do not reach it. A watcher
-/// always does; the other nodes of a region take turns.
-fn own_try_is_due(node: &Rc<Node>) -> bool {
-    if feed::is_watcher(node) {
-        return true;
+/// Rests before upstreams that told nothing newer are asked again.
+async fn pause_search(node: &Rc<Node>) {
+    if !feed::is_fresh(node) {
+        note_reachable(node, false, "upstreams do not reach it");
     }
-    let nodes = u32::try_from(feed::nodes_in_region(node)).unwrap_or(u32::MAX);
-    let period = OWN_TRY_SPACING
-        .saturating_mul(nodes)
-        .clamp(LONGEST_PAUSE_FOLLOWING, LONGEST_OWN_TRY_PERIOD);
-    node.feed.take_turn(&node.settings.name, period, node.now())
+    sleep(node.feed.search_pause(node.now())).await;
 }
 
 /// Takes changes in and passes them on. Returns the revision to go on from.
@@ -212,27 +210,95 @@
 
 /// One watch. Returns the revision to go on from, or nothing if all is to be read again.
 async fn watch_once(node: &Rc<Node>, revision: u64) -> Option<u64> {
-    match node.store.watch(revision, feed::WATCH_WAIT).await {
-        Ok(changes) => {
-            note_reachable(node, true, "watch");
-            node.feed.note_served(true);
-            node.feed.note_verified(node.now());
-            let pause = gathering_pause(&changes.changes);
-            let next = take_changes(node, changes, revision);
-            if let Some(pause) = pause {
-                sleep(pause).await;
-            }
-            Some(next)
-        }
+    let wait = feed::watch_wait(node);
+    let asked_at = node.now();
+    let mut watch = node.store.watch(revision, wait);
+    let outcome = match timeout(patience(wait), &mut watch).await {
+        Ok(outcome) => outcome,
+        Err(_) => match await_late_watch(node, watch, revision).await {
+            LateWatch::Answered(outcome) => outcome,
+            LateWatch::NotNeeded { next } => return Some(next),
+        },
+    };
+    match outcome {
+        Ok(changes) => Some(take_watched(node, changes, revision, asked_at + wait).await),
         Err(StoreError::HistoryGone) => None,
         Err(error) => {
             note_store_error(node, &error);
-            sleep(retry_pause(node)).await;
+            sleep(pause_after_failed_watch(node)).await;
             matches!(error, StoreError::NoAnswer(_) | StoreError::Refused(_)).then_some(revision)
         }
     }
 }
 
+/// How long to wait after a watch that failed before others are asked again.
+fn pause_after_failed_watch(node: &Rc<Node>) -> Duration {
+    if feed::is_watcher(node) {
+        retry_pause(node)
+    } else {
+        node.feed.search_pause(node.now())
+    }
+}
+
+/// What a watch came to whose answer was overdue.
+enum LateWatch {
+    /// Its answer came after all, or it failed.
+    Answered(Result<StoreChanges, StoreError>),
+    /// An upstream told newer first.
+    NotNeeded {
+        /// The revision to go on from.
+        next: u64,
+    },
+}
+
+/// Follows others while the answer to a watch is overdue. The store may be silent, or a large
+/// answer is on its way: given up, it would only be asked for again.
+async fn await_late_watch(
+    node: &Rc<Node>,
+    watch: impl Future<Output = Result<StoreChanges, StoreError>>,
+    revision: u64,
+) -> LateWatch {
+    node.counters.count("store_followed", "store_late");
+    node.feed.note_turned_away(node.now());
+    let following = async {
+        loop {
+            let followed = feed::follow_upstream(node, revision).await;
+            if let Some(next) = take_followed(node, followed, revision) {
+                return next;
+            }
+            pause_search(node).await;
+        }
+    };
+    tokio::select! {
+        outcome = watch => LateWatch::Answered(outcome),
+        next = following => LateWatch::NotNeeded { next },
+    }
+}
+
+/// Takes in the answer to a watch that was to end by `due_at`. Returns the revision to go on
+/// from.
+async fn take_watched(
+    node: &Rc<Node>,
+    changes: StoreChanges,
+    revision: u64,
+    due_at: Timestamp,
+) -> u64 {
+    note_reachable(node, true, "watch");
+    // One without changes was answered when its time was over, however late it comes.
+    let told_at = if changes.changes.is_empty() {
+        node.now().min(due_at)
+    } else {
+        node.now()
+    };
+    let pause = gathering_pause(&changes.changes);
+    node.feed.note_told(told_at);
+    let next = take_changes(node, changes, revision);
+    if let Some(pause) = pause {
+        sleep(pause).await;
+    }
+    next
+}
+
 /// How long to wait for further changes after these; nothing if there were none.
 fn gathering_pause(changes: &[StoreChange]) -> Option<Duration> {
     let of_member = |change: &StoreChange| match &change.record {
@@ -248,8 +314,7 @@
 
 fn note_store_error(node: &Rc<Node>, error: &StoreError) {
     node.counters.count("store_followed", "store_failed");
-    node.feed.note_served(false);
-    node.feed.note_lost();
+    node.feed.note_turned_away(node.now());
     note_reachable(node, false, &error.to_string());
 }
 
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -18,7 +18,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::connection::Answer;
-use crate::feed::FeedAnswer;
+use crate::feed::{FeedAnswer, FollowQuestion};
 use crate::homes::Peer;
 use crate::message::Command;
 use crate::node::Node;
@@ -58,10 +58,8 @@
     },
     Release,
     Snapshot,
-    /// Changes of the store after a revision, as soon as there are some.
-    Follow {
-        revision: u64,
-    },
+    /// Changes of the store, or newer word that there are none.
+    Follow(FollowQuestion),
 }
 
 /// The answer.
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -375,8 +375,8 @@
                 continue;
             }
             LinkRequest::Snapshot => LinkReply::Snapshot(packed_snapshot(&node)),
-            LinkRequest::Follow { revision } => {
-                LinkReply::Followed(feed::answer(&node, revision).await)
+            LinkRequest::Follow(question) => {
+                LinkReply::Followed(feed::answer(&node, &question).await)
             }
         };
         if send(&mut stream, &reply).await.is_err() {
--- a/crates/serving/src/tokens.rs
+++ b/crates/serving/src/tokens.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
+use crate::feed;
 use crate::homes::{MEMBER_MEMORY, Peer};
 use crate::node::Node;
 use crate::peer_message::PeerMessage;
@@ -143,7 +144,7 @@
         let now = self.now();
         let counted = self.settings.lease_time + MEMBER_MEMORY;
         self.knows_fleet()
-            && (self.feed.is_fresh(now) || now.since(self.lease_renewed_at.get()) < counted)
+            && (feed::is_fresh(self) || now.since(self.lease_renewed_at.get()) < counted)
     }
 
     /// Whether operations can be counted: nobody's are, or this node knows who counts them.
