Placement: route's and tenant's regions decide where a statement runs and what carries it

A statement's database is chosen by a placement, made anew from the newest configuration before each attempt: the regions of route and tenant, both if both are given. A target holds a permitted database, which only a placement makes; a request for a connection names its placement, so that nodes outside the regions hold and lease nothing for it. When no home node inside answers, the caller's own node connects. What no permitted database can run is refused at once, with its reason, before it takes a token of its tenant; a choice that a newer configuration no longer allows is made again before anything is sent. Nothing changes where no regions are given.

--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -17,6 +17,7 @@
 pub mod leadership;
 pub mod lease_grantor;
 pub mod peer_contact;
+pub mod placement;
 pub mod primary_lease;
 pub mod quota;
 pub mod reliability;
--- a/crates/serving/src/coordinator/replicas.rs
+++ b/crates/serving/src/coordinator/replicas.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::failover::{ReplicaState, choose_candidate};
+use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::selection::Distance;
 use hookpoint_coordination::serving::session::SessionValues;
 use hookpoint_state::{DatabaseName, GroupName, Term};
@@ -187,6 +188,7 @@
         principal: None,
         priority: STATUS_PRIORITY,
         values: &values,
+        placement: &Placement::unrestricted(),
         limits: WaitLimits::patient(STATUS_LIMIT),
     };
     match pool.open(node, None).await {
--- a/crates/serving/src/homes.rs
+++ b/crates/serving/src/homes.rs
@@ -15,6 +15,7 @@
     ConnectionSharing, HomeCandidate, Start, choose_homes, home_count, rank_homes, tenant_weight,
     useful_connections,
 };
+use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::tenancy::Principal;
 use hookpoint_coordination::serving::token_holders::choose_token_holders;
 use hookpoint_state::{DatabaseName, TenantName, Timestamp, ZoneName};
@@ -121,10 +122,15 @@
         Rc::clone(&self.home_view(name).holders)
     }
 
-    /// The other nodes that hold connections to a database, those first that keep the
-    /// principal's.
-    pub(crate) fn holders_for(&self, name: &DatabaseName, principal: &Principal) -> Rc<[Peer]> {
-        let holders = self.holders(name);
+    /// The other nodes that hold connections to a database and may carry what is placed so,
+    /// those first that keep the principal's.
+    pub(crate) fn holders_for(
+        &self,
+        name: &DatabaseName,
+        principal: &Principal,
+        placement: &Placement,
+    ) -> Rc<[Peer]> {
+        let holders = self.carriers(name, placement);
         let Some(tenant) = principal.tenant() else {
             return holders;
         };
@@ -133,18 +139,38 @@
         ranked.into()
     }
 
-    /// Whether this node keeps the principal's connections to a database, of which it is home.
-    pub(crate) fn keeps_connections_of(&self, name: &DatabaseName, principal: &Principal) -> bool {
+    /// The other nodes that hold connections to a database and may carry what is placed so.
+    fn carriers(&self, name: &DatabaseName, placement: &Placement) -> Rc<[Peer]> {
+        let holders = self.holders(name);
+        if !placement.is_restricted() {
+            return holders;
+        }
+        let carriers = holders
+            .iter()
+            .filter(|holder| self.may_carry(holder, placement));
+        carriers.cloned().collect()
+    }
+
+    /// Whether this node keeps the principal's connections to a database, of which it is home,
+    /// for statements placed so. One that may not carry those of other nodes keeps them only
+    /// for its own callers, and while none that may answers.
+    pub(crate) fn keeps_connections_of(
+        &self,
+        name: &DatabaseName,
+        principal: &Principal,
+        placement: &Placement,
+    ) -> bool {
         let Some(tenant) = principal.tenant() else {
             return true;
         };
         let own = tenant_weight(tenant, &self.settings.name);
+        let may_keep = self.is_carrier(placement);
         let now = self.now();
-        let holders = self.holders(name);
-        let mut others = holders
+        let carriers = self.carriers(name, placement);
+        let mut others = carriers
             .iter()
             .filter(|holder| !self.reachability.is_silent(holder, now));
-        others.all(|other| tenant_weight(tenant, &other.name) < own)
+        others.all(|other| may_keep && tenant_weight(tenant, &other.name) < own)
     }
 
     /// Whether the members that this node knows may be taken for the fleet. Until then it
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod packed;
 pub mod peer_message;
 pub mod peers;
+mod placement;
 pub mod pool;
 pub mod ports;
 pub mod primary_lease;
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::session::SessionValues;
 use hookpoint_state::{DatabaseName, GroupName, Timestamp};
 use tokio::time::{sleep, timeout};
@@ -215,6 +216,7 @@
         principal: None,
         priority: QUESTION_PRIORITY,
         values: &values,
+        placement: &Placement::unrestricted(),
         limits: WaitLimits::patient(CONTROL_LIMIT),
     };
     let cap = node.connection_cap(pool.database());
--- a/crates/serving/src/pool/acquire.rs
+++ b/crates/serving/src/pool/acquire.rs
@@ -37,7 +37,8 @@
         }
         let is_home = self.reachable.get() && node.connection_cap(&self.database) > 0;
         let principal = request.principal.unwrap_or(&Principal::Anonymous);
-        if is_home && !node.keeps_connections_of(&self.database, principal) {
+        let placement = request.placement;
+        if is_home && !node.keeps_connections_of(&self.database, principal, placement) {
             return match relay::lease(&node, self, request).await {
                 Ok(lease) => Ok(lease),
                 Err(_) => self.acquire_direct(&node, request).await,
@@ -60,7 +61,7 @@
     }
 
     /// Takes a connection of this node's own though it is not home: none of the nodes that
-    /// are answers.
+    /// are, and may carry the statement, answers.
     async fn acquire_as_substitute(
         self: &Rc<Self>,
         node: &Rc<Node>,
--- a/crates/serving/src/pool/mod.rs
+++ b/crates/serving/src/pool/mod.rs
@@ -15,6 +15,7 @@
 
 use hookpoint_coordination::serving::admission::{ConnectionQueue, ConnectionUse};
 use hookpoint_coordination::serving::demand::Demand;
+use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::reliability::Reliability;
 use hookpoint_coordination::serving::response_time::ResponseTime;
 use hookpoint_coordination::serving::session::SessionValues;
@@ -71,6 +72,8 @@
     pub priority: u8,
     /// Session values that it should have already.
     pub values: &'a SessionValues,
+    /// Which other nodes the statements may pass through.
+    pub placement: &'a Placement,
     /// How long it is waited for.
     pub limits: WaitLimits,
 }
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::session::{PreparedShape, SessionValues};
 use hookpoint_coordination::serving::tenancy::Principal;
 use hookpoint_state::DatabaseName;
@@ -100,7 +101,7 @@
     let mut asked = 0;
     let mut refusal = NoLease::NotLent;
     let principal = wanted.principal.unwrap_or(&Principal::Anonymous);
-    let holders = node.holders_for(database, principal);
+    let holders = node.holders_for(database, principal, wanted.placement);
     let mut answering = 0;
     for peer in holders.iter() {
         if asked == PEERS_ASKED {
@@ -143,7 +144,7 @@
             }
         }
     }
-    if answering == 0 && !holders.is_empty() {
+    if answering == 0 && !node.holders(database).is_empty() {
         refusal = NoLease::Silent;
     }
     Err(refusal)
@@ -156,7 +157,7 @@
     NotLent,
     /// The queue of the last one that answered is too long.
     Overloaded,
-    /// None of the nodes that hold connections answers.
+    /// None of the nodes that hold connections and may be asked answers.
     Silent,
 }
 
@@ -293,6 +294,7 @@
 impl Lent {
     fn new(node: &Rc<Node>, lease: Lease) -> Self {
         node.lent.set(node.lent.get() + 1);
+        node.counters.count("lent_leases", "granted");
         Self {
             node: Rc::clone(node),
             lease,
@@ -355,6 +357,8 @@
                     principal: principal.as_ref(),
                     priority,
                     values: &values,
+                    // The node that asks has chosen this one by its caller's placement.
+                    placement: &Placement::unrestricted(),
                     limits,
                 };
                 match lend(&node, &database, wanted).await {
--- a/crates/serving/src/session/mod.rs
+++ b/crates/serving/src/session/mod.rs
@@ -349,6 +349,7 @@
         Request {
             node: &self.node,
             state: &self.state,
+            name: &self.database,
             route,
             principal,
             fresh_from,
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -5,6 +5,7 @@
 use hookpoint_coordination::serving::admission::{ConnectionUse, patience};
 use hookpoint_coordination::serving::attempt_limit::read_attempt_limit;
 use hookpoint_coordination::serving::leadership::Confirmation;
+use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::session::Access;
 use hookpoint_state::{Position, Timestamp};
 
@@ -39,6 +40,8 @@
     NoLease,
     /// The queue for connections is too long.
     Overloaded,
+    /// The configuration has changed, and no longer allows all that it did.
+    PlacementChanged,
 }
 
 impl AttemptFailure {
@@ -52,6 +55,7 @@
             AttemptFailure::Failed => "failed",
             AttemptFailure::NoLease => "no_lease",
             AttemptFailure::Overloaded => "overloaded",
+            AttemptFailure::PlacementChanged => "placement_changed",
         }
     }
 }
@@ -70,6 +74,7 @@
             principal: Some(self.principal),
             priority: self.route.priority,
             values: &self.state.values,
+            placement: target.placement(),
             limits: self.wait_limits(work, in_transaction),
         };
         let acquired = pool.acquire(wanted).await;
@@ -102,14 +107,26 @@
             Target::Holding(_, after) if in_transaction => Stance::ReadTransaction(*after),
             Target::Holding(_, after) => Stance::Alone(Some(*after)),
         };
-        self.run_on(work, lease, stance).await
+        self.run_on(work, lease, stance, target.placement()).await
     }
 
-    pub(super) async fn run_on(&self, work: &Work, mut lease: Lease, stance: Stance) -> Attempt {
+    async fn run_on(
+        &self,
+        work: &Work,
+        mut lease: Lease,
+        stance: Stance,
+        placement: &Placement,
+    ) -> Attempt {
+        if !self.still_allows(placement) {
+            return Attempt::NotRun(AttemptFailure::PlacementChanged);
+        }
         let mut commands = match self.take_stance(&mut lease, stance).await {
             Ok(prefix) => prefix,
             Err(failure) => return Attempt::NotRun(failure),
         };
+        if !self.still_allows(placement) {
+            return Attempt::NotRun(AttemptFailure::PlacementChanged);
+        }
         let at_primary =
             matches!(stance, Stance::LeaderTransaction) || work.access == Access::Write;
         if at_primary && !self.node.may_write(lease.pool().database()) {
@@ -145,6 +162,12 @@
         self.judge(work, lease, stance, answers, asked_at)
     }
 
+    /// Whether the configuration in force allows all that `placement`, by which a database
+    /// was chosen, did.
+    fn still_allows(&self, placement: &Placement) -> bool {
+        self.placement().covers(placement)
+    }
+
     pub(super) fn judge(
         &self,
         work: &Work,
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -15,9 +15,10 @@
 
 use bytes::Bytes;
 use hookpoint_coordination::serving::leadership::ReignPosition;
+use hookpoint_coordination::serving::placement::{Need, Obstacle, Placement};
 use hookpoint_coordination::serving::session::{Access, Phase, PreparedShape, SessionState};
 use hookpoint_coordination::serving::tenancy::Principal;
-use hookpoint_coordination::serving::topology::Route;
+use hookpoint_coordination::serving::topology::{Consistency, Route};
 use hookpoint_state::{DatabaseName, Position, Timestamp};
 use tokio::time::{sleep, timeout};
 
@@ -97,6 +98,9 @@
 pub(crate) struct Request<'a> {
     pub node: &'a Rc<Node>,
     pub state: &'a SessionState,
+    /// The route's name, as the caller gave it.
+    pub name: &'a str,
+    /// The route as it was when the request was admitted.
     pub route: &'a Route,
     /// On whose behalf it runs.
     pub principal: &'a Principal,
@@ -119,6 +123,12 @@
         self.deadline().since(self.node.now())
     }
 
+    /// Where it may run and pass through, by the configuration in force: a statement that
+    /// waits is placed anew before each attempt.
+    fn placement(&self) -> Rc<Placement> {
+        self.node.placement(self.name, self.route, self.principal)
+    }
+
     /// Until when the request waits for a database that may serve it.
     ///
     /// While a primary that was lost a moment ago is being replaced, within its own time.
@@ -138,19 +148,20 @@
         }
     }
 
-    /// Waits until a database may have become usable; fails once that has taken long.
-    async fn await_target(&self) -> Result<(), Failure> {
+    /// Waits until a database may have become usable; says whether that is worth it.
+    async fn await_target(&self) -> bool {
         let left = self.wait_limit().since(self.node.now());
         if left < LEAST_ATTEMPT {
-            return Err(self.refusal("no_database"));
+            return false;
         }
         let changed = self.node.leader_changed.notified();
         let _ = timeout(left.min(LOOK_AGAIN), changed).await;
-        Ok(())
+        true
     }
 
     /// Runs a single statement outside any transaction of the caller's.
     pub(crate) async fn run_single(&self, work: &Work) -> Result<(Answer, DatabaseName), Failure> {
+        self.refuse_unless_placed(work, false)?;
         self.take_token(work).await?;
         let (answer, lease) = self.run_until_answered(work, false).await?;
         let database = lease.pool().database().clone();
@@ -163,10 +174,46 @@
         work: &Work,
         read_only: bool,
     ) -> Result<(Answer, Lease), Failure> {
+        self.refuse_unless_placed(work, !read_only)?;
         self.take_token(work).await?;
         self.run_until_answered(work, !read_only).await
     }
 
+    /// Refuses a statement that no permitted database can run, before it costs its tenant
+    /// anything.
+    fn refuse_unless_placed(&self, work: &Work, plain_transaction: bool) -> Result<(), Failure> {
+        let need = self.need(work, plain_transaction);
+        match self.obstacle(&self.placement(), need) {
+            Some(obstacle) => Err(self.refuse_misplaced(work, Tried::default(), obstacle)),
+            None => Ok(()),
+        }
+    }
+
+    fn need(&self, work: &Work, plain_transaction: bool) -> Need {
+        let reads_primary = self.route.consistency == Consistency::Primary;
+        if plain_transaction || reads_primary || work.access == Access::Write {
+            Need::Primary
+        } else {
+            Need::AnyDatabase
+        }
+    }
+
+    /// The database for the next attempt, if one can be used at the moment.
+    fn next_target(
+        &self,
+        need: Need,
+        avoided: &BTreeSet<DatabaseName>,
+    ) -> Result<Option<Target>, Obstacle> {
+        let placement = self.placement();
+        if let Some(obstacle) = self.obstacle(&placement, need) {
+            return Err(obstacle);
+        }
+        Ok(match need {
+            Need::Primary => self.leader_target(&placement),
+            Need::AnyDatabase => self.read_target(&placement, avoided),
+        })
+    }
+
     async fn run_until_answered(
         &self,
         work: &Work,
@@ -177,29 +224,26 @@
         self.node
             .with_group(&self.route.group, |state| state.used_at = now);
         let to_leader = plain_transaction || work.access == Access::Write;
+        let need = self.need(work, plain_transaction);
         let mut avoided = BTreeSet::new();
         let mut tried = Tried::default();
         loop {
             if self.time_left() < least_time(work) {
-                self.log_outcome(work, &tried, "refused");
-                return Err(self.refusal("out_of_time"));
+                return Err(self.refuse(work, tried, "out_of_time"));
             }
-            let target = if to_leader {
-                self.leader_target()
-            } else {
-                self.read_target(&avoided)
-            };
-            let Some(target) = target else {
-                if tried.overloaded {
-                    self.log_outcome(work, &tried, "refused");
-                    return Err(self.refusal("overloaded"));
+            let target = match self.next_target(need, &avoided) {
+                Ok(Some(target)) => target,
+                Ok(None) if tried.overloaded => {
+                    return Err(self.refuse(work, tried, "overloaded"));
                 }
-                avoided.clear();
-                if let Err(failure) = self.await_target().await {
-                    self.log_outcome(work, &tried, "refused");
-                    return Err(failure);
+                Ok(None) => {
+                    avoided.clear();
+                    if !self.await_target().await {
+                        return Err(self.refuse(work, tried, "no_database"));
+                    }
+                    continue;
                 }
-                continue;
+                Err(obstacle) => return Err(self.refuse_misplaced(work, tried, obstacle)),
             };
             tried.attempts += 1;
             tried.database = Some(target.database().clone());
@@ -224,8 +268,7 @@
                     tried.overloaded |= failure == AttemptFailure::Overloaded;
                     let only_leader = to_leader || self.required_position().is_none();
                     if only_leader && tried.overloaded {
-                        self.log_outcome(work, &tried, "refused");
-                        return Err(self.refusal("overloaded"));
+                        return Err(self.refuse(work, tried, "overloaded"));
                     }
                     tried.last_failure = failure.as_str();
                     self.node
@@ -257,6 +300,7 @@
                 avoided.insert(database.clone());
             }
             AttemptFailure::NotPrimary => self.node.refute_leader(database, began),
+            AttemptFailure::PlacementChanged => {}
             AttemptFailure::NoConnection => {
                 avoided.insert(database.clone());
                 sleep(LEAST_ATTEMPT.min(self.time_left())).await;
--- a/crates/serving/src/statement/outcome.rs
+++ b/crates/serving/src/statement/outcome.rs
@@ -1,8 +1,9 @@
 //! What is told and logged of a statement that was not served plainly.
 
+use hookpoint_coordination::serving::placement::Obstacle;
 use hookpoint_coordination::serving::session::Access;
 use hookpoint_coordination::serving::topology::{Consistency, Route};
-use hookpoint_state::DatabaseName;
+use hookpoint_state::{DatabaseName, RegionName};
 use serde_json::Value;
 
 use super::{Request, Work};
@@ -12,6 +13,9 @@
 /// Hint told with a refusal.
 const RETRY_HINT: &str = "nothing was kept; retry after 250 ms";
 
+/// Told with a refusal where it is not known when a retry may succeed.
+const OUT_OF_PLACE: &str = "nothing was kept; no database that may run it stands in its regions";
+
 /// What was tried for a statement.
 #[derive(Debug)]
 pub(super) struct Tried {
@@ -20,6 +24,8 @@
     pub(super) last_failure: &'static str,
     /// Whether the queue of some database was too long.
     pub(super) overloaded: bool,
+    /// Why it was refused, if it was.
+    pub(super) refused_for: Option<&'static str>,
 }
 
 impl Default for Tried {
@@ -29,17 +35,33 @@
             database: None,
             last_failure: "none",
             overloaded: false,
+            refused_for: None,
         }
     }
 }
 
 impl Request<'_> {
-    /// The final answer to a request that is given up.
-    pub(super) fn refusal(&self, reason: &'static str) -> Failure {
+    /// The final answer to a request that is given up; logged and counted.
+    pub(super) fn refuse(&self, work: &Work, mut tried: Tried, reason: &'static str) -> Failure {
+        tried.refused_for = Some(reason);
+        self.log_outcome(work, &tried, "refused");
         self.node.counters.count("refused", reason);
         Failure::new(FailureCode::Overloaded, RETRY_HINT)
     }
 
+    /// The same for one that no permitted database can run.
+    pub(super) fn refuse_misplaced(
+        &self,
+        work: &Work,
+        mut tried: Tried,
+        obstacle: Obstacle,
+    ) -> Failure {
+        tried.refused_for = Some(obstacle.as_str());
+        self.log_outcome(work, &tried, "refused");
+        self.node.counters.count("refused", "region");
+        Failure::new(FailureCode::Overloaded, OUT_OF_PLACE)
+    }
+
     /// Logs a statement that was not served plainly.
     pub(super) fn log_outcome(&self, work: &Work, tried: &Tried, outcome: &'static str) {
         let fields = self.outcome_fields(&work.id, access_name(work.access), tried, outcome);
@@ -80,6 +102,10 @@
         let name = |database: &Option<DatabaseName>| -> Value {
             database.as_ref().map(DatabaseName::as_str).into()
         };
+        let placement = self.placement();
+        let allowed = placement.allowed_regions();
+        let allowed: Option<Vec<&str>> =
+            allowed.map(|regions| regions.iter().map(RegionName::as_str).collect());
         let sample_age = sample.map(|(asked_at, _)| millis(now.since(asked_at)));
         vec![
             ("request", String::from_utf8_lossy(id).as_ref().into()),
@@ -96,6 +122,8 @@
             ("database", name(&tried.database)),
             ("last_failure", tried.last_failure.into()),
             ("outcome", outcome.into()),
+            ("reason", tried.refused_for.into()),
+            ("allowed_regions", allowed.into()),
         ]
     }
 }
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -1,13 +1,17 @@
 //! Which database a statement is sent to.
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::placement::{
+    GroupView, Need, Obstacle, PermittedDatabase, Placement,
+};
 use hookpoint_coordination::serving::selection::{Candidate, rank};
 use hookpoint_coordination::serving::topology::Consistency;
 use hookpoint_state::{DatabaseName, Position};
 
-use super::Request;
+use super::{REPLACEMENT_TIME, Request};
 
 /// Loss of contact after which a primary gets no new work.
 const LEADER_LOST: Duration = Duration::from_millis(250);
@@ -16,17 +20,26 @@
 #[derive(Clone, Debug)]
 pub(super) enum Target {
     /// The primary, confirmed as such by a plain transaction.
-    Leader(DatabaseName),
+    Leader(PermittedDatabase),
     /// Any database that holds a position.
-    Holding(DatabaseName, Position),
+    Holding(PermittedDatabase, Position),
 }
 
 impl Target {
-    pub(super) fn database(&self) -> &DatabaseName {
+    fn permitted(&self) -> &PermittedDatabase {
         match self {
-            Target::Leader(name) | Target::Holding(name, _) => name,
+            Target::Leader(permitted) | Target::Holding(permitted, _) => permitted,
         }
     }
+
+    pub(super) fn database(&self) -> &DatabaseName {
+        self.permitted().name()
+    }
+
+    /// The placement that it was chosen by.
+    pub(super) fn placement(&self) -> &Placement {
+        self.permitted().placement()
+    }
 }
 
 impl Request<'_> {
@@ -46,8 +59,15 @@
         self.node.may_serve(&leader).then_some(leader)
     }
 
-    pub(super) fn leader_target(&self) -> Option<Target> {
-        self.leader_in_contact().map(Target::Leader)
+    /// The database, if the placement permits it.
+    fn permit(&self, placement: &Rc<Placement>, name: &DatabaseName) -> Option<PermittedDatabase> {
+        let database = self.node.database(name)?;
+        placement.permit(&database, &self.node.changeable().regions)
+    }
+
+    pub(super) fn leader_target(&self, placement: &Rc<Placement>) -> Option<Target> {
+        let leader = self.leader_in_contact()?;
+        self.permit(placement, &leader).map(Target::Leader)
     }
 
     /// Position that a database has to hold to serve this request's reads.
@@ -66,31 +86,40 @@
         })
     }
 
-    pub(super) fn read_target(&self, avoided: &BTreeSet<DatabaseName>) -> Option<Target> {
-        let leader = self.leader_in_contact();
+    pub(super) fn read_target(
+        &self,
+        placement: &Rc<Placement>,
+        avoided: &BTreeSet<DatabaseName>,
+    ) -> Option<Target> {
         let Some(required) = self.required_position() else {
-            return leader.map(Target::Leader);
+            return self.leader_target(placement);
         };
-        let ranked = rank(self.candidates(leader.as_ref(), avoided));
+        let leader = self.leader_in_contact();
+        let ranked = rank(self.candidates(placement, leader.as_ref(), avoided));
         let chosen = ranked.into_iter().next()?;
+        let permitted = self.permit(placement, &chosen)?;
         if leader.as_ref() == Some(&chosen) {
-            return Some(Target::Leader(chosen));
+            return Some(Target::Leader(permitted));
         }
-        Some(Target::Holding(chosen, required))
+        Some(Target::Holding(permitted, required))
     }
 
-    pub(super) fn candidates(
+    fn candidates(
         &self,
+        placement: &Placement,
         leader: Option<&DatabaseName>,
         avoided: &BTreeSet<DatabaseName>,
     ) -> Vec<Candidate> {
         let now = self.node.now();
+        let changeable = self.node.changeable();
         let directory = self.node.directory.borrow();
         directory
             .of_group(&self.route.group)
             .filter(|listed| {
                 let name = &listed.database.name;
-                !avoided.contains(name) && self.node.may_serve(name)
+                placement.may_run(&listed.database.zone, &changeable.regions)
+                    && !avoided.contains(name)
+                    && self.node.may_serve(name)
             })
             .map(|listed| {
                 let database = &listed.database;
@@ -111,4 +140,35 @@
             })
             .collect()
     }
+
+    /// Why waiting for a permitted database is in vain, if it is.
+    pub(super) fn obstacle(&self, placement: &Placement, need: Need) -> Option<Obstacle> {
+        if !placement.is_restricted() {
+            return None;
+        }
+        let (leader, successor) = self.leader_and_successor();
+        let directory = self.node.directory.borrow();
+        let databases: Vec<_> = directory
+            .of_group(&self.route.group)
+            .map(|listed| &listed.database)
+            .filter(|database| self.node.may_serve(&database.name))
+            .collect();
+        let group = GroupView {
+            databases: &databases,
+            leader: leader.as_ref(),
+            successor: successor.as_ref(),
+        };
+        placement.obstacle(need, group, &self.node.changeable().regions)
+    }
+
+    /// The primary, and the database that a promotion ordered a moment ago is for.
+    fn leader_and_successor(&self) -> (Option<DatabaseName>, Option<DatabaseName>) {
+        let now = self.node.now();
+        self.node.with_group(&self.route.group, |state| {
+            let promoting = state.promoting.as_ref();
+            let under_way = promoting.filter(|(_, since)| now.since(*since) < REPLACEMENT_TIME);
+            let successor = under_way.map(|(candidate, _)| candidate.clone());
+            (state.leadership.leader().cloned(), successor)
+        })
+    }
 }
