--- a/crates/coordination/src/serving/evacuation.rs
+++ b/crates/coordination/src/serving/evacuation.rs
@@ -12,8 +12,8 @@
     Open,
     /// Anything, but only if no other database will do: an evacuation has just ended.
     Returning,
-    /// Only what is open already and what a primary alone can run, which is on its way to
-    /// another zone.
+    /// Only what is open already, questions, and what a primary alone can run, which is on its
+    /// way to another zone.
     Evacuating,
     /// Nothing.
     Evacuated,
@@ -92,6 +92,25 @@
         changed
     }
 
+    /// Whether no zone has been evacuated as far as is known.
+    pub fn is_empty(&self) -> bool {
+        self.zones.is_empty()
+    }
+
+    /// All that is known: each zone, whether its request is in force, and the revision of the
+    /// request or its end.
+    pub fn known(&self) -> impl Iterator<Item = (&ZoneName, bool, u64)> {
+        self.zones
+            .iter()
+            .map(|(zone, evacuation)| (zone, evacuation.requested, evacuation.revision))
+    }
+
+    /// How long the request for a zone has been known, if it is in force.
+    pub fn age(&self, zone: &ZoneName, now: Timestamp) -> Option<Duration> {
+        let evacuation = self.zones.get(zone)?;
+        evacuation.requested.then(|| now.since(evacuation.since))
+    }
+
     /// The requests in force and their revisions.
     pub fn requested(&self) -> impl Iterator<Item = (&ZoneName, u64)> {
         self.zones
--- a/crates/coordination/src/serving/failover.rs
+++ b/crates/coordination/src/serving/failover.rs
@@ -7,11 +7,14 @@
 //! lasted much longer. Nodes that only lease connections, or know no primary, may be cut
 //! off from the holders or crowded out, so they count only where nobody reaches it.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use hookpoint_state::{DatabaseName, Position};
 use serde::{Deserialize, Serialize};
 
+use super::handover::Drawbacks;
+
 /// Loss by silence that counts as evidence.
 pub const SILENCE_EVIDENCE: Duration = Duration::from_millis(550);
 /// Loss by refused connections that counts as evidence.
@@ -96,8 +99,8 @@
     pub name: DatabaseName,
     /// Newest position that it has received.
     pub received: Position,
-    /// Whether it announces its end.
-    pub draining: bool,
+    /// What speaks against it as the place of the primary.
+    pub drawbacks: Drawbacks,
     /// Whether it is in a zone that most nodes are close to; breaks ties.
     pub preferred: bool,
 }
@@ -113,11 +116,12 @@
     SomeMissing,
 }
 
-/// Chooses the replica that has received most.
+/// Chooses the replica with the least against it, of those the one that has received most.
+/// One that has received nothing, as it started anew, is the last choice.
 ///
 /// `replicas` is the number of replicas of the group. If `sync_replicas` is above zero
 /// a commit may be held by just that many replicas, so at most `sync_replicas - 1` may
-/// be missing from `answered`.
+/// be missing from `answered`, and what was received goes before all else.
 pub fn choose_candidate(
     answered: &[ReplicaState],
     replicas: usize,
@@ -134,7 +138,11 @@
     answered
         .iter()
         .max_by(|left, right| {
-            let merit = |state: &ReplicaState| (!state.draining, state.received, state.preferred);
+            let merit = |state: &ReplicaState| {
+                let holds_something = state.received.lsn.0 > 0;
+                let drawbacks = Reverse(state.drawbacks);
+                (holds_something, drawbacks, state.received, state.preferred)
+            };
             let by_position_first = sync_replicas > 0;
             let order = if by_position_first {
                 left.received.cmp(&right.received)
--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -13,6 +13,7 @@
 pub mod failover;
 pub mod feed;
 pub mod freshness;
+pub mod handover;
 pub mod homes;
 pub mod leadership;
 pub mod lease_grantor;
--- a/crates/coordination/src/serving/selection.rs
+++ b/crates/coordination/src/serving/selection.rs
@@ -49,6 +49,9 @@
     pub failing: u32,
     /// Whether it announces its end.
     pub draining: bool,
+    /// Whether its zone is to get nothing that another database can run: it is being evacuated,
+    /// or was until lately.
+    pub spared: bool,
     /// Whether it failed to answer lately.
     pub suspect: bool,
     /// Whether it lately lacked a position that was asked for.
@@ -81,6 +84,9 @@
         if self.draining {
             cost += AVOIDED;
         }
+        if self.spared {
+            cost += AVOIDED;
+        }
         if self.suspect {
             cost += AVOIDED * 2;
         }
--- a/crates/coordination/tests/serving.rs
+++ b/crates/coordination/tests/serving.rs
@@ -9,6 +9,7 @@
     NoCandidate, Observation, ReplicaState, Witnesses, choose_candidate, is_lost,
 };
 use hookpoint_coordination::serving::freshness::FreshnessLog;
+use hookpoint_coordination::serving::handover::Drawbacks;
 use hookpoint_coordination::serving::homes::{
     ConnectionSharing, HomeCandidate, home_count, rank_homes, useful_connections,
 };
@@ -250,7 +251,10 @@
     ReplicaState {
         name: name(text),
         received: Position::new(1, received),
-        draining,
+        drawbacks: Drawbacks {
+            leaving: draining,
+            ..Drawbacks::default()
+        },
         preferred: false,
     }
 }
@@ -284,6 +288,7 @@
         service_time: ms(20),
         failing: 0,
         draining: false,
+        spared: false,
         suspect: false,
         lagging: false,
         leader: false,
@@ -325,6 +330,11 @@
         ..near.clone()
     };
     assert_eq!(rank(vec![seldom_failing, far.clone()])[0], name("near"));
+    let spared = Candidate {
+        spared: true,
+        ..near.clone()
+    };
+    assert_eq!(rank(vec![spared, far.clone()])[0], name("far"));
     let draining = Candidate {
         draining: true,
         ..near
--- a/crates/serving/src/connection.rs
+++ b/crates/serving/src/connection.rs
@@ -38,6 +38,9 @@
     /// No answer in time.
     #[error("the database did not answer in time")]
     TimedOut,
+    /// The database's zone is evacuated: nothing was sent.
+    #[error("the database's zone is evacuated")]
+    ZoneEvacuated,
     /// The database refused the session.
     #[error("the database refused the session: {}", .0.code.as_str())]
     Rejected(Failure),
--- /dev/null
+++ b/crates/serving/src/coordinator/handover.rs
@@ -0,0 +1,141 @@
+//! Planned moves of primaries: from zones that are being evacuated, from databases that leave,
+//! and from where they should not lead.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::directory::Listed;
+use hookpoint_coordination::serving::handover::{
+    Drawbacks, Place, PlannedMove, plan_move, reason_to_move,
+};
+use hookpoint_state::{DatabaseName, GroupName, Position, RegionName};
+
+use crate::node::Node;
+use crate::units::millis;
+
+/// A move of a primary that is due.
+#[derive(Clone, Debug)]
+pub(super) struct Handover {
+    /// Why, and where to.
+    pub(super) planned: PlannedMove,
+    /// How long it has been wanted.
+    pub(super) wanted_for: Duration,
+    /// What the primary held when it was last heard.
+    pub(super) primary_held: Option<Position>,
+}
+
+/// The move that is due for a group's primary, if it has one that should not go on leading and
+/// there is a better place for it.
+pub(super) fn due(node: &Rc<Node>, group: &GroupName, leader: &DatabaseName) -> Option<Handover> {
+    let wanted_for = time_wanted(node, group, leader)?;
+    let present = drawbacks_of_leader(node, leader);
+    let others: Vec<(DatabaseName, Drawbacks)> = {
+        let directory = node.directory.borrow();
+        directory
+            .of_group(group)
+            .filter(|listed| listed.database.name != *leader)
+            .map(|listed| (listed.database.name.clone(), drawbacks_of(node, listed)))
+            .collect()
+    };
+    let planned = plan_move(present, time_led(node, group, leader), &others)?;
+    let primary_held = node.with_group(group, |state| {
+        let newest = state.leadership.newest_sample();
+        newest.map(|(_, position)| position)
+    });
+    Some(Handover {
+        planned,
+        wanted_for,
+        primary_held,
+    })
+}
+
+/// How long a group's primary has been in a place that it should leave. Nothing if it is not.
+pub(super) fn time_wanted(
+    node: &Rc<Node>,
+    group: &GroupName,
+    leader: &DatabaseName,
+) -> Option<Duration> {
+    let present = drawbacks_of_leader(node, leader);
+    let wanted = reason_to_move(present, time_led(node, group, leader)).is_some();
+    let now = node.now();
+    node.with_group(group, |state| {
+        if !wanted {
+            state.move_wanted_since = None;
+            return None;
+        }
+        let since = *state.move_wanted_since.get_or_insert(now);
+        Some(now.since(since))
+    })
+}
+
+/// Since when a group's primary has led by a promotion that this node knows of.
+fn time_led(node: &Rc<Node>, group: &GroupName, leader: &DatabaseName) -> Option<Duration> {
+    let now = node.now();
+    node.with_group(group, |state| {
+        let (promoted, since) = state.promoting.as_ref()?;
+        (promoted == leader).then(|| now.since(*since))
+    })
+}
+
+/// What speaks against the present primary. Its entry missing, it counts as leaving only once
+/// that is certain.
+fn drawbacks_of_leader(node: &Rc<Node>, leader: &DatabaseName) -> Drawbacks {
+    let now = node.now();
+    let steady_since = node.store_steady_since.get();
+    let follows_store = node.store_reachable.get();
+    let directory = node.directory.borrow();
+    match directory.get(leader) {
+        Some(listed) => {
+            let leaving = listed.is_leaving(steady_since, now) && follows_store;
+            judge(node, listed, leaving)
+        }
+        None => Drawbacks {
+            leaving: follows_store,
+            ..Drawbacks::default()
+        },
+    }
+}
+
+/// What speaks against another database of a group. It counts as leaving at the first sign.
+pub(super) fn drawbacks_of(node: &Rc<Node>, listed: &Listed) -> Drawbacks {
+    judge(node, listed, listed.leaving_since.is_some())
+}
+
+fn judge(node: &Rc<Node>, listed: &Listed, leaving: bool) -> Drawbacks {
+    let zone = &listed.database.zone;
+    let place = Place {
+        leaving,
+        zone: node.zone_standing(zone),
+        region: node.changeable().regions.get(zone).map(RegionName::new),
+        cold: false,
+    };
+    Drawbacks::of(&place, None)
+}
+
+/// Logs what became of a move.
+pub(super) fn tell(
+    node: &Rc<Node>,
+    group: &GroupName,
+    leader: &DatabaseName,
+    candidate: Option<&DatabaseName>,
+    handover: &Handover,
+    outcome: &'static str,
+) {
+    let zone_of = |name: &DatabaseName| {
+        let database = node.database(name);
+        database.map(|database| database.zone.as_str().to_owned())
+    };
+    node.counters.count("handovers", outcome);
+    node.log(
+        "handover_decided",
+        &[
+            ("group", group.as_str().into()),
+            ("reason", handover.planned.reason.as_str().into()),
+            ("database", leader.as_str().into()),
+            ("zone", zone_of(leader).into()),
+            ("candidate", candidate.map(DatabaseName::as_str).into()),
+            ("wanted_ms", millis(handover.wanted_for).into()),
+            ("outcome", outcome.into()),
+        ],
+    );
+}
--- a/crates/serving/src/coordinator/mod.rs
+++ b/crates/serving/src/coordinator/mod.rs
@@ -1,5 +1,7 @@
-//! Replaces lost and leaving primaries, while this node holds the coordinator's record.
+//! Replaces lost primaries and moves those that should lead elsewhere, while this node holds the
+//! coordinator's record.
 
+mod handover;
 mod order;
 mod replicas;
 mod step_down;
@@ -10,10 +12,12 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::failover::{Observation, is_lost};
+use hookpoint_coordination::serving::handover::{HandoverPace, holds_enough};
 use hookpoint_coordination::serving::leadership::Reign;
 use hookpoint_state::{DatabaseName, GroupName, Timestamp};
 use tokio::time::sleep;
 
+use self::handover::Handover;
 use self::order::{Authority, OrderError, order};
 use self::replicas::{find_candidate, resume_replicas};
 use crate::node::Node;
@@ -26,21 +30,25 @@
 const SETTLING: Duration = Duration::from_millis(2_500);
 /// Pause after a promotion that was rejected.
 const REJECTED_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a planned move for which no replica answered or another primary was found.
+const NO_CANDIDATE_PAUSE: Duration = Duration::from_millis(500);
 
 /// Why a primary is to be replaced.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 enum Reason {
     Lost,
-    Leaving,
+    Planned(Handover),
 }
 
-/// Looks after all groups, one at a time, for as long as the node lives.
+/// Looks after all groups, each in a task of its own, for as long as the node lives.
 pub async fn coordinate(node: Rc<Node>, peers: Rc<Peers>) {
     let mut resumed_for = None;
+    let mut pace = HandoverPace::default();
     loop {
         sleep(ROUND).await;
         let revision = node.coordinator_revision();
         if revision.is_none() {
+            node.counters.set("primaries_to_move", 0);
             continue;
         }
         if resumed_for != revision && node.configuration().is_some() {
@@ -49,7 +57,7 @@
                 resume_replicas(&node, &group).await;
             }
         }
-        for group in due_groups(&node) {
+        for group in due_groups(&node, &mut pace) {
             let node = Rc::clone(&node);
             let peers = Rc::clone(&peers);
             tokio::task::spawn_local(async move {
@@ -60,20 +68,41 @@
     }
 }
 
-/// Groups whose primary may need replacing, marked as being looked after.
-fn due_groups(node: &Rc<Node>) -> Vec<GroupName> {
-    node.configured_groups()
-        .into_iter()
-        .filter(|group| reason(node, group).is_some())
-        .filter(|group| {
-            node.with_group(group, |state| {
-                !std::mem::replace(&mut state.being_replaced, true)
-            })
-        })
-        .collect()
+/// Groups whose primary may need replacing, marked as being looked after: all that may have
+/// lost theirs, and of the others as many as the pace allows.
+fn due_groups(node: &Rc<Node>, pace: &mut HandoverPace) -> Vec<GroupName> {
+    let rate = node.changeable().promotions_per_second;
+    let mut due = Vec::new();
+    let mut to_move = 0;
+    for group in node.configured_groups() {
+        let leader = node.leader(&group);
+        let wanted = leader.and_then(|leader| handover::time_wanted(node, &group, &leader));
+        to_move += u64::from(wanted.is_some());
+        if node.with_group(&group, |state| state.being_replaced) {
+            continue;
+        }
+        let starts = match reason(node, &group) {
+            None => false,
+            Some(Reason::Lost) => true,
+            Some(Reason::Planned(_)) => pace.take(rate, node.now()),
+        };
+        if starts {
+            node.with_group(&group, |state| state.being_replaced = true);
+            due.push(group);
+        }
+    }
+    node.counters.set("primaries_to_move", to_move);
+    due
 }
 
 fn reason(node: &Rc<Node>, group: &GroupName) -> Option<Reason> {
+    if node
+        .by_stated_role(group)
+        .iter()
+        .all(|name| node.is_shut(name))
+    {
+        return None;
+    }
     let now = node.now();
     let (leader, lost, awaited) = node.with_group(group, |state| {
         let lost = state.contact.lost_since.is_some();
@@ -90,42 +119,96 @@
     let Some(leader) = leader else {
         return (!awaited).then_some(Reason::Lost);
     };
-    if lost {
+    // A primary that is shut is not heard any more, whether it lives or not.
+    if lost && !node.is_shut(&leader) {
         return Some(Reason::Lost);
     }
-    let directory = node.directory.borrow();
-    let steady_since = node.store_steady_since.get();
-    let leaving = directory
-        .get(&leader)
-        .is_none_or(|listed| listed.is_leaving(steady_since, node.now()));
-    (leaving && node.store_reachable.get()).then_some(Reason::Leaving)
+    handover::due(node, group, &leader).map(Reason::Planned)
 }
 
 async fn replace_primary(node: &Rc<Node>, peers: &Rc<Peers>, group: &GroupName) {
-    let Some(reason) = reason(node, group) else {
-        return;
-    };
+    match reason(node, group) {
+        None => {}
+        Some(Reason::Lost) => replace_lost(node, peers, group).await,
+        Some(Reason::Planned(planned)) => hand_over(node, peers, group, &planned).await,
+    }
+}
+
+async fn replace_lost(node: &Rc<Node>, peers: &Rc<Peers>, group: &GroupName) {
     let leader = node.leader(group);
-    let views = views_of(node, peers, group, leader.as_ref(), reason).await;
+    let views = views_of_lost(node, peers, group, leader.as_ref()).await;
     let Some(authority) = authority(node, &views) else {
         return;
     };
-    if reason == Reason::Lost {
-        let observations = observations_of(&views);
-        if !is_lost(&observations, node.witnesses(leader.as_ref())) {
-            return;
-        }
-        log_loss(node, group, leader.as_ref(), &observations);
+    let observations = observations_of(&views);
+    if !is_lost(&observations, node.witnesses(leader.as_ref())) {
+        return;
     }
+    log_loss(node, group, leader.as_ref(), &observations);
     let Some(candidate) = find_candidate(node, group, leader.as_ref()).await else {
         return;
     };
     if node.leader(group) != leader {
         return;
     }
-    let replaced = leader.filter(|_| reason == Reason::Lost);
-    match order(node, peers, group, &candidate, replaced.as_ref(), authority).await {
-        Ok(()) => await_new_leader(node, group, &candidate).await,
+    let outcome = order(
+        node,
+        peers,
+        group,
+        &candidate.name,
+        leader.as_ref(),
+        authority,
+    );
+    let outcome = outcome.await;
+    settle(node, group, &candidate.name, outcome).await;
+}
+
+/// Moves a primary. The one that leads serves on until the promotion takes effect.
+async fn hand_over(node: &Rc<Node>, peers: &Rc<Peers>, group: &GroupName, planned: &Handover) {
+    let Some(leader) = node.leader(group) else {
+        return;
+    };
+    let views = views_for_authority(node, peers, group, &leader).await;
+    let Some(authority) = authority(node, &views) else {
+        return;
+    };
+    let Some(candidate) = find_candidate(node, group, Some(&leader)).await else {
+        handover::tell(node, group, &leader, None, planned, "no_candidate");
+        sleep(NO_CANDIDATE_PAUSE).await;
+        return;
+    };
+    let name = &candidate.name;
+    let permitted = planned.planned.targets.contains(name);
+    if !permitted || !holds_enough(candidate.received, planned.primary_held, planned.wanted_for) {
+        resume_replicas(node, group).await;
+        handover::tell(node, group, &leader, Some(name), planned, "behind");
+        return;
+    }
+    if node.leader(group).as_ref() != Some(&leader) || handover::due(node, group, &leader).is_none()
+    {
+        resume_replicas(node, group).await;
+        handover::tell(node, group, &leader, Some(name), planned, "taken_back");
+        return;
+    }
+    let outcome = order(node, peers, group, name, None, authority).await;
+    let told = match &outcome {
+        Ok(()) => "ordered",
+        Err(OrderError::Rejected) => "rejected",
+        Err(OrderError::Unanswered) => "unanswered",
+    };
+    handover::tell(node, group, &leader, Some(name), planned, told);
+    settle(node, group, name, outcome).await;
+}
+
+/// Waits until what became of an order can be told.
+async fn settle(
+    node: &Rc<Node>,
+    group: &GroupName,
+    candidate: &DatabaseName,
+    outcome: Result<(), OrderError>,
+) {
+    match outcome {
+        Ok(()) => await_new_leader(node, group, candidate).await,
         Err(OrderError::Rejected) => {
             resume_replicas(node, group).await;
             sleep(REJECTED_PAUSE).await;
@@ -134,18 +217,30 @@
     }
 }
 
+/// What the other nodes say of who coordinates. They are asked only if this node's lease does
+/// not answer that.
+async fn views_for_authority(
+    node: &Rc<Node>,
+    peers: &Peers,
+    group: &GroupName,
+    leader: &DatabaseName,
+) -> Vec<PeerView> {
+    if node.coordinates() {
+        return Vec::new();
+    }
+    peers
+        .gather(node, group, Some(leader), &node.other_members())
+        .await
+}
+
 /// What the nodes see of a primary, as far as it is needed: those that hold connections
 /// to it are asked first, and all nodes only if that decides nothing.
-async fn views_of(
+async fn views_of_lost(
     node: &Rc<Node>,
     peers: &Peers,
     group: &GroupName,
     leader: Option<&DatabaseName>,
-    reason: Reason,
 ) -> Vec<PeerView> {
-    if node.coordinates() && reason == Reason::Leaving {
-        return Vec::new();
-    }
     if let Some(leader) = leader.filter(|_| node.coordinates()) {
         let holders: Vec<SocketAddr> = node
             .holders(leader)
--- a/crates/serving/src/coordinator/replicas.rs
+++ b/crates/serving/src/coordinator/replicas.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::failover::{ReplicaState, choose_candidate};
+use hookpoint_coordination::serving::handover::Drawbacks;
 use hookpoint_coordination::serving::selection::Distance;
 use hookpoint_coordination::serving::session::SessionValues;
 use hookpoint_state::{DatabaseName, GroupName, Term};
 use tokio::time::{sleep, timeout};
 
-use crate::lease::Lease;
+use super::handover::drawbacks_of;
+use crate::lease::{Lease, prove_leadership};
 use crate::message::{Command, DatabaseStatus, FailureCode};
 use crate::node::Node;
 use crate::pool::{ConnectionRequest, Pool, WaitLimits};
@@ -45,7 +47,7 @@
     node: &Rc<Node>,
     group: &GroupName,
     leader: Option<&DatabaseName>,
-) -> Option<DatabaseName> {
+) -> Option<ReplicaState> {
     let sync_replicas = sync_replicas(node, group);
     let replicas: Vec<DatabaseName> = node
         .by_stated_role(group)
@@ -68,6 +70,7 @@
                 ("database", name.as_str().into()),
             ],
         );
+        confirm_found(node, name).await;
         return None;
     }
     let states: Vec<ReplicaState> = states
@@ -75,7 +78,7 @@
         .map(|(name, status)| replica_state(node, name, status))
         .collect();
     match choose_candidate(&states, replicas.len(), sync_replicas) {
-        Ok(candidate) => Some(candidate),
+        Ok(candidate) => states.into_iter().find(|state| state.name == candidate),
         Err(error) => {
             resume_replicas(node, group).await;
             node.log(
@@ -102,21 +105,40 @@
 }
 
 fn replica_state(node: &Rc<Node>, name: DatabaseName, status: DatabaseStatus) -> ReplicaState {
-    let (draining, distance) = {
+    let (drawbacks, distance) = {
         let directory = node.directory.borrow();
-        directory.get(&name).map_or((true, None), |listed| {
-            let distance = node.distance(&listed.database.zone);
-            (listed.leaving_since.is_some(), Some(distance))
-        })
+        match directory.get(&name) {
+            Some(listed) => {
+                let distance = node.distance(&listed.database.zone);
+                (drawbacks_of(node, listed), Some(distance))
+            }
+            None => {
+                let leaving = Drawbacks {
+                    leaving: true,
+                    ..Drawbacks::default()
+                };
+                (leaving, None)
+            }
+        }
     };
     ReplicaState {
         name,
         received: status.received,
-        draining,
+        drawbacks,
         preferred: distance.is_some_and(|distance| distance <= Distance::SameRegion),
     }
 }
 
+/// Has a database that says that it leads prove it. While the primary known here is shut,
+/// nothing else would tell this node of the new one.
+async fn confirm_found(node: &Rc<Node>, name: &DatabaseName) {
+    if let Some(mut lease) = lease_for_status(node, &node.pool(name)).await
+        && prove_leadership(node, &mut lease).await.is_err()
+    {
+        node.counters.count("primaries_found", "not_proved");
+    }
+}
+
 /// Asks for the state of all, again as long as none of them answers.
 async fn ask_until_some_answer(
     node: &Rc<Node>,
@@ -136,7 +158,8 @@
     replicas: &[DatabaseName],
     command: &Command,
 ) -> Vec<(DatabaseName, DatabaseStatus)> {
-    let questions = replicas.iter().map(|name| {
+    let asked = replicas.iter().filter(|name| !node.is_shut(name));
+    let questions = asked.map(|name| {
         let command = command.clone();
         async move {
             let status = ask_status(node, name, command).await?;
--- /dev/null
+++ b/crates/serving/src/evacuation.rs
@@ -0,0 +1,286 @@
+//! Zones whose databases are to get nothing any more, as this node carries that out.
+//!
+//! From when a request is heard, statements go to a database of the zone only if it leads its
+//! group. Once the request has been known for its limit, the zone's databases are shut: nothing
+//! at all is sent to them, connections at rest are closed, and transactions that are still open
+//! there are ended.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::evacuation::{Evacuations, ZoneStanding};
+use hookpoint_coordination::serving::feed::share_of;
+use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
+
+use crate::node::Node;
+use crate::pool::Pool;
+use crate::units::millis;
+
+/// Time after the end of an evacuation over which the nodes turn back to the zone one after
+/// another: its databases may have lost what they held in memory, and all nodes at once would
+/// ask for it at once.
+const RETURN_TIME: Duration = Duration::from_secs(8);
+/// Pause between two lines on what is still in use in an evacuated zone.
+const STILL_USED_TOLD: Duration = Duration::from_secs(5);
+
+/// The zones that the operator evacuates, or did, and what this node has made of that.
+#[derive(Default)]
+pub(crate) struct ZoneEvacuations {
+    known: RefCell<Evacuations>,
+    progress: RefCell<BTreeMap<ZoneName, Progress>>,
+}
+
+/// How far this node is with one zone.
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    transactions_ended: u64,
+    connections_closed: u64,
+    told_empty: bool,
+    told_used_at: Option<Timestamp>,
+}
+
+/// What of this node's is still in use in a zone.
+struct Use {
+    connections: usize,
+    primaries: Vec<GroupName>,
+}
+
+impl Use {
+    fn is_none(&self) -> bool {
+        self.connections == 0 && self.primaries.is_empty()
+    }
+}
+
+impl Node {
+    /// What the databases of a zone may be used for at the moment.
+    pub(crate) fn zone_standing(&self, zone: &ZoneName) -> ZoneStanding {
+        let known = self.evacuations.known.borrow();
+        if known.is_empty() {
+            return ZoneStanding::Open;
+        }
+        let limit = self.changeable().evacuation_limit;
+        let return_time = share_of(&self.settings.name, RETURN_TIME);
+        known.standing(zone, limit, return_time, self.now())
+    }
+
+    /// The same for the zone of a database.
+    pub(crate) fn zone_standing_of(&self, name: &DatabaseName) -> ZoneStanding {
+        if self.evacuations.known.borrow().is_empty() {
+            return ZoneStanding::Open;
+        }
+        let directory = self.directory.borrow();
+        directory.get(name).map_or(ZoneStanding::Open, |listed| {
+            self.zone_standing(&listed.database.zone)
+        })
+    }
+
+    /// Whether nothing at all may be sent to a database.
+    pub(crate) fn is_shut(&self, name: &DatabaseName) -> bool {
+        self.zone_standing_of(name) == ZoneStanding::Evacuated
+    }
+
+    /// Whether statements may still be sent to a database. In a zone that is being evacuated
+    /// only primaries get any, until they have handed over.
+    pub fn may_serve(&self, name: &DatabaseName) -> bool {
+        let directory = self.directory.borrow();
+        let Some(listed) = directory.get(name) else {
+            return false;
+        };
+        let in_time = listed
+            .leaving_since
+            .is_none_or(|since| self.now().since(since) < self.changeable().drain_limit);
+        let zone_allows = match self.zone_standing(&listed.database.zone) {
+            ZoneStanding::Open | ZoneStanding::Returning => true,
+            ZoneStanding::Evacuating => self.leads(name),
+            ZoneStanding::Evacuated => false,
+        };
+        in_time && zone_allows
+    }
+
+    /// The primary known of a group, if it is shut.
+    pub(crate) fn shut_leader(&self, group: &GroupName) -> Option<DatabaseName> {
+        self.leader(group).filter(|leader| self.is_shut(leader))
+    }
+
+    /// What is known of evacuations: each zone, whether it is being evacuated, and the revision
+    /// that says so.
+    pub(crate) fn known_evacuations(&self) -> Vec<(ZoneName, bool, u64)> {
+        let known = self.evacuations.known.borrow();
+        known
+            .known()
+            .map(|(zone, requested, revision)| (zone.clone(), requested, revision))
+            .collect()
+    }
+
+    /// How long the request for a zone has been known, if it is in force.
+    pub(crate) fn evacuation_age(&self, zone: &ZoneName) -> Option<Duration> {
+        self.evacuations.known.borrow().age(zone, self.now())
+    }
+
+    /// Takes a request, or its end, unless what is known is as new.
+    pub(crate) fn take_evacuation(&self, zone: &ZoneName, requested: bool, revision: u64) {
+        let since = self.evacuation_heard_at();
+        let mut known = self.evacuations.known.borrow_mut();
+        let changed = known.take(zone, requested, revision, since);
+        drop(known);
+        if changed {
+            self.note_evacuation(zone, requested, revision);
+        }
+    }
+
+    /// Takes the requests of a complete listing read at `revision`; those that it lacks have
+    /// ended.
+    pub(crate) fn take_evacuations(&self, listed: &[(ZoneName, u64)], revision: u64) {
+        let since = self.evacuation_heard_at();
+        let mut known = self.evacuations.known.borrow_mut();
+        let changed = known.replace(listed, revision, since);
+        drop(known);
+        for zone in changed {
+            let requested = listed.iter().any(|(present, _)| *present == zone);
+            self.note_evacuation(&zone, requested, revision);
+        }
+    }
+
+    /// From when the time of a request counts that is heard now. One that a starting node finds
+    /// may be old already, and the node has nothing open there that would need time to end.
+    fn evacuation_heard_at(&self) -> Timestamp {
+        let now = self.now();
+        match self.configured_at.get() {
+            Some(_) => now,
+            None => now - self.changeable().evacuation_limit,
+        }
+    }
+
+    fn note_evacuation(&self, zone: &ZoneName, requested: bool, revision: u64) {
+        let mut progress = self.evacuations.progress.borrow_mut();
+        progress.insert(zone.clone(), Progress::default());
+        drop(progress);
+        let zones = self.evacuations.known.borrow().requested().count();
+        let zones = u64::try_from(zones).unwrap_or(u64::MAX);
+        self.counters.set("zones_evacuated", zones);
+        self.log(
+            "evacuation_changed",
+            &[
+                ("zone", zone.as_str().into()),
+                ("requested", requested.into()),
+                ("revision", revision.into()),
+            ],
+        );
+        self.leader_changed.notify_waiters();
+    }
+
+    /// Notes that a caller's transaction was ended because its database is shut.
+    pub(crate) fn note_transaction_evacuated(&self, name: &DatabaseName) {
+        self.counters.count("transactions_ended", "evacuated");
+        if let Some(database) = self.database(name) {
+            let mut progress = self.evacuations.progress.borrow_mut();
+            progress
+                .entry(database.zone)
+                .or_default()
+                .transactions_ended += 1;
+        }
+    }
+
+    fn note_connections_closed(&self, zone: &ZoneName, closed: usize) {
+        let closed = u64::try_from(closed).unwrap_or(u64::MAX);
+        let mut progress = self.evacuations.progress.borrow_mut();
+        progress.entry(zone.clone()).or_default().connections_closed += closed;
+    }
+}
+
+/// Closes what is open in evacuated zones and not in use, has the rest end, and tells how far
+/// that is. To be called every moment.
+pub(crate) fn clear_zones(node: &Rc<Node>) {
+    let zones: Vec<ZoneName> = {
+        let known = node.evacuations.known.borrow();
+        known.requested().map(|(zone, _)| zone.clone()).collect()
+    };
+    for zone in zones {
+        clear_zone(node, &zone);
+    }
+}
+
+fn clear_zone(node: &Rc<Node>, zone: &ZoneName) {
+    let shut = node.zone_standing(zone) == ZoneStanding::Evacuated;
+    let pools = pools_in(node, zone);
+    for pool in &pools {
+        if shut || !node.leads(pool.database()) {
+            let closed = pool.close_idle();
+            node.note_connections_closed(zone, closed);
+        }
+        if shut {
+            pool.dismiss_waiters();
+        }
+    }
+    let used = Use {
+        connections: pools.iter().map(|pool| pool.in_use()).sum(),
+        primaries: primaries_in(node, zone),
+    };
+    if shut && used.connections > 0 {
+        // Sessions that rest inside a transaction find that it has to end.
+        node.stop_advanced.notify_waiters();
+    }
+    tell(node, zone, shut, &used);
+}
+
+fn pools_in(node: &Rc<Node>, zone: &ZoneName) -> Vec<Rc<Pool>> {
+    let directory = node.directory.borrow();
+    let in_zone = |pool: &Rc<Pool>| {
+        let listed = directory.get(pool.database());
+        listed.is_some_and(|listed| listed.database.zone == *zone)
+    };
+    node.pools().into_iter().filter(in_zone).collect()
+}
+
+/// Groups whose primary, as far as this node knows, is in the zone.
+fn primaries_in(node: &Rc<Node>, zone: &ZoneName) -> Vec<GroupName> {
+    let in_zone = |group: &GroupName| {
+        let leader = node.leader(group);
+        let database = leader.and_then(|leader| node.database(&leader));
+        database.is_some_and(|database| database.zone == *zone)
+    };
+    let groups = node.configured_groups();
+    groups.into_iter().filter(in_zone).collect()
+}
+
+/// Logs once that this node uses nothing of the zone any more, or, while the zone is shut, now
+/// and then what it still uses.
+fn tell(node: &Rc<Node>, zone: &ZoneName, shut: bool, used: &Use) {
+    let now = node.now();
+    let age = node.evacuation_age(zone).map(millis);
+    let mut all = node.evacuations.progress.borrow_mut();
+    let progress = all.entry(zone.clone()).or_default();
+    if used.is_none() && !progress.told_empty {
+        progress.told_empty = true;
+        let fields = [
+            ("zone", zone.as_str().into()),
+            ("age_ms", age.into()),
+            ("connections_closed", progress.connections_closed.into()),
+            ("transactions_ended", progress.transactions_ended.into()),
+        ];
+        drop(all);
+        node.log("zone_emptied", &fields);
+        return;
+    }
+    let told_lately = progress
+        .told_used_at
+        .is_some_and(|told_at| now.since(told_at) < STILL_USED_TOLD);
+    if !shut || used.is_none() || told_lately {
+        return;
+    }
+    progress.told_used_at = Some(now);
+    progress.told_empty = false;
+    drop(all);
+    let primaries: Vec<&str> = used.primaries.iter().map(GroupName::as_str).collect();
+    node.log(
+        "zone_in_use",
+        &[
+            ("zone", zone.as_str().into()),
+            ("age_ms", age.into()),
+            ("connections", used.connections.into()),
+            ("primaries", primaries.into()),
+        ],
+    );
+}
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -274,15 +274,13 @@
 
 fn apply_all(node: &Rc<Node>, all: StoreChanges) {
     let now = node.now();
+    // Before the configuration: what a node that starts finds evacuated may have been so for long.
+    node.take_evacuations(&requested_evacuations(&all), all.revision);
     let mut databases = Vec::new();
     let mut own_keys = Vec::new();
-    let mut evacuations = Vec::new();
     for change in all.changes {
         match change.record {
-            StoreRecord::Evacuation {
-                zone,
-                requested: true,
-            } => evacuations.push((zone, change.revision)),
+            StoreRecord::Evacuation { .. } => {}
             StoreRecord::Database(database) => databases.push((database, change.revision)),
             StoreRecord::Own { ref key, .. } => {
                 own_keys.push(key.clone());
@@ -294,12 +292,23 @@
     node.directory
         .borrow_mut()
         .replace(databases, all.revision, now);
-    take_evacuations(node, &evacuations, all.revision);
     forget_absent(node, &own_keys);
     node.homes.borrow_mut().forget_all();
     housekeeping(node);
 }
 
+/// The requests to evacuate a zone in a complete listing, with their revisions.
+fn requested_evacuations(all: &StoreChanges) -> Vec<(ZoneName, u64)> {
+    let requested = |change: &StoreChange| match &change.record {
+        StoreRecord::Evacuation {
+            zone,
+            requested: true,
+        } => Some((zone.clone(), change.revision)),
+        _ => None,
+    };
+    all.changes.iter().filter_map(requested).collect()
+}
+
 fn forget_absent(node: &Rc<Node>, present: &[String]) {
     let now = node.now();
     for (name, member) in node.members.borrow_mut().iter_mut() {
@@ -334,13 +343,7 @@
         }
         StoreRecord::DatabaseGone(name) => remove_database(node, &name, change.revision),
         StoreRecord::Evacuation { zone, requested } => {
-            let changed =
-                node.evacuations
-                    .borrow_mut()
-                    .take(&zone, requested, change.revision, now);
-            if changed {
-                log_evacuation(node, &zone, requested, change.revision);
-            }
+            node.take_evacuation(&zone, requested, change.revision);
         }
         StoreRecord::Unreadable { subject, reason } => {
             node.counters.count("store_records", "unreadable");
@@ -355,28 +358,6 @@
     }
 }
 
-/// Takes the requests of a complete listing read at `revision`; those that it lacks have ended.
-fn take_evacuations(node: &Rc<Node>, listed: &[(ZoneName, u64)], revision: u64) {
-    let mut evacuations = node.evacuations.borrow_mut();
-    let changed = evacuations.replace(listed, revision, node.now());
-    drop(evacuations);
-    for zone in changed {
-        let requested = listed.iter().any(|(present, _)| *present == zone);
-        log_evacuation(node, &zone, requested, revision);
-    }
-}
-
-fn log_evacuation(node: &Rc<Node>, zone: &ZoneName, requested: bool, revision: u64) {
-    node.log(
-        "evacuation_changed",
-        &[
-            ("zone", zone.as_str().into()),
-            ("requested", requested.into()),
-            ("revision", revision.into()),
-        ],
-    );
-}
-
 /// Homes depend on a database's zone and group, not on its state or role.
 fn forget_homes_if_moved(node: &Rc<Node>, database: &Database) {
     let stayed = node
--- /dev/null
+++ b/crates/serving/src/leaders.rs
@@ -0,0 +1,166 @@
+//! What this node believes of each group's primary, and how it came to believe it.
+
+use hookpoint_coordination::serving::directory::Database;
+use hookpoint_coordination::serving::leadership::Confirmation;
+use hookpoint_state::{DatabaseName, Position, Timestamp};
+use serde_json::Value;
+
+use crate::node::{Contact, Node};
+use crate::units::millis;
+
+/// A position for the log: term and number, parted by a point.
+fn written(position: Position) -> String {
+    format!("{}.{}", position.term.0, position.lsn.0)
+}
+
+impl Node {
+    /// Whether the newest promotion known allows a database to lead.
+    ///
+    /// Where the service does not fence, a replaced primary may still believe to lead, so
+    /// only the database of the newest order is taken for the primary.
+    fn may_lead(&self, database: &Database) -> bool {
+        self.changeable().fenced_promotions
+            || self.with_group(&database.group, |state| {
+                state
+                    .promoting
+                    .as_ref()
+                    .is_none_or(|(candidate, _)| *candidate == database.name)
+            })
+    }
+
+    /// Takes a proof that a database leads. Where promotions are not fenced, the position
+    /// in it only counts if this node was allowed to use primaries when it asked: a
+    /// replaced primary's covers nothing.
+    pub fn confirm_leader(&self, name: &DatabaseName, proof: Confirmation) {
+        let covered = self.covers_primaries(proof.asked_at);
+        let proof = Confirmation {
+            position: proof.position.filter(|_| covered),
+            ..proof
+        };
+        self.believe_leader(name, proof);
+    }
+
+    /// Takes a proof of this node's own, or one that a peer passes on, as it is.
+    pub(crate) fn believe_leader(&self, name: &DatabaseName, proof: Confirmation) {
+        let Some(database) = self.database(name) else {
+            return;
+        };
+        if !self.may_lead(&database) {
+            self.with_group(&database.group, |state| {
+                state.overruled = Some((name.clone(), proof.asked_at));
+            });
+            return;
+        }
+        let now = self.now();
+        let (changed, reign) = self.with_group(&database.group, |state| {
+            let changed = state.leadership.confirm(name, proof);
+            if state.leadership.leader() == Some(name) {
+                state.contact = Contact {
+                    last_heard: now,
+                    ..Contact::default()
+                };
+                state.leaderless_since = None;
+            }
+            (changed, state.leadership.reign())
+        });
+        if changed {
+            self.log(
+                "leader_confirmed",
+                &[
+                    ("group", database.group.as_str().into()),
+                    ("database", name.as_str().into()),
+                    ("reign", reign.0.into()),
+                    ("position", proof.position.map(written).into()),
+                ],
+            );
+            self.leader_changed.notify_waiters();
+        }
+    }
+
+    /// Takes a proof, asked for at `asked_at`, that a database does not lead.
+    pub fn refute_leader(&self, name: &DatabaseName, asked_at: Timestamp) {
+        let Some(database) = self.database(name) else {
+            return;
+        };
+        let now = self.now();
+        let changed = self.with_group(&database.group, |state| {
+            let changed = state.leadership.refute(name, asked_at);
+            if changed {
+                state.leaderless_since.get_or_insert(now);
+                state.contact = Contact::default();
+            }
+            changed
+        });
+        if changed {
+            self.log(
+                "leader_refuted",
+                &[
+                    ("group", database.group.as_str().into()),
+                    ("database", name.as_str().into()),
+                ],
+            );
+        }
+    }
+
+    /// Notes that a database answered.
+    pub fn note_contact(&self, name: &DatabaseName) {
+        let Some(database) = self.database(name) else {
+            return;
+        };
+        let now = self.now();
+        let lost_since = self.with_group(&database.group, |state| {
+            if state.leadership.leader() != Some(name) {
+                return None;
+            }
+            let before = state.contact.lost_since;
+            state.contact = Contact {
+                last_heard: now,
+                ..Contact::default()
+            };
+            before
+        });
+        if let Some(since) = lost_since {
+            let away = millis(now.since(since));
+            self.log_primary("primary_regained", &database, ("away_ms", away.into()));
+        }
+    }
+
+    /// Notes that a question sent to the leader at `asked_at` was not answered.
+    pub fn note_lost_contact(&self, name: &DatabaseName, asked_at: Timestamp, refused: bool) {
+        let Some(database) = self.database(name) else {
+            return;
+        };
+        // Nothing is sent to a database that is shut, so its silence says nothing.
+        if self.is_shut(name) {
+            return;
+        }
+        let newly_lost = self.with_group(&database.group, |state| {
+            let contact = &mut state.contact;
+            if state.leadership.leader() != Some(name) || contact.last_heard > asked_at {
+                return false;
+            }
+            let newly_lost = contact.lost_since.is_none();
+            contact.lost_since.get_or_insert(asked_at);
+            contact.refused = refused;
+            newly_lost
+        });
+        if newly_lost {
+            self.log_primary(
+                "primary_unreachable",
+                &database,
+                ("refused", refused.into()),
+            );
+        }
+    }
+
+    fn log_primary(&self, event: &'static str, database: &Database, detail: (&str, Value)) {
+        self.log(
+            event,
+            &[
+                ("group", database.group.as_str().into()),
+                ("database", database.name.as_str().into()),
+                detail,
+            ],
+        );
+    }
+}
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -43,13 +43,18 @@
             .expect("a lease holds its connection until it is dropped")
     }
 
-    /// Sends commands and waits for their answers; failures are noted with the pool.
+    /// Sends commands and waits for their answers; failures are noted with the pool. Nothing is
+    /// sent to a database that is shut.
     pub async fn exchange(
         &mut self,
         node: &Rc<Node>,
         commands: &[Command],
         limit: Duration,
     ) -> Result<Vec<Answer>, ConnectionError> {
+        if node.is_shut(self.pool.database()) {
+            self.connection().broken = true;
+            return Err(ConnectionError::ZoneEvacuated);
+        }
         let asked_at = node.now();
         let outcome = self.connection().exchange(commands, limit).await;
         let relayed = self.connection().is_relayed();
@@ -60,6 +65,7 @@
                 self.connection().heard_at = node.now();
                 node.note_contact(self.pool.database());
             }
+            Err(ConnectionError::ZoneEvacuated) => {}
             Err(_) if relayed => {
                 node.counters.count("relayed_exchanges", "failed");
                 self.pool.note_outcome(node.now(), true);
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -83,6 +83,8 @@
     /// A [`Snapshot`], packed; nothing before there is a configuration.
     Snapshot(Option<Bytes>),
     Followed(FeedAnswer),
+    /// Nothing was sent: the database's zone is evacuated.
+    NotSent,
 }
 
 pub(crate) type LinkStream = Framed<TcpStream, LengthDelimitedCodec>;
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -14,6 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::connection::ConnectionError;
+use crate::evacuation;
 use crate::lease::{Lease, prove_leadership};
 use crate::node::Node;
 use crate::peers::Peers;
@@ -65,6 +66,7 @@
         }
         try_unreachable(&node, &trying);
         tokens::look_for_holders(&node);
+        evacuation::clear_zones(&node);
         for pool in node.pools() {
             pool.trim(node.now());
         }
@@ -86,6 +88,15 @@
     if !in_use && !node.knows_fleet() {
         return;
     }
+    if node.shut_leader(group).is_some() {
+        if in_use {
+            ask_who_took_over(node, peers, asking, group);
+        }
+        if let Some((candidate, _)) = promoting {
+            ask(node, asking, &candidate);
+        }
+        return;
+    }
     if let Some(leader) = &leader {
         let period = question_period(node, leader, now.since(used_at));
         let unconfirmed = now.since(confirmed_at);
@@ -130,6 +141,17 @@
     }
 }
 
+/// A primary that is shut is not asked any more, so who leads after it is learnt from the other
+/// databases and from their holders.
+fn ask_who_took_over(node: &Rc<Node>, peers: &Rc<Peers>, asking: &Rc<Asking>, group: &GroupName) {
+    ask_who_leads(node, peers, group);
+    for database in node.by_stated_role(group) {
+        if node.connection_cap(&database) > 0 {
+            ask(node, asking, &database);
+        }
+    }
+}
+
 /// The number of a question to a peer, if one is due: at most one in a while.
 fn next_question(node: &Rc<Node>, group: &GroupName) -> Option<usize> {
     let now = node.now();
@@ -188,7 +210,7 @@
 
 /// Asks a database whether it leads, unless a question is on its way.
 fn ask(node: &Rc<Node>, asking: &Rc<Asking>, database: &DatabaseName) {
-    if !asking.databases.borrow_mut().insert(database.clone()) {
+    if node.is_shut(database) || !asking.databases.borrow_mut().insert(database.clone()) {
         return;
     }
     let node = Rc::clone(node);
@@ -238,7 +260,7 @@
 fn try_unreachable(node: &Rc<Node>, trying: &Rc<Asking>) {
     for pool in node.pools() {
         let held = node.connection_cap(pool.database()) > 0;
-        if pool.is_reachable() || !held {
+        if pool.is_reachable() || !held || node.is_shut(pool.database()) {
             continue;
         }
         let database = pool.database().clone();
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -9,20 +9,20 @@
 use hookpoint_coordination::serving::cold_start::ColdStartBounds;
 use hookpoint_coordination::serving::coordinator::CoordinatorView;
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
-use hookpoint_coordination::serving::evacuation::{Evacuations, ZoneStanding};
-use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
+use hookpoint_coordination::serving::leadership::Leadership;
 use hookpoint_coordination::serving::lease_grantor::LeaseGrantor;
 use hookpoint_coordination::serving::primary_lease::PrimaryLease;
 use hookpoint_coordination::serving::quota::QuotaBounds;
 use hookpoint_coordination::serving::selection::Distance;
 use hookpoint_coordination::serving::tenancy::RevocationPolicy;
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
-use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp, ZoneName};
+use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
 use serde_json::Value;
 use tokio::sync::Notify;
 
 use crate::counted_store::CountedStore;
 use crate::counters::Counters;
+use crate::evacuation::ZoneEvacuations;
 use crate::events::EventLog;
 use crate::feed::Feed;
 use crate::homes::HomeViews;
@@ -31,7 +31,6 @@
 use crate::ports::{LeaseId, PromotionService, StateStore, WireProtocol};
 use crate::reachability::Reachability;
 use crate::tokens::Tokens;
-use crate::units::millis;
 
 /// Rest of a transaction that is allowed where the configuration tells none.
 const DEFAULT_TRANSACTION_IDLE: Duration = Duration::from_secs(3);
@@ -128,6 +127,8 @@
     pub announced_at: u64,
     /// Whether this node is busy replacing its primary.
     pub being_replaced: bool,
+    /// Since when this node, as the coordinator, has wanted to move its primary.
+    pub move_wanted_since: Option<Timestamp>,
     /// The database that last proved to lead though another one was announced, and when
     /// it was asked.
     pub overruled: Option<(DatabaseName, Timestamp)>,
@@ -150,11 +151,6 @@
     pub gone_at: Option<Timestamp>,
 }
 
-/// A position for the log: term and number, parted by a point.
-fn written(position: Position) -> String {
-    format!("{}.{}", position.term.0, position.lsn.0)
-}
-
 /// A number that no earlier process of this node had.
 fn new_life() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -185,7 +181,7 @@
     /// Databases.
     pub directory: RefCell<Directory>,
     /// Zones that the operator evacuates.
-    pub(crate) evacuations: RefCell<Evacuations>,
+    pub(crate) evacuations: ZoneEvacuations,
     /// Groups.
     pub groups: RefCell<BTreeMap<GroupName, GroupState>>,
     /// Peers, this node included.
@@ -269,7 +265,7 @@
             configuration: RefCell::default(),
             configured_at: Cell::default(),
             directory: RefCell::default(),
-            evacuations: RefCell::default(),
+            evacuations: ZoneEvacuations::default(),
             groups: RefCell::default(),
             members: RefCell::default(),
             own_record_revision: Cell::new(0),
@@ -391,20 +387,6 @@
         directory.get(name).map(|listed| listed.database.clone())
     }
 
-    /// Whether work may still be sent to a database.
-    pub fn may_serve(&self, name: &DatabaseName) -> bool {
-        let directory = self.directory.borrow();
-        let Some(listed) = directory.get(name) else {
-            return false;
-        };
-        if self.zone_standing(&listed.database.zone) == ZoneStanding::Evacuated {
-            return false;
-        }
-        listed
-            .leaving_since
-            .is_none_or(|since| self.now().since(since) < self.changeable().drain_limit)
-    }
-
     /// The pool of a database.
     pub fn pool(self: &Rc<Self>, name: &DatabaseName) -> Rc<Pool> {
         let mut pools = self.pools.borrow_mut();
@@ -431,13 +413,6 @@
         });
     }
 
-    /// What the databases of a zone may be used for at the moment.
-    pub(crate) fn zone_standing(&self, zone: &ZoneName) -> ZoneStanding {
-        let limit = self.changeable().evacuation_limit;
-        let evacuations = self.evacuations.borrow();
-        evacuations.standing(zone, limit, Duration::ZERO, self.now())
-    }
-
     /// How far a database is.
     pub fn distance(&self, zone: &ZoneName) -> Distance {
         if *zone == self.settings.zone {
@@ -471,152 +446,6 @@
             .is_some_and(|database| self.leader(&database.group).as_ref() == Some(name))
     }
 
-    /// Whether the newest promotion known allows a database to lead.
-    ///
-    /// Where the service does not fence, a replaced primary may still believe to lead, so
-    /// only the database of the newest order is taken for the primary.
-    fn may_lead(&self, database: &Database) -> bool {
-        self.changeable().fenced_promotions
-            || self.with_group(&database.group, |state| {
-                state
-                    .promoting
-                    .as_ref()
-                    .is_none_or(|(candidate, _)| *candidate == database.name)
-            })
-    }
-
-    /// Takes a proof that a database leads. Where promotions are not fenced, the position
-    /// in it only counts if this node was allowed to use primaries when it asked: a
-    /// replaced primary's covers nothing.
-    pub fn confirm_leader(&self, name: &DatabaseName, proof: Confirmation) {
-        let covered = self.covers_primaries(proof.asked_at);
-        let proof = Confirmation {
-            position: proof.position.filter(|_| covered),
-            ..proof
-        };
-        self.believe_leader(name, proof);
-    }
-
-    /// Takes a proof of this node's own, or one that a peer passes on, as it is.
-    pub(crate) fn believe_leader(&self, name: &DatabaseName, proof: Confirmation) {
-        let Some(database) = self.database(name) else {
-            return;
-        };
-        if !self.may_lead(&database) {
-            self.with_group(&database.group, |state| {
-                state.overruled = Some((name.clone(), proof.asked_at));
-            });
-            return;
-        }
-        let now = self.now();
-        let (changed, reign) = self.with_group(&database.group, |state| {
-            let changed = state.leadership.confirm(name, proof);
-            if state.leadership.leader() == Some(name) {
-                state.contact = Contact {
-                    last_heard: now,
-                    ..Contact::default()
-                };
-                state.leaderless_since = None;
-            }
-            (changed, state.leadership.reign())
-        });
-        if changed {
-            self.log(
-                "leader_confirmed",
-                &[
-                    ("group", database.group.as_str().into()),
-                    ("database", name.as_str().into()),
-                    ("reign", reign.0.into()),
-                    ("position", proof.position.map(written).into()),
-                ],
-            );
-            self.leader_changed.notify_waiters();
-        }
-    }
-
-    /// Takes a proof, asked for at `asked_at`, that a database does not lead.
-    pub fn refute_leader(&self, name: &DatabaseName, asked_at: Timestamp) {
-        let Some(database) = self.database(name) else {
-            return;
-        };
-        let now = self.now();
-        let changed = self.with_group(&database.group, |state| {
-            let changed = state.leadership.refute(name, asked_at);
-            if changed {
-                state.leaderless_since.get_or_insert(now);
-                state.contact = Contact::default();
-            }
-            changed
-        });
-        if changed {
-            self.log(
-                "leader_refuted",
-                &[
-                    ("group", database.group.as_str().into()),
-                    ("database", name.as_str().into()),
-                ],
-            );
-        }
-    }
-
-    /// Notes that a database answered.
-    pub fn note_contact(&self, name: &DatabaseName) {
-        let Some(database) = self.database(name) else {
-            return;
-        };
-        let now = self.now();
-        let lost_since = self.with_group(&database.group, |state| {
-            if state.leadership.leader() != Some(name) {
-                return None;
-            }
-            let before = state.contact.lost_since;
-            state.contact = Contact {
-                last_heard: now,
-                ..Contact::default()
-            };
-            before
-        });
-        if let Some(since) = lost_since {
-            let away = millis(now.since(since));
-            self.log_primary("primary_regained", &database, ("away_ms", away.into()));
-        }
-    }
-
-    /// Notes that a question sent to the leader at `asked_at` was not answered.
-    pub fn note_lost_contact(&self, name: &DatabaseName, asked_at: Timestamp, refused: bool) {
-        let Some(database) = self.database(name) else {
-            return;
-        };
-        let newly_lost = self.with_group(&database.group, |state| {
-            let contact = &mut state.contact;
-            if state.leadership.leader() != Some(name) || contact.last_heard > asked_at {
-                return false;
-            }
-            let newly_lost = contact.lost_since.is_none();
-            contact.lost_since.get_or_insert(asked_at);
-            contact.refused = refused;
-            newly_lost
-        });
-        if newly_lost {
-            self.log_primary(
-                "primary_unreachable",
-                &database,
-                ("refused", refused.into()),
-            );
-        }
-    }
-
-    fn log_primary(&self, event: &'static str, database: &Database, detail: (&str, Value)) {
-        self.log(
-            event,
-            &[
-                ("group", database.group.as_str().into()),
-                ("database", database.name.as_str().into()),
-                detail,
-            ],
-        );
-    }
-
     /// Databases of a group that state that they lead, then the others.
     pub fn by_stated_role(&self, group: &GroupName) -> Vec<DatabaseName> {
         let directory = self.directory.borrow();
--- a/crates/serving/src/pool/acquire.rs
+++ b/crates/serving/src/pool/acquire.rs
@@ -31,6 +31,9 @@
         request: ConnectionRequest<'_>,
     ) -> Result<Lease, AcquireError> {
         let node = self.node.upgrade().ok_or(AcquireError::Unlisted)?;
+        if node.is_shut(&self.database) {
+            return Err(AcquireError::ZoneEvacuated);
+        }
         self.note_demand(node.now(), request.principal);
         if let Some(lease) = self.try_acquire(request.principal, request.values) {
             return Ok(lease);
@@ -86,6 +89,9 @@
         node: &Rc<Node>,
         request: ConnectionRequest<'_>,
     ) -> Result<Lease, AcquireError> {
+        if node.is_shut(&self.database) {
+            return Err(AcquireError::ZoneEvacuated);
+        }
         if !self.reachable.get() {
             return Err(AcquireError::NotHeld);
         }
@@ -168,6 +174,9 @@
         node: &Rc<Node>,
         principal: Option<&Principal>,
     ) -> Result<Lease, AcquireError> {
+        if node.is_shut(&self.database) {
+            return Err(AcquireError::ZoneEvacuated);
+        }
         let (address, group) = node
             .database(&self.database)
             .map(|database| (database.address, database.group))
--- a/crates/serving/src/pool/mod.rs
+++ b/crates/serving/src/pool/mod.rs
@@ -96,6 +96,9 @@
     /// The database is not listed any more.
     #[error("the database is not listed")]
     Unlisted,
+    /// Its zone is evacuated.
+    #[error("the database's zone is evacuated")]
+    ZoneEvacuated,
 }
 
 /// The pool of one database.
@@ -155,6 +158,11 @@
         self.leased.get() + self.waiters.borrow().len()
     }
 
+    /// Connections in use, those that another node holds among them.
+    pub(crate) fn in_use(&self) -> usize {
+        self.leased.get()
+    }
+
     /// Connections that are open or being opened.
     pub fn open_connections(&self) -> usize {
         self.open.get()
@@ -294,7 +302,7 @@
     /// After a time-out: asks something that needs no slot on a connection at rest. If
     /// that is not answered either, the way to the database is lost.
     pub(crate) fn verify(self: &Rc<Self>, node: &Rc<Node>) {
-        if self.verifying.replace(true) {
+        if node.is_shut(&self.database) || self.verifying.replace(true) {
             return;
         }
         let pool = Rc::clone(self);
@@ -331,10 +339,16 @@
         self.open.set(self.open.get() - closed);
     }
 
-    /// Closes the connections at rest.
-    pub fn close_idle(&self) {
+    /// Closes the connections at rest; returns how many.
+    pub fn close_idle(&self) -> usize {
         let closed = self.idle.borrow_mut().close_all();
         self.open.set(self.open.get() - closed);
+        closed
+    }
+
+    /// Sends away all who wait for a connection.
+    pub(crate) fn dismiss_waiters(&self) {
+        self.waiters.borrow_mut().dismiss_all();
     }
 }
 
--- a/crates/serving/src/pool/release.rs
+++ b/crates/serving/src/pool/release.rs
@@ -31,6 +31,11 @@
         let Some(node) = self.node.upgrade() else {
             return;
         };
+        if node.is_shut(&self.database) {
+            // Closing it ends what it holds.
+            self.open.set(self.open.get() - 1);
+            return;
+        }
         let Some(connection) = self.hand_over(&node, connection) else {
             return;
         };
--- a/crates/serving/src/pool/waiters.rs
+++ b/crates/serving/src/pool/waiters.rs
@@ -79,6 +79,11 @@
         (ticket, receiver)
     }
 
+    /// Drops all: they get nothing.
+    pub(super) fn dismiss_all(&mut self) {
+        self.queue.clear();
+    }
+
     pub(super) fn leave(&mut self, ticket: Ticket) {
         self.queue.remove(&ticket);
     }
--- a/crates/serving/src/session/admission.rs
+++ b/crates/serving/src/session/admission.rs
@@ -41,8 +41,11 @@
     }
 
     /// Whether the caller may no longer go on with its transaction: its key was withdrawn or
-    /// has become another tenant's since.
+    /// has become another tenant's since, or its database is shut.
     pub(super) fn denial_of(&self, transaction: &Transaction) -> Option<Failure> {
+        if transaction.ended {
+            return Some(rolled_back());
+        }
         let configuration = self.node.configuration()?;
         let route = &transaction.route;
         let keys_pass = self.node.keys_pass();
--- a/crates/serving/src/session/mod.rs
+++ b/crates/serving/src/session/mod.rs
@@ -43,6 +43,9 @@
     read_only: bool,
     wrote: bool,
     lease: Option<Lease>,
+    /// Whether it was ended because its database is shut; its caller learns that with the next
+    /// statement.
+    ended: bool,
 }
 
 /// Serves one accepted connection until it ends.
@@ -174,6 +177,7 @@
             if let Some(input) = self.node.protocol.decode_caller(&mut self.incoming)? {
                 return Ok(Next::Input(input));
             }
+            self.end_evacuated_transaction();
             let stage = self.node.stop_stage();
             match self.state.phase {
                 Phase::Idle if stage >= StopStage::CloseIdle => return Ok(Next::Close),
@@ -226,12 +230,44 @@
         self.node.counters.count("transactions_ended", "rested");
         self.node.log(
             "transaction_ended",
-            &[("database", self.database.as_str().into())],
+            &[
+                ("database", self.database.as_str().into()),
+                ("reason", "rested".into()),
+            ],
         );
         self.transaction = None;
         self.state.phase = Phase::Failed;
     }
 
+    /// Ends a transaction that is open at a database which is shut: its connection closes, and
+    /// the database rolls back.
+    fn end_evacuated_transaction(&mut self) {
+        let Some(transaction) = &mut self.transaction else {
+            return;
+        };
+        let database = transaction
+            .lease
+            .as_ref()
+            .map(|lease| lease.pool().database());
+        let Some(database) = database
+            .filter(|database| self.node.is_shut(database))
+            .cloned()
+        else {
+            return;
+        };
+        transaction.lease = None;
+        transaction.ended = true;
+        self.node.note_transaction_evacuated(&database);
+        self.node.log(
+            "transaction_ended",
+            &[
+                ("database", self.database.as_str().into()),
+                ("reason", "zone_evacuated".into()),
+                ("held_at", database.as_str().into()),
+            ],
+        );
+    }
+
     async fn answer(&mut self, id: Bytes, statement: Statement) {
         let arrived = self.node.now();
         if self.state.phase == Phase::Failed {
@@ -309,6 +345,7 @@
             read_only,
             wrote: false,
             lease: None,
+            ended: false,
         });
         self.state.phase = Phase::InTransaction;
         self.done_locally();
@@ -427,6 +464,11 @@
             return;
         };
         self.state.phase = Phase::Idle;
+        if transaction.ended {
+            self.fail(rolled_back());
+            self.ready();
+            return;
+        }
         let Some(mut lease) = transaction.lease.take() else {
             self.done_locally();
             return;
--- a/crates/serving/src/snapshot.rs
+++ b/crates/serving/src/snapshot.rs
@@ -1,4 +1,4 @@
-//! What a node knows of configuration, databases and members, for one that cannot read
+//! What a node knows of configuration, databases, members and evacuations, for one that cannot read
 //! the store.
 //!
 //! Versions and revisions go along, so taking a snapshot never replaces newer knowledge.
@@ -7,6 +7,7 @@
 
 use hookpoint_coordination::serving::directory::Database;
 use hookpoint_coordination::serving::topology::Configuration;
+use hookpoint_state::ZoneName;
 use serde::{Deserialize, Serialize};
 
 use crate::node::{Member, Node};
@@ -22,6 +23,8 @@
     pub databases: Vec<(Database, u64)>,
     /// Registered nodes.
     pub members: Vec<MemberRecord>,
+    /// Zones that are being evacuated, or were, with the revisions that say so.
+    pub evacuations: Vec<(ZoneName, bool, u64)>,
 }
 
 impl Snapshot {
@@ -46,11 +49,15 @@
             configuration: (*configuration).clone(),
             databases,
             members,
+            evacuations: node.known_evacuations(),
         })
     }
 
     fn apply(self, node: &Rc<Node>) {
         let now = node.now();
+        for (zone, requested, revision) in self.evacuations {
+            node.take_evacuation(&zone, requested, revision);
+        }
         for (database, revision) in self.databases {
             node.directory.borrow_mut().put(database, revision, now);
         }
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -136,6 +136,9 @@
                     self.reads_timed_out.set(self.reads_timed_out.get() + 1);
                 }
                 return match work.access {
+                    _ if matches!(error, ConnectionError::ZoneEvacuated) => {
+                        Attempt::NotRun(AttemptFailure::NoConnection)
+                    }
                     Access::Read => Attempt::NotRun(AttemptFailure::Broken),
                     Access::Write if matches!(stance, Stance::Alone(_)) => Attempt::Unknown,
                     Access::Write => Attempt::NotRun(AttemptFailure::Broken),
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -1,6 +1,7 @@
 //! Carrying one statement to a database that may serve it, and back.
 
 mod attempt;
+mod evacuated;
 mod outcome;
 mod quota;
 mod stance;
@@ -22,6 +23,7 @@
 use tokio::time::{sleep, timeout};
 
 use self::attempt::{Attempt, AttemptFailure};
+use self::evacuated::Evacuated;
 pub(crate) use self::outcome::rolled_back;
 use self::outcome::{Tried, access_name};
 use self::target::Target;
@@ -138,9 +140,15 @@
         }
     }
 
-    /// Waits until a database may have become usable; fails once that has taken long.
-    async fn await_target(&self) -> Result<(), Failure> {
-        let left = self.wait_limit().since(self.node.now());
+    /// Waits until a database may have become usable; fails once that has taken long, or if an
+    /// evacuation has left none that could run the statement.
+    async fn await_target(&self, only_leader: bool) -> Result<(), Failure> {
+        let limit = match self.evacuated(only_leader) {
+            Some(Evacuated::HandedOverBy(limit)) => limit.min(self.wait_limit()),
+            Some(Evacuated::Stays) => return Err(self.evacuation_refusal()),
+            None => self.wait_limit(),
+        };
+        let left = limit.since(self.node.now());
         if left < LEAST_ATTEMPT {
             return Err(self.refusal("no_database"));
         }
@@ -195,7 +203,11 @@
                     return Err(self.refusal("overloaded"));
                 }
                 avoided.clear();
-                if let Err(failure) = self.await_target().await {
+                let only_leader = to_leader || self.required_position().is_none();
+                if let Err(failure) = self.await_target(only_leader).await {
+                    if self.evacuated(only_leader).is_some() {
+                        tried.last_failure = "zone_evacuated";
+                    }
                     self.log_outcome(work, &tried, "refused");
                     return Err(failure);
                 }
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::evacuation::ZoneStanding;
 use hookpoint_coordination::serving::selection::{Candidate, rank};
 use hookpoint_coordination::serving::topology::Consistency;
 use hookpoint_state::{DatabaseName, Position};
@@ -104,6 +105,7 @@
                     service_time: pool.service_time(now),
                     failing: pool.failing(now),
                     draining: listed.leaving_since.is_some(),
+                    spared: self.node.zone_standing(&database.zone) != ZoneStanding::Open,
                     suspect: pool.is_suspect(now),
                     lagging: pool.is_lagging(now),
                     leader: leader == Some(&database.name),
--- a/crates/serving/src/statement/transaction.rs
+++ b/crates/serving/src/statement/transaction.rs
@@ -108,6 +108,9 @@
                 self.log_served(id, "commit", lease.pool().database());
                 Ok(answer)
             }
+            // The commit did not reach the database, which ends the transaction with its
+            // connection.
+            Err(ConnectionError::ZoneEvacuated) => Err(rolled_back()),
             _ if wrote => {
                 self.node.log(
                     "commit_unknown",
