--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::evacuation::ZoneStanding;
 use hookpoint_coordination::serving::placement::{
     GroupView, Need, Obstacle, PermittedDatabase, Placement,
 };
@@ -133,6 +134,7 @@
                     service_time: pool.service_time(now),
                     failing: pool.failing(now),
                     draining: listed.leaving_since.is_some(),
+                    spared: self.node.zone_standing(&database.zone) != ZoneStanding::Open,
                     suspect: pool.is_suspect(now),
                     lagging: pool.is_lagging(now),
                     leader: leader == Some(&database.name),
