--- a/crates/coordination/src/serving/placement.rs
+++ b/crates/coordination/src/serving/placement.rs
@@ -4,7 +4,7 @@
 //! both do, both bind. The node that the caller is connected to always has the text; apart
 //! from it, only nodes in the allowed regions may have it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use hookpoint_state::{DatabaseName, GroupName, RegionName, ZoneName};
@@ -206,20 +206,23 @@
     }
 }
 
-/// Regions in which a group's primary serves all routes of the group that are confined to
-/// some; none if no route is, or if they have no region in common.
+/// Regions in which each group's primary serves all routes of the group that are confined to
+/// some. A group is absent if no route of it is, or if they have no region in common.
 ///
 /// Routes that contradict each other therefore never ask for a move, and two nodes with the
 /// same configuration ask for the same one.
-pub fn primary_regions(
-    configuration: &Configuration,
-    group: &GroupName,
-) -> Option<BTreeSet<RegionName>> {
+pub fn primary_regions(configuration: &Configuration) -> BTreeMap<GroupName, BTreeSet<RegionName>> {
+    let mut common: BTreeMap<GroupName, BTreeSet<RegionName>> = BTreeMap::new();
     let confined = configuration
         .routes
         .values()
-        .filter(|route| route.group == *group && !route.allowed_regions.is_empty())
-        .map(|route| route.allowed_regions.clone());
-    let common = confined.reduce(|left, right| &left & &right)?;
-    (!common.is_empty()).then_some(common)
+        .filter(|route| !route.allowed_regions.is_empty());
+    for route in confined {
+        common
+            .entry(route.group.clone())
+            .and_modify(|regions| regions.retain(|region| route.allowed_regions.contains(region)))
+            .or_insert_with(|| route.allowed_regions.clone());
+    }
+    common.retain(|_, regions| !regions.is_empty());
+    common
 }
--- a/crates/coordination/tests/serving_placement.rs
+++ b/crates/coordination/tests/serving_placement.rs
@@ -270,9 +270,10 @@
     for (routes, expected) in rows {
         // What a tenant is confined to moves no primary.
         let known = configuration(routes, &["south"]);
-        let found = primary_regions(&known, &GroupName::new(GROUP));
-        assert_eq!(found, expected.map(set), "{routes:?}");
-        assert_eq!(primary_regions(&known, &GroupName::new("other")), None);
+        let found = primary_regions(&known);
+        let group = GroupName::new(GROUP);
+        assert_eq!(found.get(&group).cloned(), expected.map(set), "{routes:?}");
+        assert!(found.keys().all(|named| *named == group), "{routes:?}");
     }
 }
 
@@ -322,7 +323,8 @@
             added.allowed_regions = allowed.clone();
             known.routes.insert(format!("route-{index}"), Rc::new(added));
         }
-        let Some(wanted) = primary_regions(&known, &GroupName::new(GROUP)) else {
+        let found = primary_regions(&known);
+        let Some(wanted) = found.get(&GroupName::new(GROUP)) else {
             return true;
         };
         let suits = |allowed: &BTreeSet<RegionName>| {
--- a/crates/serving/src/coordinator/handover.rs
+++ b/crates/serving/src/coordinator/handover.rs
@@ -109,7 +109,8 @@
         region: node.changeable().regions.get(zone).map(RegionName::new),
         cold: false,
     };
-    Drawbacks::of(&place, None)
+    let allowed = node.primary_regions(&listed.database.group);
+    Drawbacks::of(&place, allowed.as_ref())
 }
 
 /// Logs what became of a move.
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -1,7 +1,7 @@
 //! The state that all tasks of a node share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -14,7 +14,7 @@
 use hookpoint_coordination::serving::primary_lease::PrimaryLease;
 use hookpoint_coordination::serving::selection::Distance;
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
-use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
+use hookpoint_state::{DatabaseName, GroupName, RegionName, Timestamp, ZoneName};
 use serde_json::Value;
 use tokio::sync::Notify;
 
@@ -120,6 +120,8 @@
     pub configuration: RefCell<ConfigurationHolder>,
     /// When the first configuration was taken.
     pub(crate) configured_at: Cell<Option<Timestamp>>,
+    /// Regions in which the primaries of groups should be, where the configuration cares.
+    pub(crate) primary_regions: RefCell<BTreeMap<GroupName, BTreeSet<RegionName>>>,
     /// Databases.
     pub directory: RefCell<Directory>,
     /// Zones that the operator evacuates.
@@ -208,6 +210,7 @@
             counters,
             configuration: RefCell::default(),
             configured_at: Cell::default(),
+            primary_regions: RefCell::default(),
             directory: RefCell::default(),
             evacuations: ZoneEvacuations::default(),
             groups: RefCell::default(),
@@ -305,6 +308,9 @@
     pub fn take_configuration(&self, configuration: Configuration) {
         let version = configuration.version;
         if self.configuration.borrow_mut().offer(configuration) {
+            if let Some(taken) = self.configuration() {
+                self.place_primaries(&taken);
+            }
             if self.configured_at.get().is_none() {
                 self.configured_at.set(Some(self.now()));
             }
--- a/crates/serving/src/placement.rs
+++ b/crates/serving/src/placement.rs
@@ -5,7 +5,7 @@
 
 use hookpoint_coordination::serving::placement::{Placement, primary_regions};
 use hookpoint_coordination::serving::tenancy::Principal;
-use hookpoint_coordination::serving::topology::Route;
+use hookpoint_coordination::serving::topology::{Configuration, Route};
 use hookpoint_state::{GroupName, RegionName};
 
 use crate::homes::Peer;
@@ -25,10 +25,15 @@
         Rc::new(placement)
     }
 
+    /// Takes over what a configuration says of the regions of primaries.
+    pub(crate) fn place_primaries(&self, configuration: &Configuration) {
+        *self.primary_regions.borrow_mut() = primary_regions(configuration);
+    }
+
     /// The regions that the routes of a group want its primary in; none if they do not care
     /// or do not agree.
     pub fn primary_regions(&self, group: &GroupName) -> Option<BTreeSet<RegionName>> {
-        primary_regions(&*self.configuration()?, group)
+        self.primary_regions.borrow().get(group).cloned()
     }
 
     /// Whether a peer may be given the text of a statement placed so. One that is not known
