--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -288,56 +288,29 @@
     }
 }
 
+/// Why an upstream told nothing newer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NoNews {
+    /// It did not answer, or not so that it could be read.
+    NotAnswered,
+    /// The store turns it away.
+    TurnedAway,
+    /// It knew nothing newer in time.
+    Behind,
+    /// It lacks some of the changes.
+    Incomplete,
+}
+
 /// Follows the store through an upstream. One that the store turns away tells so at once, and
 /// the next one is asked.
 pub async fn follow_upstream(node: &Rc<Node>, revision: u64) -> Followed {
     let mut asked: Vec<String> = Vec::new();
     while let Some(upstream) = next_upstream(node, &asked) {
         asked.push(upstream.name.clone());
-        let asked_at = node.now();
-        let passed_over = match ask(node, &upstream, revision).await {
-            Some(FeedAnswer::Changes {
-                changes,
-                everything,
-                steady_ms,
-                age_ms,
-                held_ms,
-            }) => match unpack(node, &upstream, &changes) {
-                Some(changes) => {
-                    node.counters.count("store_followed", "peer");
-                    // All of the time that the upstream did not hold the question back may
-                    // be the answer's way.
-                    let held = Duration::from_millis(held_ms);
-                    let way = node.now().since(asked_at).saturating_sub(held);
-                    let age = Duration::from_millis(age_ms) + way;
-                    node.feed.note_heard(node.now() - age);
-                    note_steady(node, Duration::from_millis(steady_ms));
-                    return if everything {
-                        Followed::Everything(changes)
-                    } else {
-                        Followed::Changes(changes)
-                    };
-                }
-                None => PASSED_OVER,
-            },
-            Some(FeedAnswer::StoreLost) => {
-                node.counters.count("store_followed", "peer_turned_away");
-                let mut news = node.feed.news.borrow_mut();
-                news.leave_out(&upstream.name, node.now());
-                continue;
-            }
-            Some(FeedAnswer::NothingNew) => {
-                node.counters.count("store_followed", "peer_behind");
-                continue;
-            }
-            Some(FeedAnswer::Incomplete) => PASSED_OVER_INCOMPLETE,
-            None => {
-                node.counters.count("store_followed", "peer_failed");
-                PASSED_OVER
-            }
-        };
-        let until = node.now() + passed_over;
-        node.feed.pass_over(&upstream.name, until);
+        match ask(node, &upstream, revision).await {
+            Ok(followed) => return followed,
+            Err(reason) => note_no_news(node, &upstream, reason),
+        }
     }
     let mut news = node.feed.news.borrow_mut();
     news.note_nothing_heard(node.now());
@@ -347,6 +320,28 @@
     Followed::Nothing
 }
 
+/// Takes in that an upstream was of no help, so that another one is asked.
+fn note_no_news(node: &Rc<Node>, upstream: &Peer, reason: NoNews) {
+    let now = node.now();
+    let feed = &node.feed;
+    let label = match reason {
+        NoNews::NotAnswered => {
+            feed.pass_over(&upstream.name, now + PASSED_OVER);
+            "peer_failed"
+        }
+        NoNews::TurnedAway => {
+            feed.news.borrow_mut().leave_out(&upstream.name, now);
+            "peer_turned_away"
+        }
+        NoNews::Behind => "peer_behind",
+        NoNews::Incomplete => {
+            feed.pass_over(&upstream.name, now + PASSED_OVER_INCOMPLETE);
+            "peer_incomplete"
+        }
+    };
+    node.counters.count("store_followed", label);
+}
+
 /// The next upstream to ask in a round, after those that were asked in it.
 fn next_upstream(node: &Rc<Node>, asked: &[String]) -> Option<Peer> {
     if asked.len() == ASKED_IN_A_ROUND {
@@ -359,12 +354,46 @@
         .find(|upstream| !node.feed.is_passed_over(&upstream.name, now))
 }
 
-/// Asks an upstream for the changes after `revision`. Nothing if it does not answer.
-async fn ask(node: &Rc<Node>, upstream: &Peer, revision: u64) -> Option<FeedAnswer> {
+/// Asks an upstream for the changes after `revision`, and takes in how old what it tells is.
+async fn ask(node: &Rc<Node>, upstream: &Peer, revision: u64) -> Result<Followed, NoNews> {
     let asked_at = node.now();
+    match call(node, upstream, revision).await {
+        Some(FeedAnswer::Changes {
+            changes,
+            everything,
+            steady_ms,
+            age_ms,
+            held_ms,
+        }) => {
+            let changes = unpack(node, upstream, &changes).ok_or(NoNews::NotAnswered)?;
+            let now = node.now();
+            // All of the time that the upstream did not hold the question back may be the
+            // answer's way.
+            let held = Duration::from_millis(held_ms);
+            let way = now.since(asked_at).saturating_sub(held);
+            node.counters.count("store_followed", "peer");
+            node.feed
+                .note_heard(now - (Duration::from_millis(age_ms) + way));
+            note_steady(node, Duration::from_millis(steady_ms));
+            Ok(if everything {
+                Followed::Everything(changes)
+            } else {
+                Followed::Changes(changes)
+            })
+        }
+        Some(FeedAnswer::StoreLost) => Err(NoNews::TurnedAway),
+        Some(FeedAnswer::NothingNew) => Err(NoNews::Behind),
+        Some(FeedAnswer::Incomplete) => Err(NoNews::Incomplete),
+        None => Err(NoNews::NotAnswered),
+    }
+}
+
+/// Sends the question. Nothing if it is not answered.
+async fn call(node: &Rc<Node>, upstream: &Peer, revision: u64) -> Option<FeedAnswer> {
+    let now = node.now();
     let (age, hold) = {
         let news = node.feed.news.borrow();
-        (news.age(asked_at), news.hold(asked_at, limits(node)))
+        (news.age(now), news.hold(now, limits(node)))
     };
     let request = LinkRequest::Follow(FollowQuestion {
         revision,
