--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -34,9 +34,35 @@
 /// Links to one peer kept at rest.
 const KEPT_LINKS: usize = 8;
 /// How long a peer is passed over for a database after its link broke.
-pub(crate) const PASSED_OVER_BROKEN: Duration = Duration::from_millis(400);
+const PASSED_OVER_BROKEN: Duration = Duration::from_millis(400);
 /// The same after it answered that it has no connection to lease. It may have just started.
-pub(crate) const PASSED_OVER_REFUSED: Duration = Duration::from_millis(100);
+const PASSED_OVER_REFUSED: Duration = Duration::from_millis(100);
+
+/// Why a peer is passed over for a database for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PassedOver {
+    /// Its link broke.
+    Broken,
+    /// It answered that it has no connection to lease.
+    Refused,
+}
+
+impl PassedOver {
+    fn time(self) -> Duration {
+        match self {
+            PassedOver::Broken => PASSED_OVER_BROKEN,
+            PassedOver::Refused => PASSED_OVER_REFUSED,
+        }
+    }
+
+    /// Short name for metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            PassedOver::Broken => "broken",
+            PassedOver::Refused => "refused",
+        }
+    }
+}
 
 /// A message to another node.
 #[derive(Serialize, Deserialize)]
@@ -109,7 +135,7 @@
 #[derive(Default)]
 pub struct Links {
     idle: RefCell<BTreeMap<String, Vec<LinkStream>>>,
-    passed_over: RefCell<BTreeMap<(String, DatabaseName), Timestamp>>,
+    passed_over: RefCell<BTreeMap<(String, DatabaseName), (PassedOver, Timestamp)>>,
 }
 
 impl Links {
@@ -131,28 +157,29 @@
         self.idle.borrow_mut().remove(peer);
     }
 
-    pub(crate) fn is_passed_over(
+    /// Why a peer is passed over for a database at the moment, if it is.
+    pub(crate) fn passed_over(
         &self,
         peer: &str,
         database: &DatabaseName,
         now: Timestamp,
-    ) -> bool {
-        self.passed_over
-            .borrow()
-            .get(&(peer.to_owned(), database.clone()))
-            .is_some_and(|until| now < *until)
+    ) -> Option<PassedOver> {
+        let passed_over = self.passed_over.borrow();
+        let (reason, until) = passed_over.get(&(peer.to_owned(), database.clone()))?;
+        (now < *until).then_some(*reason)
     }
 
     pub(crate) fn pass_over(
         &self,
         peer: &str,
         database: &DatabaseName,
-        time: Duration,
+        reason: PassedOver,
         now: Timestamp,
     ) {
         let mut passed_over = self.passed_over.borrow_mut();
-        passed_over.retain(|_, other| *other > now);
-        passed_over.insert((peer.to_owned(), database.clone()), now + time);
+        passed_over.retain(|_, (_, until)| *until > now);
+        let until = now + reason.time();
+        passed_over.insert((peer.to_owned(), database.clone()), (reason, until));
     }
 }
 
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -24,8 +24,7 @@
 use crate::homes::Peer;
 use crate::lease::Lease;
 use crate::link::{
-    self, LINK_SLACK, LinkReply, LinkRequest, LinkStream, PASSED_OVER_BROKEN, PASSED_OVER_REFUSED,
-    framed, receive, send,
+    self, LINK_SLACK, LinkReply, LinkRequest, LinkStream, PassedOver, framed, receive, send,
 };
 use crate::message::Command;
 use crate::node::Node;
@@ -97,11 +96,12 @@
     wanted: ConnectionRequest<'_>,
 ) -> Result<Lease, NoLease> {
     let database = pool.database();
-    let limits = wanted.limits;
+    let limit = wanted.limits.limit;
     let mut asked = 0;
     let mut refusal = NoLease::NotLent;
     let principal = wanted.principal.unwrap_or(&Principal::Anonymous);
     let holders = node.holders_for(database, principal, wanted.placement);
+    let request = lease_request(database, wanted);
     let mut answering = 0;
     for peer in holders.iter() {
         if asked == PEERS_ASKED {
@@ -110,39 +110,30 @@
         if !node.reachability.may_ask(peer, node.now()) {
             continue;
         }
-        answering += 1;
-        if node.links.is_passed_over(&peer.name, database, node.now()) {
-            continue;
-        }
-        asked += 1;
-        let request = LinkRequest::Lease {
-            database: database.clone(),
-            principal: wanted.principal.cloned(),
-            priority: wanted.priority,
-            values: wanted.values.clone(),
-            wanted: limits.wanted,
-            patience_ms: millis(limits.patience),
-            limit_ms: millis(limits.limit),
-        };
-        match ask(node, peer, &holders, &request, limits.limit).await {
-            Ok(granted) => {
-                let connection = granted.into_connection(database, principal);
-                node.counters.count("relayed_leases", "granted");
-                return Ok(pool.lend_relayed(connection));
-            }
-            Err(NotLent::Overloaded) => {
-                node.counters.count("relayed_leases", "overloaded");
-                refusal = NoLease::Overloaded;
-            }
-            Err(reason) => {
-                let (label, time) = match reason {
-                    NotLent::Broken => ("broken", PASSED_OVER_BROKEN),
-                    _ => ("refused", PASSED_OVER_REFUSED),
-                };
-                node.counters.count("relayed_leases", label);
-                node.links.pass_over(&peer.name, database, time, node.now());
+        let mut passed_over = node.links.passed_over(&peer.name, database, node.now());
+        if passed_over.is_none() {
+            asked += 1;
+            match ask(node, peer, &holders, &request, limit).await {
+                Ok(granted) => {
+                    let connection = granted.into_connection(database, principal);
+                    node.counters.count("relayed_leases", "granted");
+                    return Ok(pool.lend_relayed(connection));
+                }
+                Err(NotLent::Overloaded) => {
+                    node.counters.count("relayed_leases", "overloaded");
+                    refusal = NoLease::Overloaded;
+                }
+                Err(NotLent::PassedOver(reason)) => {
+                    node.counters.count("relayed_leases", reason.as_str());
+                    node.links
+                        .pass_over(&peer.name, database, reason, node.now());
+                    passed_over = Some(reason);
+                }
             }
         }
+        if counts_as_answering(passed_over, wanted.placement) {
+            answering += 1;
+        }
     }
     if answering == 0 && !node.holders(database).is_empty() {
         refusal = NoLease::Silent;
@@ -150,6 +141,27 @@
     Err(refusal)
 }
 
+/// Whether a holder that probes do not show as silent is relied on for a lease.
+///
+/// Of those that may carry a confined statement few are left once one is lost, often none,
+/// so that one whose link broke is not waited for until probes tell.
+fn counts_as_answering(passed_over: Option<PassedOver>, placement: &Placement) -> bool {
+    passed_over != Some(PassedOver::Broken) || !placement.is_restricted()
+}
+
+fn lease_request(database: &DatabaseName, wanted: ConnectionRequest<'_>) -> LinkRequest {
+    let limits = wanted.limits;
+    LinkRequest::Lease {
+        database: database.clone(),
+        principal: wanted.principal.cloned(),
+        priority: wanted.priority,
+        values: wanted.values.clone(),
+        wanted: limits.wanted,
+        patience_ms: millis(limits.patience),
+        limit_ms: millis(limits.limit),
+    }
+}
+
 /// Why no peer gave a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoLease {
@@ -175,10 +187,8 @@
 enum NotLent {
     /// Its queue is too long.
     Overloaded,
-    /// The link broke or the peer did not answer.
-    Broken,
-    /// It has none to lend; the link is as good as before.
-    Refused,
+    /// It did not answer, or has none to lend; then the link is as good as before.
+    PassedOver(PassedOver),
 }
 
 /// A connection that a peer lends, as it stands.
@@ -236,9 +246,9 @@
         }
         Some((LinkReply::Refused, stream)) => {
             node.links.keep(peer.name.clone(), stream);
-            Err(NotLent::Refused)
+            Err(NotLent::PassedOver(PassedOver::Refused))
         }
-        _ => Err(NotLent::Broken),
+        _ => Err(NotLent::PassedOver(PassedOver::Broken)),
     }
 }
 
@@ -294,7 +304,6 @@
 impl Lent {
     fn new(node: &Rc<Node>, lease: Lease) -> Self {
         node.lent.set(node.lent.get() + 1);
-        node.counters.count("lent_leases", "granted");
         Self {
             node: Rc::clone(node),
             lease,
@@ -320,6 +329,11 @@
     }
     let pool = node.pool(database);
     let lease = pool.acquire_direct(node, wanted).await?;
+    let label = match wanted.principal {
+        Some(_) => "for_statement",
+        None => "for_question",
+    };
+    node.counters.count("lent_leases", label);
     Ok(Lent::new(node, lease))
 }
 
