--- a/crates/coordination/src/serving/placement.rs
+++ b/crates/coordination/src/serving/placement.rs
@@ -55,7 +55,7 @@
 pub struct GroupView<'a> {
     /// Those that work may be sent to, reachable or not.
     pub databases: &'a [&'a Database],
-    /// The one believed to lead.
+    /// The one believed to lead; none while it does not answer and may be replaced.
     pub leader: Option<&'a DatabaseName>,
     /// The one that is to lead next, if a promotion is under way.
     pub successor: Option<&'a DatabaseName>,
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -161,14 +161,17 @@
         placement.obstacle(need, group, &self.node.changeable().regions)
     }
 
-    /// The primary, and the database that a promotion ordered a moment ago is for.
+    /// The primary, unless it does not answer and may be replaced, and the database that a
+    /// promotion ordered a moment ago is for.
     fn leader_and_successor(&self) -> (Option<DatabaseName>, Option<DatabaseName>) {
         let now = self.node.now();
         self.node.with_group(&self.route.group, |state| {
             let promoting = state.promoting.as_ref();
             let under_way = promoting.filter(|(_, since)| now.since(*since) < REPLACEMENT_TIME);
             let successor = under_way.map(|(candidate, _)| candidate.clone());
-            (state.leadership.leader().cloned(), successor)
+            let answers = state.contact.lost_since.is_none();
+            let leader = state.leadership.leader().filter(|_| answers);
+            (leader.cloned(), successor)
         })
     }
 }
