Evacuations are heard while the store turns some nodes away, and late news leaves less time

In a store outage for a third of the nodes, requests to evacuate a zone were heard up to 4.7 s late: nodes whose upstreams had lost the store passed on 'nothing new' for seconds, and nodes of a small region asked no peer at all. Nodes now ask others in turn while their upstreams are lost, and an upstream that lost the store says so. A request that is heard late leaves less time until the zone is shut.

--- a/crates/coordination/src/serving/feed.rs
+++ b/crates/coordination/src/serving/feed.rs
@@ -74,6 +74,25 @@
     distinct
 }
 
+/// A node to ask for news of a store that neither `own` nor its upstreams reach: a store may
+/// turn away just those. Each node asks the others in an order of its own, one after another
+/// with the `number` of the question, so news spreads though no two know who has it.
+pub fn other_source<'a>(
+    own: &str,
+    nodes: &'a [HomeCandidate],
+    number: usize,
+    helps: impl Fn(&str) -> bool,
+) -> Option<&'a str> {
+    let mut others: Vec<&str> = nodes
+        .iter()
+        .map(|node| node.node.as_str())
+        .filter(|name| *name != own && helps(name))
+        .collect();
+    others.sort_by_cached_key(|name| Reverse(rendezvous_score(own, name)));
+    let place = number.checked_rem(others.len())?;
+    Some(others[place])
+}
+
 /// The node's parent in its region's tree, that one's parent, and so on. A node that does
 /// not help has the first one as its parent.
 fn ancestors<'a>(own: &str, in_region: &[&'a HomeCandidate]) -> Vec<&'a str> {
--- a/crates/coordination/tests/serving_feed.rs
+++ b/crates/coordination/tests/serving_feed.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hookpoint_coordination::serving::feed::{ChangeLog, OwnTries, Regions, store_upstreams};
+use hookpoint_coordination::serving::feed::{
+    ChangeLog, OwnTries, Regions, other_source, store_upstreams,
+};
 use hookpoint_coordination::serving::homes::HomeCandidate;
 use hookpoint_state::{Timestamp, ZoneName};
 use quickcheck::quickcheck;
@@ -321,3 +323,29 @@
     }
     assert_eq!(log.everything(), None);
 }
+
+#[test]
+fn each_node_asks_all_others_in_an_order_of_its_own() {
+    let all = nodes("a", 12);
+    let order = |own: &str| -> Vec<String> {
+        let asked = (0..11).filter_map(|number| other_source(own, &all, number, |_| true));
+        asked.map(str::to_owned).collect()
+    };
+    let mut firsts: Vec<String> = Vec::new();
+    for own in &all {
+        let mut asked = order(&own.node);
+        firsts.push(asked[0].clone());
+        asked.sort();
+        asked.dedup();
+        assert_eq!(asked.len(), 11, "{asked:?}");
+        assert!(!asked.contains(&own.node));
+    }
+    firsts.sort();
+    firsts.dedup();
+    assert!(firsts.len() >= 5, "all ask the same: {firsts:?}");
+    assert_eq!(
+        other_source("a-0", &all, 0, |name| name == "a-7"),
+        Some("a-7")
+    );
+    assert_eq!(other_source("a-0", &all, 0, |_| false), None);
+}
--- /dev/null
+++ b/crates/coordination/tests/serving_handover.rs
@@ -0,0 +1,339 @@
+//! When a group's primary moves, and where to.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::evacuation::{Evacuations, ZoneStanding};
+use hookpoint_coordination::serving::failover::{ReplicaState, choose_candidate};
+use hookpoint_coordination::serving::handover::{
+    CATCH_UP_TIME, Drawbacks, HandoverPace, LEAST_STAY, MoveReason, PLANNED_SHARE, Place,
+    PlannedMove, holds_enough, plan_move, reason_to_move,
+};
+use hookpoint_state::{DatabaseName, Position, RegionName, Timestamp, ZoneName};
+use quickcheck::quickcheck;
+
+const NONE: Drawbacks = Drawbacks {
+    evacuated: false,
+    leaving: false,
+    outside_regions: false,
+    cold: false,
+    returning: false,
+};
+const EVACUATED: Drawbacks = Drawbacks {
+    evacuated: true,
+    ..NONE
+};
+const LEAVING: Drawbacks = Drawbacks {
+    leaving: true,
+    ..NONE
+};
+const OUTSIDE: Drawbacks = Drawbacks {
+    outside_regions: true,
+    ..NONE
+};
+const COLD: Drawbacks = Drawbacks { cold: true, ..NONE };
+const RETURNING: Drawbacks = Drawbacks {
+    returning: true,
+    ..NONE
+};
+
+fn name(text: &str) -> DatabaseName {
+    DatabaseName::new(text)
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp(60_000_000) + Duration::from_millis(millis)
+}
+
+/// The move of a primary among two other databases, `a` and `b`: why, and where to.
+fn planned(
+    present: Drawbacks,
+    stayed: Option<Duration>,
+    a: Drawbacks,
+    b: Drawbacks,
+) -> Option<(MoveReason, Vec<&'static str>)> {
+    let others = [(name("a"), a), (name("b"), b)];
+    let PlannedMove { reason, targets } = plan_move(present, stayed, &others)?;
+    let named = |target: &DatabaseName| if *target == name("a") { "a" } else { "b" };
+    Some((reason, targets.iter().map(named).collect()))
+}
+
+#[test]
+fn a_primary_moves_for_the_first_reason_that_a_better_place_relieves_it_of() {
+    use MoveReason::{Cold, Evacuated, Leaving, OutsideRegions};
+    let both = Drawbacks {
+        leaving: true,
+        ..EVACUATED
+    };
+    let rows = [
+        (NONE, NONE, NONE, None),
+        (EVACUATED, NONE, NONE, Some((Evacuated, vec!["a", "b"]))),
+        (EVACUATED, EVACUATED, NONE, Some((Evacuated, vec!["b"]))),
+        (EVACUATED, EVACUATED, EVACUATED, None),
+        (EVACUATED, LEAVING, COLD, Some((Evacuated, vec!["a", "b"]))),
+        (LEAVING, EVACUATED, NONE, Some((Leaving, vec!["b"]))),
+        (LEAVING, EVACUATED, EVACUATED, None),
+        (LEAVING, LEAVING, OUTSIDE, Some((Leaving, vec!["b"]))),
+        (both, EVACUATED, EVACUATED, Some((Leaving, vec!["a", "b"]))),
+        (both, LEAVING, EVACUATED, Some((Evacuated, vec!["a"]))),
+        (OUTSIDE, NONE, COLD, Some((OutsideRegions, vec!["a", "b"]))),
+        (OUTSIDE, OUTSIDE, OUTSIDE, None),
+        (OUTSIDE, LEAVING, EVACUATED, None),
+        (COLD, NONE, COLD, Some((Cold, vec!["a"]))),
+        (COLD, OUTSIDE, EVACUATED, None),
+        (COLD, RETURNING, COLD, Some((Cold, vec!["a"]))),
+        (RETURNING, NONE, NONE, None),
+    ];
+    for (present, a, b, expected) in rows {
+        assert_eq!(
+            planned(present, None, a, b),
+            expected,
+            "{present:?}: {a:?}, {b:?}"
+        );
+    }
+}
+
+#[test]
+fn only_what_cannot_wait_moves_a_primary_that_was_promoted_lately() {
+    let lately = Some(LEAST_STAY - Duration::from_millis(1));
+    for urgent in [EVACUATED, LEAVING] {
+        assert!(planned(urgent, lately, NONE, NONE).is_some(), "{urgent:?}");
+    }
+    for patient in [OUTSIDE, COLD] {
+        assert_eq!(planned(patient, lately, NONE, NONE), None, "{patient:?}");
+        assert_eq!(reason_to_move(patient, lately), None);
+        assert!(planned(patient, Some(LEAST_STAY), NONE, NONE).is_some());
+    }
+}
+
+#[test]
+fn a_move_is_wanted_though_there_is_no_place_for_it() {
+    assert_eq!(reason_to_move(EVACUATED, None), Some(MoveReason::Evacuated));
+    assert_eq!(planned(EVACUATED, None, EVACUATED, EVACUATED), None);
+}
+
+#[test]
+fn a_place_is_judged_by_its_zone_and_by_the_regions_allowed() {
+    let place = |zone, region: Option<&str>| Place {
+        leaving: false,
+        zone,
+        region: region.map(RegionName::new),
+        cold: false,
+    };
+    let allowed: BTreeSet<RegionName> = [RegionName::new("east")].into();
+    let none = BTreeSet::new();
+    let rows = [
+        (ZoneStanding::Open, Some("east"), Some(&allowed), NONE),
+        (ZoneStanding::Open, Some("west"), Some(&allowed), OUTSIDE),
+        (ZoneStanding::Open, None, Some(&allowed), OUTSIDE),
+        (ZoneStanding::Open, Some("west"), Some(&none), NONE),
+        (ZoneStanding::Open, Some("west"), None, NONE),
+        (ZoneStanding::Returning, None, None, RETURNING),
+        (ZoneStanding::Evacuating, None, None, EVACUATED),
+        (ZoneStanding::Evacuated, None, None, EVACUATED),
+    ];
+    for (zone, region, regions, expected) in rows {
+        let drawbacks = Drawbacks::of(&place(zone, region), regions);
+        assert_eq!(drawbacks, expected, "{zone:?} {region:?} {regions:?}");
+    }
+}
+
+fn any(bits: u8) -> Drawbacks {
+    Drawbacks {
+        evacuated: bits & 1 != 0,
+        leaving: bits & 2 != 0,
+        outside_regions: bits & 4 != 0,
+        cold: bits & 8 != 0,
+        returning: bits & 16 != 0,
+    }
+}
+
+quickcheck! {
+    /// Whatever speaks against each database, a primary that always moves to any of the targets
+    /// comes to rest after as many moves as there are other databases at the most.
+    fn reasons_never_move_a_primary_to_and_fro(all: Vec<u8>, choices: Vec<usize>) -> bool {
+        let places: Vec<(DatabaseName, Drawbacks)> = all
+            .iter()
+            .take(8)
+            .enumerate()
+            .map(|(number, bits)| (name(&format!("d{number}")), any(*bits)))
+            .collect();
+        let mut leader = 0;
+        for moves in 0..=places.len() {
+            let Some((leading, present)) = places.get(leader) else {
+                return true;
+            };
+            let others: Vec<_> = places.iter().filter(|(other, _)| other != leading).cloned().collect();
+            let Some(planned) = plan_move(*present, None, &others) else {
+                return true;
+            };
+            let choice = choices.get(moves).copied().unwrap_or_default();
+            let target = &planned.targets[choice % planned.targets.len()];
+            leader = places.iter().position(|(place, _)| place == target).unwrap();
+        }
+        false
+    }
+
+    /// The replica that is chosen is always one of the targets, unless it holds nothing.
+    fn the_chosen_replica_is_a_target(present: u8, a: (u8, u64), b: (u8, u64)) -> bool {
+        let replicas: Vec<ReplicaState> = [("a", a), ("b", b)]
+            .into_iter()
+            .map(|(text, (bits, received))| replica(text, 1 + received % 9, any(bits)))
+            .collect();
+        let others: Vec<_> = replicas.iter().map(|state| (state.name.clone(), state.drawbacks)).collect();
+        match plan_move(any(present), None, &others) {
+            None => true,
+            Some(planned) => {
+                let chosen = choose_candidate(&replicas, 2, 0).unwrap();
+                planned.targets.contains(&chosen)
+            }
+        }
+    }
+}
+
+/// The control of the property above: judged by each reason alone, two databases hand the
+/// primary to each other for ever.
+#[test]
+fn without_an_order_of_reasons_a_primary_would_move_to_and_fro() {
+    let alone = |present: Drawbacks, other: Drawbacks| {
+        let reasons = [MoveReason::OutsideRegions, MoveReason::Cold];
+        reasons
+            .into_iter()
+            .any(|reason| present.includes(reason) && !other.includes(reason))
+    };
+    assert!(alone(OUTSIDE, COLD) && alone(COLD, OUTSIDE));
+    let moves = |present, other| plan_move(present, None, &[(name("a"), other)]).is_some();
+    assert!(moves(OUTSIDE, COLD) && !moves(COLD, OUTSIDE));
+}
+
+fn replica(text: &str, received: u64, drawbacks: Drawbacks) -> ReplicaState {
+    ReplicaState {
+        name: name(text),
+        received: Position::new(1, received),
+        drawbacks,
+        preferred: false,
+    }
+}
+
+#[test]
+fn the_candidate_is_in_the_best_place_and_never_an_empty_one_before_one_that_holds_commits() {
+    let rows = [
+        (replica("a", 9, EVACUATED), replica("b", 5, NONE), 0, "b"),
+        (replica("a", 9, EVACUATED), replica("b", 5, NONE), 1, "a"),
+        (
+            replica("a", 9, EVACUATED),
+            replica("b", 5, EVACUATED),
+            0,
+            "a",
+        ),
+        (replica("a", 9, RETURNING), replica("b", 5, NONE), 0, "b"),
+        (replica("a", 9, COLD), replica("b", 5, OUTSIDE), 0, "a"),
+        (replica("a", 9, EVACUATED), replica("b", 0, NONE), 0, "a"),
+        (replica("a", 0, NONE), replica("b", 3, LEAVING), 0, "b"),
+        (replica("a", 0, NONE), replica("b", 0, LEAVING), 0, "a"),
+    ];
+    for (a, b, sync_replicas, expected) in rows {
+        let chosen = choose_candidate(&[a.clone(), b.clone()], 2, sync_replicas);
+        assert_eq!(chosen, Ok(name(expected)), "{a:?}, {b:?}, {sync_replicas}");
+    }
+}
+
+#[test]
+fn a_candidate_that_lacks_commits_is_waited_for_but_an_empty_one_never_leads() {
+    let held = Some(Position::new(3, 40));
+    let long = CATCH_UP_TIME;
+    let short = CATCH_UP_TIME - Duration::from_millis(1);
+    let rows = [
+        (Position::new(3, 40), held, Duration::ZERO, true),
+        (Position::new(3, 41), held, Duration::ZERO, true),
+        (Position::new(3, 39), held, short, false),
+        (Position::new(3, 39), held, long, true),
+        (Position::new(3, 0), held, long * 60, false),
+        (Position::new(3, 0), Some(Position::new(3, 0)), short, true),
+        (Position::new(3, 0), None, Duration::ZERO, true),
+    ];
+    for (received, held, wanted_for, expected) in rows {
+        assert_eq!(
+            holds_enough(received, held, wanted_for),
+            expected,
+            "{received:?} {held:?} {wanted_for:?}"
+        );
+    }
+}
+
+#[test]
+fn planned_moves_leave_the_promotion_service_room() {
+    let rate = 50.0;
+    let mut pace = HandoverPace::default();
+    let started = (0..100)
+        .map(|round| at(round * 100))
+        .map(|now| (0..40).filter(|_| pace.take(rate, now)).count())
+        .collect::<Vec<_>>();
+    let first_second: usize = started[..10].iter().sum();
+    let all: usize = started.iter().sum();
+    assert!(started[0] <= 8, "a burst of {}", started[0]);
+    assert!((35..=42).contains(&first_second), "{first_second}");
+    let expected = (10.0 * rate * PLANNED_SHARE) as usize;
+    assert!((expected - 2..=expected + 8).contains(&all), "{all}");
+}
+
+#[test]
+fn a_service_that_tells_no_rate_sets_no_pace() {
+    let mut pace = HandoverPace::default();
+    assert!((0..100).all(|_| pace.take(0.0, at(0))));
+}
+
+const LIMIT: Duration = Duration::from_millis(2_500);
+const RETURN: Duration = Duration::from_millis(4_000);
+
+#[test]
+fn a_zone_is_emptied_shut_and_given_back() {
+    let zone = ZoneName::new("z");
+    let mut known = Evacuations::default();
+    assert!(known.is_empty());
+    let standing = |known: &Evacuations, now| known.standing(&zone, LIMIT, RETURN, now);
+    assert_eq!(standing(&known, at(0)), ZoneStanding::Open);
+    assert!(known.take(&zone, true, 5, at(0)));
+    assert_eq!(standing(&known, at(2_499)), ZoneStanding::Evacuating);
+    assert_eq!(standing(&known, at(2_500)), ZoneStanding::Evacuated);
+    assert!(!known.take(&zone, false, 4, at(2_600)), "an older word");
+    assert!(known.take(&zone, false, 6, at(3_000)));
+    assert_eq!(known.age(&zone, at(3_000)), None);
+    assert_eq!(standing(&known, at(6_999)), ZoneStanding::Returning);
+    assert_eq!(standing(&known, at(7_000)), ZoneStanding::Open);
+}
+
+#[test]
+fn a_request_that_is_repeated_keeps_its_age_and_one_made_anew_begins_anew() {
+    let zone = ZoneName::new("z");
+    let mut known = Evacuations::default();
+    known.take(&zone, true, 5, at(0));
+    assert!(!known.take(&zone, true, 7, at(1_000)));
+    assert_eq!(
+        known.age(&zone, at(1_500)),
+        Some(Duration::from_millis(1_500))
+    );
+    known.take(&zone, false, 8, at(2_000));
+    known.take(&zone, true, 9, at(2_100));
+    assert_eq!(
+        known.age(&zone, at(2_200)),
+        Some(Duration::from_millis(100))
+    );
+}
+
+#[test]
+fn a_listing_ends_what_it_lacks_and_an_end_is_passed_on() {
+    let [first, second] = ["a", "b"].map(ZoneName::new);
+    let mut known = Evacuations::default();
+    known.take(&first, true, 5, at(0));
+    let changed = known.replace(&[(second.clone(), 6)], 8, at(100));
+    assert_eq!(changed, [second.clone(), first.clone()]);
+    let told: Vec<_> = known.known().collect();
+    assert_eq!(told, [(&first, false, 8), (&second, true, 6)]);
+    let mut behind = Evacuations::default();
+    behind.take(&first, true, 5, at(0));
+    for (zone, requested, revision) in known.known() {
+        behind.take(zone, requested, revision, at(200));
+    }
+    assert_eq!(behind.requested().collect::<Vec<_>>(), [(&second, 6)]);
+}
--- a/crates/serving/src/evacuation.rs
+++ b/crates/serving/src/evacuation.rs
@@ -22,6 +22,9 @@
 /// another: its databases may have lost what they held in memory, and all nodes at once would
 /// ask for it at once.
 const RETURN_TIME: Duration = Duration::from_secs(8);
+/// Time that a statement may be on its way to a database: across regions, through another node,
+/// and in the queue of a slow link.
+const LAST_STATEMENT: Duration = Duration::from_millis(300);
 /// Pause between two lines on what is still in use in an evacuated zone.
 const STILL_USED_TOLD: Duration = Duration::from_secs(5);
 
@@ -143,14 +146,18 @@
         }
     }
 
-    /// From when the time of a request counts that is heard now. One that a starting node finds
-    /// may be old already, and the node has nothing open there that would need time to end.
+    /// From when the time of a request counts that is heard now. It is at most as old as the
+    /// news before, and one that took longer to be heard than it should has less time left. One
+    /// that a starting node finds may be of any age, and the node has nothing open there that
+    /// would need time to end.
     fn evacuation_heard_at(&self) -> Timestamp {
         let now = self.now();
-        match self.configured_at.get() {
-            Some(_) => now,
-            None => now - self.changeable().evacuation_limit,
+        let limit = self.changeable().evacuation_limit;
+        if self.configured_at.get().is_none() {
+            return now - limit;
         }
+        let in_time = limit.saturating_sub(LAST_STATEMENT);
+        now.min(self.feed.news_before() + in_time)
     }
 
     fn note_evacuation(&self, zone: &ZoneName, requested: bool, revision: u64) {
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hookpoint_coordination::serving::feed::{ChangeLog, OwnTries, region_size, store_upstreams};
+use hookpoint_coordination::serving::feed::{
+    self as decisions, ChangeLog, OwnTries, region_size, store_upstreams,
+};
 use hookpoint_state::Timestamp;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -29,6 +31,9 @@
 /// Time that its answer may be late: a large configuration takes its time on a slow link,
 /// and an upstream that does not answer is found out by probes long before.
 const FOLLOW_SLACK: Duration = Duration::from_millis(800);
+/// News of the store that is older than this may come from nodes that have lost it and do not
+/// know yet: a watch without changes, its answer, and a pass.
+const RECENT: Duration = Duration::from_millis(3_000);
 /// Knowledge of the store that is older than this is not passed on as the present state: a
 /// watch without changes, its answer, and five passes from node to node.
 const FRESH: Duration = Duration::from_millis(6_700);
@@ -72,6 +77,12 @@
     verified_at: Cell<Timestamp>,
     /// The same, and it outlasts the loss of the store.
     news_at: Cell<Timestamp>,
+    /// The same before the newest news.
+    news_before: Cell<Timestamp>,
+    /// Whether the upstreams said that they do not reach the store.
+    upstreams_lost: Cell<bool>,
+    /// Questions to nodes that are no upstreams.
+    others_asked: Cell<usize>,
     caught_up: Cell<bool>,
     advanced: Notify,
     passed_over: RefCell<Vec<(String, Timestamp)>>,
@@ -128,12 +139,22 @@
         self.advanced.notify_waiters();
     }
 
-    /// The store itself told at `when` where it stands: this node, or an upstream.
-    pub fn note_verified(&self, when: Timestamp) {
+    /// The store itself told this node now where it stands.
+    pub fn note_verified(&self, now: Timestamp) {
+        self.note_told(Duration::ZERO, now);
+    }
+
+    /// An upstream passed on where the store stood `age` ago.
+    fn note_told(&self, age: Duration, now: Timestamp) {
+        let when = now - age;
         self.failures.set(0);
-        self.change_own_tries(OwnTries::note_store_known);
+        if age < RECENT {
+            self.upstreams_lost.set(false);
+            self.change_own_tries(OwnTries::note_store_known);
+        }
         self.caught_up.set(true);
         self.verified_at.set(self.verified_at.get().max(when));
+        self.news_before.set(self.news_at.get());
         self.news_at.set(self.news_at.get().max(when));
     }
 
@@ -182,6 +203,11 @@
         self.news_at.get()
     }
 
+    /// Up to when all that the store held was known before the news that is being taken in.
+    pub(crate) fn news_before(&self) -> Timestamp {
+        self.news_before.get()
+    }
+
     /// Whether what is known here may be taken for the store's present state.
     pub fn is_fresh(&self, now: Timestamp) -> bool {
         now.since(self.verified_at.get()) < FRESH
@@ -249,6 +275,9 @@
                 None => FeedAnswer::Incomplete,
             };
         };
+        if changes.is_empty() && feed.upstreams_lost.get() {
+            return FeedAnswer::StoreLost;
+        }
         if !changes.is_empty() || now >= until {
             return changes_answer(node, Some(revision), &changes);
         }
@@ -271,45 +300,36 @@
     }
 }
 
-/// Follows the store through an upstream.
+/// What asking one node for changes came to.
+enum Told {
+    /// It told of changes, of everything, or that there is nothing new.
+    News(Followed),
+    /// It does not reach the store.
+    StoreLost,
+    /// It did not help.
+    Nothing,
+}
+
+/// Follows the store through an upstream. While those do not reach it, or this node has none and
+/// does not reach it itself, another node is asked for news.
 pub async fn follow_upstream(node: &Rc<Node>, revision: u64) -> Followed {
     let mut store_lost = false;
     for upstream in upstreams(node) {
-        if node.feed.is_passed_over(&upstream.name, node.now()) {
-            continue;
+        match follow_one(node, &upstream, revision).await {
+            Told::News(news) => return news,
+            Told::StoreLost => store_lost = true,
+            Told::Nothing => {}
         }
-        let passed_over = match ask(node, &upstream, revision).await {
-            Some(FeedAnswer::Changes {
-                changes,
-                everything,
-                steady_ms,
-                age_ms,
-            }) => match unpack(node, &upstream, &changes) {
-                Some(changes) => {
-                    node.counters.count("store_followed", "peer");
-                    let age = Duration::from_millis(age_ms);
-                    node.feed.note_verified(node.now() - age);
-                    note_steady(node, Duration::from_millis(steady_ms));
-                    return if everything {
-                        Followed::Everything(changes)
-                    } else {
-                        Followed::Changes(changes)
-                    };
-                }
-                None => PASSED_OVER,
-            },
-            Some(FeedAnswer::StoreLost) => {
-                store_lost = true;
-                continue;
-            }
-            Some(FeedAnswer::Incomplete) => PASSED_OVER_INCOMPLETE,
-            None => {
-                node.counters.count("store_followed", "peer_failed");
-                PASSED_OVER
-            }
-        };
-        let until = node.now() + passed_over;
-        node.feed.pass_over(&upstream.name, until);
+    }
+    if store_lost {
+        node.feed.upstreams_lost.set(true);
+    }
+    if (store_lost || node.feed.failures() > 0)
+        && let Some(other) = other_source(node)
+        && let Told::News(news) = follow_one(node, &other, revision).await
+    {
+        node.counters.count("store_followed", "other_peer");
+        return news;
     }
     if store_lost {
         Followed::StoreLost
@@ -318,6 +338,52 @@
     }
 }
 
+async fn follow_one(node: &Rc<Node>, upstream: &Peer, revision: u64) -> Told {
+    if node.feed.is_passed_over(&upstream.name, node.now()) {
+        return Told::Nothing;
+    }
+    let passed_over = match ask(node, upstream, revision).await {
+        Some(FeedAnswer::Changes {
+            changes,
+            everything,
+            steady_ms,
+            age_ms,
+        }) => match unpack(node, upstream, &changes) {
+            Some(changes) => {
+                node.counters.count("store_followed", "peer");
+                let age = Duration::from_millis(age_ms);
+                node.feed.note_told(age, node.now());
+                note_steady(node, Duration::from_millis(steady_ms));
+                return Told::News(if everything {
+                    Followed::Everything(changes)
+                } else {
+                    Followed::Changes(changes)
+                });
+            }
+            None => PASSED_OVER,
+        },
+        Some(FeedAnswer::StoreLost) => return Told::StoreLost,
+        Some(FeedAnswer::Incomplete) => PASSED_OVER_INCOMPLETE,
+        None => {
+            node.counters.count("store_followed", "peer_failed");
+            PASSED_OVER
+        }
+    };
+    let until = node.now() + passed_over;
+    node.feed.pass_over(&upstream.name, until);
+    Told::Nothing
+}
+
+/// Another node to ask for news, another one each time.
+fn other_source(node: &Rc<Node>) -> Option<Peer> {
+    let number = node.feed.others_asked.get();
+    node.feed.others_asked.set(number.wrapping_add(1));
+    let nodes = node.registered_nodes();
+    let own = &node.settings.name;
+    let name = decisions::other_source(own, &nodes, number, |name| node.answers(name))?;
+    node.peer(name)
+}
+
 /// Asks an upstream for the changes after `revision`. Nothing if it does not answer.
 async fn ask(node: &Rc<Node>, upstream: &Peer, revision: u64) -> Option<FeedAnswer> {
     let request = LinkRequest::Follow { revision };
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -76,7 +76,8 @@
     pub revocation: RevocationPolicy,
     /// Within which time of its acknowledgement a configuration has to be in force.
     pub configuration_limit: Duration,
-    /// Time after its request by which an evacuated zone's databases get nothing any more.
+    /// Time from when a node hears that a zone is to be evacuated until the zone's databases get
+    /// nothing from it any more. As much again is left for hearing of it.
     pub evacuation_limit: Duration,
     /// How exactly the rate of cold databases is kept.
     pub cold_start: ColdStartBounds,
