--- a/crates/serving/src/explanation.rs
+++ b/crates/serving/src/explanation.rs
@@ -1,4 +1,4 @@
-//! The story of one request, database or configuration, read from nodes' event logs.
+//! The story of one request, database, configuration or evacuated zone, read from nodes' event logs.
 
 use serde_json::Value;
 
@@ -20,6 +20,20 @@
     "database_missing",
     "configuration_in_force",
 ];
+/// Events that tell of a zone's evacuation by its name.
+const ZONE_EVENTS: [&str; 4] = [
+    "evacuation_changed",
+    "zone_emptied",
+    "zone_in_use",
+    "handover_decided",
+];
+/// Events that tell what became of the move of a group's primary.
+const PROMOTION_EVENTS: [&str; 4] = [
+    "promotion_ordered",
+    "promotion_answered",
+    "no_candidate",
+    "primary_found",
+];
 /// Beliefs that changed this long before a request are told with it, in milliseconds.
 const BELIEFS_BEFORE_MS: u64 = 10_000;
 /// Beliefs that changed this long after a request are told with it, in milliseconds.
@@ -36,6 +50,8 @@
     Database(String),
     /// A configuration's version.
     Configuration(u64),
+    /// A zone that is or was evacuated.
+    Zone(String),
 }
 
 /// One event of a log.
@@ -99,6 +115,7 @@
             })
             .cloned()
             .collect(),
+        Subject::Zone(zone) => select_zone(events, zone),
     };
     chosen.sort_by_key(|event| event.wall_ms);
     chosen
@@ -128,6 +145,28 @@
         .collect()
 }
 
+/// The events of a zone's evacuation: what nodes heard and found in use, and the moves of its
+/// primaries with what became of them.
+fn select_zone(events: &[Event], zone: &str) -> Vec<Event> {
+    let of_zone = |event: &&Event| {
+        event.text("zone") == Some(zone) && ZONE_EVENTS.contains(&event.name.as_str())
+    };
+    let own: Vec<&Event> = events.iter().filter(of_zone).collect();
+    let Some(from) = own.iter().map(|event| event.wall_ms).min() else {
+        return Vec::new();
+    };
+    let moved = |group: &str| own.iter().any(|event| event.text("group") == Some(group));
+    events
+        .iter()
+        .filter(|event| {
+            let promotion = PROMOTION_EVENTS.contains(&event.name.as_str());
+            let of_move = promotion && event.text("group").is_some_and(moved);
+            of_zone(event) || (of_move && event.wall_ms >= from)
+        })
+        .cloned()
+        .collect()
+}
+
 /// One line for each event, with a mark where a node's wall clock was stepped.
 pub fn tell(events: &[Event]) -> Vec<String> {
     let mut lines = Vec::with_capacity(events.len());
--- a/crates/serving/tests/event_log.rs
+++ b/crates/serving/tests/event_log.rs
@@ -147,3 +147,41 @@
     assert_eq!(database.len(), 1);
     assert!(select(&events, &Subject::Request("r9".to_owned())).is_empty());
 }
+
+#[test]
+fn the_story_of_a_zone_holds_what_nodes_found_there_and_the_moves_of_its_primaries() {
+    let told = |wall: u64, node: &str, name: &str, rest: &str| {
+        event(wall, wall, node, &format!("\"event\":\"{name}\",{rest}"))
+    };
+    let zone = "\"zone\":\"z1\"";
+    let events = [
+        told(40, "a", "promotion_ordered", "\"group\":\"g\""),
+        told(50, "a", "started", zone),
+        told(60, "a", "evacuation_changed", zone),
+        told(61, "b", "evacuation_changed", "\"zone\":\"z2\""),
+        told(70, "a", "promotion_ordered", "\"group\":\"g\""),
+        told(71, "a", "promotion_ordered", "\"group\":\"other\""),
+        told(
+            80,
+            "a",
+            "handover_decided",
+            &format!("\"group\":\"g\",{zone}"),
+        ),
+        told(90, "b", "zone_emptied", zone),
+    ];
+    let story = select(&events, &Subject::Zone("z1".to_owned()));
+    let told: Vec<(u64, &str)> = story
+        .iter()
+        .map(|event| (event.wall_ms, event.name.as_str()))
+        .collect();
+    assert_eq!(
+        told,
+        [
+            (60, "evacuation_changed"),
+            (70, "promotion_ordered"),
+            (80, "handover_decided"),
+            (90, "zone_emptied")
+        ]
+    );
+    assert!(select(&events, &Subject::Zone("z3".to_owned())).is_empty());
+}
--- a/hookpoint/src/command/explain.rs
+++ b/hookpoint/src/command/explain.rs
@@ -26,12 +26,7 @@
 
 /// Tells the story that logs hold of the subject asked for.
 fn read(flags: &Explain, log: &Path) -> Result<()> {
-    let subject = match (&flags.request, &flags.database, flags.configuration) {
-        (Some(id), None, None) => Subject::Request(id.clone()),
-        (None, Some(name), None) => Subject::Database(name.clone()),
-        (None, None, Some(version)) => Subject::Configuration(version),
-        _ => bail!("--log takes one of --request, --database and --configuration"),
-    };
+    let subject = subject(flags)?;
     let input: Box<dyn Read> = if log == Path::new("-") {
         Box::new(std::io::stdin())
     } else {
@@ -53,6 +48,21 @@
     Ok(())
 }
 
+/// What the flags ask for.
+fn subject(flags: &Explain) -> Result<Subject> {
+    let given = [
+        flags.request.clone().map(Subject::Request),
+        flags.database.clone().map(Subject::Database),
+        flags.configuration.map(Subject::Configuration),
+        flags.zone.clone().map(Subject::Zone),
+    ];
+    let mut given = given.into_iter().flatten();
+    match (given.next(), given.next()) {
+        (Some(subject), None) => Ok(subject),
+        _ => bail!("--log takes one of --request, --database, --configuration and --zone"),
+    }
+}
+
 /// Tells the decisions that a proxy keeps.
 fn ask(flags: &Explain, admin: &str) -> Result<()> {
     let path = match flags.session {
--- a/hookpoint/src/flags.rs
+++ b/hookpoint/src/flags.rs
@@ -109,6 +109,8 @@
             optional --database name: String
             /// With --log: where this configuration came into force.
             optional --configuration version: u64
+            /// With --log: how far the evacuation of this zone is.
+            optional --zone name: String
         }
 
         /// The fleet.
