--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -74,6 +74,8 @@
     /// Up to where this node follows the store.
     revision: Cell<u64>,
     news: RefCell<StoreNews>,
+    /// When the store told of what was known here before the newest news.
+    news_before: Cell<Timestamp>,
     caught_up: Cell<bool>,
     advanced: Notify,
     passed_over: RefCell<Vec<(String, Timestamp)>>,
@@ -131,6 +133,7 @@
     pub fn note_told(&self, when: Timestamp) {
         self.failures.set(0);
         self.caught_up.set(true);
+        self.news_before.set(self.news_at());
         self.news.borrow_mut().note_told(when);
         self.advanced.notify_waiters();
     }
@@ -138,6 +141,7 @@
     fn note_heard(&self, when: Timestamp) {
         self.failures.set(0);
         self.caught_up.set(true);
+        self.news_before.set(self.news_at());
         self.news.borrow_mut().note_heard(when);
         self.advanced.notify_waiters();
     }
@@ -171,6 +175,11 @@
         self.news.borrow().told_at()
     }
 
+    /// The same before the news that was taken in last: what that tells of changed later.
+    pub(crate) fn news_before(&self) -> Timestamp {
+        self.news_before.get()
+    }
+
     /// Pause before upstreams that told nothing newer are asked again.
     pub fn search_pause(&self, now: Timestamp) -> Duration {
         self.news.borrow().search_pause(now)
