Bound what a node spends on finding out about others, and measure silence in the time of listening

Waits of 40 ms had all holders of a database probed, each 40 ms anew; a node that had rested took everybody for silent whose answers it had not read yet; and a node that knew no primary asked every database of every group through other nodes, each on a link of its own.

--- a/crates/coordination/src/serving/peer_contact.rs
+++ b/crates/coordination/src/serving/peer_contact.rs
@@ -6,12 +6,19 @@
 //! probed, and a peer that answers no probe within the longest round trip counts as silent
 //! for everybody until something is heard from it. A peer that is merely slow to serve a
 //! request answers the probe, so its queue is not left.
+//!
+//! Silence is measured in the time in which this node listened (see [`super::own_lateness`]),
+//! and the probes of all requests together are bounded (see [`super::probe_budget`]): a fleet
+//! that is busy would otherwise take itself for silent and spend what is left on finding out.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hookpoint_state::Timestamp;
 
+use super::own_lateness::{Listening, OwnLateness};
+use super::probe_budget::{ProbeBudget, Purpose, silent_pause};
+
 /// Longest round trip between two nodes, with the time that a loaded node takes to answer.
 /// The regions of the known deployments are up to 20 ms apart one way, and a node whose
 /// share of a processor is used up rests for the remainder of a tenth of a second.
@@ -24,8 +31,9 @@
 /// Pause between probes of one peer: a single datagram may be lost.
 const PROBE_PAUSE: Duration = Duration::from_millis(40);
 
-/// Pause between probes of a peer that counts as silent: how late its return is noticed.
-const SILENT_PROBE_PAUSE: Duration = Duration::from_millis(200);
+/// Peers that are probed ahead for one request at a time, besides those probed already: as
+/// many as one request asks in turn.
+const PROBED_AHEAD: usize = 3;
 
 /// How long it is remembered that a peer was silent. After that it is asked again like one
 /// that nothing is known of.
@@ -58,13 +66,17 @@
 struct Unanswered {
     first_at: Timestamp,
     last_at: Timestamp,
+    /// When the first of them was sent, in the time in which this node listens.
+    listening: Listening,
+    /// Probes sent since the peer counts as silent.
+    while_silent: u32,
     /// Whether a request has given up on the peer.
     given_up: bool,
 }
 
 impl Unanswered {
-    fn is_silence(&self, now: Timestamp) -> bool {
-        now.since(self.first_at) >= LONGEST_ROUND_TRIP
+    fn is_silence(&self, own: &OwnLateness, now: Timestamp) -> bool {
+        own.has_listened_for(LONGEST_ROUND_TRIP, self.listening, now)
     }
 
     fn is_forgotten(&self, now: Timestamp) -> bool {
@@ -72,18 +84,27 @@
     }
 }
 
-/// Contact with all peers, by name. Only those that were probed and have not been heard
-/// since take memory.
+/// Contact with all peers, by name. Only those that were probed take memory.
 #[derive(Clone, Debug, Default)]
 pub struct PeerContacts {
     unanswered: BTreeMap<String, Unanswered>,
+    /// When each that was probed last answered.
+    answered: BTreeMap<String, Timestamp>,
+    own: OwnLateness,
+    budget: ProbeBudget,
 }
 
 impl PeerContacts {
+    /// Takes in that a timer of this node which was due at `due` came at `now`.
+    pub fn note_timer(&mut self, due: Timestamp, now: Timestamp) {
+        self.own.note_timer(due, now);
+    }
+
     /// Takes in that something was received from a peer. If requests had given up on it, tells
     /// for how long it had been silent.
     pub fn note_heard(&mut self, peer: &str, now: Timestamp) -> Option<Duration> {
         let probes = self.unanswered.remove(peer)?;
+        self.answered.insert(peer.to_owned(), now);
         probes.given_up.then(|| now.since(probes.first_at))
     }
 
@@ -100,11 +121,13 @@
         if waited < PROBE_AFTER {
             return Waiting::For(PROBE_AFTER.saturating_sub(waited));
         }
-        let probed = self.unanswered.get(peer).copied();
-        match probed {
-            Some(probes) if !probes.is_forgotten(now) && probes.is_silence(now) => Waiting::GiveUp,
-            _ if self.probe_if_due(peer, PROBE_PAUSE, now) => Waiting::Probe,
-            _ => Waiting::For(PROBE_PAUSE),
+        if self.is_silent(peer, now) {
+            return Waiting::GiveUp;
+        }
+        if self.probe_if_due(peer, Purpose::Waiting, now) {
+            Waiting::Probe
+        } else {
+            Waiting::For(PROBE_PAUSE)
         }
     }
 
@@ -113,7 +136,7 @@
         if !self.is_silent(peer, now) {
             return Approach::Send;
         }
-        if self.probe_if_due(peer, SILENT_PROBE_PAUSE, now) {
+        if self.probe_if_due(peer, Purpose::Ahead, now) {
             Approach::AvoidAndProbe
         } else {
             Approach::Avoid
@@ -124,28 +147,81 @@
     pub fn is_silent(&self, peer: &str, now: Timestamp) -> bool {
         self.unanswered
             .get(peer)
-            .is_some_and(|probes| !probes.is_forgotten(now) && probes.is_silence(now))
+            .is_some_and(|probes| !probes.is_forgotten(now) && probes.is_silence(&self.own, now))
     }
 
     /// Whether a probe of a peer that may be needed next is to be sent now.
     pub fn probe_ahead(&mut self, peer: &str, now: Timestamp) -> bool {
-        self.probe_if_due(peer, PROBE_PAUSE, now)
+        self.probe_if_due(peer, Purpose::Ahead, now)
+    }
+
+    /// Which of the `alternatives` to a peer that a request waits for since `since` are to be
+    /// probed now, by their places: a few, in their order, and a few more each time that those
+    /// of before have not answered either. None if the peer itself has answered meanwhile.
+    pub fn probe_alternatives<'a>(
+        &mut self,
+        peer: &str,
+        since: Timestamp,
+        alternatives: impl Iterator<Item = &'a str>,
+        now: Timestamp,
+    ) -> Vec<usize> {
+        let mut due = Vec::new();
+        let answered = self.answered.get(peer);
+        if answered.is_some_and(|answered_at| *answered_at >= since) {
+            return due;
+        }
+        let mut first_probes = 0;
+        for (place, peer) in alternatives.enumerate() {
+            let probed = self.unanswered.get(peer);
+            let known = probed.is_some_and(|probes| !probes.is_forgotten(now));
+            if !known && first_probes == PROBED_AHEAD {
+                break;
+            }
+            first_probes += usize::from(!known);
+            if self.probe_ahead(peer, now) {
+                due.push(place);
+            }
+        }
+        due
     }
 
-    fn probe_if_due(&mut self, peer: &str, pause: Duration, now: Timestamp) -> bool {
+    /// Notes a probe of `peer` if one is due and may be sent.
+    fn probe_if_due(&mut self, peer: &str, purpose: Purpose, now: Timestamp) -> bool {
+        let known = self
+            .unanswered
+            .get(peer)
+            .copied()
+            .filter(|probes| !probes.is_forgotten(now));
+        let Some(mut probes) = known else {
+            return self.probe_first(peer, purpose, now);
+        };
+        let silent = probes.is_silence(&self.own, now);
+        let pause = if silent {
+            silent_pause(probes.while_silent)
+        } else {
+            PROBE_PAUSE
+        };
+        if now.since(probes.last_at) < pause || !self.budget.take(purpose, now) {
+            return false;
+        }
+        probes.last_at = now;
+        probes.while_silent += u32::from(silent);
+        self.unanswered.insert(peer.to_owned(), probes);
+        true
+    }
+
+    fn probe_first(&mut self, peer: &str, purpose: Purpose, now: Timestamp) -> bool {
+        if !self.budget.take(purpose, now) {
+            return false;
+        }
         let first = Unanswered {
             first_at: now,
             last_at: now,
+            listening: self.own.begin(now),
+            while_silent: 0,
             given_up: false,
         };
-        match self.unanswered.get_mut(peer) {
-            Some(probes) if probes.is_forgotten(now) => *probes = first,
-            Some(probes) if now.since(probes.last_at) < pause => return false,
-            Some(probes) => probes.last_at = now,
-            None => {
-                self.unanswered.insert(peer.to_owned(), first);
-            }
-        }
+        self.unanswered.insert(peer.to_owned(), first);
         true
     }
 }
--- /dev/null
+++ b/crates/coordination/tests/serving_probe_budget.rs
@@ -0,0 +1,181 @@
+//! What a busy fleet spends on finding out whether it is silent.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::peer_contact::{Approach, PeerContacts, Waiting};
+use hookpoint_coordination::serving::probe_budget::{
+    PROBES_A_SECOND, PROBES_AT_ONCE, ProbeBudget, Purpose, silent_pause,
+};
+use hookpoint_coordination::serving::question_budget::{MOST_AFAR, MOST_AFAR_UNUSED, may_ask_afar};
+use hookpoint_state::Timestamp;
+use quickcheck::quickcheck;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(10_000 + millis)
+}
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("front-{number}")).collect()
+}
+
+fn most_in(millis: u64) -> usize {
+    PROBES_AT_ONCE as usize + (u64::from(PROBES_A_SECOND) * millis / 1_000) as usize + 1
+}
+
+/// Probes that one node sends in a second in which it waits for each of its peers all the time
+/// and none answers; each of them is an alternative to the others.
+fn probes_of_a_second(peers: usize) -> usize {
+    let peers = names(peers);
+    let mut contacts = PeerContacts::default();
+    let mut probes = 0;
+    for now in (40..1_040).step_by(5) {
+        for peer in &peers {
+            if contacts.waiting(peer, at(0), at(now)) == Waiting::Probe {
+                let others = peers.iter().filter(|other| *other != peer);
+                let others = others.map(String::as_str);
+                probes += 1 + contacts
+                    .probe_alternatives(peer, at(0), others, at(now))
+                    .len();
+            }
+        }
+    }
+    probes
+}
+
+#[test]
+fn probes_of_a_node_do_not_grow_with_its_peers() {
+    let at_sizes = [30, 100, 300, 1_500].map(probes_of_a_second);
+    let most = most_in(1_000);
+    assert!(
+        at_sizes.iter().all(|probes| *probes <= most),
+        "{at_sizes:?}"
+    );
+    assert!(at_sizes[3] <= at_sizes[1] + 1, "{at_sizes:?}");
+}
+
+#[test]
+fn one_late_answer_costs_a_few_probes_whatever_the_number_of_holders() {
+    for holders in [4, 32, 300, 1_500] {
+        let names = names(holders);
+        let mut contacts = PeerContacts::default();
+        assert_eq!(contacts.waiting("late", at(0), at(40)), Waiting::Probe);
+        let others = names.iter().map(String::as_str);
+        let ahead = contacts.probe_alternatives("late", at(0), others, at(40));
+        assert_eq!(ahead, [0, 1, 2]);
+    }
+}
+
+#[test]
+fn alternatives_are_not_probed_once_the_peer_has_answered() {
+    let names = names(8);
+    let mut contacts = PeerContacts::default();
+    assert_eq!(contacts.waiting("slow", at(0), at(40)), Waiting::Probe);
+    contacts.note_heard("slow", at(60));
+    assert_eq!(contacts.waiting("slow", at(0), at(80)), Waiting::Probe);
+    let others = names.iter().map(String::as_str);
+    let ahead = contacts.probe_alternatives("slow", at(0), others, at(80));
+    assert_eq!(ahead, Vec::<usize>::new());
+    let others = names.iter().map(String::as_str);
+    let ahead = contacts.probe_alternatives("slow", at(61), others, at(101));
+    assert_eq!(
+        ahead,
+        [0, 1, 2],
+        "control: a request that began to wait later"
+    );
+}
+
+/// Where nearly all holders are cut off, the one that is not is found out while the first is
+/// waited for.
+#[test]
+fn further_alternatives_are_probed_while_the_first_say_nothing() {
+    let names = names(9);
+    let mut contacts = PeerContacts::default();
+    let mut probed = BTreeSet::new();
+    for now in [40, 80, 120] {
+        assert_eq!(contacts.waiting("lost", at(0), at(now)), Waiting::Probe);
+        let others = names.iter().map(String::as_str);
+        probed.extend(contacts.probe_alternatives("lost", at(0), others, at(now)));
+    }
+    assert_eq!(contacts.waiting("lost", at(0), at(160)), Waiting::GiveUp);
+    assert_eq!(probed.len(), 9);
+    for peer in &names[..3] {
+        assert_ne!(
+            contacts.approach(peer, at(160)),
+            Approach::Send,
+            "known by then"
+        );
+    }
+}
+
+#[test]
+fn a_peer_that_is_waited_for_is_probed_when_no_more_may_be_probed_ahead() {
+    let mut budget = ProbeBudget::default();
+    while budget.take(Purpose::Ahead, at(0)) {}
+    assert!(budget.take(Purpose::Waiting, at(0)));
+}
+
+/// A node that is busy itself takes no peer for silent; one that is not does so in time.
+#[test]
+fn a_node_that_rests_does_not_give_up_on_its_peers() {
+    let give_up = |rests: bool| {
+        let mut contacts = PeerContacts::default();
+        assert_eq!(contacts.waiting("peer", at(0), at(40)), Waiting::Probe);
+        if rests {
+            contacts.note_timer(at(80), at(180));
+        }
+        contacts.waiting("peer", at(0), at(180)) == Waiting::GiveUp
+    };
+    assert!(!give_up(true));
+    assert!(give_up(false), "control");
+}
+
+#[test]
+fn a_silent_peer_is_probed_less_and_less_but_never_rarely() {
+    let pauses: Vec<u64> = (0..20)
+        .map(|probed| u64::try_from(silent_pause(probed).as_millis()).unwrap())
+        .collect();
+    assert!(pauses.is_sorted());
+    assert_eq!(pauses[0], 200);
+    assert_eq!(pauses[19], 800);
+}
+
+#[test]
+fn questions_through_other_nodes_are_bounded_and_groups_in_use_come_first() {
+    let most = |in_use| (0..).find(|sent| !may_ask_afar(*sent, in_use)).unwrap();
+    assert_eq!(most(true), MOST_AFAR);
+    assert_eq!(most(false), MOST_AFAR_UNUSED);
+    assert!(may_ask_afar(MOST_AFAR_UNUSED, true));
+}
+
+quickcheck! {
+    /// In no span more probes are sent than one burst and the rate allow.
+    fn no_span_holds_more_than_the_budget(pauses: Vec<u8>) -> bool {
+        let mut budget = ProbeBudget::default();
+        let mut now = 0;
+        let mut sent = 0;
+        for pause in pauses {
+            now += u64::from(pause);
+            for purpose in [Purpose::Ahead, Purpose::Waiting, Purpose::Waiting] {
+                sent += usize::from(budget.take(purpose, at(now)));
+            }
+        }
+        sent <= most_in(now)
+    }
+}
+
+/// The budget comes back however small the steps are in which it is asked for.
+#[test]
+fn the_budget_comes_back() {
+    let mut budget = ProbeBudget::default();
+    while budget.take(Purpose::Waiting, at(0)) {}
+    let mut sent = 0;
+    for step in 1..=10_000_u64 {
+        let now = at(0) + Duration::from_micros(100) * u32::try_from(step).unwrap();
+        sent += u32::from(budget.take(Purpose::Waiting, now));
+    }
+    assert!(
+        (PROBES_A_SECOND - 1..=PROBES_A_SECOND).contains(&sent),
+        "{sent}"
+    );
+}
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -4,11 +4,12 @@
 //! believed primary when it was not confirmed lately, and on every database of a group
 //! whose primary is not known.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::question_budget::may_ask_afar;
 use hookpoint_coordination::serving::session::SessionValues;
 use hookpoint_state::{DatabaseName, GroupName, Timestamp};
 use tokio::time::{sleep, timeout};
@@ -49,6 +50,8 @@
 #[derive(Default)]
 struct Asking {
     databases: RefCell<BTreeSet<DatabaseName>>,
+    /// How many of them go through other nodes.
+    afar: Cell<usize>,
 }
 
 /// Watches over the primaries for as long as the node lives.
@@ -58,9 +61,11 @@
     if node.settings.first_start {
         sleep(REGISTRATION_TIME).await;
     }
+    let mut round = 0;
     loop {
         let _ = timeout(ROUND, node.configuration_changed.notified()).await;
-        for group in node.configured_groups() {
+        round += 1;
+        for group in in_turn(node.configured_groups(), round) {
             look_after(&node, &peers, &asking, &group);
         }
         try_unreachable(&node, &trying);
@@ -71,6 +76,14 @@
     }
 }
 
+/// The groups, with another one first in each round: questions that are bounded in number are
+/// those of the first.
+fn in_turn(mut groups: Vec<GroupName>, round: usize) -> Vec<GroupName> {
+    let first = round.checked_rem(groups.len()).unwrap_or_default();
+    groups.rotate_left(first);
+    groups
+}
+
 fn look_after(node: &Rc<Node>, peers: &Rc<Peers>, asking: &Rc<Asking>, group: &GroupName) {
     let now = node.now();
     let (leader, confirmed_at, lost, promoting, used_at) = node.with_group(group, |state| {
@@ -91,7 +104,7 @@
         let unconfirmed = now.since(confirmed_at);
         let held = node.connection_cap(leader) > 0;
         if held && unconfirmed >= period || unconfirmed >= period * SAMPLES_BEFORE_QUESTION {
-            ask(node, asking, leader);
+            ask(node, asking, leader, in_use);
         } else if !held && unconfirmed >= period {
             ask_for_sample(node, peers, group, leader);
         }
@@ -103,11 +116,11 @@
         ask_who_leads(node, peers, group);
     }
     if leader.is_none() || lost {
-        search(node, asking, group, leader.as_ref());
+        search(node, asking, group, leader.as_ref(), in_use);
     } else if let Some((candidate, _)) = promoting
         && leader.as_ref() != Some(&candidate)
     {
-        ask(node, asking, &candidate);
+        ask(node, asking, &candidate, in_use);
     }
 }
 
@@ -170,7 +183,13 @@
 
 /// Asks the databases of a group which of them leads: those that this node holds
 /// connections to, and after a while the others as well.
-fn search(node: &Rc<Node>, asking: &Rc<Asking>, group: &GroupName, leader: Option<&DatabaseName>) {
+fn search(
+    node: &Rc<Node>,
+    asking: &Rc<Asking>,
+    group: &GroupName,
+    leader: Option<&DatabaseName>,
+    in_use: bool,
+) {
     let now = node.now();
     let leaderless_since = node.with_group(group, |state| state.leaderless_since);
     let long = leaderless_since.is_none_or(|since| now.since(since) >= PEERS_TELL);
@@ -181,16 +200,22 @@
     for database in databases {
         let held = node.connection_cap(&database) > 0;
         if leader != Some(&database) && (held || long) {
-            ask(node, asking, &database);
+            ask(node, asking, &database, in_use);
         }
     }
 }
 
-/// Asks a database whether it leads, unless a question is on its way.
-fn ask(node: &Rc<Node>, asking: &Rc<Asking>, database: &DatabaseName) {
+/// Asks a database whether it leads, unless a question is on its way, or too many are.
+fn ask(node: &Rc<Node>, asking: &Rc<Asking>, database: &DatabaseName, in_use: bool) {
+    let afar = node.connection_cap(database) == 0;
+    if afar && !may_ask_afar(asking.afar.get(), in_use) {
+        return;
+    }
     if !asking.databases.borrow_mut().insert(database.clone()) {
         return;
     }
+    let afar = usize::from(afar);
+    asking.afar.set(asking.afar.get() + afar);
     let node = Rc::clone(node);
     let asking = Rc::clone(asking);
     let database = database.clone();
@@ -202,6 +227,7 @@
             sleep(pause).await;
         }
         asking.databases.borrow_mut().remove(&database);
+        asking.afar.set(asking.afar.get() - afar);
     });
 }
 
--- a/crates/serving/src/reachability.rs
+++ b/crates/serving/src/reachability.rs
@@ -88,7 +88,7 @@
             if node.now() >= until {
                 return;
             }
-            sleep(LOOK).await;
+            pause_for(node, LOOK).await;
         }
     }
 }
@@ -113,12 +113,10 @@
             .borrow_mut()
             .waiting(&peer.name, since, now);
         match next {
-            Waiting::For(pause) => sleep(pause).await,
+            Waiting::For(pause) => pause_for(node, pause).await,
             Waiting::Probe => {
                 node.reachability.probe(peer);
-                for other in alternatives.iter().filter(|other| *other != peer) {
-                    node.reachability.probe_ahead(other, now);
-                }
+                probe_alternatives(node, peer, since, alternatives);
             }
             Waiting::GiveUp => {
                 note_given_up(node, &peer.name);
@@ -127,3 +125,27 @@
         }
     }
 }
+
+fn probe_alternatives(node: &Node, peer: &Peer, since: Timestamp, alternatives: &[Peer]) {
+    let others: Vec<&Peer> = alternatives.iter().filter(|other| *other != peer).collect();
+    let names = others.iter().map(|other| other.name.as_str());
+    let due = node.reachability.contacts.borrow_mut().probe_alternatives(
+        &peer.name,
+        since,
+        names,
+        node.now(),
+    );
+    for place in due {
+        node.reachability.probe(others[place]);
+    }
+}
+
+/// Waits, and takes in how late this node came back to it.
+async fn pause_for(node: &Node, pause: Duration) {
+    let due = node.now() + pause;
+    sleep(pause).await;
+    node.reachability
+        .contacts
+        .borrow_mut()
+        .note_timer(due, node.now());
+}
