--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -4,12 +4,13 @@
 //! believed primary when it was not confirmed lately, and on every database of a group
 //! whose primary is not known.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hookpoint_coordination::serving::placement::Placement;
+use hookpoint_coordination::serving::question_budget::may_ask_afar;
 use hookpoint_coordination::serving::session::SessionValues;
 use hookpoint_state::{DatabaseName, GroupName, Timestamp};
 use tokio::time::{sleep, timeout};
@@ -52,6 +53,8 @@
 #[derive(Default)]
 struct Asking {
     databases: RefCell<BTreeSet<DatabaseName>>,
+    /// How many of them go through other nodes.
+    afar: Cell<usize>,
 }
 
 /// Watches over the primaries for as long as the node lives.
@@ -61,9 +64,11 @@
     if node.settings.first_start {
         sleep(REGISTRATION_TIME).await;
     }
+    let mut round = 0;
     loop {
         let _ = timeout(ROUND, node.configuration_changed.notified()).await;
-        for group in node.configured_groups() {
+        round += 1;
+        for group in in_turn(node.configured_groups(), round) {
             look_after(&node, &peers, &asking, &group);
         }
         try_unreachable(&node, &trying);
@@ -76,6 +81,14 @@
     }
 }
 
+/// The groups, with another one first in each round: questions that are bounded in number are
+/// those of the first.
+fn in_turn(mut groups: Vec<GroupName>, round: usize) -> Vec<GroupName> {
+    let first = round.checked_rem(groups.len()).unwrap_or_default();
+    groups.rotate_left(first);
+    groups
+}
+
 fn look_after(node: &Rc<Node>, peers: &Rc<Peers>, asking: &Rc<Asking>, group: &GroupName) {
     let now = node.now();
     let (leader, confirmed_at, lost, promoting, used_at) = node.with_group(group, |state| {
@@ -96,7 +109,7 @@
             ask_who_took_over(node, peers, asking, group);
         }
         if let Some((candidate, _)) = promoting {
-            ask(node, asking, &candidate);
+            ask(node, asking, &candidate, in_use);
         }
         return;
     }
@@ -105,7 +118,7 @@
         let unconfirmed = now.since(confirmed_at);
         let held = node.connection_cap(leader) > 0;
         if held && unconfirmed >= period || unconfirmed >= period * SAMPLES_BEFORE_QUESTION {
-            ask(node, asking, leader);
+            ask(node, asking, leader, in_use);
         } else if !held && unconfirmed >= period {
             ask_for_sample(node, peers, group, leader);
         }
@@ -117,11 +130,11 @@
         ask_who_leads(node, peers, group);
     }
     if leader.is_none() || lost {
-        search(node, asking, group, leader.as_ref());
+        search(node, asking, group, leader.as_ref(), in_use);
     } else if let Some((candidate, _)) = promoting
         && leader.as_ref() != Some(&candidate)
     {
-        ask(node, asking, &candidate);
+        ask(node, asking, &candidate, in_use);
     }
 }
 
@@ -150,7 +163,7 @@
     ask_who_leads(node, peers, group);
     for database in node.by_stated_role(group) {
         if node.connection_cap(&database) > 0 {
-            ask(node, asking, &database);
+            ask(node, asking, &database, true);
         }
     }
 }
@@ -195,7 +208,13 @@
 
 /// Asks the databases of a group which of them leads: those that this node holds
 /// connections to, and after a while the others as well.
-fn search(node: &Rc<Node>, asking: &Rc<Asking>, group: &GroupName, leader: Option<&DatabaseName>) {
+fn search(
+    node: &Rc<Node>,
+    asking: &Rc<Asking>,
+    group: &GroupName,
+    leader: Option<&DatabaseName>,
+    in_use: bool,
+) {
     let now = node.now();
     let leaderless_since = node.with_group(group, |state| state.leaderless_since);
     let long = leaderless_since.is_none_or(|since| now.since(since) >= PEERS_TELL);
@@ -206,16 +225,25 @@
     for database in databases {
         let held = node.connection_cap(&database) > 0;
         if leader != Some(&database) && (held || long) {
-            ask(node, asking, &database);
+            ask(node, asking, &database, in_use);
         }
     }
 }
 
-/// Asks a database whether it leads, unless a question is on its way.
-fn ask(node: &Rc<Node>, asking: &Rc<Asking>, database: &DatabaseName) {
-    if node.is_shut(database) || !asking.databases.borrow_mut().insert(database.clone()) {
+/// Asks a database whether it leads, unless a question is on its way, or too many are.
+fn ask(node: &Rc<Node>, asking: &Rc<Asking>, database: &DatabaseName, in_use: bool) {
+    if node.is_shut(database) {
+        return;
+    }
+    let afar = node.connection_cap(database) == 0;
+    if afar && !may_ask_afar(asking.afar.get(), in_use) {
+        return;
+    }
+    if !asking.databases.borrow_mut().insert(database.clone()) {
         return;
     }
+    let afar = usize::from(afar);
+    asking.afar.set(asking.afar.get() + afar);
     let node = Rc::clone(node);
     let asking = Rc::clone(asking);
     let database = database.clone();
@@ -227,6 +255,7 @@
             sleep(pause).await;
         }
         asking.databases.borrow_mut().remove(&database);
+        asking.afar.set(asking.afar.get() - afar);
     });
 }
 
