Databases that begin anew under their names, and cold databases

Lives: the identity of a database is its name and its start. A node that learns of another start ends all that it had learnt of the earlier life: the pool is retired with its connections and estimates, samples, positions and refutations end, peers passed over for it are asked again. A fact counts only if it was asked for after the node had learnt of the life, so a late answer or a peer's sample brings nothing of an earlier one back; nor does an older revision of the store, also of a database that was forgotten. A property test found that the same holds for the first life heard of, as a peer may have asked the one before. A primary that came back without a commit was taken for the primary and no replica was promoted (sync_replicas 0); now one that holds the commits is. An empty replica that stays no longer goes before one that holds commits and announces its end.

Cold databases: while a database is cold, its first two homes alone send to it, each from a token bucket with a fixed part of what is allowed, so small that two views of the homes stay within the bound together. Others lease from them; a read goes to a warm database if one will do; what exceeds the budget is refused with the time to return. Questions about leadership and state are asked once a second at most. A database that may have restarted unheard counts as cold as well.

--- a/crates/coordination/src/serving/directory.rs
+++ b/crates/coordination/src/serving/directory.rs
@@ -3,6 +3,9 @@
 //! An entry that is missing from a complete listing proves that the database left only
 //! if the listing was stable, so absence is remembered with its time and the caller
 //! decides how long a missing database is still used.
+//!
+//! A database that starts again may keep its name. It then holds and knows nothing of
+//! before: see [`database_life`](super::database_life).
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -11,6 +14,8 @@
 use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use super::database_life::{DatabaseStart, Tombstones};
+
 /// Role that a database states for itself. It may be out of date.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StatedRole {
@@ -20,13 +25,6 @@
     Replica,
 }
 
-/// When a database's process started, as the database tells it: Unix milliseconds.
-///
-/// It tells two lives of one name apart and is compared with nothing but itself; this
-/// node's clocks know nothing of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DatabaseStart(pub u64);
-
 /// One database as registered.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Database {
@@ -61,6 +59,8 @@
     pub leaving_since: Option<Timestamp>,
     /// Whether its entry is missing from the store.
     pub missing: bool,
+    /// When this node learnt of its present life.
+    pub life_since: Timestamp,
 }
 
 /// Absence in a steady store that proves that a database left: over two heartbeats, as
@@ -68,6 +68,12 @@
 const ABSENCE_PROVES: Duration = Duration::from_millis(3_500);
 
 impl Listed {
+    /// Whether what the database said to a question of `asked_at` is of its present life for
+    /// certain: an earlier one had ended before anybody could learn of the present one.
+    pub fn is_of_this_life(&self, asked_at: Timestamp) -> bool {
+        asked_at > self.life_since
+    }
+
     /// Whether the database is leaving for certain.
     ///
     /// It is if it says so. If its entry is missing, the store has to have been followed
@@ -86,27 +92,55 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     databases: BTreeMap<DatabaseName, Listed>,
+    /// Those that were forgotten, so that a late word of one does not bring it back.
+    tombstones: Tombstones,
+}
+
+/// What a registration was to the directory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Registration {
+    /// Older than what is known, and passed over.
+    Outdated,
+    /// The first of a database, or news of the life that was known.
+    Taken,
+    /// That of another life: what was learnt of the one before holds no more.
+    NewLife,
 }
 
 impl Directory {
-    /// Takes one registration; an older revision than the one held is passed over.
-    pub fn put(&mut self, database: Database, revision: u64, now: Timestamp) {
+    /// Takes one registration; an older revision than the one held is passed over, so it
+    /// brings no earlier life back.
+    pub fn put(&mut self, database: Database, revision: u64, now: Timestamp) -> Registration {
         let before = self.databases.get(&database.name);
-        if before.is_some_and(|listed| listed.revision > revision) {
-            return;
+        let known = match before {
+            Some(listed) => Some((listed.revision, listed.database.started)),
+            None => self.tombstones.get(&database.name),
+        };
+        if known.is_some_and(|(known_revision, _)| known_revision > revision) {
+            return Registration::Outdated;
         }
-        let leaving_since = match before.and_then(|listed| listed.leaving_since) {
+        let is_new_life = known.is_some_and(|(_, started)| started != database.started);
+        let same_life = before.filter(|_| !is_new_life);
+        let leaving_since = match same_life.and_then(|listed| listed.leaving_since) {
             Some(since) if database.draining => Some(since),
             _ if database.draining => Some(now),
             _ => None,
         };
+        let life_since = same_life.map_or(now, |listed| listed.life_since);
+        self.tombstones.remove(&database.name);
         let listed = Listed {
             database,
             revision,
             leaving_since,
             missing: false,
+            life_since,
         };
         self.databases.insert(listed.database.name.clone(), listed);
+        if is_new_life {
+            Registration::NewLife
+        } else {
+            Registration::Taken
+        }
     }
 
     /// Notes that the entry of `name` is gone as of `revision`.
@@ -120,15 +154,8 @@
         }
     }
 
-    /// Takes a complete listing read at `revision`: what it lacks is missing.
-    pub fn replace(&mut self, listing: Vec<(Database, u64)>, revision: u64, now: Timestamp) {
-        let present: Vec<DatabaseName> = listing
-            .iter()
-            .map(|(database, _)| database.name.clone())
-            .collect();
-        for (database, entry_revision) in listing {
-            self.put(database, entry_revision, now);
-        }
+    /// Takes the names in a complete listing read at `revision`: what it lacks is missing.
+    pub fn remove_absent(&mut self, present: &[DatabaseName], revision: u64, now: Timestamp) {
         let absent: Vec<DatabaseName> = self
             .databases
             .keys()
@@ -142,8 +169,13 @@
 
     /// Forgets databases that have been missing since before `before`.
     pub fn forget_missing(&mut self, before: Timestamp) {
-        self.databases.retain(|_, listed| {
-            !listed.missing || listed.leaving_since.is_none_or(|since| since > before)
+        let tombstones = &mut self.tombstones;
+        self.databases.retain(|name, listed| {
+            let kept = !listed.missing || listed.leaving_since.is_none_or(|since| since > before);
+            if !kept {
+                tombstones.put(name, listed.revision, listed.database.started);
+            }
+            kept
         });
     }
 
--- a/crates/coordination/src/serving/failover.rs
+++ b/crates/coordination/src/serving/failover.rs
@@ -102,6 +102,23 @@
     pub preferred: bool,
 }
 
+/// Commits by which replicas in step may differ: what is on its way to them. One that lacks
+/// more has restarted empty or was cut off, and is no match for one that announces its end.
+const COMMITS_ON_THEIR_WAY: u64 = 64;
+
+impl ReplicaState {
+    /// Whether the replica has received about as much as one at `newest`.
+    fn is_near(&self, newest: Position) -> bool {
+        let lacks = newest.lsn.0.saturating_sub(self.received.lsn.0);
+        lacks <= COMMITS_ON_THEIR_WAY && (self.received.lsn.0 > 0 || newest.lsn.0 == 0)
+    }
+
+    /// Whether it lacks what one of `others` holds: it restarted empty or was cut off.
+    pub fn is_behind(&self, others: &[ReplicaState]) -> bool {
+        others.iter().any(|other| !self.is_near(other.received))
+    }
+}
+
 /// Why no replica can be promoted now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum NoCandidate {
@@ -131,15 +148,17 @@
     if missing > may_miss {
         return Err(NoCandidate::SomeMissing);
     }
+    let newest = answered.iter().map(|state| state.received).max();
     answered
         .iter()
         .max_by(|left, right| {
+            let in_step = |state: &ReplicaState| newest.is_none_or(|newest| state.is_near(newest));
             let merit = |state: &ReplicaState| (!state.draining, state.received, state.preferred);
             let by_position_first = sync_replicas > 0;
             let order = if by_position_first {
                 left.received.cmp(&right.received)
             } else {
-                std::cmp::Ordering::Equal
+                in_step(left).cmp(&in_step(right))
             };
             order
                 .then_with(|| merit(left).cmp(&merit(right)))
--- a/crates/coordination/src/serving/leadership.rs
+++ b/crates/coordination/src/serving/leadership.rs
@@ -5,10 +5,18 @@
 //! received, so a position held from an earlier reign may not exist any more. The first
 //! sample of a reign covers all that survived of earlier ones.
 
+use std::time::Duration;
+
 use hookpoint_state::{DatabaseName, Position, Timestamp};
 
 use super::freshness::FreshnessLog;
 
+/// How long a primary that came back without its commits is not taken for the primary, so that a replica
+/// which holds the acknowledged commits is promoted instead. A lost primary is replaced well
+/// within this time; after it there is none to promote, and an empty group is better than
+/// none.
+const LOST_COMMITS_TIME: Duration = Duration::from_secs(3);
+
 /// Number of a reign on this node, from 1.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Reign(pub u64);
@@ -33,6 +41,16 @@
     pub position: Option<Position>,
 }
 
+/// A leader that restarted without the commits that it had acknowledged.
+#[derive(Clone, Debug)]
+struct LostCommits {
+    database: DatabaseName,
+    /// Newest position that it had told.
+    highest: Position,
+    /// When this node learnt of it.
+    since: Timestamp,
+}
+
 /// The belief about one group's primary.
 #[derive(Clone, Debug, Default)]
 pub struct Leadership {
@@ -44,20 +62,31 @@
     refuted: Option<(DatabaseName, Timestamp)>,
     highest: Option<(Timestamp, Position)>,
     freshness: FreshnessLog,
+    /// The last leader if it restarted without what it had acknowledged.
+    lost: Option<LostCommits>,
 }
 
 impl Leadership {
-    /// Takes a proof that `database` led. Says whether the belief changed.
+    /// Takes a proof that `database` led. Says whether the belief changed. A proof that the
+    /// leader lost all of its commits ends the belief: it restarted empty.
     pub fn confirm(&mut self, database: &DatabaseName, proof: Confirmation) -> bool {
         let same = self.leader.as_ref() == Some(database);
         if !same && (proof.asked_at < self.confirmed_at || self.is_refuted(database, &proof)) {
             return false;
         }
+        if same && self.shows_loss(&proof) {
+            self.end_life(database, proof.answered_at);
+            return false;
+        }
+        if self.is_passed_over(database, &proof) {
+            return false;
+        }
         let resumed = self.leader.is_none() && self.previous.as_ref() == Some(database);
         let new_reign = !(same || resumed) || self.rolled_back(&proof);
         if new_reign {
             self.begin_reign();
         }
+        self.lost = None;
         self.leader = Some(database.clone());
         self.previous = Some(database.clone());
         self.confirmed_at = self.confirmed_at.max(proof.asked_at);
@@ -83,6 +112,51 @@
         }
     }
 
+    /// Whether the answer shows a database without any commit that had some before the
+    /// question was sent.
+    fn shows_loss(&self, proof: &Confirmation) -> bool {
+        let empty = proof.position.is_some_and(|position| position.lsn.0 == 0);
+        empty && self.rolled_back(proof)
+    }
+
+    /// Whether the database lost commits, lacks them yet, and may be replaced by one that
+    /// holds them.
+    fn is_passed_over(&self, database: &DatabaseName, proof: &Confirmation) -> bool {
+        self.lost.as_ref().is_some_and(|lost| {
+            let lacks = proof
+                .position
+                .is_none_or(|position| position < lost.highest);
+            let lately = proof.answered_at.since(lost.since) < LOST_COMMITS_TIME;
+            lost.database == *database && lacks && lately
+        })
+    }
+
+    /// Ends all that was learnt of a life of `database`, which has begun another one by
+    /// `now`: samples, positions and refutations. Says whether it was believed to lead.
+    ///
+    /// Samples of a reign of another database stand: they are that one's positions.
+    pub fn end_life(&mut self, database: &DatabaseName, now: Timestamp) -> bool {
+        if self
+            .refuted
+            .as_ref()
+            .is_some_and(|(refuted, _)| refuted == database)
+        {
+            self.refuted = None;
+        }
+        let led_last = self.previous.as_ref() == Some(database);
+        if !led_last {
+            return false;
+        }
+        self.lost = self.highest.take().map(|(_, highest)| LostCommits {
+            database: database.clone(),
+            highest,
+            since: now,
+        });
+        self.previous = None;
+        self.freshness.clear();
+        self.leader.take().is_some()
+    }
+
     fn begin_reign(&mut self) {
         self.reign = Reign(self.reign.0 + 1);
         self.highest = None;
--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -7,6 +7,7 @@
 pub mod attempt_limit;
 pub mod cold_start;
 pub mod coordinator;
+pub mod database_life;
 pub mod demand;
 pub mod directory;
 pub mod evacuation;
--- a/crates/coordination/src/serving/quota.rs
+++ b/crates/coordination/src/serving/quota.rs
@@ -51,7 +51,7 @@
 
 /// Buckets are kept in millionths of an operation: a rate in operations a second adds itself
 /// each microsecond.
-const MICROS: u64 = 1_000_000;
+pub(super) const MICROS: u64 = 1_000_000;
 
 /// A tenant's limit as configured.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -181,6 +181,28 @@
         }
     }
 
+    /// A bucket that holds nothing yet.
+    pub fn empty(limit: GrantLimit, now: Timestamp) -> Self {
+        Self {
+            limit,
+            level: 0,
+            updated_at: now,
+        }
+    }
+
+    /// Takes tokens whether they are there or not; the level may fall below zero.
+    pub fn charge(&mut self, now: Timestamp, tokens: u32) {
+        self.refill(now);
+        self.level -= i128::from(u64::from(tokens) * MICROS);
+    }
+
+    /// Takes over the limit if it has changed.
+    pub fn keep_limit(&mut self, now: Timestamp, limit: GrantLimit) {
+        if self.limit != limit {
+            self.set_limit(now, limit);
+        }
+    }
+
     /// Takes over a changed limit; what is more than the new burst is lost.
     pub fn set_limit(&mut self, now: Timestamp, limit: GrantLimit) {
         self.refill(now);
@@ -253,9 +275,7 @@
             .buckets
             .entry(tenant.clone())
             .or_insert_with(|| TokenBucket::new(limit, from));
-        if bucket.limit != limit {
-            bucket.set_limit(now, limit);
-        }
+        bucket.keep_limit(now, limit);
         bucket.take(now, patience)
     }
 
--- a/crates/coordination/src/serving/selection.rs
+++ b/crates/coordination/src/serving/selection.rs
@@ -53,6 +53,8 @@
     pub suspect: bool,
     /// Whether it lately lacked a position that was asked for.
     pub lagging: bool,
+    /// Whether it has just started and bears little load.
+    pub cold: bool,
     /// Whether it leads its group; its slots are spared for writes.
     pub leader: bool,
 }
@@ -61,6 +63,9 @@
 const AVOIDED: Duration = Duration::from_millis(2_000);
 /// Added for a database that fails every statement; in proportion for one that fails some.
 const FAILING_COST: Duration = Duration::from_millis(400);
+/// Added for a database that is cold: more than any distance, less than one that does not
+/// answer or leaves.
+const COLD_COST: Duration = Duration::from_millis(1_000);
 /// Added for the primary.
 const LEADER_COST: Duration = Duration::from_millis(4);
 
@@ -75,6 +80,9 @@
         if self.leader {
             cost += LEADER_COST;
         }
+        if self.cold {
+            cost += COLD_COST;
+        }
         if self.lagging {
             cost += AVOIDED / 4;
         }
--- a/crates/coordination/tests/serving.rs
+++ b/crates/coordination/tests/serving.rs
@@ -286,6 +286,7 @@
         draining: false,
         suspect: false,
         lagging: false,
+        cold: false,
         leader: false,
     }
 }
--- a/crates/serving/src/coordinator/replicas.rs
+++ b/crates/serving/src/coordinator/replicas.rs
@@ -9,6 +9,7 @@
 use hookpoint_state::{DatabaseName, GroupName, Term};
 use tokio::time::{sleep, timeout};
 
+use crate::cold_start;
 use crate::lease::Lease;
 use crate::message::{Command, DatabaseStatus, FailureCode};
 use crate::node::Node;
@@ -60,7 +61,15 @@
         let term = Term(newest.0 + 1);
         ask_all(node, &replicas, &Command::PauseReplication { term }).await
     };
-    if let Some((name, _)) = states.iter().find(|(_, status)| status.primary) {
+    let primary = states
+        .iter()
+        .find(|(_, status)| status.primary)
+        .map(|(name, _)| name.clone());
+    let states: Vec<ReplicaState> = states
+        .into_iter()
+        .map(|(name, status)| replica_state(node, name, status))
+        .collect();
+    if let Some(name) = primary.filter(|name| !restarted_empty(name, &states)) {
         node.log(
             "primary_found",
             &[
@@ -70,10 +79,6 @@
         );
         return None;
     }
-    let states: Vec<ReplicaState> = states
-        .into_iter()
-        .map(|(name, status)| replica_state(node, name, status))
-        .collect();
     match choose_candidate(&states, replicas.len(), sync_replicas) {
         Ok(candidate) => Some(candidate),
         Err(error) => {
@@ -90,6 +95,13 @@
     }
 }
 
+/// Whether a database that calls itself the primary lost what a replica still holds.
+fn restarted_empty(name: &DatabaseName, states: &[ReplicaState]) -> bool {
+    states
+        .iter()
+        .any(|state| state.name == *name && state.is_behind(states))
+}
+
 /// A database that is missing from the store, for a crash or an outage, may be the only
 /// one that holds a commit, so it counts until the others have long received all of it.
 fn is_candidate(node: &Rc<Node>, name: &DatabaseName) -> bool {
@@ -139,7 +151,9 @@
     let questions = replicas.iter().map(|name| {
         let command = command.clone();
         async move {
+            let asked_at = node.now();
             let status = ask_status(node, name, command).await?;
+            node.database_asked(name, asked_at)?;
             Some((name.clone(), status))
         }
     });
@@ -180,15 +194,19 @@
 /// A connection at rest, a new one, or one that another node holds.
 async fn lease_for_status(node: &Rc<Node>, pool: &Rc<Pool>) -> Option<Lease> {
     let values = SessionValues::new();
-    if let Some(lease) = pool.try_acquire(None, &values) {
-        return Some(lease);
-    }
     let question = ConnectionRequest {
         principal: None,
         priority: STATUS_PRIORITY,
         values: &values,
         limits: WaitLimits::patient(STATUS_LIMIT),
     };
+    if node.is_cold(pool.database()) {
+        let leased = cold_start::lease_for_question(node, pool, question).await;
+        return leased.ok();
+    }
+    if let Some(lease) = pool.try_acquire(None, &values) {
+        return Some(lease);
+    }
     match pool.open(node, None).await {
         Ok(lease) => Some(lease),
         Err(_) => relay::lease(node, pool, question).await.ok(),
--- /dev/null
+++ b/crates/serving/src/database_life.rs
@@ -0,0 +1,124 @@
+//! What a new life of a database ends on this node: see
+//! [`hookpoint_coordination::serving::database_life`].
+
+use std::rc::Rc;
+
+use hookpoint_coordination::serving::directory::{Database, Registration};
+use hookpoint_state::{DatabaseName, Timestamp};
+
+use crate::node::{Contact, Node};
+use crate::pool::Pool;
+
+impl Node {
+    /// Takes the registration of a database, as of `revision` of the store.
+    pub(crate) fn register_database(&self, database: Database, revision: u64) {
+        let name = database.name.clone();
+        let before = self.directory.borrow().get(&name).cloned();
+        let registration = self
+            .directory
+            .borrow_mut()
+            .put(database, revision, self.now());
+        self.hear_warmth(&name, before.as_ref(), registration);
+        if registration == Registration::NewLife {
+            self.end_life(&name);
+        }
+    }
+
+    /// Takes a complete listing of the databases, read at `revision`.
+    pub(crate) fn register_databases(&self, listing: Vec<(Database, u64)>, revision: u64) {
+        let present: Vec<DatabaseName> = listing
+            .iter()
+            .map(|(database, _)| database.name.clone())
+            .collect();
+        for (database, entry_revision) in listing {
+            self.register_database(database, entry_revision);
+        }
+        let mut directory = self.directory.borrow_mut();
+        directory.remove_absent(&present, revision, self.now());
+    }
+
+    /// A listed database, if what it said to a question of `asked_at` is of its present life.
+    pub(crate) fn database_asked(
+        &self,
+        name: &DatabaseName,
+        asked_at: Timestamp,
+    ) -> Option<Database> {
+        let directory = self.directory.borrow();
+        let listed = directory.get(name)?;
+        if !listed.is_of_this_life(asked_at) {
+            self.counters.count("database_answers", "earlier_life");
+            return None;
+        }
+        Some(listed.database.clone())
+    }
+
+    /// Ends all that was learnt of the life of `name` before the one that this node has just
+    /// learnt of.
+    fn end_life(&self, name: &DatabaseName) {
+        let Some(database) = self.database(name) else {
+            return;
+        };
+        let now = self.now();
+        let had_led = self.with_group(&database.group, |state| {
+            let had_led = state.leadership.end_life(name, now);
+            if had_led {
+                state.contact = Contact::default();
+                state.leaderless_since.get_or_insert(now);
+            }
+            let names_it = |(named, _): &(DatabaseName, Timestamp)| named == name;
+            if state.overruled.as_ref().is_some_and(names_it) {
+                state.overruled = None;
+            }
+            // Where promotions are not fenced, the newest order says who alone may lead, in
+            // whichever life, until another one is announced.
+            let fenced = self.changeable().fenced_promotions;
+            if fenced && state.promoting.as_ref().is_some_and(names_it) {
+                state.promoting = None;
+            }
+            had_led
+        });
+        if let Some(pool) = self.pools.borrow_mut().remove(name) {
+            pool.retire();
+        }
+        self.links.forget_database(name);
+        self.homes.borrow_mut().forget_view(name);
+        self.log(
+            "database_restarted",
+            &[
+                ("database", name.as_str().into()),
+                ("group", database.group.as_str().into()),
+                ("started", database.started.map(|start| start.0).into()),
+                ("had_led", had_led.into()),
+            ],
+        );
+        self.leader_changed.notify_waiters();
+    }
+
+    /// The pool of a database's present life.
+    pub fn pool(self: &Rc<Self>, name: &DatabaseName) -> Rc<Pool> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools
+            .entry(name.clone())
+            .or_insert_with(|| Rc::new(Pool::new(Rc::downgrade(self), name.clone())));
+        Rc::clone(pool)
+    }
+
+    /// All pools.
+    pub fn pools(&self) -> Vec<Rc<Pool>> {
+        self.pools.borrow().values().cloned().collect()
+    }
+
+    /// Drops the pools of databases that are not listed any more.
+    pub fn drop_unlisted_pools(&self) {
+        let directory = self.directory.borrow();
+        self.pools.borrow_mut().retain(|name, pool| {
+            let listed = directory.get(name).is_some();
+            if !listed {
+                pool.close_idle();
+            }
+            listed
+        });
+        drop(directory);
+        self.drop_unlisted_warmth();
+    }
+}
--- a/crates/serving/src/explanation.rs
+++ b/crates/serving/src/explanation.rs
@@ -3,7 +3,7 @@
 use serde_json::Value;
 
 /// Events that change what a node believes; they explain the requests near them.
-const BELIEF_EVENTS: [&str; 15] = [
+const BELIEF_EVENTS: [&str; 16] = [
     "started",
     "stop_requested",
     "leader_confirmed",
@@ -17,6 +17,7 @@
     "dependency_lost",
     "dependency_regained",
     "database_changed",
+    "database_restarted",
     "database_missing",
     "configuration_in_force",
 ];
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -273,7 +273,6 @@
 }
 
 fn apply_all(node: &Rc<Node>, all: StoreChanges) {
-    let now = node.now();
     let mut databases = Vec::new();
     let mut own_keys = Vec::new();
     let mut evacuations = Vec::new();
@@ -291,9 +290,7 @@
             _ => apply(node, change),
         }
     }
-    node.directory
-        .borrow_mut()
-        .replace(databases, all.revision, now);
+    node.register_databases(databases, all.revision);
     take_evacuations(node, &evacuations, all.revision);
     forget_absent(node, &own_keys);
     node.homes.borrow_mut().forget_all();
@@ -321,9 +318,7 @@
             let name = database.name.clone();
             let draining = database.draining;
             forget_homes_if_moved(node, &database);
-            node.directory
-                .borrow_mut()
-                .put(database, change.revision, now);
+            node.register_database(database, change.revision);
             node.log(
                 "database_changed",
                 &[
--- a/crates/serving/src/homes.rs
+++ b/crates/serving/src/homes.rs
@@ -108,7 +108,8 @@
     /// Connections that this node may have open to a database; 0 if it is not home.
     pub fn connection_cap(&self, name: &DatabaseName) -> usize {
         if !self.knows_fleet() {
-            return CAP_WITHOUT_MEMBERS;
+            let cold = self.is_cold(name);
+            return if cold { 0 } else { CAP_WITHOUT_MEMBERS };
         }
         self.home_view(name).cap
     }
@@ -291,6 +292,9 @@
         };
         let most = useful_connections(most, database.slots);
         let count = home_count(most, candidates.len(), self.connection_sharing());
+        let count = self
+            .cold_holders(name)
+            .map_or(count, |most| most.min(count));
         let homes: Vec<HomeCandidate> = choose_homes(name, &database.zone, candidates, count)
             .into_iter()
             .cloned()
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -16,6 +16,8 @@
     connection: Option<Connection>,
     pool: Rc<Pool>,
     taken_at: Instant,
+    /// Requests for which there is a token, if the database is cold.
+    admitted: u32,
 }
 
 impl Lease {
@@ -24,6 +26,7 @@
             connection: Some(connection),
             pool,
             taken_at: Instant::now(),
+            admitted: 0,
         }
     }
 
@@ -31,6 +34,11 @@
         self.connection.take()
     }
 
+    /// Notes that there is a token for `requests` to a cold database.
+    pub(crate) fn admit(&mut self, requests: u32) {
+        self.admitted = requests;
+    }
+
     /// The pool it belongs to.
     pub fn pool(&self) -> &Rc<Pool> {
         &self.pool
@@ -51,10 +59,17 @@
         limit: Duration,
     ) -> Result<Vec<Answer>, ConnectionError> {
         let asked_at = node.now();
-        let outcome = self.connection().exchange(commands, limit).await;
         let relayed = self.connection().is_relayed();
+        if !relayed {
+            let admitted = std::mem::take(&mut self.admitted);
+            node.charge_cold(self.pool.database(), commands, admitted);
+        }
+        let outcome = self.connection().exchange(commands, limit).await;
         let stage = if relayed { "peer" } else { "database" };
         node.counters.observe(stage, node.now().since(asked_at));
+        if self.pool.is_retired() {
+            return outcome;
+        }
         match &outcome {
             Ok(_) => {
                 self.connection().heard_at = node.now();
@@ -66,7 +81,9 @@
             }
             Err(error) => {
                 self.pool.note_failure(node.now());
-                if matches!(error, ConnectionError::TimedOut) {
+                if !matches!(error, ConnectionError::TimedOut) {
+                    self.pool.note_closed();
+                } else {
                     node.counters.count("database_timeouts", "exchange");
                     self.pool.verify(node);
                 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,11 +6,13 @@
 //! implements them. The decisions are those of `hookpoint_coordination::serving`.
 #![forbid(unsafe_code)]
 
+mod cold_start;
 pub mod connection;
 pub mod coordinator;
 pub mod coordinator_record;
 mod counted_store;
 pub mod counters;
+mod database_life;
 pub mod events;
 pub mod explanation;
 pub mod feed;
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -76,6 +76,10 @@
     Refused,
     /// The queue for the database's connections is too long.
     Overloaded,
+    /// The database has just started and gets no more from this node at the moment.
+    Cold {
+        retry_after_ms: u64,
+    },
     Answers(Vec<Answer>),
     Broken {
         timed_out: bool,
@@ -143,6 +147,12 @@
             .is_some_and(|until| now < *until)
     }
 
+    /// Asks all peers for a database again, whatever they lacked of an earlier life of it.
+    pub(crate) fn forget_database(&self, database: &DatabaseName) {
+        let mut passed_over = self.passed_over.borrow_mut();
+        passed_over.retain(|(_, other), _| other != database);
+    }
+
     pub(crate) fn pass_over(
         &self,
         peer: &str,
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -13,6 +13,7 @@
 use hookpoint_state::{DatabaseName, GroupName, Timestamp};
 use tokio::time::{sleep, timeout};
 
+use crate::cold_start;
 use crate::connection::ConnectionError;
 use crate::lease::{Lease, prove_leadership};
 use crate::node::Node;
@@ -65,6 +66,7 @@
         }
         try_unreachable(&node, &trying);
         tokens::look_for_holders(&node);
+        cold_start::look(&node);
         for pool in node.pools() {
             pool.trim(node.now());
         }
@@ -208,15 +210,18 @@
 /// A connection to ask on: at rest, new, or another node's if this one has no way.
 async fn lease_for_question(node: &Rc<Node>, pool: &Rc<Pool>) -> Result<Lease, AcquireError> {
     let values = SessionValues::new();
-    if let Some(lease) = pool.try_acquire(None, &values) {
-        return Ok(lease);
-    }
     let question = ConnectionRequest {
         principal: None,
         priority: QUESTION_PRIORITY,
         values: &values,
         limits: WaitLimits::patient(CONTROL_LIMIT),
     };
+    if node.is_cold(pool.database()) {
+        return cold_start::lease_for_question(node, pool, question).await;
+    }
+    if let Some(lease) = pool.try_acquire(None, &values) {
+        return Ok(lease);
+    }
     let cap = node.connection_cap(pool.database());
     if cap == 0 || !pool.is_reachable() {
         return relay::lease(node, pool, question)
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -21,6 +21,7 @@
 use serde_json::Value;
 use tokio::sync::Notify;
 
+use crate::cold_start::ColdDatabases;
 use crate::counted_store::CountedStore;
 use crate::counters::Counters;
 use crate::events::EventLog;
@@ -243,7 +244,9 @@
     pub feed: Feed,
     /// Who holds connections to the databases.
     pub(crate) homes: RefCell<HomeViews>,
-    pools: RefCell<BTreeMap<DatabaseName, Rc<Pool>>>,
+    pub(crate) pools: RefCell<BTreeMap<DatabaseName, Rc<Pool>>>,
+    /// How warm the databases are.
+    pub(crate) cold: ColdDatabases,
     started: Instant,
 }
 
@@ -299,6 +302,7 @@
             feed: Feed::default(),
             homes: RefCell::default(),
             pools: RefCell::default(),
+            cold: ColdDatabases::default(),
             started: Instant::now(),
         })
     }
@@ -405,32 +409,6 @@
             .is_none_or(|since| self.now().since(since) < self.changeable().drain_limit)
     }
 
-    /// The pool of a database.
-    pub fn pool(self: &Rc<Self>, name: &DatabaseName) -> Rc<Pool> {
-        let mut pools = self.pools.borrow_mut();
-        let pool = pools
-            .entry(name.clone())
-            .or_insert_with(|| Rc::new(Pool::new(Rc::downgrade(self), name.clone())));
-        Rc::clone(pool)
-    }
-
-    /// All pools.
-    pub fn pools(&self) -> Vec<Rc<Pool>> {
-        self.pools.borrow().values().cloned().collect()
-    }
-
-    /// Drops the pools of databases that are not listed any more.
-    pub fn drop_unlisted_pools(&self) {
-        let directory = self.directory.borrow();
-        self.pools.borrow_mut().retain(|name, pool| {
-            let listed = directory.get(name).is_some();
-            if !listed {
-                pool.close_idle();
-            }
-            listed
-        });
-    }
-
     /// What the databases of a zone may be used for at the moment.
     pub(crate) fn zone_standing(&self, zone: &ZoneName) -> ZoneStanding {
         let limit = self.changeable().evacuation_limit;
@@ -499,7 +477,7 @@
 
     /// Takes a proof of this node's own, or one that a peer passes on, as it is.
     pub(crate) fn believe_leader(&self, name: &DatabaseName, proof: Confirmation) {
-        let Some(database) = self.database(name) else {
+        let Some(database) = self.database_asked(name, proof.asked_at) else {
             return;
         };
         if !self.may_lead(&database) {
@@ -517,6 +495,8 @@
                     ..Contact::default()
                 };
                 state.leaderless_since = None;
+            } else if state.leadership.leader().is_none() {
+                state.leaderless_since.get_or_insert(now);
             }
             (changed, state.leadership.reign())
         });
@@ -536,7 +516,7 @@
 
     /// Takes a proof, asked for at `asked_at`, that a database does not lead.
     pub fn refute_leader(&self, name: &DatabaseName, asked_at: Timestamp) {
-        let Some(database) = self.database(name) else {
+        let Some(database) = self.database_asked(name, asked_at) else {
             return;
         };
         let now = self.now();
@@ -584,7 +564,7 @@
 
     /// Notes that a question sent to the leader at `asked_at` was not answered.
     pub fn note_lost_contact(&self, name: &DatabaseName, asked_at: Timestamp, refused: bool) {
-        let Some(database) = self.database(name) else {
+        let Some(database) = self.database_asked(name, asked_at) else {
             return;
         };
         let newly_lost = self.with_group(&database.group, |state| {
--- a/crates/serving/src/pool/acquire.rs
+++ b/crates/serving/src/pool/acquire.rs
@@ -32,7 +32,9 @@
     ) -> Result<Lease, AcquireError> {
         let node = self.node.upgrade().ok_or(AcquireError::Unlisted)?;
         self.note_demand(node.now(), request.principal);
-        if let Some(lease) = self.try_acquire(request.principal, request.values) {
+        if !node.is_cold(&self.database)
+            && let Some(lease) = self.try_acquire(request.principal, request.values)
+        {
             return Ok(lease);
         }
         let is_home = self.reachable.get() && node.connection_cap(&self.database) > 0;
@@ -69,6 +71,9 @@
         if !self.reachable.get() && self.is_suspect(node.now()) {
             return Err(AcquireError::NotHeld);
         }
+        if let Some(refusal) = node.not_for_cold(&self.database) {
+            return Err(refusal);
+        }
         node.counters.count("connections", "substitute");
         self.acquire_within(node, SUBSTITUTE_CONNECTIONS, request)
             .await
@@ -90,7 +95,13 @@
             return Err(AcquireError::NotHeld);
         }
         let cap = node.connection_cap(&self.database);
-        self.acquire_within(node, cap, request).await
+        if cap == 0 && node.is_cold(&self.database) {
+            return Err(AcquireError::NotHeld);
+        }
+        let admitted = node.admit_to_cold(&self.database, &request).await?;
+        let mut lease = self.acquire_within(node, cap, request).await?;
+        lease.admit(admitted);
+        Ok(lease)
     }
 
     /// The same with at most `cap` connections open.
@@ -170,6 +181,7 @@
     ) -> Result<Lease, AcquireError> {
         let (address, group) = node
             .database(&self.database)
+            .filter(|_| !self.is_retired())
             .map(|database| (database.address, database.group))
             .ok_or(AcquireError::Unlisted)?;
         node.counters.count("connections_opened", "database");
@@ -188,7 +200,12 @@
             Ok(mut connection) => {
                 place.fill();
                 connection.heard_at = node.now();
-                self.reachable.set(true);
+                if !self.reachable.replace(true) {
+                    node.doubt_warmth(&self.database);
+                }
+                if self.open.get() == 1 {
+                    node.note_first_connection(&self.database);
+                }
                 Ok(self.lend(connection))
             }
             Err(ConnectionError::Rejected(failure))
@@ -201,6 +218,7 @@
                 if !matches!(error, ConnectionError::Rejected(_)) {
                     let refused = matches!(error, ConnectionError::Refused(_));
                     self.refused.set(refused);
+                    node.doubt_warmth(&self.database);
                     self.note_failure(node.now());
                     self.note_unreachable();
                 }
@@ -221,6 +239,7 @@
         match tokio::time::timeout(request.limits.limit, receiver).await {
             Ok(Ok(Turn::Connection(lease))) => Ok(*lease),
             Ok(Ok(Turn::Place(place))) => self.open_in(place, node, request.principal).await,
+            Ok(Err(_)) if self.is_retired() => Err(AcquireError::Unlisted),
             _ => Err(AcquireError::TimedOut),
         }
     }
--- a/crates/serving/src/pool/idle.rs
+++ b/crates/serving/src/pool/idle.rs
@@ -33,6 +33,11 @@
         Some(self.0.remove(place))
     }
 
+    /// Whether one of them is still open.
+    pub(super) fn any_usable(&mut self) -> bool {
+        self.0.iter_mut().any(Connection::is_usable)
+    }
+
     /// Takes the one that has rested for the longest time.
     pub(super) fn take_oldest(&mut self) -> Option<Connection> {
         (!self.0.is_empty()).then(|| self.0.remove(0))
--- a/crates/serving/src/pool/mod.rs
+++ b/crates/serving/src/pool/mod.rs
@@ -96,6 +96,12 @@
     /// The database is not listed any more.
     #[error("the database is not listed")]
     Unlisted,
+    /// It has just started, and this node's part of what it may get is used up.
+    #[error("the database has just started and gets no more at the moment")]
+    Cold {
+        /// When there is a part again.
+        retry_after: Duration,
+    },
 }
 
 /// The pool of one database.
@@ -118,6 +124,8 @@
     in_use: RefCell<BTreeMap<Principal, usize>>,
     demand: RefCell<Demand>,
     reliability: Cell<Reliability>,
+    /// Whether the life of the database is over that it was for.
+    retired: Cell<bool>,
 }
 
 impl Pool {
@@ -142,6 +150,7 @@
             in_use: RefCell::default(),
             demand: RefCell::default(),
             reliability: Cell::default(),
+            retired: Cell::new(false),
         }
     }
 
@@ -257,6 +266,17 @@
                 return Some(self.lend(connection));
             }
             self.open.set(self.open.get() - 1);
+            self.note_closed();
+        }
+    }
+
+    /// Notes that the database ended a connection. If none at rest is left either, it may have
+    /// restarted.
+    pub(crate) fn note_closed(&self) {
+        if !self.idle.borrow_mut().any_usable()
+            && let Some(node) = self.node.upgrade()
+        {
+            node.doubt_warmth(&self.database);
         }
     }
 
@@ -331,6 +351,20 @@
         self.open.set(self.open.get() - closed);
     }
 
+    /// Whether the life of the database is over that the pool was for: nothing rests in it any
+    /// more, and what it notes concerns nobody.
+    pub(crate) fn is_retired(&self) -> bool {
+        self.retired.get()
+    }
+
+    /// The life of the database is over. Connections at rest are closed, those in use when
+    /// they come back, and whoever waits turns to the pool of the new life.
+    pub(crate) fn retire(&self) {
+        self.retired.set(true);
+        self.close_idle();
+        self.waiters.borrow_mut().dismiss_all();
+    }
+
     /// Closes the connections at rest.
     pub fn close_idle(&self) {
         let closed = self.idle.borrow_mut().close_all();
--- a/crates/serving/src/pool/release.rs
+++ b/crates/serving/src/pool/release.rs
@@ -24,7 +24,7 @@
         if let Some(node) = self.node.upgrade() {
             note_time(&self.held, node.now(), held);
         }
-        if connection.broken {
+        if connection.broken || self.is_retired() {
             self.open.set(self.open.get() - 1);
             return;
         }
--- a/crates/serving/src/pool/waiters.rs
+++ b/crates/serving/src/pool/waiters.rs
@@ -79,6 +79,11 @@
         (ticket, receiver)
     }
 
+    /// Tells all who wait that nothing will come.
+    pub(super) fn dismiss_all(&mut self) {
+        self.queue.clear();
+    }
+
     pub(super) fn leave(&mut self, ticket: Ticket) {
         self.queue.remove(&ticket);
     }
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -133,6 +133,10 @@
                 node.counters.count("relayed_leases", "overloaded");
                 refusal = NoLease::Overloaded;
             }
+            Err(NotLent::Cold { retry_after }) => {
+                node.counters.count("relayed_leases", "cold");
+                refusal = NoLease::Cold { retry_after };
+            }
             Err(reason) => {
                 let (label, time) = match reason {
                     NotLent::Broken => ("broken", PASSED_OVER_BROKEN),
@@ -156,6 +160,11 @@
     NotLent,
     /// The queue of the last one that answered is too long.
     Overloaded,
+    /// The database has just started, and the parts of those asked are used up.
+    Cold {
+        /// When there is a part again.
+        retry_after: Duration,
+    },
     /// None of the nodes that hold connections answers.
     Silent,
 }
@@ -166,6 +175,7 @@
         match self {
             NoLease::NotLent | NoLease::Silent => otherwise,
             NoLease::Overloaded => AcquireError::Overloaded,
+            NoLease::Cold { retry_after } => AcquireError::Cold { retry_after },
         }
     }
 }
@@ -174,6 +184,8 @@
 enum NotLent {
     /// Its queue is too long.
     Overloaded,
+    /// Its part of what a cold database may get is used up.
+    Cold { retry_after: Duration },
     /// The link broke or the peer did not answer.
     Broken,
     /// It has none to lend; the link is as good as before.
@@ -233,6 +245,12 @@
             node.links.keep(peer.name.clone(), stream);
             Err(NotLent::Overloaded)
         }
+        Some((LinkReply::Cold { retry_after_ms }, stream)) => {
+            node.links.keep(peer.name.clone(), stream);
+            Err(NotLent::Cold {
+                retry_after: Duration::from_millis(retry_after_ms),
+            })
+        }
         Some((LinkReply::Refused, stream)) => {
             node.links.keep(peer.name.clone(), stream);
             Err(NotLent::Refused)
@@ -360,6 +378,9 @@
                 match lend(&node, &database, wanted).await {
                     Ok(lent) => granted(&mut held.insert(lent).lease),
                     Err(AcquireError::Overloaded | AcquireError::TimedOut) => LinkReply::Overloaded,
+                    Err(AcquireError::Cold { retry_after }) => LinkReply::Cold {
+                        retry_after_ms: millis(retry_after),
+                    },
                     Err(_) => LinkReply::Refused,
                 }
             }
--- a/crates/serving/src/snapshot.rs
+++ b/crates/serving/src/snapshot.rs
@@ -50,9 +50,8 @@
     }
 
     fn apply(self, node: &Rc<Node>) {
-        let now = node.now();
         for (database, revision) in self.databases {
-            node.directory.borrow_mut().put(database, revision, now);
+            node.register_database(database, revision);
         }
         for record in self.members {
             let mut members = node.members.borrow_mut();
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -39,6 +39,10 @@
     NoLease,
     /// The queue for connections is too long.
     Overloaded,
+    /// The database has just started and gets no more for so long.
+    Cold {
+        retry_after: Duration,
+    },
 }
 
 impl AttemptFailure {
@@ -52,6 +56,7 @@
             AttemptFailure::Failed => "failed",
             AttemptFailure::NoLease => "no_lease",
             AttemptFailure::Overloaded => "overloaded",
+            AttemptFailure::Cold { .. } => "cold",
         }
     }
 }
@@ -90,6 +95,9 @@
                     .note_lost_contact(target.database(), asked_at, pool.was_refused());
                 return Attempt::NotRun(AttemptFailure::NoConnection);
             }
+            Err(AcquireError::Cold { retry_after }) => {
+                return Attempt::NotRun(AttemptFailure::Cold { retry_after });
+            }
             Err(AcquireError::Overloaded) => {
                 return Attempt::NotRun(AttemptFailure::Overloaded);
             }
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -190,9 +190,9 @@
                 self.read_target(&avoided)
             };
             let Some(target) = target else {
-                if tried.overloaded {
+                if tried.is_refused() {
                     self.log_outcome(work, &tried, "refused");
-                    return Err(self.refusal("overloaded"));
+                    return Err(self.load_refusal(&tried));
                 }
                 avoided.clear();
                 if let Err(failure) = self.await_target().await {
@@ -221,13 +221,12 @@
                     return Err(Failure::new(FailureCode::OutcomeUnknown, text));
                 }
                 Attempt::NotRun(failure) => {
-                    tried.overloaded |= failure == AttemptFailure::Overloaded;
+                    tried.note(failure);
                     let only_leader = to_leader || self.required_position().is_none();
-                    if only_leader && tried.overloaded {
+                    if only_leader && tried.is_refused() {
                         self.log_outcome(work, &tried, "refused");
-                        return Err(self.refusal("overloaded"));
+                        return Err(self.load_refusal(&tried));
                     }
-                    tried.last_failure = failure.as_str();
                     self.node
                         .counters
                         .count("attempts_failed", tried.last_failure);
@@ -261,7 +260,10 @@
                 avoided.insert(database.clone());
                 sleep(LEAST_ATTEMPT.min(self.time_left())).await;
             }
-            AttemptFailure::Broken | AttemptFailure::Failed | AttemptFailure::Overloaded => {
+            AttemptFailure::Broken
+            | AttemptFailure::Failed
+            | AttemptFailure::Overloaded
+            | AttemptFailure::Cold { .. } => {
                 avoided.insert(database.clone());
             }
         }
--- a/crates/serving/src/statement/outcome.rs
+++ b/crates/serving/src/statement/outcome.rs
@@ -1,10 +1,13 @@
 //! What is told and logged of a statement that was not served plainly.
 
+use std::time::Duration;
+
 use hookpoint_coordination::serving::session::Access;
 use hookpoint_coordination::serving::topology::{Consistency, Route};
 use hookpoint_state::DatabaseName;
 use serde_json::Value;
 
+use super::attempt::AttemptFailure;
 use super::{Request, Work};
 use crate::message::{Failure, FailureCode};
 use crate::units::millis;
@@ -12,6 +15,9 @@
 /// Hint told with a refusal.
 const RETRY_HINT: &str = "nothing was kept; retry after 250 ms";
 
+/// Longest time to return that is told to a caller: by then another database may serve it.
+const LONGEST_HINT: Duration = Duration::from_secs(2);
+
 /// What was tried for a statement.
 #[derive(Debug)]
 pub(super) struct Tried {
@@ -20,6 +26,8 @@
     pub(super) last_failure: &'static str,
     /// Whether the queue of some database was too long.
     pub(super) overloaded: bool,
+    /// When a cold database takes a request again, if one was asked.
+    pub(super) cold_for: Option<Duration>,
 }
 
 impl Default for Tried {
@@ -29,11 +37,45 @@
             database: None,
             last_failure: "none",
             overloaded: false,
+            cold_for: None,
         }
     }
 }
 
+impl Tried {
+    /// Takes in why an attempt did not run.
+    pub(super) fn note(&mut self, failure: AttemptFailure) {
+        self.last_failure = failure.as_str();
+        self.overloaded |= failure == AttemptFailure::Overloaded;
+        if let AttemptFailure::Cold { retry_after } = failure {
+            let sooner = |known: Duration| known.min(retry_after);
+            self.cold_for = Some(self.cold_for.map_or(retry_after, sooner));
+        }
+    }
+
+    /// Whether waiting for another database serves nobody: one that would do is too loaded.
+    pub(super) fn is_refused(&self) -> bool {
+        self.overloaded || self.cold_for.is_some()
+    }
+}
+
 impl Request<'_> {
+    /// The answer to a request whose databases are too loaded, or cold.
+    pub(super) fn load_refusal(&self, tried: &Tried) -> Failure {
+        match tried.cold_for.filter(|_| !tried.overloaded) {
+            Some(retry_after) => self.cold_refusal(retry_after),
+            None => self.refusal("overloaded"),
+        }
+    }
+
+    fn cold_refusal(&self, retry_after: Duration) -> Failure {
+        self.node.counters.count("refused", "cold");
+        let hint = millis(retry_after.min(LONGEST_HINT)).max(1);
+        let text =
+            format!("the database has just started, nothing was kept; retry after {hint} ms");
+        Failure::new(FailureCode::Overloaded, text)
+    }
+
     /// The final answer to a request that is given up.
     pub(super) fn refusal(&self, reason: &'static str) -> Failure {
         self.node.counters.count("refused", reason);
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -106,6 +106,7 @@
                     draining: listed.leaving_since.is_some(),
                     suspect: pool.is_suspect(now),
                     lagging: pool.is_lagging(now),
+                    cold: self.node.is_cold(&database.name),
                     leader: leader == Some(&database.name),
                 }
             })
