--- a/crates/coordination/tests/serving.rs
+++ b/crates/coordination/tests/serving.rs
@@ -291,6 +291,7 @@
         spared: false,
         suspect: false,
         lagging: false,
+        cold: false,
         leader: false,
     }
 }
--- a/crates/serving/src/coordinator/handover.rs
+++ b/crates/serving/src/coordinator/handover.rs
@@ -107,7 +107,7 @@
         leaving,
         zone: node.zone_standing(zone),
         region: node.changeable().regions.get(zone).map(RegionName::new),
-        cold: false,
+        cold: node.is_cold(&listed.database.name),
     };
     let allowed = node.primary_regions(&listed.database.group);
     Drawbacks::of(&place, allowed.as_ref())
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -338,7 +338,6 @@
 }
 
 fn apply_all(node: &Rc<Node>, all: StoreChanges) {
-    let now = node.now();
     // Before the configuration: what a node that starts finds evacuated may have been so for long.
     node.take_evacuations(&requested_evacuations(&all), all.revision);
     let mut databases = Vec::new();
@@ -354,9 +353,7 @@
             _ => apply(node, change),
         }
     }
-    node.directory
-        .borrow_mut()
-        .replace(databases, all.revision, now);
+    node.register_databases(databases, all.revision);
     forget_absent(node, &own_keys);
     node.homes.borrow_mut().forget_all();
     housekeeping(node);
@@ -388,16 +385,13 @@
 }
 
 fn apply(node: &Rc<Node>, change: StoreChange) {
-    let now = node.now();
     match change.record {
         StoreRecord::Configuration(configuration) => node.take_configuration(configuration),
         StoreRecord::Database(database) => {
             let name = database.name.clone();
             let draining = database.draining;
             forget_homes_if_moved(node, &database);
-            node.directory
-                .borrow_mut()
-                .put(database, change.revision, now);
+            node.register_database(database, change.revision);
             node.log(
                 "database_changed",
                 &[
--- a/crates/serving/src/leaders.rs
+++ b/crates/serving/src/leaders.rs
@@ -42,7 +42,7 @@
 
     /// Takes a proof of this node's own, or one that a peer passes on, as it is.
     pub(crate) fn believe_leader(&self, name: &DatabaseName, proof: Confirmation) {
-        let Some(database) = self.database(name) else {
+        let Some(database) = self.database_asked(name, proof.asked_at) else {
             return;
         };
         if !self.may_lead(&database) {
@@ -60,6 +60,8 @@
                     ..Contact::default()
                 };
                 state.leaderless_since = None;
+            } else if state.leadership.leader().is_none() {
+                state.leaderless_since.get_or_insert(now);
             }
             (changed, state.leadership.reign())
         });
@@ -79,7 +81,7 @@
 
     /// Takes a proof, asked for at `asked_at`, that a database does not lead.
     pub fn refute_leader(&self, name: &DatabaseName, asked_at: Timestamp) {
-        let Some(database) = self.database(name) else {
+        let Some(database) = self.database_asked(name, asked_at) else {
             return;
         };
         let now = self.now();
@@ -127,7 +129,7 @@
 
     /// Notes that a question sent to the leader at `asked_at` was not answered.
     pub fn note_lost_contact(&self, name: &DatabaseName, asked_at: Timestamp, refused: bool) {
-        let Some(database) = self.database(name) else {
+        let Some(database) = self.database_asked(name, asked_at) else {
             return;
         };
         // Nothing is sent to a database that is shut, so its silence says nothing.
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -18,6 +18,7 @@
 use serde_json::Value;
 use tokio::sync::Notify;
 
+use crate::cold_start::ColdDatabases;
 use crate::counted_store::CountedStore;
 use crate::counters::Counters;
 use crate::evacuation::ZoneEvacuations;
@@ -185,7 +186,9 @@
     pub feed: Feed,
     /// Who holds connections to the databases.
     pub(crate) homes: RefCell<HomeViews>,
-    pools: RefCell<BTreeMap<DatabaseName, Rc<Pool>>>,
+    pub(crate) pools: RefCell<BTreeMap<DatabaseName, Rc<Pool>>>,
+    /// How warm the databases are.
+    pub(crate) cold: ColdDatabases,
     started: Instant,
 }
 
@@ -243,6 +246,7 @@
             feed: Feed::default(),
             homes: RefCell::default(),
             pools: RefCell::default(),
+            cold: ColdDatabases::default(),
             started: Instant::now(),
         })
     }
@@ -339,32 +343,6 @@
         directory.get(name).map(|listed| listed.database.clone())
     }
 
-    /// The pool of a database.
-    pub fn pool(self: &Rc<Self>, name: &DatabaseName) -> Rc<Pool> {
-        let mut pools = self.pools.borrow_mut();
-        let pool = pools
-            .entry(name.clone())
-            .or_insert_with(|| Rc::new(Pool::new(Rc::downgrade(self), name.clone())));
-        Rc::clone(pool)
-    }
-
-    /// All pools.
-    pub fn pools(&self) -> Vec<Rc<Pool>> {
-        self.pools.borrow().values().cloned().collect()
-    }
-
-    /// Drops the pools of databases that are not listed any more.
-    pub fn drop_unlisted_pools(&self) {
-        let directory = self.directory.borrow();
-        self.pools.borrow_mut().retain(|name, pool| {
-            let listed = directory.get(name).is_some();
-            if !listed {
-                pool.close_idle();
-            }
-            listed
-        });
-    }
-
     /// How far a database is.
     pub fn distance(&self, zone: &ZoneName) -> Distance {
         if *zone == self.settings.zone {
--- a/crates/serving/src/pool/mod.rs
+++ b/crates/serving/src/pool/mod.rs
@@ -102,6 +102,12 @@
     /// Its zone is evacuated.
     #[error("the database's zone is evacuated")]
     ZoneEvacuated,
+    /// It has just started, and this node's part of what it may get is used up.
+    #[error("the database has just started and gets no more at the moment")]
+    Cold {
+        /// When there is a part again.
+        retry_after: Duration,
+    },
 }
 
 /// The pool of one database.
@@ -124,6 +130,8 @@
     in_use: RefCell<BTreeMap<Principal, usize>>,
     demand: RefCell<Demand>,
     reliability: Cell<Reliability>,
+    /// Whether the life of the database is over that it was for.
+    retired: Cell<bool>,
 }
 
 impl Pool {
@@ -148,6 +156,7 @@
             in_use: RefCell::default(),
             demand: RefCell::default(),
             reliability: Cell::default(),
+            retired: Cell::new(false),
         }
     }
 
@@ -268,6 +277,17 @@
                 return Some(self.lend(connection));
             }
             self.open.set(self.open.get() - 1);
+            self.note_closed();
+        }
+    }
+
+    /// Notes that the database ended a connection. If none at rest is left either, it may have
+    /// restarted.
+    pub(crate) fn note_closed(&self) {
+        if !self.idle.borrow_mut().any_usable()
+            && let Some(node) = self.node.upgrade()
+        {
+            node.doubt_warmth(&self.database);
         }
     }
 
@@ -342,6 +362,20 @@
         self.open.set(self.open.get() - closed);
     }
 
+    /// Whether the life of the database is over that the pool was for: nothing rests in it any
+    /// more, and what it notes concerns nobody.
+    pub(crate) fn is_retired(&self) -> bool {
+        self.retired.get()
+    }
+
+    /// The life of the database is over. Connections at rest are closed, those in use when
+    /// they come back, and whoever waits turns to the pool of the new life.
+    pub(crate) fn retire(&self) {
+        self.retired.set(true);
+        self.close_idle();
+        self.dismiss_waiters();
+    }
+
     /// Closes the connections at rest; returns how many.
     pub fn close_idle(&self) -> usize {
         let closed = self.idle.borrow_mut().close_all();
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -124,6 +124,10 @@
                     node.counters.count("relayed_leases", "overloaded");
                     refusal = NoLease::Overloaded;
                 }
+                Err(NotLent::Cold { retry_after }) => {
+                    node.counters.count("relayed_leases", "cold");
+                    refusal = NoLease::Cold { retry_after };
+                }
                 Err(NotLent::PassedOver(reason)) => {
                     node.counters.count("relayed_leases", reason.as_str());
                     node.links
@@ -170,6 +174,11 @@
     NotLent,
     /// The queue of the last one that answered is too long.
     Overloaded,
+    /// The database has just started, and the parts of those asked are used up.
+    Cold {
+        /// When there is a part again.
+        retry_after: Duration,
+    },
     /// None of the nodes that hold connections and may be asked answers.
     Silent,
 }
@@ -180,6 +189,7 @@
         match self {
             NoLease::NotLent | NoLease::Silent => otherwise,
             NoLease::Overloaded => AcquireError::Overloaded,
+            NoLease::Cold { retry_after } => AcquireError::Cold { retry_after },
         }
     }
 }
@@ -188,6 +198,8 @@
 enum NotLent {
     /// Its queue is too long.
     Overloaded,
+    /// Its part of what a cold database may get is used up.
+    Cold { retry_after: Duration },
     /// It did not answer, or has none to lend; then the link is as good as before.
     PassedOver(PassedOver),
 }
@@ -245,6 +257,12 @@
             node.links.keep(peer.name.clone(), stream);
             Err(NotLent::Overloaded)
         }
+        Some((LinkReply::Cold { retry_after_ms }, stream)) => {
+            node.links.keep(peer.name.clone(), stream);
+            Err(NotLent::Cold {
+                retry_after: Duration::from_millis(retry_after_ms),
+            })
+        }
         Some((LinkReply::Refused, stream)) => {
             node.links.keep(peer.name.clone(), stream);
             Err(NotLent::PassedOver(PassedOver::Refused))
@@ -379,6 +397,9 @@
                 match lend(&node, &database, wanted).await {
                     Ok(lent) => granted(&mut held.insert(lent).lease),
                     Err(AcquireError::Overloaded | AcquireError::TimedOut) => LinkReply::Overloaded,
+                    Err(AcquireError::Cold { retry_after }) => LinkReply::Cold {
+                        retry_after_ms: millis(retry_after),
+                    },
                     Err(_) => LinkReply::Refused,
                 }
             }
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -252,8 +252,8 @@
             }
             let target = match self.next_target(need, &avoided) {
                 Ok(Some(target)) => target,
-                Ok(None) if tried.overloaded => {
-                    return Err(self.refuse(work, tried, "overloaded"));
+                Ok(None) if tried.is_refused() => {
+                    return Err(self.refuse_for_load(work, tried));
                 }
                 Ok(None) => {
                     avoided.clear();
@@ -288,12 +288,11 @@
                     return Err(Failure::new(FailureCode::OutcomeUnknown, text));
                 }
                 Attempt::NotRun(failure) => {
-                    tried.overloaded |= failure == AttemptFailure::Overloaded;
+                    tried.note(failure);
                     let only_leader = to_leader || self.required_position().is_none();
-                    if only_leader && tried.overloaded {
-                        return Err(self.refuse(work, tried, "overloaded"));
+                    if only_leader && tried.is_refused() {
+                        return Err(self.refuse_for_load(work, tried));
                     }
-                    tried.last_failure = failure.as_str();
                     self.node
                         .counters
                         .count("attempts_failed", tried.last_failure);
@@ -328,7 +327,10 @@
                 avoided.insert(database.clone());
                 sleep(LEAST_ATTEMPT.min(self.time_left())).await;
             }
-            AttemptFailure::Broken | AttemptFailure::Failed | AttemptFailure::Overloaded => {
+            AttemptFailure::Broken
+            | AttemptFailure::Failed
+            | AttemptFailure::Overloaded
+            | AttemptFailure::Cold { .. } => {
                 avoided.insert(database.clone());
             }
         }
--- a/crates/serving/src/statement/outcome.rs
+++ b/crates/serving/src/statement/outcome.rs
@@ -1,11 +1,14 @@
 //! What is told and logged of a statement that was not served plainly.
 
+use std::time::Duration;
+
 use hookpoint_coordination::serving::placement::Obstacle;
 use hookpoint_coordination::serving::session::Access;
 use hookpoint_coordination::serving::topology::{Consistency, Route};
 use hookpoint_state::{DatabaseName, RegionName};
 use serde_json::Value;
 
+use super::attempt::AttemptFailure;
 use super::{Request, Work};
 use crate::message::{Failure, FailureCode};
 use crate::units::millis;
@@ -15,6 +18,8 @@
 
 /// Told with a refusal where it is not known when a retry may succeed.
 const OUT_OF_PLACE: &str = "nothing was kept; no database that may run it stands in its regions";
+/// Longest time to return that is told to a caller: by then another database may serve it.
+const LONGEST_HINT: Duration = Duration::from_secs(2);
 
 /// What was tried for a statement.
 #[derive(Debug)]
@@ -26,6 +31,8 @@
     pub(super) overloaded: bool,
     /// Why it was refused, if it was.
     pub(super) refused_for: Option<&'static str>,
+    /// When a cold database takes a request again, if one was asked.
+    pub(super) cold_for: Option<Duration>,
 }
 
 impl Default for Tried {
@@ -36,11 +43,44 @@
             last_failure: "none",
             overloaded: false,
             refused_for: None,
+            cold_for: None,
         }
     }
 }
 
+impl Tried {
+    /// Takes in why an attempt did not run.
+    pub(super) fn note(&mut self, failure: AttemptFailure) {
+        self.last_failure = failure.as_str();
+        self.overloaded |= failure == AttemptFailure::Overloaded;
+        if let AttemptFailure::Cold { retry_after } = failure {
+            let sooner = |known: Duration| known.min(retry_after);
+            self.cold_for = Some(self.cold_for.map_or(retry_after, sooner));
+        }
+    }
+
+    /// Whether waiting for another database serves nobody: one that would do is too loaded.
+    pub(super) fn is_refused(&self) -> bool {
+        self.overloaded || self.cold_for.is_some()
+    }
+}
+
 impl Request<'_> {
+    /// The answer to a request whose databases are too loaded, or cold; logged and counted.
+    pub(super) fn refuse_for_load(&self, work: &Work, mut tried: Tried) -> Failure {
+        let cold_for = tried.cold_for.filter(|_| !tried.overloaded);
+        let Some(retry_after) = cold_for else {
+            return self.refuse(work, tried, "overloaded");
+        };
+        tried.refused_for = Some("cold");
+        self.log_outcome(work, &tried, "refused");
+        self.node.counters.count("refused", "cold");
+        let hint = millis(retry_after.min(LONGEST_HINT)).max(1);
+        let text =
+            format!("the database has just started, nothing was kept; retry after {hint} ms");
+        Failure::new(FailureCode::Overloaded, text)
+    }
+
     /// The final answer to a request that is given up; logged and counted.
     pub(super) fn refuse(&self, work: &Work, mut tried: Tried, reason: &'static str) -> Failure {
         tried.refused_for = Some(reason);
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -137,6 +137,7 @@
                     spared: self.node.zone_standing(&database.zone) != ZoneStanding::Open,
                     suspect: pool.is_suspect(now),
                     lagging: pool.is_lagging(now),
+                    cold: self.node.is_cold(&database.name),
                     leader: leader == Some(&database.name),
                 }
             })
