--- a/crates/coordination/src/serving/isolation.rs
+++ b/crates/coordination/src/serving/isolation.rs
@@ -37,8 +37,16 @@
         self.groups_without_primary * 2 > self.groups
     }
 
-    fn look_cut_off(self) -> bool {
-        self.lack_primaries() && self.silent_peers * 2 > self.peers
+    fn peers_are_silent(self) -> bool {
+        self.silent_peers * 2 > self.peers
+    }
+
+    /// Whether a node with these surroundings is cut off. One that is stays so until peers or
+    /// primaries are heard: its callers go elsewhere, so that no group is in use any more
+    /// proves nothing.
+    fn look_cut_off(self, isolated: bool) -> bool {
+        let no_primaries = self.lack_primaries() || (isolated && self.groups == 0);
+        no_primaries && self.peers_are_silent()
     }
 }
 
@@ -67,8 +75,9 @@
 
     /// Takes in what the node sees now.
     pub fn note(&mut self, seen: Surroundings, now: Timestamp) -> Option<IsolationChange> {
-        let cut_off = seen.look_cut_off();
-        if cut_off == self.isolated_since.is_some() {
+        let isolated = self.isolated_since.is_some();
+        let cut_off = seen.look_cut_off(isolated);
+        if cut_off == isolated {
             self.differs_since = None;
             return None;
         }
--- a/crates/coordination/tests/serving_isolation.rs
+++ b/crates/coordination/tests/serving_isolation.rs
@@ -75,6 +75,25 @@
     }
 }
 
+/// A node that is cut off has its callers go elsewhere, so no group is in use any more.
+#[test]
+fn a_node_whose_callers_went_away_stays_cut_off_until_peers_are_heard() {
+    let mut isolation = Isolation::default();
+    let mut now = Timestamp(1_000_000);
+    let cut = seen(8, 8, 10, 10);
+    watch(&mut isolation, &mut now, cut, Duration::from_secs(2));
+    let unused = seen(0, 0, 10, 10);
+    assert!(watch(&mut isolation, &mut now, unused, Duration::from_secs(20)).is_empty());
+    let peers_heard = seen(0, 0, 10, 2);
+    let changes = watch(
+        &mut isolation,
+        &mut now,
+        peers_heard,
+        Duration::from_secs(1),
+    );
+    assert!(matches!(changes[..], [IsolationChange::Rejoined(_)]));
+}
+
 #[test]
 fn a_short_loss_changes_nothing_and_a_short_contact_does_not_end_it() {
     let cut = seen(8, 8, 10, 10);
--- a/crates/coordination/tests/serving_store_news_fleet.rs
+++ b/crates/coordination/tests/serving_store_news_fleet.rs
@@ -451,3 +451,19 @@
     let seen = play(&[6], &refused, Refusal::Loud, Control::WayIsFree);
     assert!(seen.too_young);
 }
+
+#[test]
+fn scratch_worst() {
+    let mut worst = (Duration::ZERO, 0u16);
+    let mut bits: u16 = 9976;
+    for step in 0..900u32 {
+        let refused: Vec<bool> = (0..14).map(|node| bits >> node & 1 == 1).collect();
+        if !refused.iter().all(|refused| *refused) {
+            let seen = play(&[6, 5, 3], &refused, Refusal::Silent, Control::None);
+            assert!(!seen.too_young);
+            worst = worst.max((seen.oldest, bits));
+        }
+        bits = bits.wrapping_mul(25173).wrapping_add(13849 + step as u16);
+    }
+    println!("worst {worst:?}");
+}
--- a/crates/serving/src/isolation.rs
+++ b/crates/serving/src/isolation.rs
@@ -72,7 +72,7 @@
             groups_without_primary,
             ..Surroundings::default()
         };
-        if seen.lack_primaries() {
+        if seen.lack_primaries() || self.isolated_since().is_some() {
             let now = self.now();
             let peers = self.peers_of_other_zones();
             seen.peers = peers.len();
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -52,17 +52,6 @@
     pub evacuation_limit: Duration,
     /// How exactly the rate of cold databases is kept.
     pub cold_start: ColdStartBounds,
-    /// Losses that the fleet has to bear at once.
-    pub fault_tolerance: FaultTolerance,
     /// Promotions that the service takes a second.
     pub promotions_per_second: f64,
 }
-
-/// Losses that the fleet has to bear at once without breaking a promise.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct FaultTolerance {
-    /// Whole zones.
-    pub zones: u32,
-    /// Whole regions.
-    pub regions: u32,
-}
