--- a/crates/coordination/src/serving/store_news.rs
+++ b/crates/coordination/src/serving/store_news.rs
@@ -32,6 +32,9 @@
 const NEWER_BY: Duration = Duration::from_millis(250);
 /// How long an upstream may take to answer a node that looks for one: a few round trips.
 const SEARCH_HOLD: Duration = Duration::from_millis(150);
+/// The same for a node that has had no word since it started: its upstream may be starting as
+/// well, and have its first word when it has read a listing and registered.
+const STARTING_HOLD: Duration = Duration::from_millis(800);
 /// Shortest and longest pause between rounds of such a search. An outage that concerns
 /// everybody costs few messages, and one that does not is over after a few rounds.
 const SHORTEST_SEARCH_PAUSE: Duration = Duration::from_millis(50);
@@ -220,17 +223,24 @@
 
     /// How long the next watch waits for a change, at most `longest`.
     pub fn watch_wait(&self, longest: Duration, now: Timestamp) -> Duration {
-        let never_told = self.told_at == Timestamp::default();
         let sure = self.turned_away_at.is_none() && self.searching_since.is_none();
-        if never_told || (sure && self.age(now) < RECENT) {
+        if self.has_just_started() || (sure && self.age(now) < RECENT) {
             longest
         } else {
             SHORT_WATCH
         }
     }
 
+    /// Whether there was no word of the store yet.
+    fn has_just_started(&self) -> bool {
+        self.told_at == Timestamp::default()
+    }
+
     /// How long an upstream may take to answer.
     pub fn hold(&self, now: Timestamp, limits: NewsLimits) -> Duration {
+        if self.has_just_started() {
+            return STARTING_HOLD;
+        }
         if self.searching_since.is_some() {
             return SEARCH_HOLD;
         }
--- a/crates/coordination/tests/serving_store_news.rs
+++ b/crates/coordination/tests/serving_store_news.rs
@@ -152,3 +152,19 @@
     assert!(news.try_is_due(order, at(4_000)), "it still searches");
     assert!(!news.is_fresh(at(4_000), NewsLimits::of(millis(6_000))));
 }
+
+#[test]
+fn an_upstream_may_answer_until_what_the_follower_knows_is_too_old() {
+    let limits = NewsLimits::of(millis(6_000));
+    let mut news = StoreNews::default();
+    let starting = news.hold(at(0), limits);
+    assert!(starting >= millis(500), "the upstream may start as well");
+    news.note_told(at(0));
+    for age in [0, 500, 2_000, 2_700] {
+        assert_eq!(news.hold(at(age), limits), limits.oldest - millis(age));
+    }
+    let least = news.hold(at(20_000), limits);
+    assert!((millis(100)..millis(300)).contains(&least), "{least:?}");
+    news.note_nothing_heard(at(500));
+    assert_eq!(news.hold(at(500), limits), least, "it asks around");
+}
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -45,7 +45,7 @@
 /// A watcher's answer.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum FeedAnswer {
-    /// The changes after the revision asked for; none if there were none in a while.
+    /// The changes after the revision asked for; none if there were none.
     Changes {
         /// The changes and the revision to go on from: [`StoreChanges`], packed.
         changes: Bytes,
@@ -73,6 +73,7 @@
     log: RefCell<ChangeLog<ChangeSubject, Rc<StoreChange>>>,
     /// Up to where this node follows the store.
     revision: Cell<u64>,
+    /// How old that is, and the search for newer.
     news: RefCell<StoreNews>,
     caught_up: Cell<bool>,
     advanced: Notify,
@@ -93,7 +94,7 @@
 
 /// What following an upstream came to.
 pub enum Followed {
-    /// The changes that it told of; none if there were none in a while.
+    /// The changes that it told of; none if there were none.
     Changes(StoreChanges),
     /// Everything that the store holds.
     Everything(StoreChanges),
