--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -47,6 +47,7 @@
 const FIRST_START_PAUSE: Duration = Duration::from_millis(1_000);
 /// Such listings at the most: a listing may be seconds old.
 const FIRST_START_LISTINGS: u32 = 4;
+
 /// Follows the store for as long as the node lives.
 pub async fn follow(node: Rc<Node>) {
     loop {
