--- a/crates/serving/src/session/mod.rs
+++ b/crates/serving/src/session/mod.rs
@@ -41,10 +41,20 @@
     principal: Principal,
     began_at: Timestamp,
     read_only: bool,
+    /// Whether its connection is one for reading, asked for or not.
+    reads_only: bool,
     wrote: bool,
     lease: Option<Lease>,
 }
 
+impl Transaction {
+    /// Whether it was opened to write and cannot, as the primary stands outside the regions
+    /// that it is confined to.
+    fn lacks_primary(&self, access: Access) -> bool {
+        access == Access::Write && self.reads_only && !self.read_only
+    }
+}
+
 /// Serves one accepted connection until it ends.
 pub async fn serve(node: Rc<Node>, stream: TcpStream) {
     node.sessions.set(node.sessions.get() + 1);
@@ -307,6 +317,7 @@
             principal,
             began_at: arrived,
             read_only,
+            reads_only: read_only,
             wrote: false,
             lease: None,
         });
@@ -394,13 +405,16 @@
         let route = Rc::clone(&transaction.route);
         let principal = transaction.principal.clone();
         let request = self.request(&route, &principal, transaction.began_at, arrived);
+        let lacks_primary = transaction.lacks_primary(work.access);
         let outcome = match &mut transaction.lease {
+            Some(_) if lacks_primary => Err(request.refuse_write_inside(&work)),
             Some(lease) => request.run_in(&work, lease).await,
             None => {
                 let first = request.run_first(&work, transaction.read_only).await;
-                first.map(|(answer, lease)| {
-                    transaction.lease = Some(lease);
-                    answer
+                first.map(|ran| {
+                    transaction.lease = Some(ran.lease);
+                    transaction.reads_only |= ran.reads_only;
+                    ran.answer
                 })
             }
         };
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -66,7 +66,6 @@
         work: &Work,
         target: &Target,
         in_transaction: bool,
-        to_leader: bool,
     ) -> Attempt {
         let pool = self.node.pool(target.database());
         let asked_at = self.node.now();
@@ -101,7 +100,7 @@
             Err(_) => return Attempt::NotRun(AttemptFailure::NoConnection),
         };
         let stance = match target {
-            Target::Leader(_) if in_transaction || !to_leader => Stance::LeaderTransaction,
+            Target::Leader(_) if in_transaction => Stance::LeaderTransaction,
             Target::Leader(_) if work.access == Access::Read => Stance::LeaderTransaction,
             Target::Leader(_) => Stance::Alone(None),
             Target::Holding(_, after) if in_transaction => Stance::ReadTransaction(*after),
@@ -162,12 +161,6 @@
         self.judge(work, lease, stance, answers, asked_at)
     }
 
-    /// Whether the configuration in force allows all that `placement`, by which a database
-    /// was chosen, did.
-    fn still_allows(&self, placement: &Placement) -> bool {
-        self.placement().covers(placement)
-    }
-
     pub(super) fn judge(
         &self,
         work: &Work,
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod outcome;
+mod placing;
 mod quota;
 mod stance;
 mod target;
@@ -15,10 +16,10 @@
 
 use bytes::Bytes;
 use hookpoint_coordination::serving::leadership::ReignPosition;
-use hookpoint_coordination::serving::placement::{Need, Obstacle, Placement};
+use hookpoint_coordination::serving::placement::Need;
 use hookpoint_coordination::serving::session::{Access, Phase, PreparedShape, SessionState};
 use hookpoint_coordination::serving::tenancy::Principal;
-use hookpoint_coordination::serving::topology::{Consistency, Route};
+use hookpoint_coordination::serving::topology::Route;
 use hookpoint_state::{DatabaseName, Position, Timestamp};
 use tokio::time::{sleep, timeout};
 
@@ -114,6 +115,14 @@
     pub reads_timed_out: Cell<u32>,
 }
 
+/// A statement that was answered, and the connection it ran on.
+pub(crate) struct Ran {
+    pub answer: Answer,
+    pub lease: Lease,
+    /// Whether a transaction that it opened may not write.
+    pub reads_only: bool,
+}
+
 impl Request<'_> {
     fn deadline(&self) -> Timestamp {
         self.arrived + self.route.statement_timeout
@@ -123,12 +132,6 @@
         self.deadline().since(self.node.now())
     }
 
-    /// Where it may run and pass through, by the configuration in force: a statement that
-    /// waits is placed anew before each attempt.
-    fn placement(&self) -> Rc<Placement> {
-        self.node.placement(self.name, self.route, self.principal)
-    }
-
     /// Until when the request waits for a database that may serve it.
     ///
     /// While a primary that was lost a moment ago is being replaced, within its own time.
@@ -163,80 +166,39 @@
     pub(crate) async fn run_single(&self, work: &Work) -> Result<(Answer, DatabaseName), Failure> {
         self.refuse_unless_placed(work, false)?;
         self.take_token(work).await?;
-        let (answer, lease) = self.run_until_answered(work, false).await?;
-        let database = lease.pool().database().clone();
-        Ok((answer, database))
+        let ran = self.run_until_answered(work, false).await?;
+        let database = ran.lease.pool().database().clone();
+        Ok((ran.answer, database))
     }
 
     /// Runs the first statement of a caller's transaction and keeps its connection.
-    pub(crate) async fn run_first(
-        &self,
-        work: &Work,
-        read_only: bool,
-    ) -> Result<(Answer, Lease), Failure> {
+    pub(crate) async fn run_first(&self, work: &Work, read_only: bool) -> Result<Ran, Failure> {
         self.refuse_unless_placed(work, !read_only)?;
         self.take_token(work).await?;
         self.run_until_answered(work, !read_only).await
     }
 
-    /// Refuses a statement that no permitted database can run, before it costs its tenant
-    /// anything.
-    fn refuse_unless_placed(&self, work: &Work, plain_transaction: bool) -> Result<(), Failure> {
-        let need = self.need(work, plain_transaction);
-        match self.obstacle(&self.placement(), need) {
-            Some(obstacle) => Err(self.refuse_misplaced(work, Tried::default(), obstacle)),
-            None => Ok(()),
-        }
-    }
-
-    fn need(&self, work: &Work, plain_transaction: bool) -> Need {
-        let reads_primary = self.route.consistency == Consistency::Primary;
-        if plain_transaction || reads_primary || work.access == Access::Write {
-            Need::Primary
-        } else {
-            Need::AnyDatabase
-        }
-    }
-
-    /// The database for the next attempt, if one can be used at the moment.
-    fn next_target(
-        &self,
-        need: Need,
-        avoided: &BTreeSet<DatabaseName>,
-    ) -> Result<Option<Target>, Obstacle> {
-        let placement = self.placement();
-        if let Some(obstacle) = self.obstacle(&placement, need) {
-            return Err(obstacle);
-        }
-        Ok(match need {
-            Need::Primary => self.leader_target(&placement),
-            Need::AnyDatabase => self.read_target(&placement, avoided),
-        })
-    }
-
     async fn run_until_answered(
         &self,
         work: &Work,
         plain_transaction: bool,
-    ) -> Result<(Answer, Lease), Failure> {
+    ) -> Result<Ran, Failure> {
         let in_transaction = self.state.phase == Phase::InTransaction;
         let now = self.node.now();
         self.node
             .with_group(&self.route.group, |state| state.used_at = now);
-        let to_leader = plain_transaction || work.access == Access::Write;
-        let need = self.need(work, plain_transaction);
         let mut avoided = BTreeSet::new();
         let mut tried = Tried::default();
         loop {
             if self.time_left() < least_time(work) {
                 return Err(self.refuse(work, tried, "out_of_time"));
             }
-            let target = match self.next_target(need, &avoided) {
-                Ok(Some(target)) => target,
-                Ok(None) if tried.overloaded => {
+            let (target, need) = match self.next_target(work, plain_transaction, &avoided) {
+                Ok((Some(target), need)) => (target, need),
+                Ok((None, _)) if tried.overloaded => {
                     return Err(self.refuse(work, tried, "overloaded"));
                 }
-                Ok(None) => {
+                Ok((None, _)) => {
                     avoided.clear();
                     if !self.await_target().await {
                         return Err(self.refuse(work, tried, "no_database"));
@@ -248,7 +210,7 @@
             tried.attempts += 1;
             tried.database = Some(target.database().clone());
             let began = self.node.now();
-            let attempt = self.attempt(work, &target, in_transaction, to_leader).await;
+            let attempt = self.attempt(work, &target, in_transaction).await;
             match attempt {
                 Attempt::Answered(answered) => {
                     let (lease, answer) = *answered;
@@ -257,7 +219,11 @@
                     } else {
                         self.log_served(&work.id, access_name(work.access), target.database());
                     }
-                    return Ok((answer, lease));
+                    return Ok(Ran {
+                        answer,
+                        lease,
+                        reads_only: need == Need::AnyDatabase,
+                    });
                 }
                 Attempt::Unknown => {
                     self.log_outcome(work, &tried, "outcome_unknown");
@@ -266,7 +232,7 @@
                 }
                 Attempt::NotRun(failure) => {
                     tried.overloaded |= failure == AttemptFailure::Overloaded;
-                    let only_leader = to_leader || self.required_position().is_none();
+                    let only_leader = need == Need::Primary || self.required_position().is_none();
                     if only_leader && tried.overloaded {
                         return Err(self.refuse(work, tried, "overloaded"));
                     }
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -4,14 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hookpoint_coordination::serving::placement::{
-    GroupView, Need, Obstacle, PermittedDatabase, Placement,
-};
+use hookpoint_coordination::serving::placement::{PermittedDatabase, Placement};
 use hookpoint_coordination::serving::selection::{Candidate, rank};
 use hookpoint_coordination::serving::topology::Consistency;
 use hookpoint_state::{DatabaseName, Position};
 
-use super::{REPLACEMENT_TIME, Request};
+use super::Request;
 
 /// Loss of contact after which a primary gets no new work.
 const LEADER_LOST: Duration = Duration::from_millis(250);
@@ -140,38 +138,4 @@
             })
             .collect()
     }
-
-    /// Why waiting for a permitted database is in vain, if it is.
-    pub(super) fn obstacle(&self, placement: &Placement, need: Need) -> Option<Obstacle> {
-        if !placement.is_restricted() {
-            return None;
-        }
-        let (leader, successor) = self.leader_and_successor();
-        let directory = self.node.directory.borrow();
-        let databases: Vec<_> = directory
-            .of_group(&self.route.group)
-            .map(|listed| &listed.database)
-            .filter(|database| self.node.may_serve(&database.name))
-            .collect();
-        let group = GroupView {
-            databases: &databases,
-            leader: leader.as_ref(),
-            successor: successor.as_ref(),
-        };
-        placement.obstacle(need, group, &self.node.changeable().regions)
-    }
-
-    /// The primary, unless it does not answer and may be replaced, and the database that a
-    /// promotion ordered a moment ago is for.
-    fn leader_and_successor(&self) -> (Option<DatabaseName>, Option<DatabaseName>) {
-        let now = self.node.now();
-        self.node.with_group(&self.route.group, |state| {
-            let promoting = state.promoting.as_ref();
-            let under_way = promoting.filter(|(_, since)| now.since(*since) < REPLACEMENT_TIME);
-            let successor = under_way.map(|(candidate, _)| candidate.clone());
-            let answers = state.contact.lost_since.is_none();
-            let leader = state.leadership.leader().filter(|_| answers);
-            (leader.cloned(), successor)
-        })
-    }
 }
