--- a/crates/serving/src/evacuation.rs
+++ b/crates/serving/src/evacuation.rs
@@ -5,7 +5,7 @@
 //! at all is sent to them, connections at rest are closed, and transactions that are still open
 //! there are ended.
 
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,6 +25,8 @@
 /// Time that a statement may be on its way to a database: across regions, through another node,
 /// and in the queue of a slow link.
 const LAST_STATEMENT: Duration = Duration::from_millis(300);
+/// Pause between two looks at what is still in use in a zone.
+const LOOK: Duration = Duration::from_millis(200);
 /// Pause between two lines on what is still in use in an evacuated zone.
 const STILL_USED_TOLD: Duration = Duration::from_secs(5);
 
@@ -33,6 +35,8 @@
 pub(crate) struct ZoneEvacuations {
     known: RefCell<Evacuations>,
     progress: RefCell<BTreeMap<ZoneName, Progress>>,
+    /// How long this node spares a zone after the end of its evacuation.
+    return_time: OnceCell<Duration>,
 }
 
 /// How far this node is with one zone.
@@ -40,6 +44,7 @@
 struct Progress {
     transactions_ended: u64,
     connections_closed: u64,
+    looked_at: Timestamp,
     told_empty: bool,
     told_used_at: Option<Timestamp>,
 }
@@ -64,8 +69,9 @@
             return ZoneStanding::Open;
         }
         let limit = self.changeable().evacuation_limit;
-        let return_time = share_of(&self.settings.name, RETURN_TIME);
-        known.standing(zone, limit, return_time, self.now())
+        let own_share = || share_of(&self.settings.name, RETURN_TIME);
+        let return_time = self.evacuations.return_time.get_or_init(own_share);
+        known.standing(zone, limit, *return_time, self.now())
     }
 
     /// The same for the zone of a database.
@@ -221,15 +227,30 @@
             pool.dismiss_waiters();
         }
     }
-    let used = Use {
-        connections: pools.iter().map(|pool| pool.in_use()).sum(),
-        primaries: primaries_in(node, zone),
-    };
-    if shut && used.connections > 0 {
+    let connections = pools.iter().map(|pool| pool.in_use()).sum();
+    if shut && connections > 0 {
         // Sessions that rest inside a transaction find that it has to end.
         node.stop_advanced.notify_waiters();
     }
-    tell(node, zone, shut, &used);
+    if look_is_due(node, zone) {
+        let primaries = primaries_in(node, zone);
+        let used = Use {
+            connections,
+            primaries,
+        };
+        tell(node, zone, shut, &used);
+    }
+}
+
+fn look_is_due(node: &Rc<Node>, zone: &ZoneName) -> bool {
+    let now = node.now();
+    let mut all = node.evacuations.progress.borrow_mut();
+    let progress = all.entry(zone.clone()).or_default();
+    let due = now.since(progress.looked_at) >= LOOK;
+    if due {
+        progress.looked_at = now;
+    }
+    due
 }
 
 fn pools_in(node: &Rc<Node>, zone: &ZoneName) -> Vec<Rc<Pool>> {
@@ -243,10 +264,11 @@
 
 /// Groups whose primary, as far as this node knows, is in the zone.
 fn primaries_in(node: &Rc<Node>, zone: &ZoneName) -> Vec<GroupName> {
+    let directory = node.directory.borrow();
     let in_zone = |group: &GroupName| {
         let leader = node.leader(group);
-        let database = leader.and_then(|leader| node.database(&leader));
-        database.is_some_and(|database| database.zone == *zone)
+        let listed = leader.and_then(|leader| directory.get(&leader));
+        listed.is_some_and(|listed| listed.database.zone == *zone)
     };
     let groups = node.configured_groups();
     groups.into_iter().filter(in_zone).collect()
