--- a/crates/serving/src/coordinator/mod.rs
+++ b/crates/serving/src/coordinator/mod.rs
@@ -96,11 +96,7 @@
 }
 
 fn reason(node: &Rc<Node>, group: &GroupName) -> Option<Reason> {
-    if node
-        .by_stated_role(group)
-        .iter()
-        .all(|name| node.is_shut(name))
-    {
+    if node.all_shut(group) {
         return None;
     }
     let now = node.now();
--- a/crates/serving/src/evacuation.rs
+++ b/crates/serving/src/evacuation.rs
@@ -90,6 +90,16 @@
         self.zone_standing_of(name) == ZoneStanding::Evacuated
     }
 
+    /// Whether nothing may be sent to any database of a group.
+    pub(crate) fn all_shut(&self, group: &GroupName) -> bool {
+        if self.evacuations.known.borrow().is_empty() {
+            return false;
+        }
+        let directory = self.directory.borrow();
+        let mut databases = directory.of_group(group);
+        databases.all(|listed| self.zone_standing(&listed.database.zone) == ZoneStanding::Evacuated)
+    }
+
     /// Whether statements may still be sent to a database. In a zone that is being evacuated
     /// only primaries get any, until they have handed over.
     pub fn may_serve(&self, name: &DatabaseName) -> bool {
