--- a/crates/coordination/src/serving/cold_start.rs
+++ b/crates/coordination/src/serving/cold_start.rs
@@ -90,6 +90,8 @@
     SameLife,
     /// Another life has begun.
     NewLife,
+    /// The entry was gone and is back, and tells the same start.
+    Returned,
     /// The entry was gone and is back, and does not tell whether the same life goes on.
     ReturnedUntold,
 }
@@ -140,7 +142,7 @@
     pub fn hear(&mut self, heard: Heard, cold_for: Duration, now: Timestamp) {
         let until = now + cold_for;
         match heard {
-            Heard::First => self.cold_until = until,
+            Heard::First | Heard::Returned => self.cold_until = until,
             Heard::SameLife => self.cold_until = self.cold_until.min(until),
             Heard::NewLife => {
                 self.cold_until = until;
--- a/crates/coordination/tests/serving_cold_start.rs
+++ b/crates/coordination/tests/serving_cold_start.rs
@@ -86,6 +86,17 @@
     );
 }
 
+#[test]
+fn an_entry_that_returns_in_the_same_life_says_how_cold_its_database_is() {
+    let mut warmth = Warmth::default();
+    let reason = |warmth: &Warmth, now| warmth.cold_reason(START, known(now, true), at(now));
+    warmth.hear(Heard::First, ms(0), at(0));
+    warmth.hear(Heard::Returned, ms(0), at(5_000));
+    assert_eq!(reason(&warmth, 5_000), None);
+    warmth.hear(Heard::Returned, ms(2_000), at(6_000));
+    assert_eq!(reason(&warmth, 7_999), Some(ColdReason::Registered));
+}
+
 #[test]
 fn an_entry_that_returns_without_telling_a_start_leaves_doubt() {
     let mut warmth = Warmth::default();
--- a/crates/serving/src/cold_start.rs
+++ b/crates/serving/src/cold_start.rs
@@ -75,7 +75,7 @@
             (Registration::Taken, None) => Heard::First,
             (Registration::Taken, Some(before)) if before.missing => {
                 match listed.database.started {
-                    Some(_) => Heard::SameLife,
+                    Some(_) => Heard::Returned,
                     None => Heard::ReturnedUntold,
                 }
             }
