--- a/crates/serving/src/coordinator/mod.rs
+++ b/crates/serving/src/coordinator/mod.rs
@@ -19,7 +19,7 @@
 
 use self::handover::Handover;
 use self::order::{Authority, OrderError, order};
-use self::replicas::{find_candidate, resume_replicas};
+use self::replicas::{Eligible, find_candidate, resume_replicas};
 use crate::node::Node;
 use crate::peers::{FIRST_PRIMARY_TIME, PeerView, Peers};
 use crate::units::millis;
@@ -30,8 +30,9 @@
 const SETTLING: Duration = Duration::from_millis(2_500);
 /// Pause after a promotion that was rejected.
 const REJECTED_PAUSE: Duration = Duration::from_millis(200);
-/// Pause after a planned move for which no replica answered or another primary was found.
-const NO_CANDIDATE_PAUSE: Duration = Duration::from_millis(500);
+/// Pause after a planned move that was not made: a replica that lacks commits, or an answer of a
+/// peer, takes a few round trips, and an evacuated zone leaves a few seconds for all attempts.
+const NOT_MOVED_PAUSE: Duration = Duration::from_millis(250);
 
 /// Why a primary is to be replaced.
 #[derive(Clone, Debug)]
@@ -141,7 +142,8 @@
         return;
     }
     log_loss(node, group, leader.as_ref(), &observations);
-    let Some(candidate) = find_candidate(node, group, leader.as_ref()).await else {
+    let found = find_candidate(node, group, leader.as_ref(), Eligible::All).await;
+    let Some(candidate) = found else {
         return;
     };
     if node.leader(group) != leader {
@@ -166,24 +168,28 @@
     };
     let views = views_for_authority(node, peers, group, &leader).await;
     let Some(authority) = authority(node, &views) else {
+        handover::tell(node, group, &leader, None, planned, "no_authority");
+        sleep(NOT_MOVED_PAUSE).await;
         return;
     };
-    let Some(candidate) = find_candidate(node, group, Some(&leader)).await else {
+    let eligible = Eligible::Only(&planned.planned.targets);
+    let Some(candidate) = find_candidate(node, group, Some(&leader), eligible).await else {
         handover::tell(node, group, &leader, None, planned, "no_candidate");
-        sleep(NO_CANDIDATE_PAUSE).await;
+        sleep(NOT_MOVED_PAUSE).await;
         return;
     };
     let name = &candidate.name;
-    let permitted = planned.planned.targets.contains(name);
-    if !permitted || !holds_enough(candidate.received, planned.primary_held, planned.wanted_for) {
-        resume_replicas(node, group).await;
-        handover::tell(node, group, &leader, Some(name), planned, "behind");
-        return;
-    }
-    if node.leader(group).as_ref() != Some(&leader) || handover::due(node, group, &leader).is_none()
-    {
+    let not_moved = if !holds_enough(candidate.received, planned.primary_held, planned.wanted_for) {
+        Some("behind")
+    } else if !still_wanted(node, group, &leader, name) {
+        Some("taken_back")
+    } else {
+        None
+    };
+    if let Some(outcome) = not_moved {
         resume_replicas(node, group).await;
-        handover::tell(node, group, &leader, Some(name), planned, "taken_back");
+        handover::tell(node, group, &leader, Some(name), planned, outcome);
+        sleep(NOT_MOVED_PAUSE).await;
         return;
     }
     let outcome = order(node, peers, group, name, None, authority).await;
@@ -196,6 +202,18 @@
     settle(node, group, name, outcome).await;
 }
 
+/// Whether a group's primary should still move to `candidate`, as of now.
+fn still_wanted(
+    node: &Rc<Node>,
+    group: &GroupName,
+    leader: &DatabaseName,
+    candidate: &DatabaseName,
+) -> bool {
+    node.leader(group).as_ref() == Some(leader)
+        && handover::due(node, group, leader)
+            .is_some_and(|due| due.planned.targets.contains(candidate))
+}
+
 /// Waits until what became of an order can be told.
 async fn settle(
     node: &Rc<Node>,
--- a/crates/serving/src/coordinator/replicas.rs
+++ b/crates/serving/src/coordinator/replicas.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hookpoint_coordination::serving::failover::{ReplicaState, choose_candidate};
+use hookpoint_coordination::serving::failover::{
+    NoCandidate, ReplicaState, choose_candidate, choose_target,
+};
 use hookpoint_coordination::serving::handover::Drawbacks;
 use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::selection::Distance;
@@ -44,11 +46,36 @@
     }
 }
 
-/// Asks the replicas what they hold and chooses the one to lead.
+/// Which replicas may lead next.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Eligible<'a> {
+    /// Any.
+    All,
+    /// Those that a primary may move to.
+    Only(&'a [DatabaseName]),
+}
+
+impl Eligible<'_> {
+    fn choose(
+        self,
+        states: &[ReplicaState],
+        replicas: usize,
+        sync_replicas: u32,
+    ) -> Result<DatabaseName, NoCandidate> {
+        match self {
+            Eligible::All => choose_candidate(states, replicas, sync_replicas),
+            Eligible::Only(targets) => choose_target(states, replicas, sync_replicas, targets),
+        }
+    }
+}
+
+/// Asks the replicas what they hold and chooses the one to lead. Replicas of a synchronous group
+/// no longer receive when one was found.
 pub(super) async fn find_candidate(
     node: &Rc<Node>,
     group: &GroupName,
     leader: Option<&DatabaseName>,
+    eligible: Eligible<'_>,
 ) -> Option<ReplicaState> {
     let sync_replicas = sync_replicas(node, group);
     let replicas: Vec<DatabaseName> = node
@@ -56,23 +83,22 @@
         .into_iter()
         .filter(|name| Some(name) != leader && is_candidate(node, name))
         .collect();
-    let first = ask_until_some_answer(node, &replicas).await;
-    let states = if sync_replicas == 0 {
-        first
-    } else {
-        let newest = first.iter().map(|(_, status)| status.term).max()?;
+    let mut answers = ask_until_some_answer(node, &replicas).await;
+    if sync_replicas > 0 {
+        // A primary that leads is not held up for a move that cannot be made.
+        if let Eligible::Only(_) = eligible
+            && let Err(error) =
+                eligible.choose(&states_of(node, &answers), replicas.len(), sync_replicas)
+        {
+            log_no_candidate(node, group, error);
+            return None;
+        }
+        let newest = answers.iter().map(|(_, status)| status.term).max()?;
         let term = Term(newest.0 + 1);
-        ask_all(node, &replicas, &Command::PauseReplication { term }).await
-    };
-    let primary = states
-        .iter()
-        .find(|(_, status)| status.primary)
-        .map(|(name, _)| name.clone());
-    let states: Vec<ReplicaState> = states
-        .into_iter()
-        .map(|(name, status)| replica_state(node, name, status))
-        .collect();
-    if let Some(name) = primary.filter(|name| !restarted_empty(name, &states)) {
+        answers = ask_all(node, &replicas, &Command::PauseReplication { term }).await;
+    }
+    let states = states_of(node, &answers);
+    if let Some(name) = present_primary(&answers, &states) {
         node.log(
             "primary_found",
             &[
@@ -83,22 +109,42 @@
         confirm_found(node, &name).await;
         return None;
     }
-    match choose_candidate(&states, replicas.len(), sync_replicas) {
+    match eligible.choose(&states, replicas.len(), sync_replicas) {
         Ok(candidate) => states.into_iter().find(|state| state.name == candidate),
         Err(error) => {
             resume_replicas(node, group).await;
-            node.log(
-                "no_candidate",
-                &[
-                    ("group", group.as_str().into()),
-                    ("detail", error.to_string().into()),
-                ],
-            );
+            log_no_candidate(node, group, error);
             None
         }
     }
 }
 
+fn states_of(node: &Rc<Node>, answers: &[(DatabaseName, DatabaseStatus)]) -> Vec<ReplicaState> {
+    answers
+        .iter()
+        .map(|(name, status)| replica_state(node, name.clone(), *status))
+        .collect()
+}
+
+/// The one of the databases that says that it leads, unless it lost what a replica still holds.
+fn present_primary(
+    answers: &[(DatabaseName, DatabaseStatus)],
+    states: &[ReplicaState],
+) -> Option<DatabaseName> {
+    let (name, _) = answers.iter().find(|(_, status)| status.primary)?;
+    (!restarted_empty(name, states)).then(|| name.clone())
+}
+
+fn log_no_candidate(node: &Rc<Node>, group: &GroupName, error: NoCandidate) {
+    node.log(
+        "no_candidate",
+        &[
+            ("group", group.as_str().into()),
+            ("detail", error.to_string().into()),
+        ],
+    );
+}
+
 /// Whether a database that calls itself the primary lost what a replica still holds.
 fn restarted_empty(name: &DatabaseName, states: &[ReplicaState]) -> bool {
     states
