Mended on reading: cold tokens, retired pools, ages of listings, forgotten peers

A token for a cold database was lost with the exchange that sets a session up, its holder's cap and patience were those from before the wait, waiters could join a pool whose database's life was over, an entry could keep its database cold for ever, a listing counted as younger than its question, answers of peers were remembered without end, the isolation of a node that stood still was judged without its own lateness, and a primary that lost its commits was believed no more without a line.

--- a/crates/coordination/src/serving/cold_start.rs
+++ b/crates/coordination/src/serving/cold_start.rs
@@ -68,6 +68,9 @@
 
     /// The part of one holder: rate x (a second and the sending time) and a full bucket of one
     /// request stay within it.
+    ///
+    /// A bound of four requests a second or less cannot be divided so: a cold database then gets
+    /// nothing.
     pub fn part(self, bounds: ColdStartBounds) -> GrantLimit {
         let holders = u64::try_from(COLD_HOLDERS).unwrap_or(u64::MAX);
         let part = self.allowed(bounds) / (holders * VIEWS);
--- a/crates/coordination/src/serving/peer_contact.rs
+++ b/crates/coordination/src/serving/peer_contact.rs
@@ -39,6 +39,10 @@
 /// that nothing is known of.
 const SILENCE_MEMORY: Duration = Duration::from_secs(10);
 
+/// Answers kept before old ones are forgotten: more than the peers that a node probes in the time
+/// for which they are of use.
+const ANSWERS_KEPT: usize = 512;
+
 /// What a request that waits for a peer's answer does next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Waiting {
@@ -104,10 +108,22 @@
     /// for how long it had been silent.
     pub fn note_heard(&mut self, peer: &str, now: Timestamp) -> Option<Duration> {
         let probes = self.unanswered.remove(peer)?;
+        self.forget_old_answers(now);
         self.answered.insert(peer.to_owned(), now);
         probes.given_up.then(|| now.since(probes.first_at))
     }
 
+    /// Peers come and go under new names: what is of no use any more is forgotten now and then.
+    fn forget_old_answers(&mut self, now: Timestamp) {
+        if self.answered.len() >= ANSWERS_KEPT {
+            let is_recent = |answered_at: &Timestamp| now.since(*answered_at) < SILENCE_MEMORY;
+            self.answered
+                .retain(|_, answered_at| is_recent(answered_at));
+            self.unanswered
+                .retain(|_, probes| !probes.is_forgotten(now));
+        }
+    }
+
     /// Takes in that a request gave up on a peer. Whether it is the first one.
     pub fn note_given_up(&mut self, peer: &str) -> bool {
         self.unanswered
--- a/crates/serving/src/cold_start.rs
+++ b/crates/serving/src/cold_start.rs
@@ -81,7 +81,10 @@
             }
             (Registration::Taken, Some(_)) => Heard::SameLife,
         };
-        let cold_for = listed.database.cold_for;
+        // An entry cannot keep its database cold for longer than a start takes.
+        let longest = self.cold_start_of(name).map(|start| start.duration);
+        let told = listed.database.cold_for;
+        let cold_for = longest.map_or(told, |longest| told.min(longest));
         let mut starts = self.cold.starts.borrow_mut();
         starts.entry(name).hear(heard, cold_for, self.now());
     }
@@ -121,7 +124,7 @@
             };
             let waited = self.now().since(began);
             let patience = request.limits.patience.min(request.limits.limit);
-            if request.principal.is_none() || waited + retry_after > patience {
+            if request.principal.is_none() || waited.saturating_add(retry_after) > patience {
                 self.counters.count("cold_requests", "refused");
                 return Err(AcquireError::Cold { retry_after });
             }
@@ -145,17 +148,25 @@
         }
     }
 
-    /// Counts what is sent to a database beyond the `admitted` requests, if it is cold.
-    pub(crate) fn charge_cold(&self, name: &DatabaseName, commands: &[Command], admitted: u32) {
+    /// Counts what is sent to a database beyond the `admitted` requests, if it is cold. Returns
+    /// how many of those are left.
+    pub(crate) fn charge_cold(
+        &self,
+        name: &DatabaseName,
+        commands: &[Command],
+        admitted: u32,
+    ) -> u32 {
         let Some(cold) = self.cold_part(name) else {
-            return;
+            return admitted;
         };
-        let beyond = requests_in(commands).saturating_sub(admitted);
+        let sent = requests_in(commands);
+        let beyond = sent.saturating_sub(admitted);
         if beyond > 0 {
             let mut starts = self.cold.starts.borrow_mut();
             starts.entry(name).charge(cold.part, beyond, self.now());
             self.counters.count("cold_requests", "in_debt");
         }
+        admitted.saturating_sub(sent)
     }
 
     /// The refusal of a node that holds no part of a cold database's budget.
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -97,16 +97,16 @@
 
 /// Takes a listing of everything. Returns its revision; nothing if the store did not answer.
 async fn read_everything(node: &Rc<Node>, freshness: ReadFreshness) -> Option<u64> {
+    let asked_at = node.now();
     match read_or_ask_peers(node, freshness).await {
         Ok(all) => {
             note_reachable(node, true, "read");
             node.store_steady_since.set(node.now());
             let present = freshness == ReadFreshness::Present;
-            let revision = take_everything(node, all, present);
             if present {
-                node.feed.note_told(node.now());
+                node.feed.note_told(asked_at);
             }
-            Some(revision)
+            Some(take_everything(node, all, present))
         }
         Err(error) => {
             note_store_error(node, &error);
--- a/crates/serving/src/leaders.rs
+++ b/crates/serving/src/leaders.rs
@@ -52,8 +52,10 @@
             return;
         }
         let now = self.now();
-        let (changed, reign) = self.with_group(&database.group, |state| {
+        let (changed, reign, ended) = self.with_group(&database.group, |state| {
+            let led = state.leadership.leader().is_some();
             let changed = state.leadership.confirm(name, proof);
+            let ended = led && state.leadership.leader().is_none();
             if state.leadership.leader() == Some(name) {
                 state.contact = Contact {
                     last_heard: now,
@@ -63,8 +65,18 @@
             } else if state.leadership.leader().is_none() {
                 state.leaderless_since.get_or_insert(now);
             }
-            (changed, state.leadership.reign())
+            (changed, state.leadership.reign(), ended)
         });
+        if ended {
+            self.log(
+                "primary_lost_commits",
+                &[
+                    ("group", database.group.as_str().into()),
+                    ("database", name.as_str().into()),
+                    ("position", proof.position.map(written).into()),
+                ],
+            );
+        }
         if changed {
             self.log(
                 "leader_confirmed",
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -66,8 +66,7 @@
         let asked_at = node.now();
         let relayed = self.connection().is_relayed();
         if !relayed {
-            let admitted = std::mem::take(&mut self.admitted);
-            node.charge_cold(self.pool.database(), commands, admitted);
+            self.admitted = node.charge_cold(self.pool.database(), commands, self.admitted);
         }
         let outcome = self.connection().exchange(commands, limit).await;
         let stage = if relayed { "peer" } else { "database" };
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -67,7 +67,11 @@
     }
     let mut round = 0;
     loop {
-        let _ = timeout(ROUND, node.configuration_changed.notified()).await;
+        let due = node.now() + ROUND;
+        let changed = timeout(ROUND, node.configuration_changed.notified()).await;
+        if changed.is_err() {
+            node.reachability.note_timer(due, node.now());
+        }
         round += 1;
         for group in in_turn(node.configured_groups(), round) {
             look_after(&node, &peers, &asking, &group);
--- a/crates/serving/src/pool/acquire.rs
+++ b/crates/serving/src/pool/acquire.rs
@@ -101,11 +101,17 @@
         if !self.reachable.get() {
             return Err(AcquireError::NotHeld);
         }
-        let cap = node.connection_cap(&self.database);
-        if cap == 0 && node.is_cold(&self.database) {
+        if node.connection_cap(&self.database) == 0 && node.is_cold(&self.database) {
             return Err(AcquireError::NotHeld);
         }
+        let asked_at = node.now();
         let admitted = node.admit_to_cold(&self.database, &request).await?;
+        let waited = node.now().since(asked_at);
+        let request = ConnectionRequest {
+            limits: request.limits.after(waited),
+            ..request
+        };
+        let cap = node.connection_cap(&self.database);
         let mut lease = self.acquire_within(node, cap, request).await?;
         lease.admit(admitted);
         Ok(lease)
@@ -118,6 +124,9 @@
         cap: usize,
         request: ConnectionRequest<'_>,
     ) -> Result<Lease, AcquireError> {
+        if self.is_retired() {
+            return Err(AcquireError::Unlisted);
+        }
         self.note_demand(node.now(), request.principal);
         if let Some(lease) = self.try_acquire(request.principal, request.values) {
             return Ok(lease);
@@ -206,7 +215,11 @@
             principal,
             CONNECT_LIMIT,
         );
-        match opening.await {
+        let opened = opening.await;
+        if self.is_retired() {
+            return Err(AcquireError::Unlisted);
+        }
+        match opened {
             Ok(mut connection) => {
                 place.fill();
                 connection.heard_at = node.now();
--- a/crates/serving/src/pool/mod.rs
+++ b/crates/serving/src/pool/mod.rs
@@ -52,6 +52,15 @@
 }
 
 impl WaitLimits {
+    /// What is left of them once a request has waited for `waited`.
+    pub(crate) fn after(self, waited: Duration) -> Self {
+        Self {
+            patience: self.patience.saturating_sub(waited),
+            limit: self.limit.saturating_sub(waited),
+            ..self
+        }
+    }
+
     /// Any queue is joined, and left after `limit`.
     pub fn patient(limit: Duration) -> Self {
         Self {
--- a/crates/serving/src/reachability.rs
+++ b/crates/serving/src/reachability.rs
@@ -58,6 +58,11 @@
         self.due.take()
     }
 
+    /// Takes in that a timer of this node which was due at `due` came at `now`.
+    pub(crate) fn note_timer(&self, due: Timestamp, now: Timestamp) {
+        self.contacts.borrow_mut().note_timer(due, now);
+    }
+
     fn probe(&self, peer: &Peer) {
         self.due.borrow_mut().push(peer.address);
         self.probe_due.notify_one();
@@ -154,8 +159,5 @@
 async fn pause_for(node: &Node, pause: Duration) {
     let due = node.now() + pause;
     sleep(pause).await;
-    node.reachability
-        .contacts
-        .borrow_mut()
-        .note_timer(due, node.now());
+    node.reachability.note_timer(due, node.now());
 }
