--- a/crates/serving/src/evacuation.rs
+++ b/crates/serving/src/evacuation.rs
@@ -5,18 +5,17 @@
 //! at all is sent to them, connections at rest are closed, and transactions that are still open
 //! there are ended.
 
-use std::cell::{OnceCell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hookpoint_coordination::serving::evacuation::{Evacuations, ZoneStanding};
+use hookpoint_coordination::serving::evacuation::ZoneStanding;
 use hookpoint_coordination::serving::feed::share_of;
 use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
 
 use crate::node::Node;
 use crate::pool::Pool;
 use crate::units::millis;
+use crate::zone_evacuations::Progress;
 
 /// Time after the end of an evacuation over which the nodes turn back to the zone one after
 /// another: its databases may have lost what they held in memory, and all nodes at once would
@@ -30,25 +29,6 @@
 /// Pause between two lines on what is still in use in an evacuated zone.
 const STILL_USED_TOLD: Duration = Duration::from_secs(5);
 
-/// The zones that the operator evacuates, or did, and what this node has made of that.
-#[derive(Default)]
-pub(crate) struct ZoneEvacuations {
-    known: RefCell<Evacuations>,
-    progress: RefCell<BTreeMap<ZoneName, Progress>>,
-    /// How long this node spares a zone after the end of its evacuation.
-    return_time: OnceCell<Duration>,
-}
-
-/// How far this node is with one zone.
-#[derive(Clone, Copy, Debug, Default)]
-struct Progress {
-    transactions_ended: u64,
-    connections_closed: u64,
-    looked_at: Timestamp,
-    told_empty: bool,
-    told_used_at: Option<Timestamp>,
-}
-
 /// What of this node's is still in use in a zone.
 struct Use {
     connections: usize,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -41,3 +41,4 @@
 mod statement;
 mod tokens;
 pub mod units;
+mod zone_evacuations;
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -22,7 +22,6 @@
 
 use crate::counted_store::CountedStore;
 use crate::counters::Counters;
-use crate::evacuation::ZoneEvacuations;
 use crate::events::EventLog;
 use crate::feed::Feed;
 use crate::homes::HomeViews;
@@ -31,6 +30,7 @@
 use crate::ports::{LeaseId, PromotionService, StateStore, WireProtocol};
 use crate::reachability::Reachability;
 use crate::tokens::Tokens;
+use crate::zone_evacuations::ZoneEvacuations;
 
 /// Rest of a transaction that is allowed where the configuration tells none.
 const DEFAULT_TRANSACTION_IDLE: Duration = Duration::from_secs(3);
