--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -21,7 +21,6 @@
 use crate::cold_start::ColdDatabases;
 use crate::counted_store::CountedStore;
 use crate::counters::Counters;
-use crate::evacuation::ZoneEvacuations;
 use crate::events::EventLog;
 use crate::feed::Feed;
 use crate::homes::HomeViews;
@@ -31,6 +30,7 @@
 use crate::reachability::Reachability;
 use crate::settings::{ChangeableSettings, NodeSettings};
 use crate::tokens::Tokens;
+use crate::zone_evacuations::ZoneEvacuations;
 
 /// Rest of a transaction that is allowed where the configuration tells none.
 const DEFAULT_TRANSACTION_IDLE: Duration = Duration::from_secs(3);
