--- a/crates/coordination/src/serving/failover.rs
+++ b/crates/coordination/src/serving/failover.rs
@@ -7,11 +7,14 @@
 //! lasted much longer. Nodes that only lease connections, or know no primary, may be cut
 //! off from the holders or crowded out, so they count only where nobody reaches it.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use hookpoint_state::{DatabaseName, Position};
 use serde::{Deserialize, Serialize};
 
+use super::handover::Drawbacks;
+
 /// Loss by silence that counts as evidence.
 pub const SILENCE_EVIDENCE: Duration = Duration::from_millis(550);
 /// Loss by refused connections that counts as evidence.
@@ -96,12 +99,29 @@
     pub name: DatabaseName,
     /// Newest position that it has received.
     pub received: Position,
-    /// Whether it announces its end.
-    pub draining: bool,
+    /// What speaks against it as the place of the primary.
+    pub drawbacks: Drawbacks,
     /// Whether it is in a zone that most nodes are close to; breaks ties.
     pub preferred: bool,
 }
 
+/// Commits by which replicas in step may differ: what is on its way to them. One that lacks
+/// more has restarted empty or was cut off, and is no match for one that announces its end.
+const COMMITS_ON_THEIR_WAY: u64 = 64;
+
+impl ReplicaState {
+    /// Whether the replica has received about as much as one at `newest`.
+    fn is_near(&self, newest: Position) -> bool {
+        let lacks = newest.lsn.0.saturating_sub(self.received.lsn.0);
+        lacks <= COMMITS_ON_THEIR_WAY && (self.received.lsn.0 > 0 || newest.lsn.0 == 0)
+    }
+
+    /// Whether it lacks what one of `others` holds: it restarted empty or was cut off.
+    pub fn is_behind(&self, others: &[ReplicaState]) -> bool {
+        others.iter().any(|other| !self.is_near(other.received))
+    }
+}
+
 /// Why no replica can be promoted now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum NoCandidate {
@@ -113,11 +133,12 @@
     SomeMissing,
 }
 
-/// Chooses the replica that has received most.
+/// Chooses the replica with the least against it, of those the one that has received most.
+/// One that has received nothing, as it started anew, is the last choice.
 ///
 /// `replicas` is the number of replicas of the group. If `sync_replicas` is above zero
 /// a commit may be held by just that many replicas, so at most `sync_replicas - 1` may
-/// be missing from `answered`.
+/// be missing from `answered`, and what was received goes before all else.
 pub fn choose_candidate(
     answered: &[ReplicaState],
     replicas: usize,
@@ -131,15 +152,20 @@
     if missing > may_miss {
         return Err(NoCandidate::SomeMissing);
     }
+    let newest = answered.iter().map(|state| state.received).max();
     answered
         .iter()
         .max_by(|left, right| {
-            let merit = |state: &ReplicaState| (!state.draining, state.received, state.preferred);
+            let in_step = |state: &ReplicaState| newest.is_none_or(|newest| state.is_near(newest));
+            let merit = |state: &ReplicaState| {
+                let drawbacks = Reverse(state.drawbacks);
+                (drawbacks, state.received, state.preferred)
+            };
             let by_position_first = sync_replicas > 0;
             let order = if by_position_first {
                 left.received.cmp(&right.received)
             } else {
-                std::cmp::Ordering::Equal
+                in_step(left).cmp(&in_step(right))
             };
             order
                 .then_with(|| merit(left).cmp(&merit(right)))
--- a/crates/serving/src/coordinator/replicas.rs
+++ b/crates/serving/src/coordinator/replicas.rs
@@ -4,13 +4,16 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::failover::{ReplicaState, choose_candidate};
+use hookpoint_coordination::serving::handover::Drawbacks;
 use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::selection::Distance;
 use hookpoint_coordination::serving::session::SessionValues;
 use hookpoint_state::{DatabaseName, GroupName, Term};
 use tokio::time::{sleep, timeout};
 
-use crate::lease::Lease;
+use super::handover::drawbacks_of;
+use crate::cold_start;
+use crate::lease::{Lease, prove_leadership};
 use crate::message::{Command, DatabaseStatus, FailureCode};
 use crate::node::Node;
 use crate::pool::{ConnectionRequest, Pool, WaitLimits};
@@ -46,7 +49,7 @@
     node: &Rc<Node>,
     group: &GroupName,
     leader: Option<&DatabaseName>,
-) -> Option<DatabaseName> {
+) -> Option<ReplicaState> {
     let sync_replicas = sync_replicas(node, group);
     let replicas: Vec<DatabaseName> = node
         .by_stated_role(group)
@@ -61,7 +64,15 @@
         let term = Term(newest.0 + 1);
         ask_all(node, &replicas, &Command::PauseReplication { term }).await
     };
-    if let Some((name, _)) = states.iter().find(|(_, status)| status.primary) {
+    let primary = states
+        .iter()
+        .find(|(_, status)| status.primary)
+        .map(|(name, _)| name.clone());
+    let states: Vec<ReplicaState> = states
+        .into_iter()
+        .map(|(name, status)| replica_state(node, name, status))
+        .collect();
+    if let Some(name) = primary.filter(|name| !restarted_empty(name, &states)) {
         node.log(
             "primary_found",
             &[
@@ -69,14 +80,11 @@
                 ("database", name.as_str().into()),
             ],
         );
+        confirm_found(node, &name).await;
         return None;
     }
-    let states: Vec<ReplicaState> = states
-        .into_iter()
-        .map(|(name, status)| replica_state(node, name, status))
-        .collect();
     match choose_candidate(&states, replicas.len(), sync_replicas) {
-        Ok(candidate) => Some(candidate),
+        Ok(candidate) => states.into_iter().find(|state| state.name == candidate),
         Err(error) => {
             resume_replicas(node, group).await;
             node.log(
@@ -91,6 +99,13 @@
     }
 }
 
+/// Whether a database that calls itself the primary lost what a replica still holds.
+fn restarted_empty(name: &DatabaseName, states: &[ReplicaState]) -> bool {
+    states
+        .iter()
+        .any(|state| state.name == *name && state.is_behind(states))
+}
+
 /// A database that is missing from the store, for a crash or an outage, may be the only
 /// one that holds a commit, so it counts until the others have long received all of it.
 fn is_candidate(node: &Rc<Node>, name: &DatabaseName) -> bool {
@@ -103,21 +118,40 @@
 }
 
 fn replica_state(node: &Rc<Node>, name: DatabaseName, status: DatabaseStatus) -> ReplicaState {
-    let (draining, distance) = {
+    let (drawbacks, distance) = {
         let directory = node.directory.borrow();
-        directory.get(&name).map_or((true, None), |listed| {
-            let distance = node.distance(&listed.database.zone);
-            (listed.leaving_since.is_some(), Some(distance))
-        })
+        match directory.get(&name) {
+            Some(listed) => {
+                let distance = node.distance(&listed.database.zone);
+                (drawbacks_of(node, listed), Some(distance))
+            }
+            None => {
+                let leaving = Drawbacks {
+                    leaving: true,
+                    ..Drawbacks::default()
+                };
+                (leaving, None)
+            }
+        }
     };
     ReplicaState {
         name,
         received: status.received,
-        draining,
+        drawbacks,
         preferred: distance.is_some_and(|distance| distance <= Distance::SameRegion),
     }
 }
 
+/// Has a database that says that it leads prove it. While the primary known here is shut,
+/// nothing else would tell this node of the new one.
+async fn confirm_found(node: &Rc<Node>, name: &DatabaseName) {
+    if let Some(mut lease) = lease_for_status(node, &node.pool(name)).await
+        && prove_leadership(node, &mut lease).await.is_err()
+    {
+        node.counters.count("primaries_found", "not_proved");
+    }
+}
+
 /// Asks for the state of all, again as long as none of them answers.
 async fn ask_until_some_answer(
     node: &Rc<Node>,
@@ -137,10 +171,13 @@
     replicas: &[DatabaseName],
     command: &Command,
 ) -> Vec<(DatabaseName, DatabaseStatus)> {
-    let questions = replicas.iter().map(|name| {
+    let asked = replicas.iter().filter(|name| !node.is_shut(name));
+    let questions = asked.map(|name| {
         let command = command.clone();
         async move {
+            let asked_at = node.now();
             let status = ask_status(node, name, command).await?;
+            node.database_asked(name, asked_at)?;
             Some((name.clone(), status))
         }
     });
@@ -181,9 +218,6 @@
 /// A connection at rest, a new one, or one that another node holds.
 async fn lease_for_status(node: &Rc<Node>, pool: &Rc<Pool>) -> Option<Lease> {
     let values = SessionValues::new();
-    if let Some(lease) = pool.try_acquire(None, &values) {
-        return Some(lease);
-    }
     let question = ConnectionRequest {
         principal: None,
         priority: STATUS_PRIORITY,
@@ -191,6 +225,13 @@
         placement: &Placement::unrestricted(),
         limits: WaitLimits::patient(STATUS_LIMIT),
     };
+    if node.is_cold(pool.database()) {
+        let leased = cold_start::lease_for_question(node, pool, question).await;
+        return leased.ok();
+    }
+    if let Some(lease) = pool.try_acquire(None, &values) {
+        return Some(lease);
+    }
     match pool.open(node, None).await {
         Ok(lease) => Some(lease),
         Err(_) => relay::lease(node, pool, question).await.ok(),
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -16,6 +16,8 @@
     connection: Option<Connection>,
     pool: Rc<Pool>,
     taken_at: Instant,
+    /// Requests for which there is a token, if the database is cold.
+    admitted: u32,
 }
 
 impl Lease {
@@ -24,6 +26,7 @@
             connection: Some(connection),
             pool,
             taken_at: Instant::now(),
+            admitted: 0,
         }
     }
 
@@ -31,6 +34,11 @@
         self.connection.take()
     }
 
+    /// Notes that there is a token for `requests` to a cold database.
+    pub(crate) fn admit(&mut self, requests: u32) {
+        self.admitted = requests;
+    }
+
     /// The pool it belongs to.
     pub fn pool(&self) -> &Rc<Pool> {
         &self.pool
@@ -43,30 +51,45 @@
             .expect("a lease holds its connection until it is dropped")
     }
 
-    /// Sends commands and waits for their answers; failures are noted with the pool.
+    /// Sends commands and waits for their answers; failures are noted with the pool. Nothing is
+    /// sent to a database that is shut.
     pub async fn exchange(
         &mut self,
         node: &Rc<Node>,
         commands: &[Command],
         limit: Duration,
     ) -> Result<Vec<Answer>, ConnectionError> {
+        if node.is_shut(self.pool.database()) {
+            self.connection().broken = true;
+            return Err(ConnectionError::ZoneEvacuated);
+        }
         let asked_at = node.now();
-        let outcome = self.connection().exchange(commands, limit).await;
         let relayed = self.connection().is_relayed();
+        if !relayed {
+            let admitted = std::mem::take(&mut self.admitted);
+            node.charge_cold(self.pool.database(), commands, admitted);
+        }
+        let outcome = self.connection().exchange(commands, limit).await;
         let stage = if relayed { "peer" } else { "database" };
         node.counters.observe(stage, node.now().since(asked_at));
+        if self.pool.is_retired() {
+            return outcome;
+        }
         match &outcome {
             Ok(_) => {
                 self.connection().heard_at = node.now();
                 node.note_contact(self.pool.database());
             }
+            Err(ConnectionError::ZoneEvacuated) => {}
             Err(_) if relayed => {
                 node.counters.count("relayed_exchanges", "failed");
                 self.pool.note_outcome(node.now(), true);
             }
             Err(error) => {
                 self.pool.note_failure(node.now());
-                if matches!(error, ConnectionError::TimedOut) {
+                if !matches!(error, ConnectionError::TimedOut) {
+                    self.pool.note_closed();
+                } else {
                     node.counters.count("database_timeouts", "exchange");
                     self.pool.verify(node);
                 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,16 +6,21 @@
 //! implements them. The decisions are those of `hookpoint_coordination::serving`.
 #![forbid(unsafe_code)]
 
+mod cold_start;
 pub mod connection;
 pub mod coordinator;
 pub mod coordinator_record;
 mod counted_store;
 pub mod counters;
+mod database_life;
+mod evacuation;
 pub mod events;
 pub mod explanation;
 pub mod feed;
 pub mod follower;
 pub mod homes;
+mod isolation;
+mod leaders;
 pub mod lease;
 pub mod link;
 pub mod message;
@@ -34,6 +39,7 @@
 pub mod relay;
 mod second_way;
 pub mod session;
+pub mod settings;
 pub mod shutdown;
 pub mod snapshot;
 pub mod socket;
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -18,7 +18,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::connection::Answer;
-use crate::feed::FeedAnswer;
+use crate::feed::{FeedAnswer, FollowQuestion};
 use crate::homes::Peer;
 use crate::message::Command;
 use crate::node::Node;
@@ -84,10 +84,8 @@
     },
     Release,
     Snapshot,
-    /// Changes of the store after a revision, as soon as there are some.
-    Follow {
-        revision: u64,
-    },
+    /// Changes of the store, or newer word that there are none.
+    Follow(FollowQuestion),
 }
 
 /// The answer.
@@ -102,6 +100,10 @@
     Refused,
     /// The queue for the database's connections is too long.
     Overloaded,
+    /// The database has just started and gets no more from this node at the moment.
+    Cold {
+        retry_after_ms: u64,
+    },
     Answers(Vec<Answer>),
     Broken {
         timed_out: bool,
@@ -109,6 +111,8 @@
     /// A [`Snapshot`], packed; nothing before there is a configuration.
     Snapshot(Option<Bytes>),
     Followed(FeedAnswer),
+    /// Nothing was sent: the database's zone is evacuated.
+    NotSent,
 }
 
 pub(crate) type LinkStream = Framed<TcpStream, LengthDelimitedCodec>;
@@ -169,6 +173,12 @@
         (now < *until).then_some(*reason)
     }
 
+    /// Asks all peers for a database again, whatever they lacked of an earlier life of it.
+    pub(crate) fn forget_database(&self, database: &DatabaseName) {
+        let mut passed_over = self.passed_over.borrow_mut();
+        passed_over.retain(|(_, other), _| other != database);
+    }
+
     pub(crate) fn pass_over(
         &self,
         peer: &str,
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -1,28 +1,27 @@
 //! The state that all tasks of a node share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use hookpoint_coordination::serving::cold_start::ColdStartBounds;
 use hookpoint_coordination::serving::coordinator::CoordinatorView;
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
-use hookpoint_coordination::serving::evacuation::{Evacuations, ZoneStanding};
-use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
+use hookpoint_coordination::serving::isolation::Isolation;
+use hookpoint_coordination::serving::leadership::Leadership;
 use hookpoint_coordination::serving::lease_grantor::LeaseGrantor;
 use hookpoint_coordination::serving::primary_lease::PrimaryLease;
-use hookpoint_coordination::serving::quota::QuotaBounds;
 use hookpoint_coordination::serving::selection::Distance;
-use hookpoint_coordination::serving::tenancy::RevocationPolicy;
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
-use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp, ZoneName};
+use hookpoint_state::{DatabaseName, GroupName, RegionName, Timestamp, ZoneName};
 use serde_json::Value;
 use tokio::sync::Notify;
 
+use crate::cold_start::ColdDatabases;
 use crate::counted_store::CountedStore;
 use crate::counters::Counters;
+use crate::evacuation::ZoneEvacuations;
 use crate::events::EventLog;
 use crate::feed::Feed;
 use crate::homes::HomeViews;
@@ -30,8 +29,8 @@
 use crate::pool::Pool;
 use crate::ports::{LeaseId, PromotionService, StateStore, WireProtocol};
 use crate::reachability::Reachability;
+use crate::settings::{ChangeableSettings, NodeSettings};
 use crate::tokens::Tokens;
-use crate::units::millis;
 
 /// Rest of a transaction that is allowed where the configuration tells none.
 const DEFAULT_TRANSACTION_IDLE: Duration = Duration::from_secs(3);
@@ -39,63 +38,6 @@
 /// A node's clock at its start: far enough from zero for times before it.
 const START: Timestamp = Timestamp(60_000_000);
 
-/// Settings of a node.
-#[derive(Clone, Debug)]
-pub struct NodeSettings {
-    /// Name of the node.
-    pub name: String,
-    /// Its zone.
-    pub zone: ZoneName,
-    /// Address for datagrams of peers.
-    pub peer_address: SocketAddr,
-    /// Bandwidth of the node's link, in megabits a second; 0 if that is not known.
-    pub bandwidth_mbps: u32,
-    /// Time to live of the node's lease.
-    pub lease_time: Duration,
-    /// Whether the whole fleet starts for the first time.
-    pub first_start: bool,
-    /// What may change while the node runs.
-    pub changeable: ChangeableSettings,
-}
-
-/// Settings that are taken over while the node runs.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ChangeableSettings {
-    /// Region of each zone.
-    pub regions: BTreeMap<ZoneName, String>,
-    /// Where other nodes may be asked for what they know.
-    pub seed_addresses: Vec<SocketAddr>,
-    /// Whole time that a stop may take.
-    pub grace_period: Duration,
-    /// How long a database that announced its end may still get work.
-    pub drain_limit: Duration,
-    /// Whether the promotion service refuses tokens lower than it has seen.
-    pub fenced_promotions: bool,
-    /// How exactly tenants' limits are kept; none if they are not counted.
-    pub quota: Option<QuotaBounds>,
-    /// Whether keys pass on a node that is cut off.
-    pub revocation: RevocationPolicy,
-    /// Within which time of its acknowledgement a configuration has to be in force.
-    pub configuration_limit: Duration,
-    /// Time after its request by which an evacuated zone's databases get nothing any more.
-    pub evacuation_limit: Duration,
-    /// How exactly the rate of cold databases is kept.
-    pub cold_start: ColdStartBounds,
-    /// Losses that the fleet has to bear at once.
-    pub fault_tolerance: FaultTolerance,
-    /// Promotions that the service takes a second.
-    pub promotions_per_second: f64,
-}
-
-/// Losses that the fleet has to bear at once without breaking a promise.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct FaultTolerance {
-    /// Whole zones.
-    pub zones: u32,
-    /// Whole regions.
-    pub regions: u32,
-}
-
 /// How this node sees a group's primary.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Contact {
@@ -128,6 +70,8 @@
     pub announced_at: u64,
     /// Whether this node is busy replacing its primary.
     pub being_replaced: bool,
+    /// Since when this node, as the coordinator, has wanted to move its primary.
+    pub move_wanted_since: Option<Timestamp>,
     /// The database that last proved to lead though another one was announced, and when
     /// it was asked.
     pub overruled: Option<(DatabaseName, Timestamp)>,
@@ -150,11 +94,6 @@
     pub gone_at: Option<Timestamp>,
 }
 
-/// A position for the log: term and number, parted by a point.
-fn written(position: Position) -> String {
-    format!("{}.{}", position.term.0, position.lsn.0)
-}
-
 /// A number that no earlier process of this node had.
 fn new_life() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -182,10 +121,12 @@
     pub configuration: RefCell<ConfigurationHolder>,
     /// When the first configuration was taken.
     pub(crate) configured_at: Cell<Option<Timestamp>>,
+    /// Regions in which the primaries of groups should be, where the configuration cares.
+    pub(crate) primary_regions: RefCell<BTreeMap<GroupName, BTreeSet<RegionName>>>,
     /// Databases.
     pub directory: RefCell<Directory>,
     /// Zones that the operator evacuates.
-    pub(crate) evacuations: RefCell<Evacuations>,
+    pub(crate) evacuations: ZoneEvacuations,
     /// Groups.
     pub groups: RefCell<BTreeMap<GroupName, GroupState>>,
     /// Peers, this node included.
@@ -235,6 +176,8 @@
     pub links: Links,
     /// Which peers answer.
     pub reachability: Reachability,
+    /// Whether this node is cut off from the fleet.
+    pub(crate) isolation: Cell<Isolation>,
     /// Tokens for tenants' operations.
     pub(crate) tokens: Tokens,
     /// When this node's lease was last taken or renewed.
@@ -243,7 +186,9 @@
     pub feed: Feed,
     /// Who holds connections to the databases.
     pub(crate) homes: RefCell<HomeViews>,
-    pools: RefCell<BTreeMap<DatabaseName, Rc<Pool>>>,
+    pub(crate) pools: RefCell<BTreeMap<DatabaseName, Rc<Pool>>>,
+    /// How warm the databases are.
+    pub(crate) cold: ColdDatabases,
     started: Instant,
 }
 
@@ -268,8 +213,9 @@
             counters,
             configuration: RefCell::default(),
             configured_at: Cell::default(),
+            primary_regions: RefCell::default(),
             directory: RefCell::default(),
-            evacuations: RefCell::default(),
+            evacuations: ZoneEvacuations::default(),
             groups: RefCell::default(),
             members: RefCell::default(),
             own_record_revision: Cell::new(0),
@@ -294,11 +240,13 @@
             stop_advanced: Notify::new(),
             links: Links::default(),
             reachability: Reachability::default(),
+            isolation: Cell::default(),
             tokens: Tokens::default(),
             lease_renewed_at: Cell::new(START),
             feed: Feed::default(),
             homes: RefCell::default(),
             pools: RefCell::default(),
+            cold: ColdDatabases::default(),
             started: Instant::now(),
         })
     }
@@ -364,6 +312,9 @@
     pub fn take_configuration(&self, configuration: Configuration) {
         let version = configuration.version;
         if self.configuration.borrow_mut().offer(configuration) {
+            if let Some(taken) = self.configuration() {
+                self.place_primaries(&taken);
+            }
             if self.configured_at.get().is_none() {
                 self.configured_at.set(Some(self.now()));
             }
@@ -379,6 +330,7 @@
     pub fn is_ready(&self) -> bool {
         self.stopping_since.get().is_none()
             && self.lease_lapsed_since().is_none()
+            && self.isolated_since().is_none()
             && self.can_count()
             && self.uncounted_since().is_none()
             && self.configuration().is_some()
@@ -391,53 +343,6 @@
         directory.get(name).map(|listed| listed.database.clone())
     }
 
-    /// Whether work may still be sent to a database.
-    pub fn may_serve(&self, name: &DatabaseName) -> bool {
-        let directory = self.directory.borrow();
-        let Some(listed) = directory.get(name) else {
-            return false;
-        };
-        if self.zone_standing(&listed.database.zone) == ZoneStanding::Evacuated {
-            return false;
-        }
-        listed
-            .leaving_since
-            .is_none_or(|since| self.now().since(since) < self.changeable().drain_limit)
-    }
-
-    /// The pool of a database.
-    pub fn pool(self: &Rc<Self>, name: &DatabaseName) -> Rc<Pool> {
-        let mut pools = self.pools.borrow_mut();
-        let pool = pools
-            .entry(name.clone())
-            .or_insert_with(|| Rc::new(Pool::new(Rc::downgrade(self), name.clone())));
-        Rc::clone(pool)
-    }
-
-    /// All pools.
-    pub fn pools(&self) -> Vec<Rc<Pool>> {
-        self.pools.borrow().values().cloned().collect()
-    }
-
-    /// Drops the pools of databases that are not listed any more.
-    pub fn drop_unlisted_pools(&self) {
-        let directory = self.directory.borrow();
-        self.pools.borrow_mut().retain(|name, pool| {
-            let listed = directory.get(name).is_some();
-            if !listed {
-                pool.close_idle();
-            }
-            listed
-        });
-    }
-
-    /// What the databases of a zone may be used for at the moment.
-    pub(crate) fn zone_standing(&self, zone: &ZoneName) -> ZoneStanding {
-        let limit = self.changeable().evacuation_limit;
-        let evacuations = self.evacuations.borrow();
-        evacuations.standing(zone, limit, Duration::ZERO, self.now())
-    }
-
     /// How far a database is.
     pub fn distance(&self, zone: &ZoneName) -> Distance {
         if *zone == self.settings.zone {
@@ -471,152 +376,6 @@
             .is_some_and(|database| self.leader(&database.group).as_ref() == Some(name))
     }
 
-    /// Whether the newest promotion known allows a database to lead.
-    ///
-    /// Where the service does not fence, a replaced primary may still believe to lead, so
-    /// only the database of the newest order is taken for the primary.
-    fn may_lead(&self, database: &Database) -> bool {
-        self.changeable().fenced_promotions
-            || self.with_group(&database.group, |state| {
-                state
-                    .promoting
-                    .as_ref()
-                    .is_none_or(|(candidate, _)| *candidate == database.name)
-            })
-    }
-
-    /// Takes a proof that a database leads. Where promotions are not fenced, the position
-    /// in it only counts if this node was allowed to use primaries when it asked: a
-    /// replaced primary's covers nothing.
-    pub fn confirm_leader(&self, name: &DatabaseName, proof: Confirmation) {
-        let covered = self.covers_primaries(proof.asked_at);
-        let proof = Confirmation {
-            position: proof.position.filter(|_| covered),
-            ..proof
-        };
-        self.believe_leader(name, proof);
-    }
-
-    /// Takes a proof of this node's own, or one that a peer passes on, as it is.
-    pub(crate) fn believe_leader(&self, name: &DatabaseName, proof: Confirmation) {
-        let Some(database) = self.database(name) else {
-            return;
-        };
-        if !self.may_lead(&database) {
-            self.with_group(&database.group, |state| {
-                state.overruled = Some((name.clone(), proof.asked_at));
-            });
-            return;
-        }
-        let now = self.now();
-        let (changed, reign) = self.with_group(&database.group, |state| {
-            let changed = state.leadership.confirm(name, proof);
-            if state.leadership.leader() == Some(name) {
-                state.contact = Contact {
-                    last_heard: now,
-                    ..Contact::default()
-                };
-                state.leaderless_since = None;
-            }
-            (changed, state.leadership.reign())
-        });
-        if changed {
-            self.log(
-                "leader_confirmed",
-                &[
-                    ("group", database.group.as_str().into()),
-                    ("database", name.as_str().into()),
-                    ("reign", reign.0.into()),
-                    ("position", proof.position.map(written).into()),
-                ],
-            );
-            self.leader_changed.notify_waiters();
-        }
-    }
-
-    /// Takes a proof, asked for at `asked_at`, that a database does not lead.
-    pub fn refute_leader(&self, name: &DatabaseName, asked_at: Timestamp) {
-        let Some(database) = self.database(name) else {
-            return;
-        };
-        let now = self.now();
-        let changed = self.with_group(&database.group, |state| {
-            let changed = state.leadership.refute(name, asked_at);
-            if changed {
-                state.leaderless_since.get_or_insert(now);
-                state.contact = Contact::default();
-            }
-            changed
-        });
-        if changed {
-            self.log(
-                "leader_refuted",
-                &[
-                    ("group", database.group.as_str().into()),
-                    ("database", name.as_str().into()),
-                ],
-            );
-        }
-    }
-
-    /// Notes that a database answered.
-    pub fn note_contact(&self, name: &DatabaseName) {
-        let Some(database) = self.database(name) else {
-            return;
-        };
-        let now = self.now();
-        let lost_since = self.with_group(&database.group, |state| {
-            if state.leadership.leader() != Some(name) {
-                return None;
-            }
-            let before = state.contact.lost_since;
-            state.contact = Contact {
-                last_heard: now,
-                ..Contact::default()
-            };
-            before
-        });
-        if let Some(since) = lost_since {
-            let away = millis(now.since(since));
-            self.log_primary("primary_regained", &database, ("away_ms", away.into()));
-        }
-    }
-
-    /// Notes that a question sent to the leader at `asked_at` was not answered.
-    pub fn note_lost_contact(&self, name: &DatabaseName, asked_at: Timestamp, refused: bool) {
-        let Some(database) = self.database(name) else {
-            return;
-        };
-        let newly_lost = self.with_group(&database.group, |state| {
-            let contact = &mut state.contact;
-            if state.leadership.leader() != Some(name) || contact.last_heard > asked_at {
-                return false;
-            }
-            let newly_lost = contact.lost_since.is_none();
-            contact.lost_since.get_or_insert(asked_at);
-            contact.refused = refused;
-            newly_lost
-        });
-        if newly_lost {
-            self.log_primary(
-                "primary_unreachable",
-                &database,
-                ("refused", refused.into()),
-            );
-        }
-    }
-
-    fn log_primary(&self, event: &'static str, database: &Database, detail: (&str, Value)) {
-        self.log(
-            event,
-            &[
-                ("group", database.group.as_str().into()),
-                ("database", database.name.as_str().into()),
-                detail,
-            ],
-        );
-    }
-
     /// Databases of a group that state that they lead, then the others.
     pub fn by_stated_role(&self, group: &GroupName) -> Vec<DatabaseName> {
         let directory = self.directory.borrow();
--- a/crates/serving/src/pool/mod.rs
+++ b/crates/serving/src/pool/mod.rs
@@ -99,6 +99,15 @@
     /// The database is not listed any more.
     #[error("the database is not listed")]
     Unlisted,
+    /// Its zone is evacuated.
+    #[error("the database's zone is evacuated")]
+    ZoneEvacuated,
+    /// It has just started, and this node's part of what it may get is used up.
+    #[error("the database has just started and gets no more at the moment")]
+    Cold {
+        /// When there is a part again.
+        retry_after: Duration,
+    },
 }
 
 /// The pool of one database.
@@ -121,6 +130,8 @@
     in_use: RefCell<BTreeMap<Principal, usize>>,
     demand: RefCell<Demand>,
     reliability: Cell<Reliability>,
+    /// Whether the life of the database is over that it was for.
+    retired: Cell<bool>,
 }
 
 impl Pool {
@@ -145,6 +156,7 @@
             in_use: RefCell::default(),
             demand: RefCell::default(),
             reliability: Cell::default(),
+            retired: Cell::new(false),
         }
     }
 
@@ -158,6 +170,11 @@
         self.leased.get() + self.waiters.borrow().len()
     }
 
+    /// Connections in use, those that another node holds among them.
+    pub(crate) fn in_use(&self) -> usize {
+        self.leased.get()
+    }
+
     /// Connections that are open or being opened.
     pub fn open_connections(&self) -> usize {
         self.open.get()
@@ -260,6 +277,17 @@
                 return Some(self.lend(connection));
             }
             self.open.set(self.open.get() - 1);
+            self.note_closed();
+        }
+    }
+
+    /// Notes that the database ended a connection. If none at rest is left either, it may have
+    /// restarted.
+    pub(crate) fn note_closed(&self) {
+        if !self.idle.borrow_mut().any_usable()
+            && let Some(node) = self.node.upgrade()
+        {
+            node.doubt_warmth(&self.database);
         }
     }
 
@@ -297,7 +325,7 @@
     /// After a time-out: asks something that needs no slot on a connection at rest. If
     /// that is not answered either, the way to the database is lost.
     pub(crate) fn verify(self: &Rc<Self>, node: &Rc<Node>) {
-        if self.verifying.replace(true) {
+        if node.is_shut(&self.database) || self.verifying.replace(true) {
             return;
         }
         let pool = Rc::clone(self);
@@ -334,10 +362,30 @@
         self.open.set(self.open.get() - closed);
     }
 
-    /// Closes the connections at rest.
-    pub fn close_idle(&self) {
+    /// Whether the life of the database is over that the pool was for: nothing rests in it any
+    /// more, and what it notes concerns nobody.
+    pub(crate) fn is_retired(&self) -> bool {
+        self.retired.get()
+    }
+
+    /// The life of the database is over. Connections at rest are closed, those in use when
+    /// they come back, and whoever waits turns to the pool of the new life.
+    pub(crate) fn retire(&self) {
+        self.retired.set(true);
+        self.close_idle();
+        self.dismiss_waiters();
+    }
+
+    /// Closes the connections at rest; returns how many.
+    pub fn close_idle(&self) -> usize {
         let closed = self.idle.borrow_mut().close_all();
         self.open.set(self.open.get() - closed);
+        closed
+    }
+
+    /// Sends away all who wait for a connection.
+    pub(crate) fn dismiss_waiters(&self) {
+        self.waiters.borrow_mut().dismiss_all();
     }
 }
 
--- a/crates/serving/src/pool/release.rs
+++ b/crates/serving/src/pool/release.rs
@@ -24,13 +24,18 @@
         if let Some(node) = self.node.upgrade() {
             note_time(&self.held, node.now(), held);
         }
-        if connection.broken {
+        if connection.broken || self.is_retired() {
             self.open.set(self.open.get() - 1);
             return;
         }
         let Some(node) = self.node.upgrade() else {
             return;
         };
+        if node.is_shut(&self.database) {
+            // Closing it ends what it holds.
+            self.open.set(self.open.get() - 1);
+            return;
+        }
         let Some(connection) = self.hand_over(&node, connection) else {
             return;
         };
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -73,6 +73,7 @@
             Ok(Ok(LinkReply::Broken { timed_out: false })) => Err(ConnectionError::Broken(
                 io::ErrorKind::ConnectionAborted.into(),
             )),
+            Ok(Ok(LinkReply::NotSent)) => Err(ConnectionError::ZoneEvacuated),
             Ok(Ok(_)) | Err(_) => Err(ConnectionError::TimedOut),
             Ok(Err(error)) => Err(ConnectionError::Broken(error)),
         }
@@ -123,6 +124,10 @@
                     node.counters.count("relayed_leases", "overloaded");
                     refusal = NoLease::Overloaded;
                 }
+                Err(NotLent::Cold { retry_after }) => {
+                    node.counters.count("relayed_leases", "cold");
+                    refusal = NoLease::Cold { retry_after };
+                }
                 Err(NotLent::PassedOver(reason)) => {
                     node.counters.count("relayed_leases", reason.as_str());
                     node.links
@@ -169,6 +174,11 @@
     NotLent,
     /// The queue of the last one that answered is too long.
     Overloaded,
+    /// The database has just started, and the parts of those asked are used up.
+    Cold {
+        /// When there is a part again.
+        retry_after: Duration,
+    },
     /// None of the nodes that hold connections and may be asked answers.
     Silent,
 }
@@ -179,6 +189,7 @@
         match self {
             NoLease::NotLent | NoLease::Silent => otherwise,
             NoLease::Overloaded => AcquireError::Overloaded,
+            NoLease::Cold { retry_after } => AcquireError::Cold { retry_after },
         }
     }
 }
@@ -187,6 +198,8 @@
 enum NotLent {
     /// Its queue is too long.
     Overloaded,
+    /// Its part of what a cold database may get is used up.
+    Cold { retry_after: Duration },
     /// It did not answer, or has none to lend; then the link is as good as before.
     PassedOver(PassedOver),
 }
@@ -244,6 +257,12 @@
             node.links.keep(peer.name.clone(), stream);
             Err(NotLent::Overloaded)
         }
+        Some((LinkReply::Cold { retry_after_ms }, stream)) => {
+            node.links.keep(peer.name.clone(), stream);
+            Err(NotLent::Cold {
+                retry_after: Duration::from_millis(retry_after_ms),
+            })
+        }
         Some((LinkReply::Refused, stream)) => {
             node.links.keep(peer.name.clone(), stream);
             Err(NotLent::PassedOver(PassedOver::Refused))
@@ -378,6 +397,9 @@
                 match lend(&node, &database, wanted).await {
                     Ok(lent) => granted(&mut held.insert(lent).lease),
                     Err(AcquireError::Overloaded | AcquireError::TimedOut) => LinkReply::Overloaded,
+                    Err(AcquireError::Cold { retry_after }) => LinkReply::Cold {
+                        retry_after_ms: millis(retry_after),
+                    },
                     Err(_) => LinkReply::Refused,
                 }
             }
@@ -393,8 +415,8 @@
                 continue;
             }
             LinkRequest::Snapshot => LinkReply::Snapshot(packed_snapshot(&node)),
-            LinkRequest::Follow { revision } => {
-                LinkReply::Followed(feed::answer(&node, revision).await)
+            LinkRequest::Follow(question) => {
+                LinkReply::Followed(feed::answer(&node, &question).await)
             }
         };
         if send(&mut stream, &reply).await.is_err() {
@@ -425,6 +447,7 @@
     }
     match lease.exchange(node, commands, limit).await {
         Ok(answers) => LinkReply::Answers(answers),
+        Err(ConnectionError::ZoneEvacuated) => LinkReply::NotSent,
         Err(error) => LinkReply::Broken {
             timed_out: matches!(error, ConnectionError::TimedOut),
         },
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -42,6 +42,10 @@
     Overloaded,
     /// The configuration has changed, and no longer allows all that it did.
     PlacementChanged,
+    /// The database has just started and gets no more for so long.
+    Cold {
+        retry_after: Duration,
+    },
 }
 
 impl AttemptFailure {
@@ -56,6 +60,7 @@
             AttemptFailure::NoLease => "no_lease",
             AttemptFailure::Overloaded => "overloaded",
             AttemptFailure::PlacementChanged => "placement_changed",
+            AttemptFailure::Cold { .. } => "cold",
         }
     }
 }
@@ -94,6 +99,9 @@
                     .note_lost_contact(target.database(), asked_at, pool.was_refused());
                 return Attempt::NotRun(AttemptFailure::NoConnection);
             }
+            Err(AcquireError::Cold { retry_after }) => {
+                return Attempt::NotRun(AttemptFailure::Cold { retry_after });
+            }
             Err(AcquireError::Overloaded) => {
                 return Attempt::NotRun(AttemptFailure::Overloaded);
             }
@@ -152,6 +160,9 @@
                     self.reads_timed_out.set(self.reads_timed_out.get() + 1);
                 }
                 return match work.access {
+                    _ if matches!(error, ConnectionError::ZoneEvacuated) => {
+                        Attempt::NotRun(AttemptFailure::NoConnection)
+                    }
                     Access::Read => Attempt::NotRun(AttemptFailure::Broken),
                     Access::Write if matches!(stance, Stance::Alone(_)) => Attempt::Unknown,
                     Access::Write => Attempt::NotRun(AttemptFailure::Broken),
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -1,6 +1,7 @@
 //! Carrying one statement to a database that may serve it, and back.
 
 mod attempt;
+mod evacuated;
 mod outcome;
 mod placing;
 mod quota;
@@ -24,6 +25,7 @@
 use tokio::time::{sleep, timeout};
 
 use self::attempt::{Attempt, AttemptFailure};
+use self::evacuated::Evacuated;
 pub(crate) use self::outcome::rolled_back;
 use self::outcome::{Tried, access_name};
 use self::target::Target;
@@ -45,6 +47,15 @@
 /// Time in which a lost primary should have been replaced.
 const REPLACEMENT_TIME: Duration = Duration::from_secs(3);
 
+/// Why waiting for a database is in vain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum InVain {
+    /// None will be usable in time.
+    NoDatabase,
+    /// The only one that could run the statement is in a zone that is evacuated.
+    Evacuated,
+}
+
 /// What a caller asks to run.
 #[derive(Clone, Debug)]
 pub(crate) struct Work {
@@ -142,6 +153,9 @@
         if lapsed.is_some_and(|since| now.since(since) >= LAPSE_PASSES) {
             return now;
         }
+        if self.node.isolated_since().is_some() {
+            return now;
+        }
         let lost_since = self.node.with_group(&self.route.group, |state| {
             state.contact.lost_since.or(state.leaderless_since)
         });
@@ -151,15 +165,20 @@
         }
     }
 
-    /// Waits until a database may have become usable; says whether that is worth it.
-    async fn await_target(&self) -> bool {
-        let left = self.wait_limit().since(self.node.now());
+    /// Waits until a database may have become usable; fails if that would be in vain.
+    async fn await_target(&self, only_leader: bool) -> Result<(), InVain> {
+        let limit = match self.evacuated(only_leader) {
+            Some(Evacuated::HandedOverBy(limit)) => limit.min(self.wait_limit()),
+            Some(Evacuated::Stays) => return Err(InVain::Evacuated),
+            None => self.wait_limit(),
+        };
+        let left = limit.since(self.node.now());
         if left < LEAST_ATTEMPT {
-            return false;
+            return Err(InVain::NoDatabase);
         }
         let changed = self.node.leader_changed.notified();
         let _ = timeout(left.min(LOOK_AGAIN), changed).await;
-        true
+        Ok(())
     }
 
     /// Runs a single statement outside any transaction of the caller's.
@@ -195,15 +214,19 @@
             }
             let (target, need) = match self.next_target(work, plain_transaction, &avoided) {
                 Ok((Some(target), need)) => (target, need),
-                Ok((None, _)) if tried.overloaded => {
-                    return Err(self.refuse(work, tried, "overloaded"));
+                Ok((None, _)) if tried.is_refused() => {
+                    return Err(self.refuse_for_load(work, tried));
                 }
-                Ok((None, _)) => {
+                Ok((None, need)) => {
                     avoided.clear();
-                    if !self.await_target().await {
-                        return Err(self.refuse(work, tried, "no_database"));
+                    let only_leader = need == Need::Primary || self.required_position().is_none();
+                    match self.await_target(only_leader).await {
+                        Ok(()) => continue,
+                        Err(InVain::NoDatabase) => {
+                            return Err(self.refuse(work, tried, "no_database"));
+                        }
+                        Err(InVain::Evacuated) => return Err(self.refuse_evacuated(work, tried)),
                     }
-                    continue;
                 }
                 Err(obstacle) => return Err(self.refuse_misplaced(work, tried, obstacle)),
             };
@@ -231,12 +254,11 @@
                     return Err(Failure::new(FailureCode::OutcomeUnknown, text));
                 }
                 Attempt::NotRun(failure) => {
-                    tried.overloaded |= failure == AttemptFailure::Overloaded;
+                    tried.note(failure);
                     let only_leader = need == Need::Primary || self.required_position().is_none();
-                    if only_leader && tried.overloaded {
-                        return Err(self.refuse(work, tried, "overloaded"));
+                    if only_leader && tried.is_refused() {
+                        return Err(self.refuse_for_load(work, tried));
                     }
-                    tried.last_failure = failure.as_str();
                     self.node
                         .counters
                         .count("attempts_failed", tried.last_failure);
@@ -271,7 +293,10 @@
                 avoided.insert(database.clone());
                 sleep(LEAST_ATTEMPT.min(self.time_left())).await;
             }
-            AttemptFailure::Broken | AttemptFailure::Failed | AttemptFailure::Overloaded => {
+            AttemptFailure::Broken
+            | AttemptFailure::Failed
+            | AttemptFailure::Overloaded
+            | AttemptFailure::Cold { .. } => {
                 avoided.insert(database.clone());
             }
         }
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::evacuation::ZoneStanding;
 use hookpoint_coordination::serving::placement::{PermittedDatabase, Placement};
 use hookpoint_coordination::serving::selection::{Candidate, rank};
 use hookpoint_coordination::serving::topology::Consistency;
@@ -131,8 +132,10 @@
                     service_time: pool.service_time(now),
                     failing: pool.failing(now),
                     draining: listed.leaving_since.is_some(),
+                    spared: self.node.zone_standing(&database.zone) != ZoneStanding::Open,
                     suspect: pool.is_suspect(now),
                     lagging: pool.is_lagging(now),
+                    cold: self.node.is_cold(&database.name),
                     leader: leader == Some(&database.name),
                 }
             })
