A node that searches tries the store as soon as it is its turn, not after five questions

Found by the test of a fleet of three regions (refused nodes 63096 as bits, silent): nodes that other nodes held up for 150 ms each asked five of them before they looked whose turn it was, and knowledge got over 4 s old.

--- a/crates/coordination/tests/serving_store_news_fleet.rs
+++ b/crates/coordination/tests/serving_store_news_fleet.rs
@@ -213,12 +213,27 @@
             Reply::StoreLost => {
                 let name = &self.nodes[upstream].node;
                 machine.news.leave_out(name, now);
-                self.ask_next(to);
+                self.go_on(to);
             }
-            _ => self.ask_next(to),
+            _ => self.go_on(to),
         }
     }
 
+    /// After an upstream that was of no help: tries the store if it is the machine's turn, and
+    /// asks the next one otherwise.
+    fn go_on(&mut self, index: usize) {
+        self.machines[index].news.note_nothing_heard(self.now);
+        if self.turn_is_due(index) {
+            return self.watch(index);
+        }
+        self.ask_next(index);
+    }
+
+    fn turn_is_due(&self, index: usize) -> bool {
+        let order = try_order(&self.nodes[index], &self.nodes, &self.regions);
+        self.machines[index].news.try_is_due(order, self.now)
+    }
+
     fn answer_held(&mut self, index: usize) {
         let now = self.now;
         let machine = &mut self.machines[index];
@@ -323,9 +338,8 @@
             machine.news.ask_all_again();
         }
         machine.news.note_nothing_heard(now);
-        let order = try_order(&self.nodes[index], &self.nodes, &self.regions);
-        let is_due = machine.news.try_is_due(order, now);
-        if is_due || self.upstreams(index, true, false).is_empty() {
+        let is_first = self.upstreams(index, true, false).is_empty();
+        if is_first || self.turn_is_due(index) {
             return self.watch(index);
         }
         let machine = &mut self.machines[index];
@@ -415,6 +429,17 @@
     }
 }
 
+/// Nodes of a small region and two large ones, and which of them the store turned away in plays
+/// in which a node asked others for too long before it tried the store itself.
+#[test]
+fn nodes_try_the_store_before_they_have_asked_many_others() {
+    for bits in [63_096_u16, 7_282] {
+        let refused: Vec<bool> = (0..14).map(|node| bits >> node & 1 == 1).collect();
+        let seen = play(&[6, 5, 3], &refused, Refusal::Silent, Control::None);
+        assert!(!seen.too_young && seen.oldest <= OLDEST, "{bits}: {seen:?}");
+    }
+}
+
 #[test]
 fn nodes_of_several_regions_have_news_in_time() {
     fn holds(bits: u16, silent: bool) -> TestResult {
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -303,7 +303,7 @@
 }
 
 /// Follows the store through an upstream. One that the store turns away tells so at once, and
-/// the next one is asked.
+/// the next one is asked until it is this node's turn to try the store itself.
 pub async fn follow_upstream(node: &Rc<Node>, revision: u64) -> Followed {
     let mut asked: Vec<String> = Vec::new();
     while let Some(upstream) = next_upstream(node, &asked) {
@@ -312,6 +312,10 @@
             Ok(followed) => return followed,
             Err(reason) => note_no_news(node, &upstream, reason),
         }
+        node.feed.news.borrow_mut().note_nothing_heard(node.now());
+        if turn_is_due(node) {
+            return Followed::Nothing;
+        }
     }
     let mut news = node.feed.news.borrow_mut();
     news.note_nothing_heard(node.now());
@@ -456,9 +460,10 @@
 /// Whether this node tries the store itself, as its upstreams told nothing newer. The one that
 /// is to watch always does; the other nodes of a region take turns.
 pub fn own_try_is_due(node: &Rc<Node>) -> bool {
-    if is_watcher(node) {
-        return true;
-    }
+    is_watcher(node) || turn_is_due(node)
+}
+
+fn turn_is_due(node: &Rc<Node>) -> bool {
     let regions = &node.changeable().regions;
     let order = try_order(&node.as_candidate(), &node.registered_nodes(), regions);
     node.feed.news.borrow().try_is_due(order, node.now())
