--- a/lab/measure/src/lib.rs
+++ b/lab/measure/src/lib.rs
@@ -2,7 +2,7 @@
 //! connections, a plain relay to compare with, lines fitted through what was measured,
 //! and experiments described in a file.
 //!
-//! `docs/design/measuring.md` weighs the ways; `docs/CAPACITY.md` holds the results.
+//! `docs/design/measuring.md` weighs the ways; `docs/capacity-postgresql.md` holds the results.
 #![forbid(unsafe_code)]
 
 pub mod experiment;
