--- a/crates/coordination/src/serving/failover.rs
+++ b/crates/coordination/src/serving/failover.rs
@@ -131,19 +131,17 @@
     /// With acknowledgements by replicas, every one of them has to be asked.
     #[error("a replica that may hold acknowledged commits did not answer")]
     SomeMissing,
+    /// None of the replicas that the primary may move to holds enough.
+    #[error("no replica that the primary may move to holds enough")]
+    NoTarget,
 }
 
-/// Chooses the replica with the least against it, of those the one that has received most.
-/// One that has received nothing, as it started anew, is the last choice.
-///
-/// `replicas` is the number of replicas of the group. If `sync_replicas` is above zero
-/// a commit may be held by just that many replicas, so at most `sync_replicas - 1` may
-/// be missing from `answered`, and what was received goes before all else.
-pub fn choose_candidate(
+/// Fails unless enough replicas answered to tell who holds every acknowledged commit.
+fn require_answers(
     answered: &[ReplicaState],
     replicas: usize,
     sync_replicas: u32,
-) -> Result<DatabaseName, NoCandidate> {
+) -> Result<(), NoCandidate> {
     let missing = replicas.saturating_sub(answered.len());
     let may_miss = match usize::try_from(sync_replicas).unwrap_or(usize::MAX) {
         0 => usize::MAX,
@@ -152,25 +150,64 @@
     if missing > may_miss {
         return Err(NoCandidate::SomeMissing);
     }
+    Ok(())
+}
+
+/// Chooses the replica with the least against it, of those the one that has received most.
+/// One that has received nothing, as it started anew, is the last choice; that one is cold only
+/// decides among those that have received as much.
+///
+/// `replicas` is the number of replicas of the group. If `sync_replicas` is above zero
+/// a commit may be held by just that many replicas, so at most `sync_replicas - 1` may
+/// be missing from `answered`, and what was received goes before all else.
+pub fn choose_candidate(
+    answered: &[ReplicaState],
+    replicas: usize,
+    sync_replicas: u32,
+) -> Result<DatabaseName, NoCandidate> {
+    require_answers(answered, replicas, sync_replicas)?;
+    best(answered, sync_replicas).ok_or(NoCandidate::NoneAnswered)
+}
+
+/// The same among the `targets` of a planned move. With acknowledgements by replicas only one
+/// that has received as much as any other will do.
+pub fn choose_target(
+    answered: &[ReplicaState],
+    replicas: usize,
+    sync_replicas: u32,
+    targets: &[DatabaseName],
+) -> Result<DatabaseName, NoCandidate> {
+    require_answers(answered, replicas, sync_replicas)?;
     let newest = answered.iter().map(|state| state.received).max();
-    answered
+    let eligible: Vec<ReplicaState> = answered
         .iter()
-        .max_by(|left, right| {
-            let in_step = |state: &ReplicaState| newest.is_none_or(|newest| state.is_near(newest));
-            let merit = |state: &ReplicaState| {
-                let drawbacks = Reverse(state.drawbacks);
-                (drawbacks, state.received, state.preferred)
-            };
-            let by_position_first = sync_replicas > 0;
-            let order = if by_position_first {
-                left.received.cmp(&right.received)
-            } else {
-                in_step(left).cmp(&in_step(right))
-            };
-            order
-                .then_with(|| merit(left).cmp(&merit(right)))
-                .then_with(|| right.name.cmp(&left.name))
-        })
-        .map(|state| state.name.clone())
-        .ok_or(NoCandidate::NoneAnswered)
+        .filter(|state| targets.contains(&state.name))
+        .filter(|state| sync_replicas == 0 || Some(state.received) == newest)
+        .cloned()
+        .collect();
+    best(&eligible, sync_replicas).ok_or(NoCandidate::NoTarget)
+}
+
+fn best(states: &[ReplicaState], sync_replicas: u32) -> Option<DatabaseName> {
+    let newest = states.iter().map(|state| state.received).max();
+    let in_step = |state: &ReplicaState| newest.is_none_or(|newest| state.is_near(newest));
+    let merit = |state: &ReplicaState| {
+        let lasting = Drawbacks {
+            cold: false,
+            ..state.drawbacks
+        };
+        let warm = !state.drawbacks.cold;
+        (Reverse(lasting), state.received, warm, state.preferred)
+    };
+    let best = states.iter().max_by(|left, right| {
+        let order = if sync_replicas > 0 {
+            left.received.cmp(&right.received)
+        } else {
+            in_step(left).cmp(&in_step(right))
+        };
+        order
+            .then_with(|| merit(left).cmp(&merit(right)))
+            .then_with(|| right.name.cmp(&left.name))
+    });
+    best.map(|state| state.name.clone())
 }
--- a/crates/coordination/tests/serving_handover.rs
+++ b/crates/coordination/tests/serving_handover.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::evacuation::{Evacuations, ZoneStanding};
-use hookpoint_coordination::serving::failover::{ReplicaState, choose_candidate};
+use hookpoint_coordination::serving::failover::{
+    NoCandidate, ReplicaState, choose_candidate, choose_target,
+};
 use hookpoint_coordination::serving::handover::{
     CATCH_UP_TIME, Drawbacks, HandoverPace, LEAST_STAY, MoveReason, PLANNED_SHARE, Place,
     PlannedMove, holds_enough, plan_move, reason_to_move,
@@ -184,7 +186,7 @@
         match plan_move(any(present), None, &others) {
             None => true,
             Some(planned) => {
-                let chosen = choose_candidate(&replicas, 2, 0).unwrap();
+                let chosen = choose_target(&replicas, 2, 0, &planned.targets).unwrap();
                 planned.targets.contains(&chosen)
             }
         }
@@ -238,6 +240,19 @@
     }
 }
 
+/// The replica that has received most may stand where the primary must not move.
+#[test]
+fn a_planned_move_chooses_among_its_targets_alone() {
+    let replicas = [replica("a", 900, EVACUATED), replica("b", 5, NONE)];
+    let targets = [name("b")];
+    assert_eq!(choose_candidate(&replicas, 2, 0), Ok(name("a")));
+    assert_eq!(choose_target(&replicas, 2, 0, &targets), Ok(name("b")));
+    let lacking = choose_target(&replicas, 2, 1, &targets);
+    assert_eq!(lacking, Err(NoCandidate::NoTarget));
+    let silent = choose_target(&replicas[1..], 2, 1, &targets);
+    assert_eq!(silent, Err(NoCandidate::SomeMissing));
+}
+
 #[test]
 fn a_candidate_that_lacks_commits_is_waited_for_but_an_empty_one_never_leads() {
     let held = Some(Position::new(3, 40));
--- a/crates/serving/src/reachability.rs
+++ b/crates/serving/src/reachability.rs
@@ -11,7 +11,7 @@
 use hookpoint_coordination::serving::peer_contact::{Approach, PeerContacts, Waiting};
 use hookpoint_state::Timestamp;
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::homes::Peer;
 use crate::node::Node;
@@ -20,6 +20,13 @@
 /// Pause between looks whether a silent peer is heard again.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Pause between such looks at a peer that is asked for what may take seconds: as followers do
+/// that all the time, probing it as often as for a request would cost more bytes than what
+/// they ask for.
+const SELDOM: Duration = Duration::from_millis(200);
+/// Time of such a look: a probe, and a second one if the first is lost.
+const LOOK_TIME: Duration = Duration::from_millis(100);
+
 /// Contact with the peers, and probes that are to be sent.
 #[derive(Default)]
 pub struct Reachability {
@@ -51,6 +58,11 @@
         self.due.take()
     }
 
+    /// Takes in that a timer of this node which was due at `due` came at `now`.
+    pub(crate) fn note_timer(&self, due: Timestamp, now: Timestamp) {
+        self.contacts.borrow_mut().note_timer(due, now);
+    }
+
     fn probe(&self, peer: &Peer) {
         self.due.borrow_mut().push(peer.address);
         self.probe_due.notify_one();
@@ -79,10 +91,13 @@
     }
 }
 
-/// Ends once `peer` has been silent for `time` without a break.
+/// Ends once `peer` has been silent for `time` without a break. It is probed now and then.
 pub(crate) async fn lasting_silence(node: &Rc<Node>, peer: &Peer, time: Duration) {
     loop {
-        silence(node, peer, &[]).await;
+        sleep(SELDOM).await;
+        if timeout(LOOK_TIME, silence(node, peer, &[])).await.is_err() {
+            continue;
+        }
         let until = node.now() + time;
         while !node.reachability.may_ask(peer, node.now()) {
             if node.now() >= until {
@@ -144,8 +159,5 @@
 async fn pause_for(node: &Node, pause: Duration) {
     let due = node.now() + pause;
     sleep(pause).await;
-    node.reachability
-        .contacts
-        .borrow_mut()
-        .note_timer(due, node.now());
+    node.reachability.note_timer(due, node.now());
 }
