--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod peers;
 pub mod pool;
 pub mod ports;
+mod primary_contact;
 pub mod primary_lease;
 pub mod reachability;
 pub mod records;
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -32,7 +32,6 @@
 use crate::ports::{LeaseId, PromotionService, StateStore, WireProtocol};
 use crate::reachability::Reachability;
 use crate::tokens::Tokens;
-use crate::units::millis;
 
 /// Rest of a transaction that is allowed where the configuration tells none.
 const DEFAULT_TRANSACTION_IDLE: Duration = Duration::from_secs(3);
@@ -539,64 +538,6 @@
         }
     }
 
-    /// Notes that a database answered.
-    pub fn note_contact(&self, name: &DatabaseName) {
-        let Some(database) = self.database(name) else {
-            return;
-        };
-        let now = self.now();
-        let lost_since = self.with_group(&database.group, |state| {
-            if state.leadership.leader() != Some(name) {
-                return None;
-            }
-            let before = state.contact.lost_since;
-            state.contact = Contact {
-                last_heard: now,
-                ..Contact::default()
-            };
-            before
-        });
-        if let Some(since) = lost_since {
-            let away = millis(now.since(since));
-            self.log_primary("primary_regained", &database, ("away_ms", away.into()));
-        }
-    }
-
-    /// Notes that a question sent to the leader at `asked_at` was not answered.
-    pub fn note_lost_contact(&self, name: &DatabaseName, asked_at: Timestamp, refused: bool) {
-        let Some(database) = self.database_asked(name, asked_at) else {
-            return;
-        };
-        let newly_lost = self.with_group(&database.group, |state| {
-            let contact = &mut state.contact;
-            if state.leadership.leader() != Some(name) || contact.last_heard > asked_at {
-                return false;
-            }
-            let newly_lost = contact.lost_since.is_none();
-            contact.lost_since.get_or_insert(asked_at);
-            contact.refused = refused;
-            newly_lost
-        });
-        if newly_lost {
-            self.log_primary(
-                "primary_unreachable",
-                &database,
-                ("refused", refused.into()),
-            );
-        }
-    }
-
-    fn log_primary(&self, event: &'static str, database: &Database, detail: (&str, Value)) {
-        self.log(
-            event,
-            &[
-                ("group", database.group.as_str().into()),
-                ("database", database.name.as_str().into()),
-                detail,
-            ],
-        );
-    }
-
     /// Databases of a group that state that they lead, then the others.
     pub fn by_stated_role(&self, group: &GroupName) -> Vec<DatabaseName> {
         let directory = self.directory.borrow();
