--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -32,6 +32,7 @@
 mod placement;
 pub mod pool;
 pub mod ports;
+mod primary_contact;
 pub mod primary_lease;
 pub mod reachability;
 pub mod records;
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -82,7 +82,8 @@
         evacuation::clear_zones(&node);
         cold_start::look(&node);
         for pool in node.pools() {
-            pool.trim(node.now());
+            let is_home = node.connection_cap(pool.database()) > 0;
+            pool.trim(is_home, node.now());
         }
     }
 }
--- a/crates/serving/src/pool/mod.rs
+++ b/crates/serving/src/pool/mod.rs
@@ -322,8 +322,14 @@
     }
 
     /// Closes a connection at rest if more are open than were lately needed.
-    pub fn trim(&self, now: Timestamp) {
-        if self.open.get() <= self.demand.borrow_mut().kept(now) {
+    pub fn trim(&self, is_home: bool, now: Timestamp) {
+        let mut demand = self.demand.borrow_mut();
+        let kept = if is_home {
+            demand.kept(now)
+        } else {
+            demand.needed(now)
+        };
+        if self.open.get() <= kept {
             return;
         }
         if self.idle.borrow_mut().take_oldest().is_some() {
