--- a/crates/coordination/src/serving/selection.rs
+++ b/crates/coordination/src/serving/selection.rs
@@ -51,7 +51,7 @@
     pub draining: bool,
     /// Whether its zone is to get nothing that another database can run: it is being evacuated,
     /// or was until lately.
-    pub spared: bool,
+    pub zone_avoided: bool,
     /// Whether it failed to answer lately.
     pub suspect: bool,
     /// Whether it lately lacked a position that was asked for.
@@ -92,7 +92,7 @@
         if self.draining {
             cost += AVOIDED;
         }
-        if self.spared {
+        if self.zone_avoided {
             cost += AVOIDED;
         }
         if self.suspect {
--- a/crates/coordination/src/serving/store_news.rs
+++ b/crates/coordination/src/serving/store_news.rs
@@ -12,7 +12,7 @@
 use hookpoint_state::Timestamp;
 
 /// Longest wait of one watch: each costs a call, and a silent store is noticed after one.
-const LONGEST_WATCH: Duration = Duration::from_millis(2_000);
+pub const LONGEST_WATCH: Duration = Duration::from_millis(2_000);
 /// Age that knowledge has beyond one watch before its holder turns elsewhere: an answer of
 /// the store under way, and passes over a few nodes that are short of processor time.
 const PASSING_TIME: Duration = Duration::from_millis(1_000);
--- a/crates/coordination/tests/serving.rs
+++ b/crates/coordination/tests/serving.rs
@@ -288,7 +288,7 @@
         service_time: ms(20),
         failing: 0,
         draining: false,
-        spared: false,
+        zone_avoided: false,
         suspect: false,
         lagging: false,
         cold: false,
@@ -331,11 +331,11 @@
         ..near.clone()
     };
     assert_eq!(rank(vec![seldom_failing, far.clone()])[0], name("near"));
-    let spared = Candidate {
-        spared: true,
+    let avoided = Candidate {
+        zone_avoided: true,
         ..near.clone()
     };
-    assert_eq!(rank(vec![spared, far.clone()])[0], name("far"));
+    assert_eq!(rank(vec![avoided, far.clone()])[0], name("far"));
     let draining = Candidate {
         draining: true,
         ..near
--- a/crates/coordination/tests/serving_cold_start.rs
+++ b/crates/coordination/tests/serving_cold_start.rs
@@ -175,7 +175,7 @@
         service_time: ms(20),
         failing: 0,
         draining: false,
-        spared: false,
+        zone_avoided: false,
         suspect: false,
         lagging: false,
         cold,
--- a/crates/serving/src/cold_start.rs
+++ b/crates/serving/src/cold_start.rs
@@ -1,13 +1,12 @@
 //! Sending little to databases that have just started: see
 //! [`hookpoint_coordination::serving::cold_start`].
 
-use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hookpoint_coordination::serving::cold_start::{
-    COLD_HOLDERS, Circumstances, ColdReason, ColdStart, ColdStarts, Heard,
+    COLD_HOLDERS, Circumstances, ColdReason, ColdStart, Heard,
 };
 use hookpoint_coordination::serving::directory::{Listed, Registration};
 use hookpoint_coordination::serving::quota::GrantLimit;
@@ -32,15 +31,6 @@
 /// between two looks.
 const STOOD_STILL: Duration = Duration::from_millis(500);
 
-/// What the node keeps of cold databases.
-#[derive(Default)]
-pub(crate) struct ColdDatabases {
-    starts: RefCell<ColdStarts>,
-    /// Those that were cold at the last look, and why.
-    seen: RefCell<BTreeMap<DatabaseName, ColdReason>>,
-    looked_at: Cell<Timestamp>,
-}
-
 /// A cold database and this node's part of its budget.
 struct ColdPart {
     part: GrantLimit,
@@ -253,9 +243,10 @@
     u32::try_from(count).unwrap_or(u32::MAX)
 }
 
-/// Looks which databases have become cold or warm: others hold connections to them then.
-pub(crate) fn look(node: &Node) {
-    if !node.has_cold_starts() && node.cold.seen.borrow().is_empty() {
+/// Notes which databases have become cold or warm: others hold connections to them then. Called
+/// now and then.
+pub(crate) fn update_cold_databases(node: &Node) {
+    if !node.has_cold_starts() && node.cold.last_cold.borrow().is_empty() {
         return;
     }
     node.note_awake();
@@ -266,10 +257,10 @@
             .map(|listed| listed.database.name.clone())
             .collect()
     };
-    let mut seen = node.cold.seen.borrow_mut();
+    let mut last_cold = node.cold.last_cold.borrow_mut();
     let mut cold = BTreeMap::new();
     for name in listed {
-        match (seen.get(&name).copied(), node.cold_reason(&name)) {
+        match (last_cold.get(&name).copied(), node.cold_reason(&name)) {
             (None, None) => {}
             (Some(_), Some(reason)) => {
                 cold.insert(name, reason);
@@ -285,12 +276,12 @@
             }
         }
     }
-    if !cold.is_empty() || !seen.is_empty() {
+    if !cold.is_empty() || !last_cold.is_empty() {
         let count = u64::try_from(cold.len()).unwrap_or(u64::MAX);
         node.counters.set("databases_cold", count);
         drop_buckets_of_others(node, &cold);
     }
-    *seen = cold;
+    *last_cold = cold;
 }
 
 /// A node that is no holder of a database any more begins anew when it is one again.
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -11,7 +11,7 @@
 use hookpoint_coordination::serving::feed::{
     ChangeLog, is_small_region, store_upstreams, try_order,
 };
-use hookpoint_coordination::serving::store_news::{NewsLimits, Reply, StoreNews};
+use hookpoint_coordination::serving::store_news::{LONGEST_WATCH, NewsLimits, Reply, StoreNews};
 use hookpoint_state::Timestamp;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -24,9 +24,6 @@
 use crate::ports::{ChangeSubject, StoreChange, StoreChanges};
 use crate::units::millis;
 
-/// How long one watch of the store waits for a change. A watch that is silent is told from
-/// one with nothing to say by its answer after this time.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
 /// Time that an upstream's answer may be late: a large configuration takes its time on a slow
 /// link, and an upstream that does not answer is found out by probes long before.
 const FOLLOW_SLACK: Duration = Duration::from_millis(800);
@@ -483,7 +480,7 @@
     let regions = &node.changeable().regions;
     let longest = if is_small_region(&node.settings.zone, &node.registered_nodes(), regions) {
         // Nobody follows this node.
-        WATCH_WAIT
+        LONGEST_WATCH
     } else {
         limits(node).watch
     };
--- a/crates/serving/src/isolation.rs
+++ b/crates/serving/src/isolation.rs
@@ -85,8 +85,8 @@
     }
 }
 
-/// Looks whether this node is cut off; called now and then.
-pub(crate) fn look(node: &Rc<Node>) {
+/// Works out whether this node is cut off. Called now and then.
+pub(crate) fn update(node: &Rc<Node>) {
     let seen = node.surroundings();
     let now = node.now();
     let change = change_with(&node.isolation, |isolation| isolation.note(seen, now));
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -78,9 +78,9 @@
         }
         try_unreachable(&node, &trying);
         tokens::look_for_holders(&node);
-        isolation::look(&node);
+        isolation::update(&node);
         evacuation::clear_zones(&node);
-        cold_start::look(&node);
+        cold_start::update_cold_databases(&node);
         for pool in node.pools() {
             let is_home = node.connection_cap(pool.database()) > 0;
             pool.trim(is_home, node.now());
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -18,7 +18,7 @@
 use serde_json::Value;
 use tokio::sync::Notify;
 
-use crate::cold_start::ColdDatabases;
+use crate::cold_databases::ColdDatabases;
 use crate::counted_store::CountedStore;
 use crate::counters::Counters;
 use crate::events::EventLog;
--- a/crates/serving/src/statement/evacuated.rs
+++ b/crates/serving/src/statement/evacuated.rs
@@ -7,7 +7,8 @@
 use crate::message::{Failure, FailureCode};
 
 /// Told with a refusal that lasts as long as the evacuation does.
-const REFUSAL: &str = "nothing was kept; the only database that could run it is evacuated";
+const REFUSAL: &str =
+    "nothing was kept; the only database that can run this is in a zone under evacuation";
 
 /// What an evacuation leaves a statement that found no database.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -219,14 +219,10 @@
                 }
                 Ok((None, need)) => {
                     avoided.clear();
-                    let only_leader = need == Need::Primary || self.required_position().is_none();
-                    match self.await_target(only_leader).await {
-                        Ok(()) => continue,
-                        Err(InVain::NoDatabase) => {
-                            return Err(self.refuse(work, tried, "no_database"));
-                        }
-                        Err(InVain::Evacuated) => return Err(self.refuse_evacuated(work, tried)),
+                    if let Err(in_vain) = self.await_target(self.only_leader_serves(need)).await {
+                        return Err(self.refuse_in_vain(work, tried, in_vain));
                     }
+                    continue;
                 }
                 Err(obstacle) => return Err(self.refuse_misplaced(work, tried, obstacle)),
             };
@@ -237,11 +233,7 @@
             match attempt {
                 Attempt::Answered(answered) => {
                     let (lease, answer) = *answered;
-                    if tried.attempts > 1 {
-                        self.log_outcome(work, &tried, "served_after_retry");
-                    } else {
-                        self.log_served(&work.id, access_name(work.access), target.database());
-                    }
+                    self.log_answered(work, &tried, target.database());
                     return Ok(Ran {
                         answer,
                         lease,
@@ -255,8 +247,7 @@
                 }
                 Attempt::NotRun(failure) => {
                     tried.note(failure);
-                    let only_leader = need == Need::Primary || self.required_position().is_none();
-                    if only_leader && tried.is_refused() {
+                    if self.only_leader_serves(need) && tried.is_refused() {
                         return Err(self.refuse_for_load(work, tried));
                     }
                     self.node
@@ -269,6 +260,26 @@
         }
     }
 
+    /// Whether no other database than the primary will do at the moment.
+    fn only_leader_serves(&self, need: Need) -> bool {
+        need == Need::Primary || self.required_position().is_none()
+    }
+
+    fn refuse_in_vain(&self, work: &Work, tried: Tried, in_vain: InVain) -> Failure {
+        match in_vain {
+            InVain::NoDatabase => self.refuse(work, tried, "no_database"),
+            InVain::Evacuated => self.refuse_evacuated(work, tried),
+        }
+    }
+
+    fn log_answered(&self, work: &Work, tried: &Tried, database: &DatabaseName) {
+        if tried.attempts > 1 {
+            self.log_outcome(work, tried, "served_after_retry");
+        } else {
+            self.log_served(&work.id, access_name(work.access), database);
+        }
+    }
+
     async fn after_failure(
         &self,
         failure: AttemptFailure,
--- a/crates/serving/src/statement/outcome.rs
+++ b/crates/serving/src/statement/outcome.rs
@@ -17,7 +17,7 @@
 const RETRY_HINT: &str = "nothing was kept; retry after 250 ms";
 
 /// Told with a refusal where it is not known when a retry may succeed.
-const OUT_OF_PLACE: &str = "nothing was kept; no database that may run it stands in its regions";
+const OUT_OF_PLACE: &str = "nothing was kept; no database in the allowed regions can run this";
 /// Longest time to return that is told to a caller: by then another database may serve it.
 const LONGEST_HINT: Duration = Duration::from_secs(2);
 
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -132,7 +132,7 @@
                     service_time: pool.service_time(now),
                     failing: pool.failing(now),
                     draining: listed.leaving_since.is_some(),
-                    spared: self.node.zone_standing(&database.zone) != ZoneStanding::Open,
+                    zone_avoided: self.node.zone_standing(&database.zone) != ZoneStanding::Open,
                     suspect: pool.is_suspect(now),
                     lagging: pool.is_lagging(now),
                     cold: self.node.is_cold(&database.name),
