--- a/crates/coordination/src/serving/demand.rs
+++ b/crates/coordination/src/serving/demand.rs
@@ -69,14 +69,20 @@
         }
     }
 
-    /// Connections worth keeping open.
+    /// Connections that a home of the database keeps open.
     pub fn kept(&mut self, now: Timestamp) -> usize {
+        self.needed(now) + SPARE
+    }
+
+    /// Connections that were lately needed. A node that is not home keeps no others: those that it
+    /// opened while it knew few of the fleet are the homes' to open.
+    pub fn needed(&mut self, now: Timestamp) -> usize {
         let mut needed = 0;
         self.needs.retain(|_, need| {
             let lately = need.lately(now);
             needed += lately;
             lately > 0
         });
-        needed + SPARE
+        needed
     }
 }
--- a/crates/coordination/src/serving/selection.rs
+++ b/crates/coordination/src/serving/selection.rs
@@ -49,10 +49,15 @@
     pub failing: u32,
     /// Whether it announces its end.
     pub draining: bool,
+    /// Whether its zone is to get nothing that another database can run: it is being evacuated,
+    /// or was until lately.
+    pub zone_avoided: bool,
     /// Whether it failed to answer lately.
     pub suspect: bool,
     /// Whether it lately lacked a position that was asked for.
     pub lagging: bool,
+    /// Whether it has just started and bears little load.
+    pub cold: bool,
     /// Whether it leads its group; its slots are spared for writes.
     pub leader: bool,
 }
@@ -61,6 +66,9 @@
 const AVOIDED: Duration = Duration::from_millis(2_000);
 /// Added for a database that fails every statement; in proportion for one that fails some.
 const FAILING_COST: Duration = Duration::from_millis(400);
+/// Added for a database that is cold: more than any distance, less than one that does not
+/// answer or leaves.
+const COLD_COST: Duration = Duration::from_millis(1_000);
 /// Added for the primary.
 const LEADER_COST: Duration = Duration::from_millis(4);
 
@@ -75,12 +83,18 @@
         if self.leader {
             cost += LEADER_COST;
         }
+        if self.cold {
+            cost += COLD_COST;
+        }
         if self.lagging {
             cost += AVOIDED / 4;
         }
         if self.draining {
             cost += AVOIDED;
         }
+        if self.zone_avoided {
+            cost += AVOIDED;
+        }
         if self.suspect {
             cost += AVOIDED * 2;
         }
--- a/crates/serving/src/homes.rs
+++ b/crates/serving/src/homes.rs
@@ -15,6 +15,7 @@
     ConnectionSharing, HomeCandidate, Start, choose_homes, home_count, rank_homes, tenant_weight,
     useful_connections,
 };
+use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::tenancy::Principal;
 use hookpoint_coordination::serving::token_holders::choose_token_holders;
 use hookpoint_state::{DatabaseName, TenantName, Timestamp, ZoneName};
@@ -108,7 +109,8 @@
     /// Connections that this node may have open to a database; 0 if it is not home.
     pub fn connection_cap(&self, name: &DatabaseName) -> usize {
         if !self.knows_fleet() {
-            return CAP_WITHOUT_MEMBERS;
+            let cold = self.is_cold(name);
+            return if cold { 0 } else { CAP_WITHOUT_MEMBERS };
         }
         self.home_view(name).cap
     }
@@ -121,10 +123,15 @@
         Rc::clone(&self.home_view(name).holders)
     }
 
-    /// The other nodes that hold connections to a database, those first that keep the
-    /// principal's.
-    pub(crate) fn holders_for(&self, name: &DatabaseName, principal: &Principal) -> Rc<[Peer]> {
-        let holders = self.holders(name);
+    /// The other nodes that hold connections to a database and may carry what is placed so,
+    /// those first that keep the principal's.
+    pub(crate) fn holders_for(
+        &self,
+        name: &DatabaseName,
+        principal: &Principal,
+        placement: &Placement,
+    ) -> Rc<[Peer]> {
+        let holders = self.carriers(name, placement);
         let Some(tenant) = principal.tenant() else {
             return holders;
         };
@@ -133,18 +140,38 @@
         ranked.into()
     }
 
-    /// Whether this node keeps the principal's connections to a database, of which it is home.
-    pub(crate) fn keeps_connections_of(&self, name: &DatabaseName, principal: &Principal) -> bool {
+    /// The other nodes that hold connections to a database and may carry what is placed so.
+    fn carriers(&self, name: &DatabaseName, placement: &Placement) -> Rc<[Peer]> {
+        let holders = self.holders(name);
+        if !placement.is_restricted() {
+            return holders;
+        }
+        let carriers = holders
+            .iter()
+            .filter(|holder| self.may_carry(holder, placement));
+        carriers.cloned().collect()
+    }
+
+    /// Whether this node keeps the principal's connections to a database, of which it is home,
+    /// for statements placed so. One that may not carry those of other nodes keeps them only
+    /// for its own callers, and while none that may answers.
+    pub(crate) fn keeps_connections_of(
+        &self,
+        name: &DatabaseName,
+        principal: &Principal,
+        placement: &Placement,
+    ) -> bool {
         let Some(tenant) = principal.tenant() else {
             return true;
         };
         let own = tenant_weight(tenant, &self.settings.name);
+        let may_keep = self.is_carrier(placement);
         let now = self.now();
-        let holders = self.holders(name);
-        let mut others = holders
+        let carriers = self.carriers(name, placement);
+        let mut others = carriers
             .iter()
             .filter(|holder| !self.reachability.is_silent(holder, now));
-        others.all(|other| tenant_weight(tenant, &other.name) < own)
+        others.all(|other| may_keep && tenant_weight(tenant, &other.name) < own)
     }
 
     /// Whether the members that this node knows may be taken for the fleet. Until then it
@@ -291,6 +318,9 @@
         };
         let most = useful_connections(most, database.slots);
         let count = home_count(most, candidates.len(), self.connection_sharing());
+        let count = self
+            .cold_holders(name)
+            .map_or(count, |most| most.min(count));
         let homes: Vec<HomeCandidate> = choose_homes(name, &database.zone, candidates, count)
             .into_iter()
             .cloned()
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,16 +6,22 @@
 //! implements them. The decisions are those of `hookpoint_coordination::serving`.
 #![forbid(unsafe_code)]
 
+mod cold_databases;
+mod cold_start;
 pub mod connection;
 pub mod coordinator;
 pub mod coordinator_record;
 mod counted_store;
 pub mod counters;
+mod database_life;
+mod evacuation;
 pub mod events;
 pub mod explanation;
 pub mod feed;
 pub mod follower;
 pub mod homes;
+mod isolation;
+mod leaders;
 pub mod lease;
 pub mod link;
 pub mod message;
@@ -24,8 +30,10 @@
 pub mod packed;
 pub mod peer_message;
 pub mod peers;
+mod placement;
 pub mod pool;
 pub mod ports;
+mod primary_contact;
 pub mod primary_lease;
 pub mod reachability;
 pub mod records;
@@ -33,9 +41,11 @@
 pub mod relay;
 mod second_way;
 pub mod session;
+pub mod settings;
 pub mod shutdown;
 pub mod snapshot;
 pub mod socket;
 mod statement;
 mod tokens;
 pub mod units;
+mod zone_evacuations;
--- a/crates/serving/src/monitor.rs
+++ b/crates/serving/src/monitor.rs
@@ -4,16 +4,21 @@
 //! believed primary when it was not confirmed lately, and on every database of a group
 //! whose primary is not known.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::placement::Placement;
+use hookpoint_coordination::serving::question_budget::may_ask_afar;
 use hookpoint_coordination::serving::session::SessionValues;
 use hookpoint_state::{DatabaseName, GroupName, Timestamp};
 use tokio::time::{sleep, timeout};
 
+use crate::cold_start;
 use crate::connection::ConnectionError;
+use crate::evacuation;
+use crate::isolation;
 use crate::lease::{Lease, prove_leadership};
 use crate::node::Node;
 use crate::peers::Peers;
@@ -49,6 +54,8 @@
 #[derive(Default)]
 struct Asking {
     databases: RefCell<BTreeSet<DatabaseName>>,
+    /// How many of them go through other nodes.
+    afar: Cell<usize>,
 }
 
 /// Watches over the primaries for as long as the node lives.
@@ -58,19 +65,37 @@
     if node.settings.first_start {
         sleep(REGISTRATION_TIME).await;
     }
+    let mut round = 0;
     loop {
-        let _ = timeout(ROUND, node.configuration_changed.notified()).await;
-        for group in node.configured_groups() {
+        let due = node.now() + ROUND;
+        let changed = timeout(ROUND, node.configuration_changed.notified()).await;
+        if changed.is_err() {
+            node.reachability.note_timer(due, node.now());
+        }
+        round += 1;
+        for group in in_turn(node.configured_groups(), round) {
             look_after(&node, &peers, &asking, &group);
         }
         try_unreachable(&node, &trying);
         tokens::look_for_holders(&node);
+        isolation::update(&node);
+        evacuation::clear_zones(&node);
+        cold_start::update_cold_databases(&node);
         for pool in node.pools() {
-            pool.trim(node.now());
+            let is_home = node.connection_cap(pool.database()) > 0;
+            pool.trim(is_home, node.now());
         }
     }
 }
 
+/// The groups, with another one first in each round: questions that are bounded in number are
+/// those of the first.
+fn in_turn(mut groups: Vec<GroupName>, round: usize) -> Vec<GroupName> {
+    let first = round.checked_rem(groups.len()).unwrap_or_default();
+    groups.rotate_left(first);
+    groups
+}
+
 fn look_after(node: &Rc<Node>, peers: &Rc<Peers>, asking: &Rc<Asking>, group: &GroupName) {
     let now = node.now();
     let (leader, confirmed_at, lost, promoting, used_at) = node.with_group(group, |state| {
@@ -86,12 +111,21 @@
     if !in_use && !node.knows_fleet() {
         return;
     }
+    if node.shut_leader(group).is_some() {
+        if in_use {
+            ask_who_took_over(node, peers, asking, group);
+        }
+        if let Some((candidate, _)) = promoting {
+            ask(node, asking, &candidate, in_use);
+        }
+        return;
+    }
     if let Some(leader) = &leader {
         let period = question_period(node, leader, now.since(used_at));
         let unconfirmed = now.since(confirmed_at);
         let held = node.connection_cap(leader) > 0;
         if held && unconfirmed >= period || unconfirmed >= period * SAMPLES_BEFORE_QUESTION {
-            ask(node, asking, leader);
+            ask(node, asking, leader, in_use);
         } else if !held && unconfirmed >= period {
             ask_for_sample(node, peers, group, leader);
         }
@@ -103,11 +137,11 @@
         ask_who_leads(node, peers, group);
     }
     if leader.is_none() || lost {
-        search(node, asking, group, leader.as_ref());
+        search(node, asking, group, leader.as_ref(), in_use);
     } else if let Some((candidate, _)) = promoting
         && leader.as_ref() != Some(&candidate)
     {
-        ask(node, asking, &candidate);
+        ask(node, asking, &candidate, in_use);
     }
 }
 
@@ -130,6 +164,17 @@
     }
 }
 
+/// A primary that is shut is not asked any more, so who leads after it is learnt from the other
+/// databases and from their holders.
+fn ask_who_took_over(node: &Rc<Node>, peers: &Rc<Peers>, asking: &Rc<Asking>, group: &GroupName) {
+    ask_who_leads(node, peers, group);
+    for database in node.by_stated_role(group) {
+        if node.connection_cap(&database) > 0 {
+            ask(node, asking, &database, true);
+        }
+    }
+}
+
 /// The number of a question to a peer, if one is due: at most one in a while.
 fn next_question(node: &Rc<Node>, group: &GroupName) -> Option<usize> {
     let now = node.now();
@@ -170,7 +215,13 @@
 
 /// Asks the databases of a group which of them leads: those that this node holds
 /// connections to, and after a while the others as well.
-fn search(node: &Rc<Node>, asking: &Rc<Asking>, group: &GroupName, leader: Option<&DatabaseName>) {
+fn search(
+    node: &Rc<Node>,
+    asking: &Rc<Asking>,
+    group: &GroupName,
+    leader: Option<&DatabaseName>,
+    in_use: bool,
+) {
     let now = node.now();
     let leaderless_since = node.with_group(group, |state| state.leaderless_since);
     let long = leaderless_since.is_none_or(|since| now.since(since) >= PEERS_TELL);
@@ -181,16 +232,25 @@
     for database in databases {
         let held = node.connection_cap(&database) > 0;
         if leader != Some(&database) && (held || long) {
-            ask(node, asking, &database);
+            ask(node, asking, &database, in_use);
         }
     }
 }
 
-/// Asks a database whether it leads, unless a question is on its way.
-fn ask(node: &Rc<Node>, asking: &Rc<Asking>, database: &DatabaseName) {
+/// Asks a database whether it leads, unless a question is on its way, or too many are.
+fn ask(node: &Rc<Node>, asking: &Rc<Asking>, database: &DatabaseName, in_use: bool) {
+    if node.is_shut(database) {
+        return;
+    }
+    let afar = node.connection_cap(database) == 0;
+    if afar && !may_ask_afar(asking.afar.get(), in_use) {
+        return;
+    }
     if !asking.databases.borrow_mut().insert(database.clone()) {
         return;
     }
+    let afar = usize::from(afar);
+    asking.afar.set(asking.afar.get() + afar);
     let node = Rc::clone(node);
     let asking = Rc::clone(asking);
     let database = database.clone();
@@ -202,21 +262,26 @@
             sleep(pause).await;
         }
         asking.databases.borrow_mut().remove(&database);
+        asking.afar.set(asking.afar.get() - afar);
     });
 }
 
 /// A connection to ask on: at rest, new, or another node's if this one has no way.
 async fn lease_for_question(node: &Rc<Node>, pool: &Rc<Pool>) -> Result<Lease, AcquireError> {
     let values = SessionValues::new();
-    if let Some(lease) = pool.try_acquire(None, &values) {
-        return Ok(lease);
-    }
     let question = ConnectionRequest {
         principal: None,
         priority: QUESTION_PRIORITY,
         values: &values,
+        placement: &Placement::unrestricted(),
         limits: WaitLimits::patient(CONTROL_LIMIT),
     };
+    if node.is_cold(pool.database()) {
+        return cold_start::lease_for_question(node, pool, question).await;
+    }
+    if let Some(lease) = pool.try_acquire(None, &values) {
+        return Ok(lease);
+    }
     let cap = node.connection_cap(pool.database());
     if cap == 0 || !pool.is_reachable() {
         return relay::lease(node, pool, question)
@@ -238,7 +303,7 @@
 fn try_unreachable(node: &Rc<Node>, trying: &Rc<Asking>) {
     for pool in node.pools() {
         let held = node.connection_cap(pool.database()) > 0;
-        if pool.is_reachable() || !held {
+        if pool.is_reachable() || !held || node.is_shut(pool.database()) {
             continue;
         }
         let database = pool.database().clone();
--- a/crates/serving/src/pool/mod.rs
+++ b/crates/serving/src/pool/mod.rs
@@ -15,6 +15,7 @@
 
 use hookpoint_coordination::serving::admission::{ConnectionQueue, ConnectionUse};
 use hookpoint_coordination::serving::demand::Demand;
+use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::reliability::Reliability;
 use hookpoint_coordination::serving::response_time::ResponseTime;
 use hookpoint_coordination::serving::session::SessionValues;
@@ -51,6 +52,15 @@
 }
 
 impl WaitLimits {
+    /// What is left of them once a request has waited for `waited`.
+    pub(crate) fn after(self, waited: Duration) -> Self {
+        Self {
+            patience: self.patience.saturating_sub(waited),
+            limit: self.limit.saturating_sub(waited),
+            ..self
+        }
+    }
+
     /// Any queue is joined, and left after `limit`.
     pub fn patient(limit: Duration) -> Self {
         Self {
@@ -71,6 +81,8 @@
     pub priority: u8,
     /// Session values that it should have already.
     pub values: &'a SessionValues,
+    /// Which other nodes the statements may pass through.
+    pub placement: &'a Placement,
     /// How long it is waited for.
     pub limits: WaitLimits,
 }
@@ -96,6 +108,15 @@
     /// The database is not listed any more.
     #[error("the database is not listed")]
     Unlisted,
+    /// Its zone is evacuated.
+    #[error("the database's zone is evacuated")]
+    ZoneEvacuated,
+    /// It has just started, and this node's part of what it may get is used up.
+    #[error("the database has just started and gets no more at the moment")]
+    Cold {
+        /// When there is a part again.
+        retry_after: Duration,
+    },
 }
 
 /// The pool of one database.
@@ -118,6 +139,8 @@
     in_use: RefCell<BTreeMap<Principal, usize>>,
     demand: RefCell<Demand>,
     reliability: Cell<Reliability>,
+    /// Whether the life of the database is over that it was for.
+    retired: Cell<bool>,
 }
 
 impl Pool {
@@ -142,6 +165,7 @@
             in_use: RefCell::default(),
             demand: RefCell::default(),
             reliability: Cell::default(),
+            retired: Cell::new(false),
         }
     }
 
@@ -155,6 +179,11 @@
         self.leased.get() + self.waiters.borrow().len()
     }
 
+    /// Connections in use, those that another node holds among them.
+    pub(crate) fn in_use(&self) -> usize {
+        self.leased.get()
+    }
+
     /// Connections that are open or being opened.
     pub fn open_connections(&self) -> usize {
         self.open.get()
@@ -257,6 +286,17 @@
                 return Some(self.lend(connection));
             }
             self.open.set(self.open.get() - 1);
+            self.note_closed();
+        }
+    }
+
+    /// Notes that the database ended a connection. If none at rest is left either, it may have
+    /// restarted.
+    pub(crate) fn note_closed(&self) {
+        if !self.idle.borrow_mut().any_usable()
+            && let Some(node) = self.node.upgrade()
+        {
+            node.doubt_warmth(&self.database);
         }
     }
 
@@ -282,8 +322,14 @@
     }
 
     /// Closes a connection at rest if more are open than were lately needed.
-    pub fn trim(&self, now: Timestamp) {
-        if self.open.get() <= self.demand.borrow_mut().kept(now) {
+    pub fn trim(&self, is_home: bool, now: Timestamp) {
+        let mut demand = self.demand.borrow_mut();
+        let kept = if is_home {
+            demand.kept(now)
+        } else {
+            demand.needed(now)
+        };
+        if self.open.get() <= kept {
             return;
         }
         if self.idle.borrow_mut().take_oldest().is_some() {
@@ -294,7 +340,7 @@
     /// After a time-out: asks something that needs no slot on a connection at rest. If
     /// that is not answered either, the way to the database is lost.
     pub(crate) fn verify(self: &Rc<Self>, node: &Rc<Node>) {
-        if self.verifying.replace(true) {
+        if node.is_shut(&self.database) || self.verifying.replace(true) {
             return;
         }
         let pool = Rc::clone(self);
@@ -331,10 +377,30 @@
         self.open.set(self.open.get() - closed);
     }
 
-    /// Closes the connections at rest.
-    pub fn close_idle(&self) {
+    /// Whether the life of the database is over that the pool was for: nothing rests in it any
+    /// more, and what it notes concerns nobody.
+    pub(crate) fn is_retired(&self) -> bool {
+        self.retired.get()
+    }
+
+    /// The life of the database is over. Connections at rest are closed, those in use when
+    /// they come back, and whoever waits turns to the pool of the new life.
+    pub(crate) fn retire(&self) {
+        self.retired.set(true);
+        self.close_idle();
+        self.dismiss_waiters();
+    }
+
+    /// Closes the connections at rest; returns how many.
+    pub fn close_idle(&self) -> usize {
         let closed = self.idle.borrow_mut().close_all();
         self.open.set(self.open.get() - closed);
+        closed
+    }
+
+    /// Sends away all who wait for a connection.
+    pub(crate) fn dismiss_waiters(&self) {
+        self.waiters.borrow_mut().dismiss_all();
     }
 }
 
--- a/crates/serving/src/reachability.rs
+++ b/crates/serving/src/reachability.rs
@@ -11,7 +11,7 @@
 use hookpoint_coordination::serving::peer_contact::{Approach, PeerContacts, Waiting};
 use hookpoint_state::Timestamp;
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::homes::Peer;
 use crate::node::Node;
@@ -20,6 +20,13 @@
 /// Pause between looks whether a silent peer is heard again.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Pause between such looks at a peer that is asked for what may take seconds: as followers do
+/// that all the time, probing it as often as for a request would cost more bytes than what
+/// they ask for.
+const SELDOM: Duration = Duration::from_millis(200);
+/// Time of such a look: a probe, and a second one if the first is lost.
+const LOOK_TIME: Duration = Duration::from_millis(100);
+
 /// Contact with the peers, and probes that are to be sent.
 #[derive(Default)]
 pub struct Reachability {
@@ -51,6 +58,11 @@
         self.due.take()
     }
 
+    /// Takes in that a timer of this node which was due at `due` came at `now`.
+    pub(crate) fn note_timer(&self, due: Timestamp, now: Timestamp) {
+        self.contacts.borrow_mut().note_timer(due, now);
+    }
+
     fn probe(&self, peer: &Peer) {
         self.due.borrow_mut().push(peer.address);
         self.probe_due.notify_one();
@@ -79,16 +91,19 @@
     }
 }
 
-/// Ends once `peer` has been silent for `time` without a break.
+/// Ends once `peer` has been silent for `time` without a break. It is probed now and then.
 pub(crate) async fn lasting_silence(node: &Rc<Node>, peer: &Peer, time: Duration) {
     loop {
-        silence(node, peer, &[]).await;
+        sleep(SELDOM).await;
+        if timeout(LOOK_TIME, silence(node, peer, &[])).await.is_err() {
+            continue;
+        }
         let until = node.now() + time;
         while !node.reachability.may_ask(peer, node.now()) {
             if node.now() >= until {
                 return;
             }
-            sleep(LOOK).await;
+            pause_for(node, LOOK).await;
         }
     }
 }
@@ -113,12 +128,10 @@
             .borrow_mut()
             .waiting(&peer.name, since, now);
         match next {
-            Waiting::For(pause) => sleep(pause).await,
+            Waiting::For(pause) => pause_for(node, pause).await,
             Waiting::Probe => {
                 node.reachability.probe(peer);
-                for other in alternatives.iter().filter(|other| *other != peer) {
-                    node.reachability.probe_ahead(other, now);
-                }
+                probe_alternatives(node, (peer, since), alternatives, now);
             }
             Waiting::GiveUp => {
                 note_given_up(node, &peer.name);
@@ -127,3 +140,29 @@
         }
     }
 }
+
+fn probe_alternatives(
+    node: &Node,
+    waiting: (&Peer, Timestamp),
+    alternatives: &[Peer],
+    now: Timestamp,
+) {
+    let (peer, since) = waiting;
+    let others: Vec<&Peer> = alternatives.iter().filter(|other| *other != peer).collect();
+    let names = others.iter().map(|other| other.name.as_str());
+    let due = node
+        .reachability
+        .contacts
+        .borrow_mut()
+        .probe_alternatives(&peer.name, since, names, now);
+    for place in due {
+        node.reachability.probe(others[place]);
+    }
+}
+
+/// Waits, and takes in how late this node came back to it.
+async fn pause_for(node: &Node, pause: Duration) {
+    let due = node.now() + pause;
+    sleep(pause).await;
+    node.reachability.note_timer(due, node.now());
+}
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::session::{PreparedShape, SessionValues};
 use hookpoint_coordination::serving::tenancy::Principal;
 use hookpoint_state::DatabaseName;
@@ -23,8 +24,7 @@
 use crate::homes::Peer;
 use crate::lease::Lease;
 use crate::link::{
-    self, LINK_SLACK, LinkReply, LinkRequest, LinkStream, PASSED_OVER_BROKEN, PASSED_OVER_REFUSED,
-    framed, receive, send,
+    self, LINK_SLACK, LinkReply, LinkRequest, LinkStream, PassedOver, framed, receive, send,
 };
 use crate::message::Command;
 use crate::node::Node;
@@ -34,8 +34,11 @@
 use crate::snapshot::Snapshot;
 use crate::units::millis;
 
-/// Limit for a snapshot.
-const SNAPSHOT_LIMIT: Duration = Duration::from_millis(400);
+/// Limit for the beginning of a snapshot.
+const SNAPSHOT_BEGINS: Duration = Duration::from_millis(400);
+/// Limit for the rest of it: on the narrowest links a large configuration takes seconds, and
+/// beginning anew with another peer takes longer.
+const SNAPSHOT_ARRIVES: Duration = Duration::from_secs(5);
 /// Peers that are asked for one lease at the most.
 const PEERS_ASKED: usize = 3;
 /// A lease is taken back when its user has been silent for as long as a transaction may
@@ -73,6 +76,7 @@
             Ok(Ok(LinkReply::Broken { timed_out: false })) => Err(ConnectionError::Broken(
                 io::ErrorKind::ConnectionAborted.into(),
             )),
+            Ok(Ok(LinkReply::NotSent)) => Err(ConnectionError::ZoneEvacuated),
             Ok(Ok(_)) | Err(_) => Err(ConnectionError::TimedOut),
             Ok(Err(error)) => Err(ConnectionError::Broken(error)),
         }
@@ -96,11 +100,12 @@
     wanted: ConnectionRequest<'_>,
 ) -> Result<Lease, NoLease> {
     let database = pool.database();
-    let limits = wanted.limits;
+    let limit = wanted.limits.limit;
     let mut asked = 0;
     let mut refusal = NoLease::NotLent;
     let principal = wanted.principal.unwrap_or(&Principal::Anonymous);
-    let holders = node.holders_for(database, principal);
+    let holders = node.holders_for(database, principal, wanted.placement);
+    let request = lease_request(database, wanted);
     let mut answering = 0;
     for peer in holders.iter() {
         if asked == PEERS_ASKED {
@@ -109,46 +114,62 @@
         if !node.reachability.may_ask(peer, node.now()) {
             continue;
         }
-        answering += 1;
-        if node.links.is_passed_over(&peer.name, database, node.now()) {
-            continue;
-        }
-        asked += 1;
-        let request = LinkRequest::Lease {
-            database: database.clone(),
-            principal: wanted.principal.cloned(),
-            priority: wanted.priority,
-            values: wanted.values.clone(),
-            wanted: limits.wanted,
-            patience_ms: millis(limits.patience),
-            limit_ms: millis(limits.limit),
-        };
-        match ask(node, peer, &holders, &request, limits.limit).await {
-            Ok(granted) => {
-                let connection = granted.into_connection(database, principal);
-                node.counters.count("relayed_leases", "granted");
-                return Ok(pool.lend_relayed(connection));
-            }
-            Err(NotLent::Overloaded) => {
-                node.counters.count("relayed_leases", "overloaded");
-                refusal = NoLease::Overloaded;
-            }
-            Err(reason) => {
-                let (label, time) = match reason {
-                    NotLent::Broken => ("broken", PASSED_OVER_BROKEN),
-                    _ => ("refused", PASSED_OVER_REFUSED),
-                };
-                node.counters.count("relayed_leases", label);
-                node.links.pass_over(&peer.name, database, time, node.now());
+        let mut passed_over = node.links.passed_over(&peer.name, database, node.now());
+        if passed_over.is_none() {
+            asked += 1;
+            match ask(node, peer, &holders, &request, limit).await {
+                Ok(granted) => {
+                    let connection = granted.into_connection(database, principal);
+                    node.counters.count("relayed_leases", "granted");
+                    return Ok(pool.lend_relayed(connection));
+                }
+                Err(NotLent::Overloaded) => {
+                    node.counters.count("relayed_leases", "overloaded");
+                    refusal = NoLease::Overloaded;
+                }
+                Err(NotLent::Cold { retry_after }) => {
+                    node.counters.count("relayed_leases", "cold");
+                    refusal = NoLease::Cold { retry_after };
+                }
+                Err(NotLent::PassedOver(reason)) => {
+                    node.counters.count("relayed_leases", reason.as_str());
+                    node.links
+                        .pass_over(&peer.name, database, reason, node.now());
+                    passed_over = Some(reason);
+                }
             }
         }
+        if counts_as_answering(passed_over, wanted.placement) {
+            answering += 1;
+        }
     }
-    if answering == 0 && !holders.is_empty() {
+    if answering == 0 && !node.holders(database).is_empty() {
         refusal = NoLease::Silent;
     }
     Err(refusal)
 }
 
+/// Whether a holder that probes do not show as silent is relied on for a lease.
+///
+/// Of those that may carry a confined statement few are left once one is lost, often none,
+/// so that one whose link broke is not waited for until probes tell.
+fn counts_as_answering(passed_over: Option<PassedOver>, placement: &Placement) -> bool {
+    passed_over != Some(PassedOver::Broken) || !placement.is_restricted()
+}
+
+fn lease_request(database: &DatabaseName, wanted: ConnectionRequest<'_>) -> LinkRequest {
+    let limits = wanted.limits;
+    LinkRequest::Lease {
+        database: database.clone(),
+        principal: wanted.principal.cloned(),
+        priority: wanted.priority,
+        values: wanted.values.clone(),
+        wanted: limits.wanted,
+        patience_ms: millis(limits.patience),
+        limit_ms: millis(limits.limit),
+    }
+}
+
 /// Why no peer gave a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoLease {
@@ -156,7 +177,12 @@
     NotLent,
     /// The queue of the last one that answered is too long.
     Overloaded,
-    /// None of the nodes that hold connections answers.
+    /// The database has just started, and the parts of those asked are used up.
+    Cold {
+        /// When there is a part again.
+        retry_after: Duration,
+    },
+    /// None of the nodes that hold connections and may be asked answers.
     Silent,
 }
 
@@ -166,6 +192,7 @@
         match self {
             NoLease::NotLent | NoLease::Silent => otherwise,
             NoLease::Overloaded => AcquireError::Overloaded,
+            NoLease::Cold { retry_after } => AcquireError::Cold { retry_after },
         }
     }
 }
@@ -174,10 +201,10 @@
 enum NotLent {
     /// Its queue is too long.
     Overloaded,
-    /// The link broke or the peer did not answer.
-    Broken,
-    /// It has none to lend; the link is as good as before.
-    Refused,
+    /// Its part of what a cold database may get is used up.
+    Cold { retry_after: Duration },
+    /// It did not answer, or has none to lend; then the link is as good as before.
+    PassedOver(PassedOver),
 }
 
 /// A connection that a peer lends, as it stands.
@@ -233,22 +260,30 @@
             node.links.keep(peer.name.clone(), stream);
             Err(NotLent::Overloaded)
         }
+        Some((LinkReply::Cold { retry_after_ms }, stream)) => {
+            node.links.keep(peer.name.clone(), stream);
+            Err(NotLent::Cold {
+                retry_after: Duration::from_millis(retry_after_ms),
+            })
+        }
         Some((LinkReply::Refused, stream)) => {
             node.links.keep(peer.name.clone(), stream);
-            Err(NotLent::Refused)
+            Err(NotLent::PassedOver(PassedOver::Refused))
         }
-        _ => Err(NotLent::Broken),
+        _ => Err(NotLent::PassedOver(PassedOver::Broken)),
     }
 }
 
 /// Asks the node at `address` for what it knows.
 pub async fn fetch_snapshot(address: SocketAddr) -> Option<Snapshot> {
-    let fetching = async {
+    let beginning = async {
         let mut stream = framed(TcpStream::connect(address).await?)?;
         send(&mut stream, &LinkRequest::Snapshot).await?;
-        receive(&mut stream).await
+        stream.get_ref().readable().await?;
+        io::Result::Ok(stream)
     };
-    match timeout(SNAPSHOT_LIMIT, fetching).await {
+    let mut stream = timeout(SNAPSHOT_BEGINS, beginning).await.ok()?.ok()?;
+    match timeout(SNAPSHOT_ARRIVES, receive(&mut stream)).await {
         Ok(Ok(LinkReply::Snapshot(Some(snapshot)))) => packed::unpack(&snapshot).ok(),
         _ => None,
     }
@@ -318,6 +353,11 @@
     }
     let pool = node.pool(database);
     let lease = pool.acquire_direct(node, wanted).await?;
+    let label = match wanted.principal {
+        Some(_) => "for_statement",
+        None => "for_question",
+    };
+    node.counters.count("lent_leases", label);
     Ok(Lent::new(node, lease))
 }
 
@@ -355,11 +395,16 @@
                     principal: principal.as_ref(),
                     priority,
                     values: &values,
+                    // The node that asks has chosen this one by its caller's placement.
+                    placement: &Placement::unrestricted(),
                     limits,
                 };
                 match lend(&node, &database, wanted).await {
                     Ok(lent) => granted(&mut held.insert(lent).lease),
                     Err(AcquireError::Overloaded | AcquireError::TimedOut) => LinkReply::Overloaded,
+                    Err(AcquireError::Cold { retry_after }) => LinkReply::Cold {
+                        retry_after_ms: millis(retry_after),
+                    },
                     Err(_) => LinkReply::Refused,
                 }
             }
@@ -375,8 +420,8 @@
                 continue;
             }
             LinkRequest::Snapshot => LinkReply::Snapshot(packed_snapshot(&node)),
-            LinkRequest::Follow { revision } => {
-                LinkReply::Followed(feed::answer(&node, revision).await)
+            LinkRequest::Follow(question) => {
+                LinkReply::Followed(feed::answer(&node, &question).await)
             }
         };
         if send(&mut stream, &reply).await.is_err() {
@@ -407,6 +452,7 @@
     }
     match lease.exchange(node, commands, limit).await {
         Ok(answers) => LinkReply::Answers(answers),
+        Err(ConnectionError::ZoneEvacuated) => LinkReply::NotSent,
         Err(error) => LinkReply::Broken {
             timed_out: matches!(error, ConnectionError::TimedOut),
         },
--- a/crates/serving/src/session/mod.rs
+++ b/crates/serving/src/session/mod.rs
@@ -41,8 +41,21 @@
     principal: Principal,
     began_at: Timestamp,
     read_only: bool,
+    /// Whether its connection is one for reading, asked for or not.
+    reads_only: bool,
     wrote: bool,
     lease: Option<Lease>,
+    /// Whether it was ended because its database is shut; its caller learns that with the next
+    /// statement.
+    ended: bool,
+}
+
+impl Transaction {
+    /// Whether it was opened to write and cannot, as the primary stands outside the regions
+    /// that it is confined to.
+    fn lacks_primary(&self, access: Access) -> bool {
+        access == Access::Write && self.reads_only && !self.read_only
+    }
 }
 
 /// Serves one accepted connection until it ends.
@@ -174,6 +187,7 @@
             if let Some(input) = self.node.protocol.decode_caller(&mut self.incoming)? {
                 return Ok(Next::Input(input));
             }
+            self.end_evacuated_transaction();
             let stage = self.node.stop_stage();
             match self.state.phase {
                 Phase::Idle if stage >= StopStage::CloseIdle => return Ok(Next::Close),
@@ -226,12 +240,44 @@
         self.node.counters.count("transactions_ended", "rested");
         self.node.log(
             "transaction_ended",
-            &[("database", self.database.as_str().into())],
+            &[
+                ("database", self.database.as_str().into()),
+                ("reason", "rested".into()),
+            ],
         );
         self.transaction = None;
         self.state.phase = Phase::Failed;
     }
 
+    /// Ends a transaction that is open at a database which is shut: its connection closes, and
+    /// the database rolls back.
+    fn end_evacuated_transaction(&mut self) {
+        let Some(transaction) = &mut self.transaction else {
+            return;
+        };
+        let database = transaction
+            .lease
+            .as_ref()
+            .map(|lease| lease.pool().database());
+        let Some(database) = database
+            .filter(|database| self.node.is_shut(database))
+            .cloned()
+        else {
+            return;
+        };
+        transaction.lease = None;
+        transaction.ended = true;
+        self.node.note_transaction_evacuated(&database);
+        self.node.log(
+            "transaction_ended",
+            &[
+                ("database", self.database.as_str().into()),
+                ("reason", "zone_evacuated".into()),
+                ("held_at", database.as_str().into()),
+            ],
+        );
+    }
+
     async fn answer(&mut self, id: Bytes, statement: Statement) {
         let arrived = self.node.now();
         if self.state.phase == Phase::Failed {
@@ -307,8 +353,10 @@
             principal,
             began_at: arrived,
             read_only,
+            reads_only: read_only,
             wrote: false,
             lease: None,
+            ended: false,
         });
         self.state.phase = Phase::InTransaction;
         self.done_locally();
@@ -349,6 +397,7 @@
         Request {
             node: &self.node,
             state: &self.state,
+            name: &self.database,
             route,
             principal,
             fresh_from,
@@ -393,13 +442,16 @@
         let route = Rc::clone(&transaction.route);
         let principal = transaction.principal.clone();
         let request = self.request(&route, &principal, transaction.began_at, arrived);
+        let lacks_primary = transaction.lacks_primary(work.access);
         let outcome = match &mut transaction.lease {
+            Some(_) if lacks_primary => Err(request.refuse_write_inside(&work)),
             Some(lease) => request.run_in(&work, lease).await,
             None => {
                 let first = request.run_first(&work, transaction.read_only).await;
-                first.map(|(answer, lease)| {
-                    transaction.lease = Some(lease);
-                    answer
+                first.map(|ran| {
+                    transaction.lease = Some(ran.lease);
+                    transaction.reads_only |= ran.reads_only;
+                    ran.answer
                 })
             }
         };
@@ -427,6 +479,11 @@
             return;
         };
         self.state.phase = Phase::Idle;
+        if transaction.ended {
+            self.fail(rolled_back());
+            self.ready();
+            return;
+        }
         let Some(mut lease) = transaction.lease.take() else {
             self.done_locally();
             return;
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -5,6 +5,7 @@
 use hookpoint_coordination::serving::admission::{ConnectionUse, patience};
 use hookpoint_coordination::serving::attempt_limit::read_attempt_limit;
 use hookpoint_coordination::serving::leadership::Confirmation;
+use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::session::Access;
 use hookpoint_state::{Position, Timestamp};
 
@@ -39,6 +40,12 @@
     NoLease,
     /// The queue for connections is too long.
     Overloaded,
+    /// The configuration has changed, and no longer allows all that it did.
+    PlacementChanged,
+    /// The database has just started and gets no more for so long.
+    Cold {
+        retry_after: Duration,
+    },
 }
 
 impl AttemptFailure {
@@ -52,6 +59,8 @@
             AttemptFailure::Failed => "failed",
             AttemptFailure::NoLease => "no_lease",
             AttemptFailure::Overloaded => "overloaded",
+            AttemptFailure::PlacementChanged => "placement_changed",
+            AttemptFailure::Cold { .. } => "cold",
         }
     }
 }
@@ -62,7 +71,6 @@
         work: &Work,
         target: &Target,
         in_transaction: bool,
-        to_leader: bool,
     ) -> Attempt {
         let pool = self.node.pool(target.database());
         let asked_at = self.node.now();
@@ -70,6 +78,7 @@
             principal: Some(self.principal),
             priority: self.route.priority,
             values: &self.state.values,
+            placement: target.placement(),
             limits: self.wait_limits(work, in_transaction),
         };
         let acquired = pool.acquire(wanted).await;
@@ -90,26 +99,41 @@
                     .note_lost_contact(target.database(), asked_at, pool.was_refused());
                 return Attempt::NotRun(AttemptFailure::NoConnection);
             }
+            Err(AcquireError::Cold { retry_after }) => {
+                return Attempt::NotRun(AttemptFailure::Cold { retry_after });
+            }
             Err(AcquireError::Overloaded) => {
                 return Attempt::NotRun(AttemptFailure::Overloaded);
             }
             Err(_) => return Attempt::NotRun(AttemptFailure::NoConnection),
         };
         let stance = match target {
-            Target::Leader(_) if in_transaction || !to_leader => Stance::LeaderTransaction,
+            Target::Leader(_) if in_transaction => Stance::LeaderTransaction,
             Target::Leader(_) if work.access == Access::Read => Stance::LeaderTransaction,
             Target::Leader(_) => Stance::Alone(None),
             Target::Holding(_, after) if in_transaction => Stance::ReadTransaction(*after),
             Target::Holding(_, after) => Stance::Alone(Some(*after)),
         };
-        self.run_on(work, lease, stance).await
+        self.run_on(work, lease, stance, target.placement()).await
     }
 
-    pub(super) async fn run_on(&self, work: &Work, mut lease: Lease, stance: Stance) -> Attempt {
+    async fn run_on(
+        &self,
+        work: &Work,
+        mut lease: Lease,
+        stance: Stance,
+        placement: &Placement,
+    ) -> Attempt {
+        if !self.still_allows(placement) {
+            return Attempt::NotRun(AttemptFailure::PlacementChanged);
+        }
         let mut commands = match self.take_stance(&mut lease, stance).await {
             Ok(prefix) => prefix,
             Err(failure) => return Attempt::NotRun(failure),
         };
+        if !self.still_allows(placement) {
+            return Attempt::NotRun(AttemptFailure::PlacementChanged);
+        }
         let at_primary =
             matches!(stance, Stance::LeaderTransaction) || work.access == Access::Write;
         if at_primary && !self.node.may_write(lease.pool().database()) {
@@ -136,6 +160,9 @@
                     self.reads_timed_out.set(self.reads_timed_out.get() + 1);
                 }
                 return match work.access {
+                    _ if matches!(error, ConnectionError::ZoneEvacuated) => {
+                        Attempt::NotRun(AttemptFailure::NoConnection)
+                    }
                     Access::Read => Attempt::NotRun(AttemptFailure::Broken),
                     Access::Write if matches!(stance, Stance::Alone(_)) => Attempt::Unknown,
                     Access::Write => Attempt::NotRun(AttemptFailure::Broken),
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -1,7 +1,9 @@
 //! Carrying one statement to a database that may serve it, and back.
 
 mod attempt;
+mod evacuated;
 mod outcome;
+mod placing;
 mod quota;
 mod stance;
 mod target;
@@ -15,6 +17,7 @@
 
 use bytes::Bytes;
 use hookpoint_coordination::serving::leadership::ReignPosition;
+use hookpoint_coordination::serving::placement::Need;
 use hookpoint_coordination::serving::session::{Access, Phase, PreparedShape, SessionState};
 use hookpoint_coordination::serving::tenancy::Principal;
 use hookpoint_coordination::serving::topology::Route;
@@ -22,6 +25,7 @@
 use tokio::time::{sleep, timeout};
 
 use self::attempt::{Attempt, AttemptFailure};
+use self::evacuated::Evacuated;
 pub(crate) use self::outcome::rolled_back;
 use self::outcome::{Tried, access_name};
 use self::target::Target;
@@ -43,6 +47,15 @@
 /// Time in which a lost primary should have been replaced.
 const REPLACEMENT_TIME: Duration = Duration::from_secs(3);
 
+/// Why waiting for a database is in vain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum InVain {
+    /// None will be usable in time.
+    NoDatabase,
+    /// The only one that could run the statement is in a zone that is evacuated.
+    Evacuated,
+}
+
 /// What a caller asks to run.
 #[derive(Clone, Debug)]
 pub(crate) struct Work {
@@ -97,6 +110,9 @@
 pub(crate) struct Request<'a> {
     pub node: &'a Rc<Node>,
     pub state: &'a SessionState,
+    /// The route's name, as the caller gave it.
+    pub name: &'a str,
+    /// The route as it was when the request was admitted.
     pub route: &'a Route,
     /// On whose behalf it runs.
     pub principal: &'a Principal,
@@ -110,6 +126,14 @@
     pub reads_timed_out: Cell<u32>,
 }
 
+/// A statement that was answered, and the connection it ran on.
+pub(crate) struct Ran {
+    pub answer: Answer,
+    pub lease: Lease,
+    /// Whether a transaction that it opened may not write.
+    pub reads_only: bool,
+}
+
 impl Request<'_> {
     fn deadline(&self) -> Timestamp {
         self.arrived + self.route.statement_timeout
@@ -129,6 +153,9 @@
         if lapsed.is_some_and(|since| now.since(since) >= LAPSE_PASSES) {
             return now;
         }
+        if self.node.isolated_since().is_some() {
+            return now;
+        }
         let lost_since = self.node.with_group(&self.route.group, |state| {
             state.contact.lost_since.or(state.leaderless_since)
         });
@@ -138,11 +165,16 @@
         }
     }
 
-    /// Waits until a database may have become usable; fails once that has taken long.
-    async fn await_target(&self) -> Result<(), Failure> {
-        let left = self.wait_limit().since(self.node.now());
+    /// Waits until a database may have become usable; fails if that would be in vain.
+    async fn await_target(&self, only_leader: bool) -> Result<(), InVain> {
+        let limit = match self.evacuated(only_leader) {
+            Some(Evacuated::HandedOverBy(limit)) => limit.min(self.wait_limit()),
+            Some(Evacuated::Stays) => return Err(InVain::Evacuated),
+            None => self.wait_limit(),
+        };
+        let left = limit.since(self.node.now());
         if left < LEAST_ATTEMPT {
-            return Err(self.refusal("no_database"));
+            return Err(InVain::NoDatabase);
         }
         let changed = self.node.leader_changed.notified();
         let _ = timeout(left.min(LOOK_AGAIN), changed).await;
@@ -151,18 +183,16 @@
 
     /// Runs a single statement outside any transaction of the caller's.
     pub(crate) async fn run_single(&self, work: &Work) -> Result<(Answer, DatabaseName), Failure> {
+        self.refuse_unless_placed(work, false)?;
         self.take_token(work).await?;
-        let (answer, lease) = self.run_until_answered(work, false).await?;
-        let database = lease.pool().database().clone();
-        Ok((answer, database))
+        let ran = self.run_until_answered(work, false).await?;
+        let database = ran.lease.pool().database().clone();
+        Ok((ran.answer, database))
     }
 
     /// Runs the first statement of a caller's transaction and keeps its connection.
-    pub(crate) async fn run_first(
-        &self,
-        work: &Work,
-        read_only: bool,
-    ) -> Result<(Answer, Lease), Failure> {
+    pub(crate) async fn run_first(&self, work: &Work, read_only: bool) -> Result<Ran, Failure> {
+        self.refuse_unless_placed(work, !read_only)?;
         self.take_token(work).await?;
         self.run_until_answered(work, !read_only).await
     }
@@ -171,49 +201,44 @@
         &self,
         work: &Work,
         plain_transaction: bool,
-    ) -> Result<(Answer, Lease), Failure> {
+    ) -> Result<Ran, Failure> {
         let in_transaction = self.state.phase == Phase::InTransaction;
         let now = self.node.now();
         self.node
             .with_group(&self.route.group, |state| state.used_at = now);
-        let to_leader = plain_transaction || work.access == Access::Write;
         let mut avoided = BTreeSet::new();
         let mut tried = Tried::default();
         loop {
             if self.time_left() < least_time(work) {
-                self.log_outcome(work, &tried, "refused");
-                return Err(self.refusal("out_of_time"));
+                return Err(self.refuse(work, tried, "out_of_time"));
             }
-            let target = if to_leader {
-                self.leader_target()
-            } else {
-                self.read_target(&avoided)
-            };
-            let Some(target) = target else {
-                if tried.overloaded {
-                    self.log_outcome(work, &tried, "refused");
-                    return Err(self.refusal("overloaded"));
+            let (target, need) = match self.next_target(work, plain_transaction, &avoided) {
+                Ok((Some(target), need)) => (target, need),
+                Ok((None, _)) if tried.is_refused() => {
+                    return Err(self.refuse_for_load(work, tried));
                 }
-                avoided.clear();
-                if let Err(failure) = self.await_target().await {
-                    self.log_outcome(work, &tried, "refused");
-                    return Err(failure);
+                Ok((None, need)) => {
+                    avoided.clear();
+                    if let Err(in_vain) = self.await_target(self.only_leader_serves(need)).await {
+                        return Err(self.refuse_in_vain(work, tried, in_vain));
+                    }
+                    continue;
                 }
-                continue;
+                Err(obstacle) => return Err(self.refuse_misplaced(work, tried, obstacle)),
             };
             tried.attempts += 1;
             tried.database = Some(target.database().clone());
             let began = self.node.now();
-            let attempt = self.attempt(work, &target, in_transaction, to_leader).await;
+            let attempt = self.attempt(work, &target, in_transaction).await;
             match attempt {
                 Attempt::Answered(answered) => {
                     let (lease, answer) = *answered;
-                    if tried.attempts > 1 {
-                        self.log_outcome(work, &tried, "served_after_retry");
-                    } else {
-                        self.log_served(&work.id, access_name(work.access), target.database());
-                    }
-                    return Ok((answer, lease));
+                    self.log_answered(work, &tried, target.database());
+                    return Ok(Ran {
+                        answer,
+                        lease,
+                        reads_only: need == Need::AnyDatabase,
+                    });
                 }
                 Attempt::Unknown => {
                     self.log_outcome(work, &tried, "outcome_unknown");
@@ -221,13 +246,10 @@
                     return Err(Failure::new(FailureCode::OutcomeUnknown, text));
                 }
                 Attempt::NotRun(failure) => {
-                    tried.overloaded |= failure == AttemptFailure::Overloaded;
-                    let only_leader = to_leader || self.required_position().is_none();
-                    if only_leader && tried.overloaded {
-                        self.log_outcome(work, &tried, "refused");
-                        return Err(self.refusal("overloaded"));
+                    tried.note(failure);
+                    if self.only_leader_serves(need) && tried.is_refused() {
+                        return Err(self.refuse_for_load(work, tried));
                     }
-                    tried.last_failure = failure.as_str();
                     self.node
                         .counters
                         .count("attempts_failed", tried.last_failure);
@@ -238,6 +260,26 @@
         }
     }
 
+    /// Whether no other database than the primary will do at the moment.
+    fn only_leader_serves(&self, need: Need) -> bool {
+        need == Need::Primary || self.required_position().is_none()
+    }
+
+    fn refuse_in_vain(&self, work: &Work, tried: Tried, in_vain: InVain) -> Failure {
+        match in_vain {
+            InVain::NoDatabase => self.refuse(work, tried, "no_database"),
+            InVain::Evacuated => self.refuse_evacuated(work, tried),
+        }
+    }
+
+    fn log_answered(&self, work: &Work, tried: &Tried, database: &DatabaseName) {
+        if tried.attempts > 1 {
+            self.log_outcome(work, tried, "served_after_retry");
+        } else {
+            self.log_served(&work.id, access_name(work.access), database);
+        }
+    }
+
     async fn after_failure(
         &self,
         failure: AttemptFailure,
@@ -257,11 +299,15 @@
                 avoided.insert(database.clone());
             }
             AttemptFailure::NotPrimary => self.node.refute_leader(database, began),
+            AttemptFailure::PlacementChanged => {}
             AttemptFailure::NoConnection => {
                 avoided.insert(database.clone());
                 sleep(LEAST_ATTEMPT.min(self.time_left())).await;
             }
-            AttemptFailure::Broken | AttemptFailure::Failed | AttemptFailure::Overloaded => {
+            AttemptFailure::Broken
+            | AttemptFailure::Failed
+            | AttemptFailure::Overloaded
+            | AttemptFailure::Cold { .. } => {
                 avoided.insert(database.clone());
             }
         }
--- a/crates/serving/src/statement/outcome.rs
+++ b/crates/serving/src/statement/outcome.rs
@@ -1,10 +1,14 @@
 //! What is told and logged of a statement that was not served plainly.
 
+use std::time::Duration;
+
+use hookpoint_coordination::serving::placement::Obstacle;
 use hookpoint_coordination::serving::session::Access;
 use hookpoint_coordination::serving::topology::{Consistency, Route};
-use hookpoint_state::DatabaseName;
+use hookpoint_state::{DatabaseName, RegionName};
 use serde_json::Value;
 
+use super::attempt::AttemptFailure;
 use super::{Request, Work};
 use crate::message::{Failure, FailureCode};
 use crate::units::millis;
@@ -12,6 +16,11 @@
 /// Hint told with a refusal.
 const RETRY_HINT: &str = "nothing was kept; retry after 250 ms";
 
+/// Told with a refusal where it is not known when a retry may succeed.
+const OUT_OF_PLACE: &str = "nothing was kept; no database in the allowed regions can run this";
+/// Longest time to return that is told to a caller: by then another database may serve it.
+const LONGEST_HINT: Duration = Duration::from_secs(2);
+
 /// What was tried for a statement.
 #[derive(Debug)]
 pub(super) struct Tried {
@@ -20,6 +29,10 @@
     pub(super) last_failure: &'static str,
     /// Whether the queue of some database was too long.
     pub(super) overloaded: bool,
+    /// Why it was refused, if it was.
+    pub(super) refused_for: Option<&'static str>,
+    /// When a cold database takes a request again, if one was asked.
+    pub(super) cold_for: Option<Duration>,
 }
 
 impl Default for Tried {
@@ -29,17 +42,66 @@
             database: None,
             last_failure: "none",
             overloaded: false,
+            refused_for: None,
+            cold_for: None,
         }
     }
 }
 
+impl Tried {
+    /// Takes in why an attempt did not run.
+    pub(super) fn note(&mut self, failure: AttemptFailure) {
+        self.last_failure = failure.as_str();
+        self.overloaded |= failure == AttemptFailure::Overloaded;
+        if let AttemptFailure::Cold { retry_after } = failure {
+            let sooner = |known: Duration| known.min(retry_after);
+            self.cold_for = Some(self.cold_for.map_or(retry_after, sooner));
+        }
+    }
+
+    /// Whether waiting for another database serves nobody: one that would do is too loaded.
+    pub(super) fn is_refused(&self) -> bool {
+        self.overloaded || self.cold_for.is_some()
+    }
+}
+
 impl Request<'_> {
-    /// The final answer to a request that is given up.
-    pub(super) fn refusal(&self, reason: &'static str) -> Failure {
+    /// The answer to a request whose databases are too loaded, or cold; logged and counted.
+    pub(super) fn refuse_for_load(&self, work: &Work, mut tried: Tried) -> Failure {
+        let cold_for = tried.cold_for.filter(|_| !tried.overloaded);
+        let Some(retry_after) = cold_for else {
+            return self.refuse(work, tried, "overloaded");
+        };
+        tried.refused_for = Some("cold");
+        self.log_outcome(work, &tried, "refused");
+        self.node.counters.count("refused", "cold");
+        let hint = millis(retry_after.min(LONGEST_HINT)).max(1);
+        let text =
+            format!("the database has just started, nothing was kept; retry after {hint} ms");
+        Failure::new(FailureCode::Overloaded, text)
+    }
+
+    /// The final answer to a request that is given up; logged and counted.
+    pub(super) fn refuse(&self, work: &Work, mut tried: Tried, reason: &'static str) -> Failure {
+        tried.refused_for = Some(reason);
+        self.log_outcome(work, &tried, "refused");
         self.node.counters.count("refused", reason);
         Failure::new(FailureCode::Overloaded, RETRY_HINT)
     }
 
+    /// The same for one that no permitted database can run.
+    pub(super) fn refuse_misplaced(
+        &self,
+        work: &Work,
+        mut tried: Tried,
+        obstacle: Obstacle,
+    ) -> Failure {
+        tried.refused_for = Some(obstacle.as_str());
+        self.log_outcome(work, &tried, "refused");
+        self.node.counters.count("refused", "region");
+        Failure::new(FailureCode::Overloaded, OUT_OF_PLACE)
+    }
+
     /// Logs a statement that was not served plainly.
     pub(super) fn log_outcome(&self, work: &Work, tried: &Tried, outcome: &'static str) {
         let fields = self.outcome_fields(&work.id, access_name(work.access), tried, outcome);
@@ -80,6 +142,10 @@
         let name = |database: &Option<DatabaseName>| -> Value {
             database.as_ref().map(DatabaseName::as_str).into()
         };
+        let placement = self.placement();
+        let allowed = placement.allowed_regions();
+        let allowed: Option<Vec<&str>> =
+            allowed.map(|regions| regions.iter().map(RegionName::as_str).collect());
         let sample_age = sample.map(|(asked_at, _)| millis(now.since(asked_at)));
         vec![
             ("request", String::from_utf8_lossy(id).as_ref().into()),
@@ -96,6 +162,8 @@
             ("database", name(&tried.database)),
             ("last_failure", tried.last_failure.into()),
             ("outcome", outcome.into()),
+            ("reason", tried.refused_for.into()),
+            ("allowed_regions", allowed.into()),
         ]
     }
 }
