Logs of databases that leave: since when a node counts it, how old its news was, and what it sends there

The incident's log lines could not tell a node that heard late from a statement that waited: no line said since when a node counts a database as leaving. No decision is changed.

--- a/crates/coordination/src/serving/directory.rs
+++ b/crates/coordination/src/serving/directory.rs
@@ -154,15 +154,18 @@
         }
     }
 
-    /// Takes the names in a complete listing read at `revision`: what it lacks is missing.
-    pub fn remove_absent(&mut self, present: &[DatabaseName], revision: u64, now: Timestamp) {
-        let absent: Vec<DatabaseName> = self
-            .databases
-            .keys()
+    /// The databases that a complete listing of `present` ones lacks.
+    pub fn lacking(&self, present: &[DatabaseName]) -> Vec<DatabaseName> {
+        let names = self.databases.keys();
+        names
             .filter(|name| !present.contains(name))
             .cloned()
-            .collect();
-        for name in absent {
+            .collect()
+    }
+
+    /// Takes the names in a complete listing read at `revision`: what it lacks is missing.
+    pub fn remove_absent(&mut self, present: &[DatabaseName], revision: u64, now: Timestamp) {
+        for name in self.lacking(present) {
             self.remove(&name, revision, now);
         }
     }
--- a/crates/serving/src/database_life.rs
+++ b/crates/serving/src/database_life.rs
@@ -19,6 +19,7 @@
             .borrow_mut()
             .put(database, revision, self.now());
         self.hear_warmth(&name, before.as_ref(), registration);
+        self.tell_departure(&name, before.as_ref());
         if registration == Registration::NewLife {
             self.end_life(&name);
         }
@@ -33,8 +34,18 @@
         for (database, entry_revision) in listing {
             self.register_database(database, entry_revision);
         }
-        let mut directory = self.directory.borrow_mut();
-        directory.remove_absent(&present, revision, self.now());
+        let absent = self.directory.borrow().lacking(&present);
+        for name in absent {
+            self.remove_database(&name, revision);
+        }
+    }
+
+    /// Takes in that the entry of a database is gone as of `revision`.
+    pub(crate) fn remove_database(&self, name: &DatabaseName, revision: u64) {
+        let before = self.directory.borrow().get(name).cloned();
+        let now = self.now();
+        self.directory.borrow_mut().remove(name, revision, now);
+        self.tell_departure(name, before.as_ref());
     }
 
     /// A listed database, if what it said to a question of `asked_at` is of its present life.
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -433,8 +433,7 @@
 }
 
 fn remove_database(node: &Rc<Node>, name: &DatabaseName, revision: u64) {
-    let now = node.now();
-    node.directory.borrow_mut().remove(name, revision, now);
+    node.remove_database(name, revision);
     node.log("database_missing", &[("database", name.as_str().into())]);
 }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -14,6 +14,7 @@
 mod counted_store;
 pub mod counters;
 mod database_life;
+mod departures;
 mod evacuation;
 pub mod events;
 pub mod explanation;
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -114,7 +114,8 @@
             Target::Holding(_, after) if in_transaction => Stance::ReadTransaction(*after),
             Target::Holding(_, after) => Stance::Alone(Some(*after)),
         };
-        self.run_on(work, lease, stance, target.placement()).await
+        self.run_on(work, lease, stance, target.placement(), asked_at)
+            .await
     }
 
     async fn run_on(
@@ -123,6 +124,7 @@
         mut lease: Lease,
         stance: Stance,
         placement: &Placement,
+        began: Timestamp,
     ) -> Attempt {
         if !self.still_allows(placement) {
             return Attempt::NotRun(AttemptFailure::PlacementChanged);
@@ -150,6 +152,8 @@
         commands.push(work.command(after));
         let limit = self.attempt_limit(work, &lease);
         let asked_at = self.node.now();
+        let waited = asked_at.since(began);
+        self.log_sent_to_leaving(work, lease.pool().database(), waited);
         if !matches!(stance, Stance::Alone(_)) {
             lease.connection().in_transaction = true;
         }
--- a/crates/serving/src/statement/outcome.rs
+++ b/crates/serving/src/statement/outcome.rs
@@ -160,6 +160,7 @@
             ("held_ms", millis(now.since(self.arrived)).into()),
             ("attempts", tried.attempts.into()),
             ("database", name(&tried.database)),
+            ("leaving_ms", self.leaving_ms(tried.database.as_ref())),
             ("last_failure", tried.last_failure.into()),
             ("outcome", outcome.into()),
             ("reason", tried.refused_for.into()),
@@ -168,6 +169,37 @@
     }
 }
 
+impl Request<'_> {
+    /// How much of the time of a database that leaves is over by now; null if it does not.
+    fn leaving_ms(&self, database: Option<&DatabaseName>) -> Value {
+        let age = database.and_then(|database| self.node.leaving_for(database));
+        age.map(millis).into()
+    }
+
+    /// Logs that a statement is sent to a database that leaves, after it waited for a connection.
+    pub(super) fn log_sent_to_leaving(
+        &self,
+        work: &Work,
+        database: &DatabaseName,
+        waited: Duration,
+    ) {
+        let Some(age) = self.node.leaving_for(database) else {
+            return;
+        };
+        let fields = || {
+            vec![
+                ("request", String::from_utf8_lossy(&work.id).as_ref().into()),
+                ("database", database.as_str().into()),
+                ("leaving_ms", millis(age).into()),
+                ("waited_ms", millis(waited).into()),
+            ]
+        };
+        let node = self.node;
+        node.events
+            .write_ordinary(node.now(), "sent_to_leaving", fields);
+    }
+}
+
 /// The answer to a transaction whose connection was lost before its commit was sent.
 pub(crate) fn rolled_back() -> Failure {
     Failure::new(FailureCode::RolledBack, RETRY_HINT)
