A leaving database's time counts from its announcement, whenever a node hears of it

What callers saw: new work sent to a database that might end at any moment, up to as much too late as the node had heard too late.

Cause: a node counted from hearing. One that starts, wakes, comes back from a cut, or follows one that did, begins anew.

Mend: each node keeps up to when it knows of every change of the store (a watch without changes proves that up to its end, any other answer up to when it was asked for; followers hear it with its age). An announcement that is news came after that, and the time counts from there: at most a watch too early (2 s of 9), never too late. A node that knows no bound, as it has just started, counts all of the time, and asks four peers, which give it back what they know to be left. Entries that go without a word count alike, but for 3.5 s in which absence proves nothing: an outage may take all at once. Evacuations use the same bound.

Why it holds: a bound is only ever taken from an answer that proves it, ages grow on their way, and merging takes the latest of several true bounds. Property test with delays, restarts and peers, and a control that counts from hearing.

--- a/crates/coordination/src/serving/directory.rs
+++ b/crates/coordination/src/serving/directory.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::database_life::{DatabaseStart, Tombstones};
+use super::departure::{ABSENCE_PROVES, Departure, Hearing, Sign};
 
 /// Role that a database states for itself. It may be out of date.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,18 +56,14 @@
     pub database: Database,
     /// Revision of the registration, in the store's counter.
     pub revision: u64,
-    /// Since when it announces its end or has been missing.
-    pub leaving_since: Option<Timestamp>,
+    /// Its leaving: it has announced its end, or its entry is missing.
+    pub departure: Option<Departure>,
     /// Whether its entry is missing from the store.
     pub missing: bool,
     /// When this node learnt of its present life.
     pub life_since: Timestamp,
 }
 
-/// Absence in a steady store that proves that a database left: over two heartbeats, as
-/// an entry that lapsed in an outage comes back with the next one.
-const ABSENCE_PROVES: Duration = Duration::from_millis(3_500);
-
 impl Listed {
     /// Whether what the database said to a question of `asked_at` is of its present life for
     /// certain: an earlier one had ended before anybody could learn of the present one.
@@ -80,10 +77,13 @@
     /// without a gap since `steady_since` for long enough, and the entry to have been
     /// missing all the while.
     pub fn is_leaving(&self, steady_since: Timestamp, now: Timestamp) -> bool {
-        match self.leaving_since {
+        match self.departure {
             None => false,
             Some(_) if !self.missing => true,
-            Some(since) => now.since(since.max(steady_since)) >= ABSENCE_PROVES,
+            Some(departure) => {
+                let absent_since = departure.heard_at().max(steady_since);
+                now.since(absent_since) >= ABSENCE_PROVES
+            }
         }
     }
 }
@@ -110,7 +110,7 @@
 impl Directory {
     /// Takes one registration; an older revision than the one held is passed over, so it
     /// brings no earlier life back.
-    pub fn put(&mut self, database: Database, revision: u64, now: Timestamp) -> Registration {
+    pub fn put(&mut self, database: Database, revision: u64, hearing: Hearing) -> Registration {
         let before = self.databases.get(&database.name);
         let known = match before {
             Some(listed) => Some((listed.revision, listed.database.started)),
@@ -121,17 +121,19 @@
         }
         let is_new_life = known.is_some_and(|(_, started)| started != database.started);
         let same_life = before.filter(|_| !is_new_life);
-        let leaving_since = match same_life.and_then(|listed| listed.leaving_since) {
-            Some(since) if database.draining => Some(since),
-            _ if database.draining => Some(now),
-            _ => None,
-        };
-        let life_since = same_life.map_or(now, |listed| listed.life_since);
+        let known_departure = same_life
+            .and_then(|listed| listed.departure)
+            .filter(|departure| departure.sign() == Sign::Announced);
+        let announced = || Departure::heard(Sign::Announced, hearing);
+        let departure = database
+            .draining
+            .then(|| known_departure.unwrap_or_else(announced));
+        let life_since = same_life.map_or(hearing.at, |listed| listed.life_since);
         self.tombstones.remove(&database.name);
         let listed = Listed {
             database,
             revision,
-            leaving_since,
+            departure,
             missing: false,
             life_since,
         };
@@ -144,13 +146,30 @@
     }
 
     /// Notes that the entry of `name` is gone as of `revision`.
-    pub fn remove(&mut self, name: &DatabaseName, revision: u64, now: Timestamp) {
+    pub fn remove(&mut self, name: &DatabaseName, revision: u64, hearing: Hearing) {
         if let Some(listed) = self.databases.get_mut(name)
             && listed.revision <= revision
         {
             listed.revision = revision;
             listed.missing = true;
-            listed.leaving_since.get_or_insert(now);
+            let missing = || Departure::heard(Sign::Missing, hearing);
+            listed.departure.get_or_insert_with(missing);
+        }
+    }
+
+    /// Takes in that another node knows when a database of a life announced its end, or that it
+    /// was no earlier than `not_before`.
+    pub fn learn_departure(
+        &mut self,
+        name: &DatabaseName,
+        started: Option<DatabaseStart>,
+        not_before: Timestamp,
+    ) {
+        let listed = self.databases.get_mut(name);
+        let same_life = listed.filter(|listed| listed.database.started == started);
+        let departure = same_life.and_then(|listed| listed.departure.as_mut());
+        if let Some(departure) = departure.filter(|known| known.sign() == Sign::Announced) {
+            departure.learn(not_before);
         }
     }
 
@@ -163,18 +182,12 @@
             .collect()
     }
 
-    /// Takes the names in a complete listing read at `revision`: what it lacks is missing.
-    pub fn remove_absent(&mut self, present: &[DatabaseName], revision: u64, now: Timestamp) {
-        for name in self.lacking(present) {
-            self.remove(&name, revision, now);
-        }
-    }
-
     /// Forgets databases that have been missing since before `before`.
     pub fn forget_missing(&mut self, before: Timestamp) {
         let tombstones = &mut self.tombstones;
         self.databases.retain(|name, listed| {
-            let kept = !listed.missing || listed.leaving_since.is_none_or(|since| since > before);
+            let heard_before = |departure: Departure| departure.heard_at() <= before;
+            let kept = !listed.missing || !listed.departure.is_some_and(heard_before);
             if !kept {
                 tombstones.put(name, listed.revision, listed.database.started);
             }
--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -9,6 +9,7 @@
 pub mod coordinator;
 pub mod database_life;
 pub mod demand;
+pub mod departure;
 pub mod directory;
 pub mod evacuation;
 pub mod failover;
--- a/crates/coordination/tests/serving.rs
+++ b/crates/coordination/tests/serving.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::demand::Demand;
+use hookpoint_coordination::serving::departure::Hearing;
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
 use hookpoint_coordination::serving::failover::{
     NoCandidate, Observation, ReplicaState, Witnesses, choose_candidate, is_lost,
@@ -22,6 +23,14 @@
 use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp, ZoneName};
 use quickcheck::quickcheck;
 
+/// Heard as it happens.
+fn heard(millis: u64) -> Hearing {
+    Hearing {
+        at: at(millis),
+        not_before: at(millis),
+    }
+}
+
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
 }
@@ -360,20 +369,20 @@
 #[test]
 fn absence_proves_leaving_only_in_a_store_that_was_followed_all_the_while() {
     let mut directory = Directory::default();
-    directory.put(database("a", false), 1, at(0));
-    directory.remove(&name("a"), 2, at(1_000));
+    directory.put(database("a", false), 1, heard(0));
+    directory.remove(&name("a"), 2, heard(1_000));
     let listed = directory.get(&name("a")).unwrap();
     assert!(!listed.is_leaving(at(0), at(4_400)));
     assert!(listed.is_leaving(at(0), at(4_500)));
     assert!(!listed.is_leaving(at(3_000), at(4_500)));
-    directory.put(database("a", false), 3, at(5_000));
+    directory.put(database("a", false), 3, heard(5_000));
     assert!(
         !directory
             .get(&name("a"))
             .unwrap()
             .is_leaving(at(0), at(9_000))
     );
-    directory.put(database("a", true), 4, at(5_000));
+    directory.put(database("a", true), 4, heard(5_000));
     assert!(
         directory
             .get(&name("a"))
@@ -385,10 +394,10 @@
 #[test]
 fn an_older_registration_does_not_replace_a_newer_one() {
     let mut directory = Directory::default();
-    directory.put(database("a", true), 5, at(0));
-    directory.put(database("a", false), 4, at(1));
+    directory.put(database("a", true), 5, heard(0));
+    directory.put(database("a", false), 4, heard(1));
     assert!(directory.get(&name("a")).unwrap().database.draining);
-    directory.remove(&name("a"), 4, at(2));
+    directory.remove(&name("a"), 4, heard(2));
     assert!(!directory.get(&name("a")).unwrap().missing);
 }
 
--- a/crates/serving/src/coordinator/handover.rs
+++ b/crates/serving/src/coordinator/handover.rs
@@ -98,7 +98,7 @@
 
 /// What speaks against another database of a group. It counts as leaving at the first sign.
 pub(super) fn drawbacks_of(node: &Rc<Node>, listed: &Listed) -> Drawbacks {
-    judge(node, listed, listed.leaving_since.is_some())
+    judge(node, listed, listed.departure.is_some())
 }
 
 fn judge(node: &Rc<Node>, listed: &Listed, leaving: bool) -> Drawbacks {
--- a/crates/serving/src/coordinator/replicas.rs
+++ b/crates/serving/src/coordinator/replicas.rs
@@ -158,8 +158,10 @@
     let now = node.now();
     let directory = node.directory.borrow();
     directory.get(name).is_some_and(|listed| {
-        let since = listed.leaving_since.unwrap_or(now);
-        !listed.missing || now.since(since) < MISSING_COUNTS
+        let missing_since = listed
+            .departure
+            .map_or(now, |departure| departure.heard_at());
+        !listed.missing || now.since(missing_since) < MISSING_COUNTS
     })
 }
 
--- a/crates/serving/src/database_life.rs
+++ b/crates/serving/src/database_life.rs
@@ -17,7 +17,7 @@
         let registration = self
             .directory
             .borrow_mut()
-            .put(database, revision, self.now());
+            .put(database, revision, self.hearing());
         self.hear_warmth(&name, before.as_ref(), registration);
         self.tell_departure(&name, before.as_ref());
         if registration == Registration::NewLife {
@@ -43,8 +43,8 @@
     /// Takes in that the entry of a database is gone as of `revision`.
     pub(crate) fn remove_database(&self, name: &DatabaseName, revision: u64) {
         let before = self.directory.borrow().get(name).cloned();
-        let now = self.now();
-        self.directory.borrow_mut().remove(name, revision, now);
+        let hearing = self.hearing();
+        self.directory.borrow_mut().remove(name, revision, hearing);
         self.tell_departure(name, before.as_ref());
     }
 
--- a/crates/serving/src/evacuation.rs
+++ b/crates/serving/src/evacuation.rs
@@ -87,15 +87,12 @@
         let Some(listed) = directory.get(name) else {
             return false;
         };
-        let in_time = listed
-            .leaving_since
-            .is_none_or(|since| self.now().since(since) < self.changeable().drain_limit);
         let zone_allows = match self.zone_standing(&listed.database.zone) {
             ZoneStanding::Open | ZoneStanding::Returning => true,
             ZoneStanding::Evacuating => self.leads(name),
             ZoneStanding::Evacuated => false,
         };
-        in_time && zone_allows
+        zone_allows && self.takes_new_work(listed)
     }
 
     /// The primary known of a group, if it is shut.
@@ -147,13 +144,10 @@
     /// that a starting node finds may be of any age, and the node has nothing open there that
     /// would need time to end.
     fn evacuation_heard_at(&self) -> Timestamp {
-        let now = self.now();
+        let hearing = self.hearing();
         let limit = self.changeable().evacuation_limit;
-        if self.configured_at.get().is_none() {
-            return now - limit;
-        }
         let in_time = limit.saturating_sub(LAST_STATEMENT);
-        now.min(self.feed.news_before() + in_time)
+        hearing.at.min(hearing.not_before + in_time)
     }
 
     fn note_evacuation(&self, zone: &ZoneName, requested: bool, revision: u64) {
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hookpoint_coordination::serving::departure::Coverage;
 use hookpoint_coordination::serving::feed::{
     ChangeLog, is_small_region, store_upstreams, try_order,
 };
@@ -53,6 +54,8 @@
         steady_ms: u64,
         /// How long ago the store itself told of this state, in milliseconds.
         age_ms: u64,
+        /// Every change up to so long ago is known to the upstream, in milliseconds.
+        covered_ms: u64,
         /// How long the upstream held the question back, in milliseconds.
         held_ms: u64,
     },
@@ -72,8 +75,8 @@
     revision: Cell<u64>,
     /// How old that is, and the search for newer.
     news: RefCell<StoreNews>,
-    /// When the store told of what was known here before the newest news.
-    news_before: Cell<Timestamp>,
+    /// Up to when every change is known here.
+    coverage: RefCell<Coverage>,
     caught_up: Cell<bool>,
     advanced: Notify,
     passed_over: RefCell<Vec<(String, Timestamp)>>,
@@ -127,19 +130,20 @@
         self.advanced.notify_waiters();
     }
 
-    /// The store answered a call of this node's own at `when`.
-    pub fn note_told(&self, when: Timestamp) {
+    /// The store answered a call of this node's own at `when`; the answer is about to be taken
+    /// in, and holds every change up to `covered`.
+    pub fn note_told(&self, when: Timestamp, covered: Timestamp) {
         self.failures.set(0);
         self.caught_up.set(true);
-        self.news_before.set(self.news_at());
+        self.coverage.borrow_mut().extend(covered);
         self.news.borrow_mut().note_told(when);
         self.advanced.notify_waiters();
     }
 
-    fn note_heard(&self, when: Timestamp) {
+    fn note_heard(&self, when: Timestamp, covered: Timestamp) {
         self.failures.set(0);
         self.caught_up.set(true);
-        self.news_before.set(self.news_at());
+        self.coverage.borrow_mut().extend(covered);
         self.news.borrow_mut().note_heard(when);
         self.advanced.notify_waiters();
     }
@@ -173,9 +177,10 @@
         self.news.borrow().told_at()
     }
 
-    /// The same before the news that was taken in last: what that tells of changed later.
-    pub(crate) fn news_before(&self) -> Timestamp {
-        self.news_before.get()
+    /// Up to when every change was known before the news that was taken in last: what that
+    /// tells of changed later.
+    pub(crate) fn covered_before_news(&self) -> Timestamp {
+        self.coverage.borrow().before_news()
     }
 
     /// Pause before upstreams that told nothing newer are asked again.
@@ -291,6 +296,7 @@
         steady_ms: millis(now.since(node.store_steady_since.get())),
         // Rounded up: knowledge never gets younger on its way.
         age_ms: millis(now.since(node.feed.news_at())) + 1,
+        covered_ms: millis(now.since(node.feed.coverage.borrow().until())) + 1,
         held_ms: millis(now.since(asked_at)),
     }
 }
@@ -374,17 +380,18 @@
             everything,
             steady_ms,
             age_ms,
+            covered_ms,
             held_ms,
         }) => {
             let changes = unpack(node, upstream, &changes).ok_or(NoNews::NotAnswered)?;
-            let now = node.now();
             // All of the time that the upstream did not hold the question back may be the
             // answer's way.
-            let held = Duration::from_millis(held_ms);
-            let way = now.since(asked_at).saturating_sub(held);
+            let told_at = node.now().min(asked_at + Duration::from_millis(held_ms));
             node.counters.count("store_followed", "peer");
-            node.feed
-                .note_heard(now - (Duration::from_millis(age_ms) + way));
+            node.feed.note_heard(
+                told_at - Duration::from_millis(age_ms),
+                told_at - Duration::from_millis(covered_ms),
+            );
             note_steady(node, Duration::from_millis(steady_ms));
             Ok(if everything {
                 Followed::Everything(changes)
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -9,6 +9,7 @@
 use hookpoint_state::{DatabaseName, Timestamp, ZoneName};
 use tokio::time::{sleep, timeout};
 
+use crate::departures;
 use crate::feed::{self, Followed};
 use crate::node::{Member, Node};
 use crate::ports::{
@@ -104,7 +105,7 @@
             node.store_steady_since.set(node.now());
             let present = freshness == ReadFreshness::Present;
             if present {
-                node.feed.note_told(asked_at);
+                node.feed.note_told(asked_at, asked_at);
             }
             Some(take_everything(node, all, present))
         }
@@ -226,7 +227,7 @@
         },
     };
     match outcome {
-        Ok(changes) => Some(take_watched(node, changes, revision, asked_at + wait).await),
+        Ok(changes) => Some(take_watched(node, changes, revision, asked_at, wait).await),
         Err(StoreError::HistoryGone) => None,
         Err(error) => {
             note_store_error(node, &error);
@@ -280,23 +281,28 @@
     }
 }
 
-/// Takes in the answer to a watch that was to end by `due_at`. Returns the revision to go on
-/// from.
+/// Takes in the answer to a watch that was asked at `asked_at` to wait for `wait`. Returns the
+/// revision to go on from.
 async fn take_watched(
     node: &Rc<Node>,
     changes: StoreChanges,
     revision: u64,
-    due_at: Timestamp,
+    asked_at: Timestamp,
+    wait: Duration,
 ) -> u64 {
     note_reachable(node, true, "watch");
-    // One without changes was answered when its time was over, however late it comes.
-    let told_at = if changes.changes.is_empty() {
-        node.now().min(due_at)
+    let now = node.now();
+    // One without changes was answered when its time was over, however late it comes. One with
+    // changes may have been answered at any time since it was asked: what happened meanwhile
+    // is in the next.
+    let (told_at, covered) = if changes.changes.is_empty() {
+        let answered_at = now.min(asked_at + wait);
+        (answered_at, answered_at)
     } else {
-        node.now()
+        (now, asked_at)
     };
     let pause = gathering_pause(&changes.changes);
-    node.feed.note_told(told_at);
+    node.feed.note_told(told_at, covered);
     let next = take_changes(node, changes, revision);
     if let Some(pause) = pause {
         sleep(pause).await;
@@ -490,5 +496,6 @@
 fn housekeeping(node: &Rc<Node>) {
     let before = node.now() - FORGET_AFTER;
     node.directory.borrow_mut().forget_missing(before);
+    departures::ask_if_heard_late(node);
     node.drop_unlisted_pools();
 }
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -18,6 +18,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::connection::Answer;
+use crate::departures::ToldDeparture;
 use crate::feed::{FeedAnswer, FollowQuestion};
 use crate::homes::Peer;
 use crate::message::Command;
@@ -86,6 +87,8 @@
     Snapshot,
     /// Changes of the store, or newer word that there are none.
     Follow(FollowQuestion),
+    /// When databases announced their end.
+    Departures,
 }
 
 /// The answer.
@@ -111,6 +114,7 @@
     /// A [`Snapshot`], packed; nothing before there is a configuration.
     Snapshot(Option<Bytes>),
     Followed(FeedAnswer),
+    Departures(Vec<ToldDeparture>),
     /// Nothing was sent: the database's zone is evacuated.
     NotSent,
 }
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -182,6 +182,8 @@
     pub(crate) tokens: Tokens,
     /// When this node's lease was last taken or renewed.
     pub(crate) lease_renewed_at: Cell<Timestamp>,
+    /// When peers were last asked since when databases leave.
+    pub(crate) departures_asked_at: Cell<Timestamp>,
     /// Changes of the store.
     pub feed: Feed,
     /// Who holds connections to the databases.
@@ -243,6 +245,7 @@
             isolation: Cell::default(),
             tokens: Tokens::default(),
             lease_renewed_at: Cell::new(START),
+            departures_asked_at: Cell::default(),
             feed: Feed::default(),
             homes: RefCell::default(),
             pools: RefCell::default(),
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -37,7 +37,7 @@
     pub seed_addresses: Vec<SocketAddr>,
     /// Whole time that a stop may take.
     pub grace_period: Duration,
-    /// How long a database that announced its end may still get work.
+    /// How long after a database announced its end it may still be sent new work.
     pub drain_limit: Duration,
     /// Whether the promotion service refuses tokens lower than it has seen.
     pub fenced_promotions: bool,
--- a/crates/serving/src/snapshot.rs
+++ b/crates/serving/src/snapshot.rs
@@ -10,6 +10,7 @@
 use hookpoint_state::ZoneName;
 use serde::{Deserialize, Serialize};
 
+use crate::departures;
 use crate::node::{Member, Node};
 use crate::records::MemberRecord;
 use crate::relay;
@@ -67,6 +68,7 @@
                 .or_insert_with(|| Member::registered(record));
         }
         node.homes.borrow_mut().forget_all();
+        departures::ask_if_heard_late(node);
         node.feed.note_caught_up();
         node.take_configuration(self.configuration);
     }
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -131,7 +131,7 @@
                     wait: pool.expected_wait(now),
                     service_time: pool.service_time(now),
                     failing: pool.failing(now),
-                    draining: listed.leaving_since.is_some(),
+                    draining: listed.departure.is_some(),
                     zone_avoided: self.node.zone_standing(&database.zone) != ZoneStanding::Open,
                     suspect: pool.is_suspect(now),
                     lagging: pool.is_lagging(now),
