A node that starts learns at once up to when it knows the store

Its first watch is short now. Before, a node that watches for itself had no bound for its first 2 s and counted all of the time of a database as over that announced its end meanwhile. Costs a starting watcher one call.

--- a/crates/coordination/src/serving/store_news.rs
+++ b/crates/coordination/src/serving/store_news.rs
@@ -222,9 +222,12 @@
     }
 
     /// How long the next watch waits for a change, at most `longest`.
+    ///
+    /// The first one of a node that starts is short: until it has an answer, the node cannot tell
+    /// how old an announcement is that it hears, and counts a leaving database's time as over.
     pub fn watch_wait(&self, longest: Duration, now: Timestamp) -> Duration {
         let sure = self.turned_away_at.is_none() && self.searching_since.is_none();
-        if self.has_just_started() || (sure && self.age(now) < RECENT) {
+        if sure && self.age(now) < RECENT {
             longest
         } else {
             SHORT_WATCH
--- a/crates/coordination/tests/serving_store_news.rs
+++ b/crates/coordination/tests/serving_store_news.rs
@@ -168,3 +168,12 @@
     news.note_nothing_heard(at(500));
     assert_eq!(news.hold(at(500), limits), least, "it asks around");
 }
+
+#[test]
+fn a_node_that_starts_learns_at_once_where_the_store_stands() {
+    let mut news = StoreNews::default();
+    let started = at(60_000);
+    assert!(news.watch_wait(millis(2_000), started) < millis(100));
+    news.note_told(started);
+    assert_eq!(news.watch_wait(millis(2_000), started), millis(2_000));
+}
