Whether a leaving database still gets new work is asked as a statement is sent

What callers saw: single statements reached a leaving database after its time, from nodes that had heard in time.

Cause: the time was looked at when a database was chosen. Between that and the sending a statement waits for a connection (up to its route's time limit), may ask a peer for one, and proves the primary's leadership; a peer that lends a connection asked nobody.

Mend: Lease::exchange, where all ways to a database pass, asks at the moment of sending, on the node that was asked and on the one that lends. Later statements and commits of a transaction, roll-backs and questions still pass. Nobody waits for a connection beyond the database's time. Why it holds: there is no other call that writes a caller's statement to a database connection.

--- a/crates/serving/src/connection.rs
+++ b/crates/serving/src/connection.rs
@@ -38,9 +38,10 @@
     /// No answer in time.
     #[error("the database did not answer in time")]
     TimedOut,
-    /// The database's zone is evacuated: nothing was sent.
-    #[error("the database's zone is evacuated")]
-    ZoneEvacuated,
+    /// Nothing was sent: the database leaves and its time for new work is over, or its zone is
+    /// evacuated.
+    #[error("the database gets no more work")]
+    NotSent,
     /// The database refused the session.
     #[error("the database refused the session: {}", .0.code.as_str())]
     Rejected(Failure),
--- a/crates/serving/src/departures.rs
+++ b/crates/serving/src/departures.rs
@@ -53,6 +53,24 @@
             .is_none_or(|departure| in_time(departure.work_ends(limit)))
     }
 
+    /// The same by name. A database that is not listed has left.
+    pub(crate) fn gets_new_work(&self, name: &DatabaseName) -> bool {
+        let directory = self.directory.borrow();
+        directory
+            .get(name)
+            .is_some_and(|listed| self.takes_new_work(listed))
+    }
+
+    /// How long a database still gets new work; the longest time there is if it does not leave.
+    pub(crate) fn work_time_left(&self, name: &DatabaseName) -> Duration {
+        let directory = self.directory.borrow();
+        let departure = directory.get(name).and_then(|listed| listed.departure);
+        let limit = self.changeable().drain_limit;
+        departure.map_or(Duration::MAX, |departure| {
+            departure.work_ends(limit).since(self.now())
+        })
+    }
+
     /// For how long a database counts as leaving; nothing if it does not.
     pub(crate) fn leaving_for(&self, name: &DatabaseName) -> Option<Duration> {
         let directory = self.directory.borrow();
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -18,6 +18,8 @@
     taken_at: Instant,
     /// Requests for which there is a token, if the database is cold.
     admitted: u32,
+    /// Whether a caller's statement was sent on this loan.
+    works: bool,
 }
 
 impl Lease {
@@ -27,6 +29,7 @@
             pool,
             taken_at: Instant::now(),
             admitted: 0,
+            works: false,
         }
     }
 
@@ -52,7 +55,12 @@
     }
 
     /// Sends commands and waits for their answers; failures are noted with the pool. Nothing is
-    /// sent to a database that is shut.
+    /// sent to a database that is shut, and no new work to one whose time for that is over.
+    ///
+    /// That is asked here, where all ways to a database pass, at the moment of sending: a
+    /// statement may have waited long for the connection since its database was chosen, and a
+    /// peer that lends one sends for others. Later statements of a transaction and questions
+    /// still pass.
     pub async fn exchange(
         &mut self,
         node: &Rc<Node>,
@@ -61,8 +69,13 @@
     ) -> Result<Vec<Answer>, ConnectionError> {
         if node.is_shut(self.pool.database()) {
             self.connection().broken = true;
-            return Err(ConnectionError::ZoneEvacuated);
+            return Err(ConnectionError::NotSent);
         }
+        let begins_work = !self.works && commands.iter().any(Command::is_statement);
+        if begins_work && !node.gets_new_work(self.pool.database()) {
+            return Err(ConnectionError::NotSent);
+        }
+        self.works |= begins_work;
         let asked_at = node.now();
         let relayed = self.connection().is_relayed();
         if !relayed {
@@ -79,7 +92,7 @@
                 self.connection().heard_at = node.now();
                 node.note_contact(self.pool.database());
             }
-            Err(ConnectionError::ZoneEvacuated) => {}
+            Err(ConnectionError::NotSent) => {}
             Err(_) if relayed => {
                 node.counters.count("relayed_exchanges", "failed");
                 self.pool.note_outcome(node.now(), true);
--- a/crates/serving/src/link.rs
+++ b/crates/serving/src/link.rs
@@ -115,7 +115,7 @@
     Snapshot(Option<Bytes>),
     Followed(FeedAnswer),
     Departures(Vec<ToldDeparture>),
-    /// Nothing was sent: the database's zone is evacuated.
+    /// Nothing was sent: the database gets no more work.
     NotSent,
 }
 
--- a/crates/serving/src/message.rs
+++ b/crates/serving/src/message.rs
@@ -248,6 +248,13 @@
     },
 }
 
+impl Command {
+    /// Whether it is a caller's statement: work for the database.
+    pub fn is_statement(&self) -> bool {
+        matches!(self, Command::Run { .. } | Command::Execute { .. })
+    }
+}
+
 /// One message of a database.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DatabaseMessage {
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -76,7 +76,7 @@
             Ok(Ok(LinkReply::Broken { timed_out: false })) => Err(ConnectionError::Broken(
                 io::ErrorKind::ConnectionAborted.into(),
             )),
-            Ok(Ok(LinkReply::NotSent)) => Err(ConnectionError::ZoneEvacuated),
+            Ok(Ok(LinkReply::NotSent)) => Err(ConnectionError::NotSent),
             Ok(Ok(_)) | Err(_) => Err(ConnectionError::TimedOut),
             Ok(Err(error)) => Err(ConnectionError::Broken(error)),
         }
@@ -453,7 +453,7 @@
     }
     match lease.exchange(node, commands, limit).await {
         Ok(answers) => LinkReply::Answers(answers),
-        Err(ConnectionError::ZoneEvacuated) => LinkReply::NotSent,
+        Err(ConnectionError::NotSent) => LinkReply::NotSent,
         Err(error) => LinkReply::Broken {
             timed_out: matches!(error, ConnectionError::TimedOut),
         },
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -7,7 +7,7 @@
 use hookpoint_coordination::serving::leadership::Confirmation;
 use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::session::Access;
-use hookpoint_state::{Position, Timestamp};
+use hookpoint_state::{DatabaseName, Position, Timestamp};
 
 use super::stance::Stance;
 use super::target::Target;
@@ -34,6 +34,8 @@
     Lagging,
     NotPrimary,
     NoConnection,
+    /// The database gets no more work.
+    NotSent,
     Broken,
     Failed,
     /// This node may not use primaries at the moment.
@@ -55,6 +57,7 @@
             AttemptFailure::Lagging => "lagging",
             AttemptFailure::NotPrimary => "not_primary",
             AttemptFailure::NoConnection => "no_connection",
+            AttemptFailure::NotSent => "not_sent",
             AttemptFailure::Broken => "broken",
             AttemptFailure::Failed => "failed",
             AttemptFailure::NoLease => "no_lease",
@@ -79,7 +82,7 @@
             priority: self.route.priority,
             values: &self.state.values,
             placement: target.placement(),
-            limits: self.wait_limits(work, in_transaction),
+            limits: self.wait_limits(work, in_transaction, target.database()),
         };
         let acquired = pool.acquire(wanted).await;
         let now = self.node.now();
@@ -164,8 +167,8 @@
                     self.reads_timed_out.set(self.reads_timed_out.get() + 1);
                 }
                 return match work.access {
-                    _ if matches!(error, ConnectionError::ZoneEvacuated) => {
-                        Attempt::NotRun(AttemptFailure::NoConnection)
+                    _ if matches!(error, ConnectionError::NotSent) => {
+                        Attempt::NotRun(AttemptFailure::NotSent)
                     }
                     Access::Read => Attempt::NotRun(AttemptFailure::Broken),
                     Access::Write if matches!(stance, Stance::Alone(_)) => Attempt::Unknown,
@@ -235,8 +238,14 @@
     }
 
     /// How long a connection is waited for. A write has to have time left to be answered,
-    /// or its outcome would not be known.
-    fn wait_limits(&self, work: &Work, in_transaction: bool) -> WaitLimits {
+    /// or its outcome would not be known. One of a database that leaves is of no use once its
+    /// time is over.
+    fn wait_limits(
+        &self,
+        work: &Work,
+        in_transaction: bool,
+        database: &DatabaseName,
+    ) -> WaitLimits {
         let elapsed = self.node.now().since(self.arrived);
         let wanted = if in_transaction {
             ConnectionUse::Transaction
@@ -246,7 +255,10 @@
         WaitLimits {
             wanted,
             patience: patience(self.route.target_latency, elapsed),
-            limit: self.time_left().saturating_sub(least_time(work)),
+            limit: self
+                .time_left()
+                .saturating_sub(least_time(work))
+                .min(self.node.work_time_left(database)),
         }
     }
 
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -300,7 +300,7 @@
             }
             AttemptFailure::NotPrimary => self.node.refute_leader(database, began),
             AttemptFailure::PlacementChanged => {}
-            AttemptFailure::NoConnection => {
+            AttemptFailure::NoConnection | AttemptFailure::NotSent => {
                 avoided.insert(database.clone());
                 sleep(LEAST_ATTEMPT.min(self.time_left())).await;
             }
--- a/crates/serving/src/statement/transaction.rs
+++ b/crates/serving/src/statement/transaction.rs
@@ -110,7 +110,7 @@
             }
             // The commit did not reach the database, which ends the transaction with its
             // connection.
-            Err(ConnectionError::ZoneEvacuated) => Err(rolled_back()),
+            Err(ConnectionError::NotSent) => Err(rolled_back()),
             _ if wrote => {
                 self.node.log(
                     "commit_unknown",
