Callers are refused at once when a leaving database's time is over and nothing replaces it

They were held until their time limit (0.8 s in the test, 6 s on a patient route), though nobody was to come. Now for as long as a replacement should take since the node heard that the primary leaves, or a promotion was ordered. Test failed first: 801 ms, now below 250.

--- a/crates/serving/src/departures.rs
+++ b/crates/serving/src/departures.rs
@@ -71,6 +71,13 @@
         })
     }
 
+    /// When this node heard that a database leaves.
+    pub(crate) fn departure_heard_at(&self, name: &DatabaseName) -> Option<Timestamp> {
+        let directory = self.directory.borrow();
+        let departure = directory.get(name)?.departure?;
+        Some(departure.heard_at())
+    }
+
     /// For how long a database counts as leaving; nothing if it does not.
     pub(crate) fn leaving_for(&self, name: &DatabaseName) -> Option<Duration> {
         let directory = self.directory.borrow();
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -159,12 +159,28 @@
         let lost_since = self.node.with_group(&self.route.group, |state| {
             state.contact.lost_since.or(state.leaderless_since)
         });
-        match lost_since {
+        let replaced_since = lost_since.or_else(|| self.leaving_leader_replaced_since());
+        match replaced_since {
             Some(since) if now.since(since) >= REPLACEMENT_TIME => now,
             _ => self.deadline(),
         }
     }
 
+    /// Since when a primary whose time for new work is over should have been on its way to be
+    /// replaced: since this node heard that it leaves, or a promotion was ordered.
+    fn leaving_leader_replaced_since(&self) -> Option<Timestamp> {
+        let leader = self.node.leader(&self.route.group)?;
+        if self.node.gets_new_work(&leader) {
+            return None;
+        }
+        let heard_at = self.node.departure_heard_at(&leader)?;
+        let ordered_at = self.node.with_group(&self.route.group, |state| {
+            let (candidate, ordered_at) = state.promoting.as_ref()?;
+            (*candidate != leader).then_some(*ordered_at)
+        });
+        Some(ordered_at.map_or(heard_at, |ordered_at| ordered_at.max(heard_at)))
+    }
+
     /// Waits until a database may have become usable; fails if that would be in vain.
     async fn await_target(&self, only_leader: bool) -> Result<(), InVain> {
         let limit = match self.evacuated(only_leader) {
