An answer of the store that is read late makes nothing younger

A node that was paused while a watch was open took knowledge from before the pause for present, and with it passed callers' keys for that much longer when it was cut off afterwards (only where keys are refused in a partition). An answer now counts as given by the end of the watch's wait at the latest.

--- a/crates/coordination/src/serving/store_news.rs
+++ b/crates/coordination/src/serving/store_news.rs
@@ -69,6 +69,38 @@
     wait + slack
 }
 
+/// The answer to a watch: what it proves of the store, and for when.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchAnswer {
+    /// When the watch was asked.
+    pub asked_at: Timestamp,
+    /// How long it was to wait for a change.
+    pub wait: Duration,
+    /// Whether it tells of changes.
+    pub changed: bool,
+    /// When it was read.
+    pub read_at: Timestamp,
+}
+
+impl WatchAnswer {
+    /// When the store gave it, at the latest: at the end of the wait, however late it was read. A
+    /// node that was paused meanwhile has no younger knowledge for that.
+    pub fn told_at(&self) -> Timestamp {
+        self.read_at.min(self.asked_at + self.wait)
+    }
+
+    /// Up to when it holds every change. One without changes was given at the end of the wait. One
+    /// with changes may have been given at any time since it was asked: what happened afterwards
+    /// is in the next.
+    pub fn covered(&self) -> Timestamp {
+        if self.changed {
+            self.asked_at
+        } else {
+            self.told_at()
+        }
+    }
+}
+
 /// Bounds that follow from the time within which a configuration has to be in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NewsLimits {
--- a/crates/coordination/tests/serving_store_news.rs
+++ b/crates/coordination/tests/serving_store_news.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::store_news::{
-    NewsLimits, Reply, StoreNews, TryOrder, patience,
+    NewsLimits, Reply, StoreNews, TryOrder, WatchAnswer, patience,
 };
 use hookpoint_state::Timestamp;
 
@@ -177,3 +177,24 @@
     news.note_told(started);
     assert_eq!(news.watch_wait(millis(2_000), started), millis(2_000));
 }
+
+#[test]
+fn an_answer_is_no_younger_for_being_read_late() {
+    // Asked at 1 s for 2 s: told of changes, read at, told at, covers every change up to.
+    let cases = [
+        (false, 3_010, 3_000, 3_000),
+        (false, 8_000, 3_000, 3_000),
+        (true, 1_400, 1_400, 1_000),
+        (true, 8_000, 3_000, 1_000),
+    ];
+    for (changed, read_at, told_at, covered) in cases {
+        let answer = WatchAnswer {
+            asked_at: at(1_000),
+            wait: millis(2_000),
+            changed,
+            read_at: at(read_at),
+        };
+        assert_eq!(answer.told_at(), at(told_at), "{changed} {read_at}");
+        assert_eq!(answer.covered(), at(covered), "{changed} {read_at}");
+    }
+}
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -5,7 +5,7 @@
 
 use hookpoint_coordination::serving::coordinator::CoordinatorRecord;
 use hookpoint_coordination::serving::directory::Database;
-use hookpoint_coordination::serving::store_news::patience;
+use hookpoint_coordination::serving::store_news::{WatchAnswer, patience};
 use hookpoint_state::{DatabaseName, Timestamp, ZoneName};
 use tokio::time::{sleep, timeout};
 
@@ -291,18 +291,14 @@
     wait: Duration,
 ) -> u64 {
     note_reachable(node, true, "watch");
-    let now = node.now();
-    // One without changes was answered when its time was over, however late it comes. One with
-    // changes may have been answered at any time since it was asked: what happened meanwhile
-    // is in the next.
-    let (told_at, covered) = if changes.changes.is_empty() {
-        let answered_at = now.min(asked_at + wait);
-        (answered_at, answered_at)
-    } else {
-        (now, asked_at)
+    let answer = WatchAnswer {
+        asked_at,
+        wait,
+        changed: !changes.changes.is_empty(),
+        read_at: node.now(),
     };
     let pause = gathering_pause(&changes.changes);
-    node.feed.note_told(told_at, covered);
+    node.feed.note_told(answer.told_at(), answer.covered());
     let next = take_changes(node, changes, revision);
     if let Some(pause) = pause {
         sleep(pause).await;
