A holder lends no connection of a leaving database for a statement once its time is over there

A peer that knows of more time, as the holder has just started, asks the next holder instead of being refused at each sending. Found in reading; no run showed it and there is no test of it.

--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -351,6 +351,11 @@
     if node.stop_stage() >= StopStage::CloseIdle {
         return Err(AcquireError::NotHeld);
     }
+    // A peer that has heard otherwise turns to another holder. Its statement would be refused
+    // only as it is sent, again and again.
+    if wanted.principal.is_some() && !node.gets_new_work(database) {
+        return Err(AcquireError::NotHeld);
+    }
     let pool = node.pool(database);
     let lease = pool.acquire_direct(node, wanted).await?;
     let label = match wanted.principal {
