A connection whose commands were not sent is not used again

The check at sending left a connection in its pool with values and prepared names noted that its database was never told. Harmless as long as the database gets nothing more, but a peer may give time back. The time is asked before anything is noted as well, so that connections stay. Found in reading, before any landing; no test of its own.

--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -19,7 +19,7 @@
     /// Requests for which there is a token, if the database is cold.
     admitted: u32,
     /// Whether a caller's statement was sent on this loan.
-    works: bool,
+    statement_sent: bool,
 }
 
 impl Lease {
@@ -29,7 +29,7 @@
             pool,
             taken_at: Instant::now(),
             admitted: 0,
-            works: false,
+            statement_sent: false,
         }
     }
 
@@ -71,11 +71,13 @@
             self.connection().broken = true;
             return Err(ConnectionError::NotSent);
         }
-        let begins_work = !self.works && commands.iter().any(Command::is_statement);
+        let begins_work = !self.statement_sent && commands.iter().any(Command::is_statement);
         if begins_work && !node.gets_new_work(self.pool.database()) {
+            // What is known of its values and prepared names counts these commands as sent.
+            self.connection().broken = true;
             return Err(ConnectionError::NotSent);
         }
-        self.works |= begins_work;
+        self.statement_sent |= begins_work;
         let asked_at = node.now();
         let relayed = self.connection().is_relayed();
         if !relayed {
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -132,6 +132,9 @@
         if !self.still_allows(placement) {
             return Attempt::NotRun(AttemptFailure::PlacementChanged);
         }
+        if !self.node.gets_new_work(lease.pool().database()) {
+            return Attempt::NotRun(AttemptFailure::NotSent);
+        }
         let mut commands = match self.take_stance(&mut lease, stance).await {
             Ok(prefix) => prefix,
             Err(failure) => return Attempt::NotRun(failure),
