Indexes in place of walks: a group's databases, those that leave, the homes of a database

Now the directory keeps the databases of each group and those that leave; homes are chosen in the database's own zone; a node that comes drops just the homes where it wins a place, one that goes those where it had one.

--- a/crates/coordination/src/serving/directory.rs
+++ b/crates/coordination/src/serving/directory.rs
@@ -7,7 +7,7 @@
 //! A database that starts again may keep its name. It then holds and knows nothing of
 //! before: see [`database_life`](super::database_life).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -92,6 +92,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     databases: BTreeMap<DatabaseName, Listed>,
+    /// Names of the databases of each group, so that a request touches only its own group's.
+    by_group: BTreeMap<GroupName, BTreeSet<DatabaseName>>,
+    /// Those that are leaving, so that a look at these does not touch all others.
+    leaving: BTreeSet<DatabaseName>,
     /// Those that were forgotten, so that a late word of one does not bring it back.
     tombstones: Tombstones,
 }
@@ -137,7 +141,7 @@
             missing: false,
             life_since,
         };
-        self.databases.insert(listed.database.name.clone(), listed);
+        self.insert(listed);
         if is_new_life {
             Registration::NewLife
         } else {
@@ -145,6 +149,30 @@
         }
     }
 
+    fn insert(&mut self, listed: Listed) {
+        let name = listed.database.name.clone();
+        let group = listed.database.group.clone();
+        if listed.departure.is_some() {
+            self.leaving.insert(name.clone());
+        } else {
+            self.leaving.remove(&name);
+        }
+        let before = self.databases.insert(name.clone(), listed);
+        if let Some(before) = before.filter(|before| before.database.group != group) {
+            self.leave_group(&before.database);
+        }
+        self.by_group.entry(group).or_default().insert(name);
+    }
+
+    fn leave_group(&mut self, database: &Database) {
+        if let Some(names) = self.by_group.get_mut(&database.group) {
+            names.remove(&database.name);
+            if names.is_empty() {
+                self.by_group.remove(&database.group);
+            }
+        }
+    }
+
     /// Notes that the entry of `name` is gone as of `revision`.
     pub fn remove(&mut self, name: &DatabaseName, revision: u64, hearing: Hearing) {
         if let Some(listed) = self.databases.get_mut(name)
@@ -152,6 +180,7 @@
         {
             listed.revision = revision;
             listed.missing = true;
+            self.leaving.insert(name.clone());
             let missing = || Departure::heard(Sign::Missing, hearing);
             listed.departure.get_or_insert_with(missing);
         }
@@ -174,7 +203,7 @@
     }
 
     /// The databases that a complete listing of `present` ones lacks.
-    pub fn lacking(&self, present: &[DatabaseName]) -> Vec<DatabaseName> {
+    pub fn lacking(&self, present: &BTreeSet<DatabaseName>) -> Vec<DatabaseName> {
         let names = self.databases.keys();
         names
             .filter(|name| !present.contains(name))
@@ -182,17 +211,23 @@
             .collect()
     }
 
-    /// Forgets databases that have been missing since before `before`.
-    pub fn forget_missing(&mut self, before: Timestamp) {
-        let tombstones = &mut self.tombstones;
-        self.databases.retain(|name, listed| {
-            let heard_before = |departure: Departure| departure.heard_at() <= before;
-            let kept = !listed.missing || !listed.departure.is_some_and(heard_before);
-            if !kept {
-                tombstones.put(name, listed.revision, listed.database.started);
+    /// Forgets databases that have been missing since before `before`; tells which.
+    pub fn forget_missing(&mut self, before: Timestamp) -> Vec<DatabaseName> {
+        let heard_before = |departure: Departure| departure.heard_at() <= before;
+        let forgotten: Vec<DatabaseName> = self
+            .leaving()
+            .filter(|listed| listed.missing && listed.departure.is_some_and(heard_before))
+            .map(|listed| listed.database.name.clone())
+            .collect();
+        for name in &forgotten {
+            self.leaving.remove(name);
+            if let Some(listed) = self.databases.remove(name) {
+                self.tombstones
+                    .put(name, listed.revision, listed.database.started);
+                self.leave_group(&listed.database);
             }
-            kept
-        });
+        }
+        forgotten
     }
 
     /// One database.
@@ -201,10 +236,16 @@
     }
 
     /// The databases of a group, by name.
-    pub fn of_group<'a>(&'a self, group: &'a GroupName) -> impl Iterator<Item = &'a Listed> {
-        self.databases
-            .values()
-            .filter(move |listed| listed.database.group == *group)
+    pub fn of_group<'a>(&'a self, group: &GroupName) -> impl Iterator<Item = &'a Listed> {
+        let names = self.by_group.get(group).into_iter().flatten();
+        names.filter_map(|name| self.databases.get(name))
+    }
+
+    /// The databases that are leaving, by name.
+    pub fn leaving(&self) -> impl Iterator<Item = &Listed> {
+        self.leaving
+            .iter()
+            .filter_map(|name| self.databases.get(name))
     }
 
     /// All databases, by name.
--- a/crates/coordination/tests/serving_database_life.rs
+++ b/crates/coordination/tests/serving_database_life.rs
@@ -1,5 +1,6 @@
 //! Databases that start again under their names: what a node still uses of the life before.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hookpoint_coordination::serving::database_life::DatabaseStart;
@@ -108,7 +109,7 @@
     let mut directory = Directory::default();
     directory.put(database("a", Some(1)), 1, heard(at(10)));
     directory.put(database("b", Some(1)), 2, heard(at(10)));
-    assert_eq!(directory.lacking(&[name("b")]), [name("a")]);
+    assert_eq!(directory.lacking(&BTreeSet::from([name("b")])), [name("a")]);
     directory.remove(&name("a"), 6, heard(at(20)));
     assert!(directory.get(&name("a")).unwrap().missing);
     assert!(!directory.get(&name("b")).unwrap().missing);
--- /dev/null
+++ b/crates/coordination/tests/serving_directory.rs
@@ -0,0 +1,63 @@
+//! The directory's indexes, held to a look at every database.
+
+use std::time::Duration;
+
+use hookpoint_coordination::serving::departure::Hearing;
+use hookpoint_coordination::serving::directory::{Database, Directory, Listed, StatedRole};
+use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
+use quickcheck::quickcheck;
+
+const START: Timestamp = Timestamp(60_000_000);
+
+fn database(number: u8, group: u8, draining: bool) -> Database {
+    Database {
+        name: DatabaseName::new(format!("db-{}", number % 16)),
+        group: GroupName::new(format!("group-{}", group % 4)),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: ZoneName::new("z"),
+        slots: 3,
+        draining,
+        role: StatedRole::Replica,
+        started: None,
+        cold_for: Duration::ZERO,
+    }
+}
+
+/// What a step does to a database: registers it, says that it is gone, or lets time pass.
+fn take(directory: &mut Directory, step: (u8, u8, u8), revision: u64) {
+    let (number, group, kind) = step;
+    let at = START + Duration::from_secs(revision);
+    let hearing = Hearing { at, not_before: at };
+    match kind % 4 {
+        0 => {
+            directory.put(database(number, group, false), revision, hearing);
+        }
+        1 => {
+            directory.put(database(number, group, true), revision, hearing);
+        }
+        2 => directory.remove(&database(number, group, false).name, revision, hearing),
+        _ => {
+            directory.forget_missing(at - Duration::from_secs(5));
+        }
+    }
+}
+
+fn names<'a>(listed: impl Iterator<Item = &'a Listed>) -> Vec<&'a DatabaseName> {
+    listed.map(|listed| &listed.database.name).collect()
+}
+
+quickcheck! {
+    fn indexes_hold_what_a_look_at_every_database_finds(steps: Vec<(u8, u8, u8)>) -> bool {
+        let mut directory = Directory::default();
+        for (revision, step) in (1..).zip(steps) {
+            take(&mut directory, step, revision);
+        }
+        let groups_agree = (0..4).all(|number| {
+            let group = GroupName::new(format!("group-{number}"));
+            let control = directory.iter().filter(|listed| listed.database.group == group);
+            names(directory.of_group(&group)) == names(control)
+        });
+        let control = directory.iter().filter(|listed| listed.departure.is_some());
+        groups_agree && names(directory.leaving()) == names(control)
+    }
+}
--- a/crates/serving/src/database_life.rs
+++ b/crates/serving/src/database_life.rs
@@ -1,6 +1,7 @@
 //! What a new life of a database ends on this node: see
 //! [`hookpoint_coordination::serving::database_life`].
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use hookpoint_coordination::serving::directory::{Database, Registration};
@@ -27,7 +28,7 @@
 
     /// Takes a complete listing of the databases, read at `revision`.
     pub(crate) fn register_databases(&self, listing: Vec<(Database, u64)>, revision: u64) {
-        let present: Vec<DatabaseName> = listing
+        let present: BTreeSet<DatabaseName> = listing
             .iter()
             .map(|(database, _)| database.name.clone())
             .collect();
--- a/crates/serving/src/departures.rs
+++ b/crates/serving/src/departures.rs
@@ -97,7 +97,7 @@
                 age_ms: millis(now.since(departure.counted_from())) + 1,
             })
         };
-        self.directory.borrow().iter().filter_map(told).collect()
+        self.directory.borrow().leaving().filter_map(told).collect()
     }
 
     /// Takes in what a peer told that was asked at `asked_at`.
@@ -144,7 +144,7 @@
             late && departure.sign() == Sign::Announced && departure.heard_at() > asked_at
         })
     };
-    if node.directory.borrow().iter().any(is_new) {
+    if node.directory.borrow().leaving().any(is_new) {
         node.departures_asked_at.set(node.now());
         tokio::task::spawn_local(ask_peers(Rc::clone(node)));
     }
@@ -160,8 +160,8 @@
     let own = &node.settings.name;
     let mut names: Vec<String> = node
         .registered_nodes()
-        .into_iter()
-        .map(|candidate| candidate.node)
+        .iter()
+        .map(|candidate| candidate.node.clone())
         .filter(|name| name != own && node.answers(name))
         .collect();
     names.sort_by_cached_key(|name| {
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -1,5 +1,6 @@
 //! Follows the state store: configuration, databases, members and the fleet's records.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,13 +12,13 @@
 
 use crate::departures;
 use crate::feed::{self, Followed};
-use crate::node::{Member, Node};
+use crate::node::Node;
 use crate::ports::{
     ChangeSubject, LeaseId, ReadFreshness, StoreChange, StoreChanges, StoreError, StoreRecord,
 };
 use crate::primary_lease::Announcement;
 use crate::records::{
-    COORDINATOR_KEY, MEMBER_PREFIX, MemberRecord, PROMOTION_PREFIX, PromotionRecord, decode,
+    COORDINATOR_KEY, MemberRecord, PROMOTION_PREFIX, PromotionRecord, decode, member_name,
 };
 use crate::registration;
 use crate::snapshot;
@@ -43,6 +44,7 @@
 /// Pause of a node that starts and knows nobody to follow, before it watches the store: the
 /// others that start with it register meanwhile, so one watch tells of all of them.
 const GATHER_AT_START: Duration = Duration::from_millis(120);
+
 /// Pause between listings when the whole fleet starts for the first time. That is long before
 /// it has callers, so a node can wait for a cheap listing that tells of the others.
 const FIRST_START_PAUSE: Duration = Duration::from_millis(1_000);
@@ -309,7 +311,7 @@
 /// How long to wait for further changes after these; nothing if there were none.
 fn gathering_pause(changes: &[StoreChange]) -> Option<Duration> {
     let of_member = |change: &StoreChange| match &change.record {
-        StoreRecord::Own { key, .. } => key.starts_with(MEMBER_PREFIX),
+        StoreRecord::Own { key, .. } => member_name(key).is_some(),
         _ => false,
     };
     if changes.is_empty() {
@@ -348,21 +350,26 @@
     // Before the configuration: what a node that starts finds evacuated may have been so for long.
     node.take_evacuations(&requested_evacuations(&all), all.revision);
     let mut databases = Vec::new();
-    let mut own_keys = Vec::new();
+    let mut members = BTreeSet::new();
+    let mut coordinated = false;
     for change in all.changes {
         match change.record {
             StoreRecord::Evacuation { .. } => {}
             StoreRecord::Database(database) => databases.push((database, change.revision)),
             StoreRecord::Own { ref key, .. } => {
-                own_keys.push(key.clone());
+                members.extend(member_name(key).map(str::to_owned));
+                coordinated |= key == COORDINATOR_KEY;
                 apply(node, change);
             }
             _ => apply(node, change),
         }
     }
     node.register_databases(databases, all.revision);
-    forget_absent(node, &own_keys);
-    node.homes.borrow_mut().forget_all();
+    forget_absent_members(node, &members);
+    if !coordinated {
+        node.coordinator.borrow_mut().forget_record();
+    }
+    node.homes.borrow_mut().forget_views();
     housekeeping(node);
 }
 
@@ -378,16 +385,17 @@
     all.changes.iter().filter_map(requested).collect()
 }
 
-fn forget_absent(node: &Rc<Node>, present: &[String]) {
-    let now = node.now();
-    for (name, member) in node.members.borrow_mut().iter_mut() {
-        let key = format!("{MEMBER_PREFIX}{name}");
-        if !present.contains(&key) {
-            member.gone_at.get_or_insert(now);
-        }
-    }
-    if !present.iter().any(|key| key == COORDINATOR_KEY) {
-        node.coordinator.borrow_mut().forget_record();
+fn forget_absent_members(node: &Rc<Node>, present: &BTreeSet<String>) {
+    let absent: Vec<String> = {
+        let members = node.members.borrow();
+        let names = members.keys();
+        names
+            .filter(|name| !present.contains(*name))
+            .cloned()
+            .collect()
+    };
+    for name in absent {
+        node.note_member_gone(&name);
     }
 }
 
@@ -446,7 +454,7 @@
     lease: Option<LeaseId>,
     revision: u64,
 ) {
-    if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
+    if let Some(name) = member_name(key) {
         let record = value.and_then(decode);
         if *name == node.settings.name {
             let revision = value.map_or(0, |_| revision);
@@ -464,18 +472,10 @@
 }
 
 fn apply_member(node: &Rc<Node>, name: &str, record: Option<MemberRecord>) {
-    let now = node.now();
-    node.homes.borrow_mut().forget_all();
-    let mut members = node.members.borrow_mut();
     match record {
-        Some(record) => {
-            members.insert(name.to_owned(), Member::registered(record));
-        }
-        None => {
-            if let Some(member) = members.get_mut(name) {
-                member.gone_at.get_or_insert(now);
-            }
-        }
+        Some(record) if record.node == name => node.register_member(record),
+        Some(_) => node.counters.count("store_records", "unreadable"),
+        None => node.note_member_gone(name),
     }
 }
 
@@ -491,7 +491,9 @@
 
 fn housekeeping(node: &Rc<Node>) {
     let before = node.now() - FORGET_AFTER;
-    node.directory.borrow_mut().forget_missing(before);
+    let forgotten = node.directory.borrow_mut().forget_missing(before);
     departures::ask_if_heard_late(node);
-    node.drop_unlisted_pools();
+    if !forgotten.is_empty() {
+        node.drop_unlisted_pools();
+    }
 }
--- a/crates/serving/src/homes.rs
+++ b/crates/serving/src/homes.rs
@@ -1,18 +1,19 @@
 //! Which nodes hold connections to a database, as this node works it out.
 //!
-//! Working it out ranks the whole fleet for each database, so the result is kept until
-//! what it was worked out from changes: the live nodes, the database's zone, or the
-//! configured number of connections.
+//! It is worked out when a database is needed, and kept until what it was worked out from
+//! changes: a node wins a place or loses one, the database's zone, or the configured number
+//! of connections.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hookpoint_coordination::serving::failover::Witnesses;
+use hookpoint_coordination::serving::fleet::{Fleet, wins_place};
 use hookpoint_coordination::serving::homes::{
-    ConnectionSharing, HomeCandidate, Start, choose_homes, home_count, rank_homes, tenant_weight,
+    ConnectionSharing, HomeCandidate, Start, home_count, rank_homes, tenant_weight,
     useful_connections,
 };
 use hookpoint_coordination::serving::placement::Placement;
@@ -43,24 +44,26 @@
     cap: usize,
     /// The other holders, the preferred first.
     holders: Rc<[Peer]>,
+    /// All homes.
+    homes: Vec<HomeCandidate>,
+    /// Where the database stands.
+    zone: ZoneName,
 }
 
-/// What was worked out so far.
+/// The nodes that count, and what was worked out from them so far.
 #[derive(Default)]
 pub(crate) struct HomeViews {
-    /// The live nodes, until one of them no longer counts.
-    candidates: Option<(Rc<Vec<HomeCandidate>>, Timestamp)>,
+    fleet: Fleet,
+    /// Nodes that no longer register, by when they no longer count.
+    leaving: BTreeSet<(Timestamp, String)>,
+    /// The nodes that register.
+    registered: Option<Rc<Vec<HomeCandidate>>>,
     views: BTreeMap<DatabaseName, Rc<HomeView>>,
     /// Who holds tenants' tokens.
     token_views: BTreeMap<TenantName, Rc<[Peer]>>,
 }
 
 impl HomeViews {
-    /// Members changed: nothing holds any more.
-    pub(crate) fn forget_all(&mut self) {
-        *self = Self::default();
-    }
-
     /// The configuration changed.
     pub(crate) fn forget_views(&mut self) {
         self.views.clear();
@@ -71,6 +74,38 @@
     pub(crate) fn forget_view(&mut self, database: &DatabaseName) {
         self.views.remove(database);
     }
+
+    fn join(&mut self, node: HomeCandidate) {
+        let nodes = self.fleet.len();
+        self.views.retain(|database, view| {
+            // Where every node is home there may be room for one more.
+            view.homes.len() < nodes && !wins_place(database, &view.zone, &view.homes, &node)
+        });
+        self.token_views.clear();
+        self.fleet.join(node);
+    }
+
+    fn leave(&mut self, name: &str) {
+        if self.fleet.leave(name) {
+            let is_home = |view: &HomeView| view.homes.iter().any(|home| home.node == name);
+            self.views.retain(|_, view| !is_home(view));
+            self.token_views.clear();
+        }
+    }
+
+    /// Takes out the nodes that no longer count. Whether there were some.
+    fn expire(&mut self, now: Timestamp) -> bool {
+        let mut expired = false;
+        while let Some((until, _)) = self.leaving.first()
+            && *until <= now
+        {
+            if let Some((_, name)) = self.leaving.pop_first() {
+                self.leave(&name);
+                expired = true;
+            }
+        }
+        expired
+    }
 }
 
 impl Member {
@@ -94,6 +129,21 @@
         }
     }
 
+    /// Whether another record of a node tells the same of it.
+    fn is_same_process_as(&self, other: &Self) -> bool {
+        let gone_at = other.gone_at;
+        *other == Self { gone_at, ..self.clone() }
+    }
+
+    /// The member called `name` as one that may be home.
+    fn candidate(&self, name: &str) -> HomeCandidate {
+        HomeCandidate {
+            node: name.to_owned(),
+            zone: self.zone.clone(),
+            bandwidth_mbps: self.bandwidth_mbps,
+        }
+    }
+
     /// When it no longer counts, if it is not registered.
     fn counts_until(&self) -> Option<Timestamp> {
         self.gone_at.map(|gone| gone + MEMBER_MEMORY)
@@ -101,9 +151,62 @@
 }
 
 impl Node {
+    /// Takes in that a node is registered. One that did so all along, or stopped for a moment
+    /// only, changes nothing.
+    pub(crate) fn register_member(&self, record: MemberRecord) {
+        let name = record.node.clone();
+        let member = Member::registered(record);
+        let candidate = member.candidate(&name);
+        let mut members = self.members.borrow_mut();
+        let before = members.insert(name.clone(), member.clone());
+        drop(members);
+        let mut homes = self.homes.borrow_mut();
+        if before.as_ref() == Some(&member) {
+            return;
+        }
+        homes.registered = None;
+        let counts_until = before.as_ref().and_then(Member::counts_until);
+        if let Some(until) = counts_until {
+            homes.leaving.remove(&(until, name.clone()));
+        }
+        let still_counts = counts_until.is_none_or(|until| self.now() < until);
+        let returned = before.is_some_and(|before| before.is_same_process_as(&member));
+        if returned && still_counts {
+            return;
+        }
+        homes.leave(&name);
+        homes.join(candidate);
+    }
+
+    /// Takes in that a node's record is gone. It counts for a while yet.
+    pub(crate) fn note_member_gone(&self, name: &str) {
+        let now = self.now();
+        let mut members = self.members.borrow_mut();
+        let Some(member) = members.get_mut(name) else {
+            return;
+        };
+        if member.gone_at.is_none() {
+            member.gone_at = Some(now);
+            let mut homes = self.homes.borrow_mut();
+            homes.registered = None;
+            homes
+                .leaving
+                .insert((now + MEMBER_MEMORY, name.to_owned()));
+        }
+    }
+
+    /// Takes out the nodes that no longer count.
+    pub(crate) fn expire_members(&self) {
+        let now = self.now();
+        if self.homes.borrow_mut().expire(now) {
+            self.tokens.note_member_left(now);
+        }
+    }
+
     /// Nodes that share the connections of the databases.
     pub fn live_members(&self) -> usize {
-        self.home_candidates().len()
+        self.expire_members();
+        self.homes.borrow().fleet.len()
     }
 
     /// Connections that this node may have open to a database; 0 if it is not home.
@@ -204,13 +307,18 @@
     }
 
     /// The nodes that are registered at this moment.
-    pub fn registered_nodes(&self) -> Vec<HomeCandidate> {
+    pub fn registered_nodes(&self) -> Rc<Vec<HomeCandidate>> {
+        if let Some(known) = &self.homes.borrow().registered {
+            return Rc::clone(known);
+        }
         let members = self.members.borrow();
-        candidates(
-            members
-                .iter()
-                .filter(|(_, member)| member.gone_at.is_none()),
-        )
+        let registered = members
+            .iter()
+            .filter(|(_, member)| member.gone_at.is_none())
+            .map(|(name, member)| member.candidate(name));
+        let found = Rc::new(registered.collect());
+        self.homes.borrow_mut().registered = Some(Rc::clone(&found));
+        found
     }
 
     /// Whether a member is not known to be silent. One that is gets probed now and then.
@@ -248,36 +356,12 @@
             .collect()
     }
 
-    pub(crate) fn home_candidates(&self) -> Rc<Vec<HomeCandidate>> {
-        let now = self.now();
-        let mut homes = self.homes.borrow_mut();
-        if let Some((known, until)) = &homes.candidates
-            && now < *until
-        {
-            return Rc::clone(known);
-        }
-        let members = self.members.borrow();
-        let counts = |member: &Member| member.counts_until().is_none_or(|until| now < until);
-        let live = members.iter().filter(|(_, member)| counts(member));
-        let found = Rc::new(candidates(live));
-        self.tokens.note_members(&found, now);
-        let until = members
-            .values()
-            .filter_map(Member::counts_until)
-            .filter(|until| now < *until)
-            .min()
-            .unwrap_or(Timestamp(u64::MAX));
-        homes.forget_views();
-        homes.candidates = Some((Rc::clone(&found), until));
-        found
-    }
-
     fn home_view(&self, name: &DatabaseName) -> Rc<HomeView> {
-        let candidates = self.home_candidates();
+        self.expire_members();
         if let Some(view) = self.homes.borrow().views.get(name) {
             return Rc::clone(view);
         }
-        let view = Rc::new(self.work_out_homes(name, &candidates));
+        let view = Rc::new(self.work_out_homes(name));
         let mut homes = self.homes.borrow_mut();
         homes.views.insert(name.clone(), Rc::clone(&view));
         view
@@ -286,10 +370,11 @@
     /// The nodes, this one maybe among them, that hold the tokens of a tenant, the nearest
     /// first; `count` at the most.
     pub(crate) fn token_holders(&self, tenant: &TenantName, count: usize) -> Rc<[Peer]> {
-        let candidates = self.home_candidates();
+        self.expire_members();
         if let Some(known) = self.homes.borrow().token_views.get(tenant) {
             return Rc::clone(known);
         }
+        let candidates: Vec<HomeCandidate> = self.homes.borrow().fleet.iter().cloned().collect();
         let regions = &self.changeable().regions;
         let region = |zone: &ZoneName| regions.get(zone).cloned();
         let mut chosen = choose_token_holders(tenant, &candidates, region, count);
@@ -308,23 +393,23 @@
     ///
     /// The order of the others differs from node to node among those of one distance, so
     /// that leases spread over the holders.
-    fn work_out_homes(&self, name: &DatabaseName, candidates: &[HomeCandidate]) -> HomeView {
+    fn work_out_homes(&self, name: &DatabaseName) -> HomeView {
         let most = self.most_connections(name);
-        let Some(database) = self.database(name).filter(|_| !candidates.is_empty()) else {
+        let fleet = &self.homes.borrow().fleet;
+        let Some(database) = self.database(name).filter(|_| !fleet.is_empty()) else {
             return HomeView {
                 cap: CAP_WITHOUT_MEMBERS.min(most),
                 holders: Rc::default(),
+                homes: Vec::new(),
+                zone: self.settings.zone.clone(),
             };
         };
         let most = useful_connections(most, database.slots);
-        let count = home_count(most, candidates.len(), self.connection_sharing());
+        let count = home_count(most, fleet.len(), self.connection_sharing());
         let count = self
             .cold_holders(name)
             .map_or(count, |most| most.min(count));
-        let homes: Vec<HomeCandidate> = choose_homes(name, &database.zone, candidates, count)
-            .into_iter()
-            .cloned()
-            .collect();
+        let homes = fleet.choose_homes(name, &database.zone, count);
         let is_home = homes.iter().any(|home| home.node == self.settings.name);
         let own = DatabaseName::new(&self.settings.name);
         let holders = rank_homes(&own, &database.zone, &homes)
@@ -332,9 +417,12 @@
             .filter(|home| home.node != self.settings.name)
             .filter_map(|home| self.peer(&home.node))
             .collect();
+        let share = (most / count).max(1);
         HomeView {
-            cap: if is_home { (most / count).max(1) } else { 0 },
+            cap: if is_home { share } else { 0 },
             holders,
+            homes,
+            zone: database.zone,
         }
     }
 
@@ -358,13 +446,3 @@
             .map_or(CAP_WITHOUT_MEMBERS, |group| group.max_connections)
     }
 }
-
-fn candidates<'a>(members: impl Iterator<Item = (&'a String, &'a Member)>) -> Vec<HomeCandidate> {
-    members
-        .map(|(name, member)| HomeCandidate {
-            node: name.clone(),
-            zone: member.zone.clone(),
-            bandwidth_mbps: member.bandwidth_mbps,
-        })
-        .collect()
-}
--- a/crates/serving/src/isolation.rs
+++ b/crates/serving/src/isolation.rs
@@ -45,11 +45,11 @@
     /// A few peers of each other zone, the same ones at each call while the members stay.
     fn peers_of_other_zones(&self) -> Vec<Peer> {
         let mut by_zone: BTreeMap<ZoneName, Vec<(Reverse<u64>, String)>> = BTreeMap::new();
-        for candidate in self.registered_nodes() {
+        for candidate in self.registered_nodes().iter() {
             if candidate.zone != self.settings.zone {
                 let weight = choice_weight(&self.settings.name, &candidate.node);
-                let zone = by_zone.entry(candidate.zone).or_default();
-                zone.push((Reverse(weight), candidate.node));
+                let zone = by_zone.entry(candidate.zone.clone()).or_default();
+                zone.push((Reverse(weight), candidate.node.clone()));
             }
         }
         let mut chosen = Vec::new();
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -82,7 +82,7 @@
 }
 
 /// A live peer.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
     /// Its zone.
     pub zone: ZoneName,
--- a/crates/serving/src/records.rs
+++ b/crates/serving/src/records.rs
@@ -1,17 +1,38 @@
 //! The fleet's own records in the state store.
 
 use bytes::Bytes;
+use hookpoint_coordination::serving::homes::choice_weight;
 use hookpoint_state::{DatabaseName, GroupName, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// Prefix of the keys of live nodes.
 pub const MEMBER_PREFIX: &str = "members/";
+/// Parts that the members of a zone are divided into by their keys. A node that starts reads
+/// its own part only, to find others that start with it or run already.
+const PARTS_A_ZONE: u64 = 8;
 /// Key of the node that may order promotions.
 pub const COORDINATOR_KEY: &str = "coordinator";
 /// Prefix of the keys of ordered promotions.
 pub const PROMOTION_PREFIX: &str = "promotions/";
 
+/// Prefix of the keys of the nodes in the same part of a zone as the node called `name`.
+pub fn member_part(zone: &ZoneName, name: &str) -> String {
+    let part = choice_weight("part", name) % PARTS_A_ZONE;
+    format!("{MEMBER_PREFIX}{}/{part}/", zone.as_str())
+}
+
+/// Key of the node called `name`.
+pub fn member_key(zone: &ZoneName, name: &str) -> String {
+    format!("{}{name}", member_part(zone, name))
+}
+
+/// Name of the node that a key is of; nothing if it is no node's.
+pub fn member_name(key: &str) -> Option<&str> {
+    let (_, name) = key.strip_prefix(MEMBER_PREFIX)?.rsplit_once('/')?;
+    Some(name)
+}
+
 /// A live node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
--- a/crates/serving/src/registration.rs
+++ b/crates/serving/src/registration.rs
@@ -8,7 +8,7 @@
 
 use crate::node::Node;
 use crate::ports::{ConditionalWrite, LeaseId, StoreError, WriteOutcome};
-use crate::records::{MEMBER_PREFIX, MemberRecord, encode};
+use crate::records::{MemberRecord, encode, member_key};
 
 /// Pause after the first failed call; it doubles with each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
@@ -90,7 +90,7 @@
 }
 
 async fn write_member(node: &Rc<Node>, lease: LeaseId) -> Result<(), StoreError> {
-    let key = format!("{MEMBER_PREFIX}{}", node.settings.name);
+    let key = member_key(&node.settings.zone, &node.settings.name);
     let record = own_record(node);
     // An earlier process may have left a record behind.
     let mut expected_revision = node.own_record_revision.get();
--- a/crates/serving/src/snapshot.rs
+++ b/crates/serving/src/snapshot.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::departures;
-use crate::node::{Member, Node};
+use crate::node::Node;
 use crate::records::MemberRecord;
 use crate::relay;
 
@@ -62,12 +62,11 @@
             node.register_database(database, revision);
         }
         for record in self.members {
-            let mut members = node.members.borrow_mut();
-            members
-                .entry(record.node.clone())
-                .or_insert_with(|| Member::registered(record));
+            if !node.members.borrow().contains_key(&record.node) {
+                node.register_member(record);
+            }
         }
-        node.homes.borrow_mut().forget_all();
+        node.homes.borrow_mut().forget_views();
         departures::ask_if_heard_late(node);
         node.feed.note_caught_up();
         node.take_configuration(self.configuration);
--- a/crates/serving/src/tokens.rs
+++ b/crates/serving/src/tokens.rs
@@ -4,12 +4,11 @@
 //! tokens by `token_holders`.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hookpoint_coordination::serving::homes::HomeCandidate;
 use hookpoint_coordination::serving::quota::{
     GrantLimit, TAKEOVER_PAUSE, TOKEN_LIFE, TokenAnswer, TokenHolder,
 };
@@ -40,8 +39,6 @@
     granting: RefCell<TokenHolder>,
     /// From when on the tokens held here came back.
     held_from: RefCell<BTreeMap<TenantName, Timestamp>>,
-    /// The nodes that counted as members when they were last looked at.
-    members: RefCell<BTreeSet<String>>,
     /// When one of them last ceased to.
     member_left_at: Cell<Option<Timestamp>>,
     /// Until when each holder has no token of a tenant.
@@ -76,13 +73,9 @@
         self.due.take()
     }
 
-    /// Takes in which nodes count as members.
-    pub(crate) fn note_members(&self, members: &[HomeCandidate], now: Timestamp) {
-        let present = members.iter().map(|member| member.node.clone()).collect();
-        let before = self.members.replace(present);
-        if !before.is_subset(&self.members.borrow()) {
-            self.member_left_at.set(Some(now));
-        }
+    /// Takes in that a node no longer counts as a member.
+    pub(crate) fn note_member_left(&self, now: Timestamp) {
+        self.member_left_at.set(Some(now));
     }
 
     /// From when on tokens that this node holds now come back. A process that has just
