Use decides which primaries a node watches

Cause: each node looked at every group 20 times a second and kept each one's primary sampled, a datagram and its answer every 2 s; each home asked its primary four times a second, used or not. At 985 nodes and 1,000 groups that is half a million questions a second beside 1,800 requests.

Now a node looks after the groups that its callers, or peers that lease its connections, need. A use allows two questions; samples are kept fresh between uses that lie seconds apart; a request that waits for word of the primary has it asked for. A statement goes to the database that states that it leads if this node has not needed the group lately: the same exchange proves it. What a peer's plain transaction proves, a holder takes. A holder that has not heard a primary for a second says so and asks, in place of vouching for it; the coordinator then asks it again and not the whole fleet. Pools that hold nothing are dropped after a while.

The test of a request confined to a region failed in between (nobody asked for a sample that it waited for) and led to the rule that a waiting request has it asked for.

--- a/crates/coordination/src/serving/leadership.rs
+++ b/crates/coordination/src/serving/leadership.rs
@@ -184,6 +184,15 @@
         false
     }
 
+    /// Whether a database that states that it leads may be tried as the primary: it was not
+    /// found out not to lead since another one was last known to.
+    pub fn may_presume(&self, database: &DatabaseName) -> bool {
+        self.refuted
+            .as_ref()
+            .is_none_or(|(refuted, _)| refuted != database)
+            && self.lost.is_none()
+    }
+
     /// The database believed to lead.
     pub fn leader(&self) -> Option<&DatabaseName> {
         self.leader.as_ref()
--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -18,6 +18,7 @@
 pub mod freshness;
 pub mod handover;
 pub mod homes;
+pub mod interest;
 pub mod isolation;
 pub mod leadership;
 pub mod lease_grantor;
--- a/crates/serving/src/coordinator/handover.rs
+++ b/crates/serving/src/coordinator/handover.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hookpoint_coordination::serving::directory::Listed;
+use hookpoint_coordination::serving::directory::{Listed, StatedRole};
 use hookpoint_coordination::serving::handover::{
     Drawbacks, Place, PlannedMove, plan_move, reason_to_move,
 };
@@ -68,6 +68,16 @@
     })
 }
 
+/// Whether a database that states that it leads, of a group whose primary is not known, is in a
+/// place that a primary should leave.
+pub(super) fn is_wanted_of_stated(node: &Rc<Node>, group: &GroupName) -> bool {
+    let directory = node.directory.borrow();
+    let mut stated = directory
+        .of_group(group)
+        .filter(|listed| listed.database.role == StatedRole::Primary);
+    stated.any(|listed| reason_to_move(drawbacks_of(node, listed), None).is_some())
+}
+
 /// Since when a group's primary has led by a promotion that this node knows of.
 fn time_led(node: &Rc<Node>, group: &GroupName, leader: &DatabaseName) -> Option<Duration> {
     let now = node.now();
--- a/crates/serving/src/coordinator/mod.rs
+++ b/crates/serving/src/coordinator/mod.rs
@@ -7,6 +7,7 @@
 mod step_down;
 mod withdrawal;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +27,9 @@
 
 /// Pause between rounds.
 const ROUND: Duration = Duration::from_millis(100);
+/// Groups that are looked at in one round besides those that need attention, so that the cost of
+/// a round does not grow with the number of groups: 640 a second.
+const SURVEYED_A_ROUND: usize = 64;
 /// After a promotion that may still take effect, no other is ordered for this long.
 const SETTLING: Duration = Duration::from_millis(2_500);
 /// Pause after a promotion that was rejected.
@@ -44,21 +48,22 @@
 /// Looks after all groups, each in a task of its own, for as long as the node lives.
 pub async fn coordinate(node: Rc<Node>, peers: Rc<Peers>) {
     let mut resumed_for = None;
-    let mut pace = HandoverPace::default();
+    let mut survey = Survey::default();
     loop {
         sleep(ROUND).await;
         let revision = node.coordinator_revision();
         if revision.is_none() {
+            survey.to_move.clear();
             node.counters.set("primaries_to_move", 0);
             continue;
         }
         if resumed_for != revision && node.configuration().is_some() {
             resumed_for = revision;
-            for group in node.configured_groups() {
+            for group in synchronous_groups(&node) {
                 resume_replicas(&node, &group).await;
             }
         }
-        for group in due_groups(&node, &mut pace) {
+        for group in survey.due_groups(&node) {
             let node = Rc::clone(&node);
             let peers = Rc::clone(&peers);
             tokio::task::spawn_local(async move {
@@ -69,31 +74,78 @@
     }
 }
 
-/// Groups whose primary may need replacing, marked as being looked after: all that may have
-/// lost theirs, and of the others as many as the pace allows.
-fn due_groups(node: &Rc<Node>, pace: &mut HandoverPace) -> Vec<GroupName> {
-    let rate = node.changeable().promotions_per_second;
-    let mut due = Vec::new();
-    let mut to_move = 0;
-    for group in node.configured_groups() {
-        let leader = node.leader(&group);
-        let wanted = leader.and_then(|leader| handover::time_wanted(node, &group, &leader));
-        to_move += u64::from(wanted.is_some());
-        if node.with_group(&group, |state| state.being_replaced) {
-            continue;
+/// Groups with replicas that may have been paused for a promotion.
+fn synchronous_groups(node: &Rc<Node>) -> Vec<GroupName> {
+    let groups = node.configured_groups();
+    let synchronous = |group: &GroupName| replicas::sync_replicas(node, group) > 0;
+    groups.into_iter().filter(synchronous).collect()
+}
+
+/// The coordinator's look at the groups, round by round.
+#[derive(Default)]
+struct Survey {
+    pace: HandoverPace,
+    /// The group that was looked at last in turn.
+    last: Option<GroupName>,
+    /// Groups whose primaries should move.
+    to_move: BTreeSet<GroupName>,
+}
+
+impl Survey {
+    /// Groups whose primary may need replacing, marked as being looked after: all that may have
+    /// lost theirs, and of the others as many as the pace allows. Groups that need attention
+    /// are looked at in each round, and of all groups the next few.
+    fn due_groups(&mut self, node: &Rc<Node>) -> Vec<GroupName> {
+        let rate = node.changeable().promotions_per_second;
+        let mut due = Vec::new();
+        for group in self.next_groups(node) {
+            self.note_move(node, &group);
+            if node.with_group(&group, |state| state.being_replaced) {
+                continue;
+            }
+            let starts = match reason(node, &group) {
+                None => false,
+                Some(Reason::Lost) => true,
+                Some(Reason::Planned(_)) => self.pace.take(rate, node.now()),
+            };
+            if starts {
+                node.with_group(&group, |state| state.being_replaced = true);
+                node.look_after(&group);
+                due.push(group);
+            }
         }
-        let starts = match reason(node, &group) {
-            None => false,
-            Some(Reason::Lost) => true,
-            Some(Reason::Planned(_)) => pace.take(rate, node.now()),
+        let to_move = u64::try_from(self.to_move.len()).unwrap_or(u64::MAX);
+        node.counters.set("primaries_to_move", to_move);
+        due
+    }
+
+    fn next_groups(&mut self, node: &Rc<Node>) -> BTreeSet<GroupName> {
+        let in_turn = node.groups_after(self.last.as_ref(), SURVEYED_A_ROUND);
+        self.last = in_turn.last().cloned();
+        let mut groups: BTreeSet<GroupName> = in_turn.into_iter().collect();
+        groups.extend(node.attention.groups());
+        groups.extend(self.to_move.iter().cloned());
+        groups
+    }
+
+    /// Notes whether a group's primary should move. One that is not known, and by what the
+    /// databases state should, is asked for.
+    fn note_move(&mut self, node: &Rc<Node>, group: &GroupName) {
+        let wanted = match node.leader(group) {
+            Some(leader) => handover::time_wanted(node, group, &leader).is_some(),
+            None => {
+                if handover::is_wanted_of_stated(node, group) {
+                    node.note_relied_on(group);
+                }
+                false
+            }
         };
-        if starts {
-            node.with_group(&group, |state| state.being_replaced = true);
-            due.push(group);
+        if wanted {
+            self.to_move.insert(group.clone());
+        } else {
+            self.to_move.remove(group);
         }
     }
-    node.counters.set("primaries_to_move", to_move);
-    due
 }
 
 fn reason(node: &Rc<Node>, group: &GroupName) -> Option<Reason> {
@@ -103,6 +155,7 @@
     let now = node.now();
     let (leader, lost, awaited) = node.with_group(group, |state| {
         let lost = state.contact.lost_since.is_some();
+        let reported = state.reported_leader(now).is_some();
         let never_seen = state.leadership.reign() == Reign::default();
         let lately = state
             .leaderless_since
@@ -110,7 +163,7 @@
         (
             state.leadership.leader().cloned(),
             lost,
-            never_seen && lately,
+            never_seen && lately && !reported,
         )
     });
     let Some(leader) = leader else {
@@ -132,7 +185,7 @@
 }
 
 async fn replace_lost(node: &Rc<Node>, peers: &Rc<Peers>, group: &GroupName) {
-    let leader = node.leader(group);
+    let leader = node.lost_leader(group);
     let views = views_of_lost(node, peers, group, leader.as_ref()).await;
     let Some(authority) = authority(node, &views) else {
         return;
@@ -146,7 +199,7 @@
     let Some(candidate) = found else {
         return;
     };
-    if node.leader(group) != leader {
+    if node.lost_leader(group) != leader {
         return;
     }
     let outcome = order(
@@ -248,7 +301,8 @@
 }
 
 /// What the nodes see of a primary, as far as it is needed: those that hold connections
-/// to it are asked first, and all nodes only if that decides nothing.
+/// to it are asked first, and all nodes only if that decides nothing. Holders that had not
+/// looked lately do so as they are asked, and can tell in a moment.
 async fn views_of_lost(
     node: &Rc<Node>,
     peers: &Peers,
@@ -266,7 +320,9 @@
         let witnesses = node.witnesses(Some(leader));
         let all_hold = witnesses.holders == witnesses.members;
         let reached = seen.contains(&Observation::Reachable);
-        if all_hold || reached || is_lost(&seen, witnesses) {
+        let own_view = 1;
+        let some_look = seen.iter().skip(own_view).any(|seen| *seen == Observation::Unknown);
+        if all_hold || reached || some_look || is_lost(&seen, witnesses) {
             return views;
         }
     }
--- a/crates/serving/src/database_life.rs
+++ b/crates/serving/src/database_life.rs
@@ -112,6 +112,7 @@
         let pool = pools
             .entry(name.clone())
             .or_insert_with(|| Rc::new(Pool::new(Rc::downgrade(self), name.clone())));
+        pool.note_considered(self.now());
         Rc::clone(pool)
     }
 
@@ -120,6 +121,29 @@
         self.pools.borrow().values().cloned().collect()
     }
 
+    /// Pools of databases that this node lost the way to.
+    pub(crate) fn unreachable_pools(&self) -> Vec<Rc<Pool>> {
+        let pools = self.pools.borrow();
+        let unreachable = pools.values().filter(|pool| !pool.is_reachable());
+        unreachable.cloned().collect()
+    }
+
+    /// Closes connections beyond those lately needed, and drops the pools that hold nothing and
+    /// that nobody needed for long.
+    pub(crate) fn trim_pools(&self) {
+        let now = self.now();
+        let open: Vec<Rc<Pool>> = {
+            let mut pools = self.pools.borrow_mut();
+            pools.retain(|_, pool| Rc::strong_count(pool) > 1 || !pool.is_forgettable(now));
+            let open = pools.values().filter(|pool| pool.open_connections() > 0);
+            open.cloned().collect()
+        };
+        for pool in open {
+            let is_home = self.connection_cap(pool.database()) > 0;
+            pool.trim(is_home, now);
+        }
+    }
+
     /// Drops the pools of databases that are not listed any more.
     pub fn drop_unlisted_pools(&self) {
         let directory = self.directory.borrow();
--- a/crates/serving/src/isolation.rs
+++ b/crates/serving/src/isolation.rs
@@ -4,7 +4,6 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use hookpoint_coordination::serving::homes::choice_weight;
 use hookpoint_coordination::serving::isolation::{Isolation, IsolationChange, Surroundings};
@@ -14,8 +13,6 @@
 use crate::node::Node;
 use crate::units::millis;
 
-/// A group that no request asked for in this time says nothing about this node.
-const IN_USE: Duration = Duration::from_secs(3);
 /// Peers of each other zone that are asked: a zone whose two died may be taken for silent,
 /// which alone does not count.
 const PEERS_A_ZONE: usize = 2;
@@ -29,10 +26,12 @@
     /// Groups in use, and how many of them lack their primary here.
     fn groups_in_use(&self) -> (usize, usize) {
         let now = self.now();
+        let attended = self.attention.groups();
         let groups = self.groups.borrow();
-        let in_use = groups
-            .values()
-            .filter(|state| now.since(state.used_at) < IN_USE);
+        let in_use = attended
+            .iter()
+            .filter_map(|group| groups.get(group))
+            .filter(|state| state.interest.is_in_use(now));
         let (mut all, mut without_primary) = (0, 0);
         for state in in_use {
             all += 1;
--- a/crates/serving/src/leaders.rs
+++ b/crates/serving/src/leaders.rs
@@ -1,11 +1,18 @@
 //! What this node believes of each group's primary, and how it came to believe it.
 
-use hookpoint_coordination::serving::directory::Database;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::directory::{Database, StatedRole};
+use hookpoint_coordination::serving::evacuation::ZoneStanding;
 use hookpoint_coordination::serving::leadership::Confirmation;
-use hookpoint_state::{DatabaseName, Position, Timestamp};
+use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp};
 
 use crate::node::{Contact, Node};
 
+/// A belief about a primary that was not confirmed for this long is older than what the
+/// databases state: they state a change of role within a few heartbeats.
+const BELIEF_MEMORY: Duration = Duration::from_secs(10);
+
 /// A position for the log: term and number, parted by a point.
 fn written(position: Position) -> String {
     format!("{}.{}", position.term.0, position.lsn.0)
@@ -26,6 +33,58 @@
             })
     }
 
+    /// The database that a statement is sent to as the primary of a group, unless it turns out
+    /// not to lead: the one believed to, or, of a group that was not needed here lately, the
+    /// one that states it. Each statement that needs the primary proves anew that it got it.
+    pub(crate) fn presumed_leader(&self, group: &GroupName) -> Option<DatabaseName> {
+        let now = self.now();
+        let (believed, is_old) = self.with_group(group, |state| {
+            let unconfirmed = now.since(state.leadership.confirmed_at());
+            let believed = state.leadership.leader().cloned();
+            (believed, unconfirmed >= BELIEF_MEMORY)
+        });
+        if believed.is_some() && !is_old {
+            return believed;
+        }
+        self.stated_leader(group).or(believed)
+    }
+
+    /// The primary that a loss concerns: the one believed to lead, or, if this node has not
+    /// needed the group, the one that a peer reported.
+    pub(crate) fn lost_leader(&self, group: &GroupName) -> Option<DatabaseName> {
+        let now = self.now();
+        self.with_group(group, |state| {
+            let believed = state.leadership.leader();
+            believed.or(state.reported_leader(now)).cloned()
+        })
+    }
+
+    /// The only database of a group that states that it leads, if nothing known speaks against
+    /// it. Where promotions are not fenced a replaced primary may still state that, so there
+    /// only proofs count.
+    fn stated_leader(&self, group: &GroupName) -> Option<DatabaseName> {
+        if !self.changeable().fenced_promotions {
+            return None;
+        }
+        let directory = self.directory.borrow();
+        let mut stated = directory
+            .of_group(group)
+            .filter(|listed| listed.database.role == StatedRole::Primary);
+        let listed = stated.next()?;
+        let usable = stated.next().is_none()
+            && listed.departure.is_none()
+            && self.zone_standing(&listed.database.zone) == ZoneStanding::Open;
+        let name = &listed.database.name;
+        let contradicted = self.with_group(group, |state| {
+            let other_promoted = state
+                .promoting
+                .as_ref()
+                .is_some_and(|(candidate, _)| candidate != name);
+            other_promoted || !state.leadership.may_presume(name)
+        });
+        (usable && !contradicted).then(|| name.clone())
+    }
+
     /// Takes a proof that a database leads. Where promotions are not fenced, the position
     /// in it only counts if this node was allowed to use primaries when it asked: a
     /// replaced primary's covers nothing.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 //! implements them. The decisions are those of `hookpoint_coordination::serving`.
 #![forbid(unsafe_code)]
 
+mod attention;
 mod cold_databases;
 mod cold_start;
 pub mod connection;
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -8,6 +8,7 @@
 
 use hookpoint_coordination::serving::coordinator::CoordinatorView;
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
+use hookpoint_coordination::serving::interest::Interest;
 use hookpoint_coordination::serving::isolation::Isolation;
 use hookpoint_coordination::serving::leadership::Leadership;
 use hookpoint_coordination::serving::lease_grantor::LeaseGrantor;
@@ -18,6 +19,7 @@
 use serde_json::Value;
 use tokio::sync::Notify;
 
+use crate::attention::Attention;
 use crate::cold_databases::ColdDatabases;
 use crate::counted_store::CountedStore;
 use crate::counters::Counters;
@@ -56,8 +58,12 @@
     pub leadership: Leadership,
     /// Contact with the database believed to lead, or that led last.
     pub contact: Contact,
-    /// When a request last asked for the group.
-    pub used_at: Timestamp,
+    /// What the group is needed for on this node.
+    pub interest: Interest,
+    /// The primary that a peer reported as lost, none if it knew none, and when.
+    pub reported_lost: Option<(Option<DatabaseName>, Timestamp)>,
+    /// When this node last reported that it lacks the primary.
+    pub reported_at: Timestamp,
     /// When a peer was last asked for a sample.
     pub sample_asked_at: Timestamp,
     /// How often one was.
@@ -81,6 +87,25 @@
     pub writes_in_flight: usize,
 }
 
+/// A report that a primary is lost counts for this long; who lacks the primary repeats it
+/// sooner.
+const REPORT_MEMORY: Duration = Duration::from_secs(1);
+
+impl GroupState {
+    /// Whether a peer lately reported that it lacks the primary.
+    pub(crate) fn was_reported(&self, now: Timestamp) -> bool {
+        self.reported_lost
+            .as_ref()
+            .is_some_and(|(_, reported_at)| now.since(*reported_at) < REPORT_MEMORY)
+    }
+
+    /// The primary that a peer lately reported as lost.
+    pub(crate) fn reported_leader(&self, now: Timestamp) -> Option<&DatabaseName> {
+        let (leader, _) = self.reported_lost.as_ref()?;
+        leader.as_ref().filter(|_| self.was_reported(now))
+    }
+}
+
 /// A live peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -127,6 +152,8 @@
     pub directory: RefCell<Directory>,
     /// Zones that the operator evacuates.
     pub(crate) evacuations: ZoneEvacuations,
+    /// Groups that are looked after.
+    pub(crate) attention: Attention,
     /// Groups.
     pub groups: RefCell<BTreeMap<GroupName, GroupState>>,
     /// Peers, this node included.
@@ -218,6 +245,7 @@
             primary_regions: RefCell::default(),
             directory: RefCell::default(),
             evacuations: ZoneEvacuations::default(),
+            attention: Attention::default(),
             groups: RefCell::default(),
             members: RefCell::default(),
             own_record_revision: Cell::new(0),
--- a/crates/serving/src/peer_message.rs
+++ b/crates/serving/src/peer_message.rs
@@ -79,6 +79,13 @@
         /// Who answers.
         node: String,
     },
+    /// The sender lacks this group's primary: see whether it has to be replaced.
+    ReportLoss {
+        /// The group.
+        group: GroupName,
+        /// The primary that does not answer the sender; none if it knows none.
+        leader: Option<DatabaseName>,
+    },
     /// The sender coordinates from now on.
     TellCoordinator {
         /// Revision of its record.
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -13,6 +13,7 @@
 use hookpoint_coordination::serving::peer_contact::LONGEST_ROUND_TRIP;
 use hookpoint_state::{DatabaseName, GroupName, Timestamp};
 use tokio::net::UdpSocket;
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 use crate::counters::Counters;
@@ -27,6 +28,14 @@
 /// How long the answer to a question for a sample is taken in.
 const SAMPLE_ANSWER_TIME: Duration = Duration::from_millis(500);
 
+/// A primary that said nothing for longer than this may have been lost meanwhile. Holders ask
+/// one in use, or one that they are asked about, several times in it.
+const HEARD_LATELY: Duration = Duration::from_secs(1);
+
+/// Questions about lost primaries that one node has on their way: with their answers, in the time
+/// of a round trip, what fits into a link of some tens of megabits a second beside its requests.
+const ASKED_AT_ONCE: u32 = 2_000;
+
 /// Pause after datagrams could not be received.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(10);
 
@@ -51,6 +60,8 @@
     next_nonce: Cell<u64>,
     answers: RefCell<BTreeMap<u64, BTreeMap<String, PeerView>>>,
     samples_asked: RefCell<BTreeMap<u64, Timestamp>>,
+    /// Questions to peers about lost primaries that may be on their way.
+    gathering: Semaphore,
     /// Who acknowledged the announcement of a revision.
     acknowledged: RefCell<BTreeMap<u64, Vec<(String, bool)>>>,
 }
@@ -64,6 +75,7 @@
             next_nonce: Cell::new(1),
             answers: RefCell::default(),
             samples_asked: RefCell::default(),
+            gathering: Semaphore::new(ASKED_AT_ONCE as usize),
             acknowledged: RefCell::default(),
         }))
     }
@@ -96,6 +108,7 @@
                 group,
                 leader,
             } => {
+                node.look_before_testifying(&group, leader.as_ref());
                 let answer = PeerMessage::Tell {
                     nonce,
                     node: node.settings.name.clone(),
@@ -119,7 +132,9 @@
                 };
                 self.take_view(nonce, peer, view);
             }
+            PeerMessage::ReportLoss { group, leader } => node.take_loss_report(&group, leader),
             PeerMessage::AskSample { nonce, group } => {
+                node.note_relied_on(&group);
                 if let Some(sample) = node.primary_sample(&group) {
                     self.send(&PeerMessage::TellSample { nonce, sample }, sender);
                 }
@@ -264,6 +279,28 @@
         self.send(&PeerMessage::AskSample { nonce, group }, peer);
     }
 
+    /// Tells the coordinator, if it is another node, that this one lacks a group's primary.
+    pub(crate) fn report_loss(
+        &self,
+        node: &Rc<Node>,
+        group: &GroupName,
+        leader: Option<&DatabaseName>,
+    ) {
+        let coordinator = node.coordinator.borrow().holder().cloned();
+        let Some(peer) = coordinator.and_then(|record| node.peer(&record.node)) else {
+            return;
+        };
+        if peer.name == node.settings.name {
+            return;
+        }
+        node.counters.count("questions", "loss_reported");
+        let report = PeerMessage::ReportLoss {
+            group: group.clone(),
+            leader: leader.cloned(),
+        };
+        self.send(&report, peer.address);
+    }
+
     /// The teller asked the primary no later than `age` before this node's question was
     /// answered, so counting the age from the question makes the sample look older than it
     /// is, never younger.
@@ -279,7 +316,8 @@
         node.believe_leader(&sample.leader, proof);
     }
 
-    /// Asks peers what they see of a primary; this node's own view comes first.
+    /// Asks peers what they see of a primary; this node's own view comes first. Where many
+    /// primaries are lost at once, and all nodes are asked for each, those wait their turn.
     pub async fn gather(
         &self,
         node: &Rc<Node>,
@@ -295,6 +333,10 @@
             group: group.clone(),
             leader: leader.cloned(),
         };
+        let weight = u32::try_from(asked.len()).unwrap_or(u32::MAX);
+        let permits = self.gathering.acquire_many(weight.min(ASKED_AT_ONCE));
+        // The semaphore is never closed; without a permit the questions are merely more.
+        let _permits = permits.await.ok();
         for address in asked {
             self.send(&question, *address);
         }
@@ -326,6 +368,34 @@
         })
     }
 
+    /// Takes a peer's word that it lacks a group's primary. The group is looked after until it
+    /// is known better; whether the primary is lost is decided by those that hold connections.
+    fn take_loss_report(&self, group: &GroupName, leader: Option<DatabaseName>) {
+        if self.coordinator_revision().is_none() {
+            return;
+        }
+        let now = self.now();
+        self.with_group(group, |state| {
+            let known = state.leadership.leader();
+            let agrees = known.is_some() && known == leader.as_ref();
+            if agrees && now.since(state.contact.last_heard) >= HEARD_LATELY {
+                state.contact.lost_since.get_or_insert(now);
+            }
+            state.reported_lost = Some((leader, now));
+        });
+        self.look_after(group);
+    }
+
+    /// A node that is asked what it sees of a primary looks, if it has not lately: it can
+    /// testify the next time.
+    fn look_before_testifying(&self, group: &GroupName, leader: Option<&DatabaseName>) {
+        let known = self.leader(group);
+        let leader = leader.or(known.as_ref());
+        if leader.is_some_and(|leader| self.connection_cap(leader) > 0) {
+            self.note_relied_on(group);
+        }
+    }
+
     /// What this node sees of a group's primary. If the one that asks knows none, what it
     /// sees of the one that it knows itself.
     pub fn observe(&self, group: &GroupName, leader: Option<&DatabaseName>) -> Observation {
@@ -349,7 +419,9 @@
                 return Observation::Reachable;
             }
             match state.contact.lost_since {
-                None if held => Observation::Reachable,
+                None if held && now.since(state.contact.last_heard) < HEARD_LATELY => {
+                    Observation::Reachable
+                }
                 None => Observation::Unknown,
                 Some(since) if !held => Observation::Unhelped(now.since(since)),
                 Some(since) if state.contact.refused => Observation::Refused(now.since(since)),
--- a/crates/serving/src/pool/mod.rs
+++ b/crates/serving/src/pool/mod.rs
@@ -37,6 +37,8 @@
 const SUSPECT_TIME: Duration = Duration::from_millis(800);
 /// How long a database that lacked a position is avoided.
 const LAGGING_TIME: Duration = Duration::from_millis(150);
+/// How long a pool without connections is kept for what it learnt of its database.
+const POOL_MEMORY: Duration = Duration::from_secs(30);
 /// Service time assumed before any is measured.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(20);
 
@@ -141,6 +143,8 @@
     reliability: Cell<Reliability>,
     /// Whether the life of the database is over that it was for.
     retired: Cell<bool>,
+    /// When the database was last a candidate for a statement, or was asked.
+    considered_at: Cell<Timestamp>,
 }
 
 impl Pool {
@@ -166,9 +170,25 @@
             demand: RefCell::default(),
             reliability: Cell::default(),
             retired: Cell::new(false),
+            considered_at: Cell::default(),
         }
     }
 
+    /// Whether the pool holds nothing that is worth more than what a new one begins with: no
+    /// connection, nobody who waits, and no experience that still counts.
+    pub(crate) fn is_forgettable(&self, now: Timestamp) -> bool {
+        self.open.get() == 0
+            && self.in_flight() == 0
+            && self.is_reachable()
+            && !self.is_suspect(now)
+            && now.since(self.considered_at.get()) >= POOL_MEMORY
+    }
+
+    /// Notes that a statement may go to the database.
+    pub(crate) fn note_considered(&self, now: Timestamp) {
+        self.considered_at.set(now);
+    }
+
     /// Name of the database.
     pub fn database(&self) -> &DatabaseName {
         &self.database
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -15,14 +15,14 @@
 use hookpoint_coordination::serving::placement::Placement;
 use hookpoint_coordination::serving::session::{PreparedShape, SessionValues};
 use hookpoint_coordination::serving::tenancy::Principal;
-use hookpoint_state::DatabaseName;
+use hookpoint_state::{DatabaseName, Timestamp};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
 use crate::connection::{Answer, Connection, ConnectionError};
 use crate::feed;
 use crate::homes::Peer;
-use crate::lease::Lease;
+use crate::lease::{Lease, note_begin};
 use crate::link::{
     self, LINK_SLACK, LinkReply, LinkRequest, LinkStream, PassedOver, framed, receive, send,
 };
@@ -359,7 +359,10 @@
     let pool = node.pool(database);
     let lease = pool.acquire_direct(node, wanted).await?;
     let label = match wanted.principal {
-        Some(_) => "for_statement",
+        Some(_) => {
+            node.note_lent(database);
+            "for_statement"
+        }
         None => "for_question",
     };
     node.counters.count("lent_leases", label);
@@ -456,8 +459,12 @@
     for command in commands {
         note_command(lease.connection(), command);
     }
+    let asked_at = node.now();
     match lease.exchange(node, commands, limit).await {
-        Ok(answers) => LinkReply::Answers(answers),
+        Ok(answers) => {
+            note_proofs(node, lease, commands, &answers, asked_at);
+            LinkReply::Answers(answers)
+        }
         Err(ConnectionError::NotSent) => LinkReply::NotSent,
         Err(error) => LinkReply::Broken {
             timed_out: matches!(error, ConnectionError::TimedOut),
@@ -465,6 +472,24 @@
     }
 }
 
+/// What a peer's plain transaction proves of the primary, this node need not ask itself.
+fn note_proofs(
+    node: &Rc<Node>,
+    lease: &Lease,
+    commands: &[Command],
+    answers: &[Answer],
+    asked_at: Timestamp,
+) {
+    for (command, answer) in commands.iter().zip(answers) {
+        if let Command::Begin {
+            read_only: false, ..
+        } = command
+        {
+            note_begin(node, lease, asked_at, answer);
+        }
+    }
+}
+
 /// Keeps track of what a peer's command does to the connection. Values that a peer set
 /// are not relied on: the next user resets them.
 fn note_command(connection: &mut Connection, command: &Command) {
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -192,6 +192,7 @@
         if left < LEAST_ATTEMPT {
             return Err(InVain::NoDatabase);
         }
+        self.node.note_awaited(&self.route.group);
         let changed = self.node.leader_changed.notified();
         let _ = timeout(left.min(LOOK_AGAIN), changed).await;
         Ok(())
@@ -219,9 +220,7 @@
         plain_transaction: bool,
     ) -> Result<Ran, Failure> {
         let in_transaction = self.state.phase == Phase::InTransaction;
-        let now = self.node.now();
-        self.node
-            .with_group(&self.route.group, |state| state.used_at = now);
+        self.node.note_use(&self.route.group);
         let mut avoided = BTreeSet::new();
         let mut tried = Tried::default();
         loop {
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -47,15 +47,14 @@
             return None;
         }
         let now = self.node.now();
-        let leader = self.node.with_group(&self.route.group, |state| {
-            let lost = state
+        let lost = self.node.with_group(&self.route.group, |state| {
+            state
                 .contact
                 .lost_since
-                .is_some_and(|since| state.contact.refused || now.since(since) >= LEADER_LOST);
-            let leader = state.leadership.leader().cloned();
-            leader.filter(|_| !lost)
-        })?;
-        self.node.may_serve(&leader).then_some(leader)
+                .is_some_and(|since| state.contact.refused || now.since(since) >= LEADER_LOST)
+        });
+        let presumed = self.node.presumed_leader(&self.route.group);
+        presumed.filter(|leader| !lost && self.node.may_serve(leader))
     }
 
     /// The database, if the placement permits it.
