A start takes everything from a peer, along a tree

Now a node reads the records of its own part of its zone; the first of those lists the store, and the others take everything from it along the tree that followers use, as it was packed. A peer that answers and knows nothing yet is waited for; without one that answers the node lists the store itself.

--- a/crates/coordination/src/serving/feed.rs
+++ b/crates/coordination/src/serving/feed.rs
@@ -20,6 +20,8 @@
 const SMALL_REGION: usize = 4;
 /// What regions are ranked for when one of their first nodes watches for all.
 const WATCH_SUBJECT: &str = "store";
+/// What the members of a part of the fleet are ranked for when they start.
+const START_SUBJECT: &str = "start";
 /// Nodes that a node turns to before it watches the store itself: one may be lost without a
 /// gap.
 const UPSTREAMS: usize = 2;
@@ -72,6 +74,17 @@
     first_distinct(upstreams, &own.node)
 }
 
+/// The nodes that `own`, which starts, takes everything from that the store holds: those that
+/// come before it in the tree of `near`, the members of its part of the fleet. None if it is the
+/// one to list the store.
+pub fn start_upstreams<'a>(own: &HomeCandidate, near: &'a [HomeCandidate]) -> Vec<&'a str> {
+    if near.is_empty() {
+        return Vec::new();
+    }
+    let ranked = ranked(START_SUBJECT, near.iter().collect());
+    first_distinct(ancestors(&own.node, &ranked), &own.node)
+}
+
 /// The nodes that `own` hears from when no other node of its region passes changes on and it
 /// cannot watch the store itself: those that watch, nearby ones first.
 fn upstreams_afar<'a>(
--- a/crates/serving/src/counted_store.rs
+++ b/crates/serving/src/counted_store.rs
@@ -38,6 +38,15 @@
         self.store.read_all(freshness).await
     }
 
+    async fn read_own(
+        &self,
+        prefix: &str,
+        freshness: ReadFreshness,
+    ) -> Result<StoreChanges, StoreError> {
+        self.count("read_own");
+        self.store.read_own(prefix, freshness).await
+    }
+
     async fn watch(&self, revision: u64, wait: Duration) -> Result<StoreChanges, StoreError> {
         self.count("watch");
         self.store.watch(revision, wait).await
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -205,6 +205,15 @@
         self.log.borrow().since(revision)
     }
 
+    /// Keeps everything as an upstream packed it, so that it can be passed on as it is.
+    fn keep_packed(&self, everything: &StoreChanges, bytes: &Bytes) {
+        *self.packed.borrow_mut() = Some(PackedChanges {
+            after: None,
+            revision: everything.revision,
+            bytes: bytes.clone(),
+        });
+    }
+
     /// Packs `changes`, which are all after `after`, or everything; those that were packed last
     /// are neither copied nor packed again.
     fn pack(&self, after: Option<u64>, changes: &[Rc<StoreChange>]) -> Result<Bytes, PackError> {
@@ -383,7 +392,8 @@
             covered_ms,
             held_ms,
         }) => {
-            let changes = unpack(node, upstream, &changes).ok_or(NoNews::NotAnswered)?;
+            let packed_changes = changes;
+            let changes = unpack(node, upstream, &packed_changes).ok_or(NoNews::NotAnswered)?;
             // All of the time that the upstream did not hold the question back may be the
             // answer's way.
             let told_at = node.now().min(asked_at + Duration::from_millis(held_ms));
@@ -394,6 +404,7 @@
             );
             note_steady(node, Duration::from_millis(steady_ms));
             Ok(if everything {
+                node.feed.keep_packed(&changes, &packed_changes);
                 Followed::Everything(changes)
             } else {
                 Followed::Changes(changes)
@@ -406,6 +417,25 @@
     }
 }
 
+/// What a peer answered that was asked for everything.
+pub(crate) enum Everything {
+    /// All that the store holds.
+    Told(StoreChanges),
+    /// It does not know that yet.
+    NotYet,
+    /// It did not answer, or is of no help.
+    NotAnswered,
+}
+
+/// Asks a peer for everything that the store holds, for a node that knows nothing.
+pub(crate) async fn ask_for_everything(node: &Rc<Node>, upstream: &Peer) -> Everything {
+    match ask(node, upstream, 0).await {
+        Ok(Followed::Everything(everything)) => Everything::Told(everything),
+        Err(NoNews::Behind | NoNews::Incomplete) => Everything::NotYet,
+        Ok(_) | Err(NoNews::NotAnswered | NoNews::TurnedAway) => Everything::NotAnswered,
+    }
+}
+
 /// Sends the question. Nothing if it is not answered.
 async fn call(node: &Rc<Node>, upstream: &Peer, revision: u64) -> Option<FeedAnswer> {
     let now = node.now();
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -22,6 +22,7 @@
 };
 use crate::registration;
 use crate::snapshot;
+use crate::start;
 
 /// Pause after a watch that told of changes: those of the next moment come together.
 const GATHER: Duration = Duration::from_millis(40);
@@ -45,23 +46,15 @@
 /// others that start with it register meanwhile, so one watch tells of all of them.
 const GATHER_AT_START: Duration = Duration::from_millis(120);
 
-/// Pause between listings when the whole fleet starts for the first time. That is long before
-/// it has callers, so a node can wait for a cheap listing that tells of the others.
-const FIRST_START_PAUSE: Duration = Duration::from_millis(1_000);
-/// Such listings at the most: a listing may be seconds old.
-const FIRST_START_LISTINGS: u32 = 4;
-
 /// Follows the store for as long as the node lives.
 pub async fn follow(node: Rc<Node>) {
     loop {
         let starts = node.configuration().is_none();
-        let Some(mut revision) = read_everything(&node, listing_freshness(&node)).await else {
+        let Some(mut revision) = begin(&node).await else {
             sleep(retry_pause(&node)).await;
             continue;
         };
-        if starts && node.settings.first_start {
-            revision = read_until_others_are_known(&node, revision).await;
-        } else if starts && feed::is_watcher(&node) {
+        if starts && feed::is_watcher(&node) {
             sleep(GATHER_AT_START).await;
         }
         while let Some(next) = follow_once(&node, revision).await {
@@ -70,19 +63,17 @@
     }
 }
 
-/// Takes listings until this node knows whom to follow, or finds itself among those listed
-/// and so is the one to watch. Returns the revision of the last one.
-async fn read_until_others_are_known(node: &Rc<Node>, revision: u64) -> u64 {
-    let mut newest = revision;
-    for _ in 0..FIRST_START_LISTINGS {
-        if !feed::is_watcher(node) || node.own_record_revision.get() > 0 {
-            break;
-        }
-        sleep(FIRST_START_PAUSE).await;
-        let read = read_everything(node, ReadFreshness::MayBeOld).await;
-        newest = read.unwrap_or(newest);
+/// Takes in everything that the store holds: from a peer if this node starts and others start
+/// with it or run already, or else from the store. Returns the revision to go on from.
+async fn begin(node: &Rc<Node>) -> Option<u64> {
+    if node.configuration().is_none()
+        && let Some(everything) = start::take_from_peers(node).await
+    {
+        note_reachable(node, true, "peer");
+        node.counters.count("store_followed", "peer_at_start");
+        return Some(take_everything(node, everything, true));
     }
-    newest
+    read_everything(node, listing_freshness(node)).await
 }
 
 /// How long to wait after a call to the store that failed. An outage concerns all nodes at
@@ -327,7 +318,7 @@
     note_reachable(node, false, &error.to_string());
 }
 
-fn note_reachable(node: &Rc<Node>, reachable: bool, detail: &str) {
+pub(crate) fn note_reachable(node: &Rc<Node>, reachable: bool, detail: &str) {
     if reachable {
         node.store_heard_at.set(node.now());
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod shutdown;
 pub mod snapshot;
 pub mod socket;
+mod start;
 mod statement;
 mod tokens;
 pub mod units;
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -169,6 +169,12 @@
 pub trait StateStore {
     /// Reads everything that concerns the fleet.
     async fn read_all(&self, freshness: ReadFreshness) -> Result<StoreChanges, StoreError>;
+    /// Reads those of the fleet's own records whose keys begin with `prefix`.
+    async fn read_own(
+        &self,
+        prefix: &str,
+        freshness: ReadFreshness,
+    ) -> Result<StoreChanges, StoreError>;
     /// Waits up to `wait` for changes after `revision`.
     async fn watch(&self, revision: u64, wait: Duration) -> Result<StoreChanges, StoreError>;
     /// Reads one of the fleet's own keys with its revision.
