A listing after missed changes travels as what changed

Cause: when the store has forgotten its history, the node that watches lists everything, and its log of changes began anew. Each follower then took everything along the tree, 3,000 databases and 985 members, though almost nothing had changed: nodes x (nodes + databases) each time.

Now the log takes a listing in: what is listed as it was known stays, what is not listed is told as gone. Property: a follower that knew any earlier state ends where the store is, by the changes alone; two changes among 1,000 and 2,000 subjects are told as two.

--- a/crates/coordination/src/serving/feed.rs
+++ b/crates/coordination/src/serving/feed.rs
@@ -8,7 +8,7 @@
 //! of them is as large as the state itself and no larger.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use hookpoint_state::ZoneName;
@@ -254,6 +254,37 @@
         self.whole = true;
     }
 
+    /// Takes in a listing of everything that was read at `revision`, after changes were missed.
+    ///
+    /// What is listed as it was known stays as it is, so that followers, who know it as well,
+    /// hear only of what changed meanwhile. What is known and not listed has gone: `gone` says
+    /// how that is told of a subject, nothing if its last change told it or it never goes.
+    pub fn take_listing(
+        &mut self,
+        revision: u64,
+        listed: Vec<(u64, Subject, Change)>,
+        gone: impl Fn(&Subject, &Change) -> Option<Change>,
+    ) {
+        if !self.whole {
+            self.restart(revision);
+        }
+        let present: BTreeSet<&Subject> = listed.iter().map(|(_, subject, _)| subject).collect();
+        let missing =
+            |(at, subject): &&(u64, Subject)| *at <= revision && !present.contains(subject);
+        let ended: Vec<(Subject, Change)> = self
+            .changes
+            .iter()
+            .filter(|(key, _)| missing(key))
+            .filter_map(|((_, subject), change)| Some((subject.clone(), gone(subject, change)?)))
+            .collect();
+        for (subject, change) in ended {
+            self.record(revision, subject, change);
+        }
+        for (changed_at, subject, change) in listed {
+            self.record(changed_at, subject, change);
+        }
+    }
+
     /// Takes a change; one that is older than the newest of its subject is passed over.
     pub fn record(&mut self, revision: u64, subject: Subject, change: Change) {
         if let Some(known) = self.newest.get(&subject).copied() {
--- a/crates/coordination/tests/serving_feed.rs
+++ b/crates/coordination/tests/serving_feed.rs
@@ -288,3 +288,85 @@
     }
     assert_eq!(log.everything(), None);
 }
+
+/// What a change of the model store says of its subject: its newest content, or that it is gone.
+type Content = Option<u64>;
+
+/// A change of the model store: which subject, and what it then says.
+type ModelChange = (u8, Content);
+
+/// Applies changes to what a node knows.
+fn apply(known: &mut BTreeMap<u8, u64>, changes: impl IntoIterator<Item = ModelChange>) {
+    for (subject, content) in changes {
+        match content {
+            Some(content) => known.insert(subject, content),
+            None => known.remove(&subject),
+        };
+    }
+}
+
+/// Says that a subject is gone, unless its last change did.
+fn gone(subject: &u8, last: &ModelChange) -> Option<ModelChange> {
+    last.1.map(|_| (*subject, None))
+}
+
+/// The store's items with their revisions.
+fn listing(history: &[ModelChange]) -> Vec<(u64, u8, ModelChange)> {
+    let mut newest = BTreeMap::new();
+    for (revision, change) in (1_u64..).zip(history) {
+        newest.insert(change.0, (revision, *change));
+    }
+    let items = newest.into_iter();
+    items
+        .filter(|(_, (_, change))| change.1.is_some())
+        .map(|(subject, (revision, change))| (revision, subject, change))
+        .collect()
+}
+
+quickcheck! {
+    /// A watcher that missed changes, and read everything anew, brings a follower that knew what it
+    /// had known up to the store's state, by the changes alone.
+    fn a_follower_hears_what_its_watcher_missed(
+        steps: Vec<(u8, bool)>,
+        followed: u8,
+        known: u8
+    ) -> bool {
+        let history: Vec<ModelChange> = (1_u64..)
+            .zip(steps)
+            .map(|(revision, (subject, present))| (subject % 16, present.then_some(revision)))
+            .collect();
+        let followed = usize::from(followed).min(history.len());
+        let known = usize::from(known).min(followed);
+        let mut log: ChangeLog<u8, ModelChange> = ChangeLog::default();
+        log.take_listing(0, Vec::new(), gone);
+        for (revision, change) in (1_u64..).zip(&history[..followed]) {
+            log.record(revision, change.0, *change);
+        }
+        let read_at = u64::try_from(history.len()).unwrap();
+        log.take_listing(read_at, listing(&history), gone);
+        let mut follower = BTreeMap::new();
+        apply(&mut follower, history[..known].iter().copied());
+        let told = log.since(u64::try_from(known).unwrap());
+        apply(&mut follower, told.expect("the watcher knows everything"));
+        let mut store = BTreeMap::new();
+        apply(&mut store, history);
+        follower == store
+    }
+}
+
+#[test]
+fn a_listing_after_missed_changes_tells_just_those_however_much_it_lists() {
+    for subjects in [1_000_u32, 2_000] {
+        let first: Vec<(u64, u32, Option<u64>)> =
+            (0..subjects).map(|subject| (5, subject, Some(5))).collect();
+        let gone = |_: &u32, last: &Option<u64>| last.map(|_| None);
+        let mut log: ChangeLog<u32, Option<u64>> = ChangeLog::default();
+        log.take_listing(10, first.clone(), gone);
+        let mut again = first;
+        again[7] = (15, 7, Some(15));
+        again.remove(3);
+        log.take_listing(20, again, gone);
+        let told = log.since(10).expect("nothing is missing");
+        assert_eq!(told, [Some(15), None], "{subjects} subjects");
+    }
+}
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -22,7 +22,7 @@
 use crate::link::{self, LinkReply, LinkRequest};
 use crate::node::Node;
 use crate::packed::{self, PackError};
-use crate::ports::{ChangeSubject, StoreChange, StoreChanges};
+use crate::ports::{ChangeSubject, StoreChange, StoreChanges, StoreRecord};
 use crate::units::millis;
 
 /// Time that an upstream's answer may be late: a large configuration takes its time on a slow
@@ -105,13 +105,21 @@
 }
 
 impl Feed {
-    /// Begins anew after everything was read.
-    pub fn restart(&self, all: &StoreChanges) {
+    /// Takes in everything that the store holds.
+    pub fn take_listing(&self, all: &StoreChanges) {
         self.failures.set(0);
-        self.log.borrow_mut().restart(all.revision);
-        for change in &all.changes {
-            self.record(change);
-        }
+        let listed = all.changes.iter().map(|change| {
+            let subject = change.record.subject();
+            (change.revision, subject, Rc::new(change.clone()))
+        });
+        let gone = |subject: &ChangeSubject, known: &Rc<StoreChange>| {
+            let record = StoreRecord::gone(subject).filter(|gone| *gone != known.record)?;
+            let revision = all.revision;
+            Some(Rc::new(StoreChange { revision, record }))
+        };
+        self.log
+            .borrow_mut()
+            .take_listing(all.revision, listed.collect(), gone);
         self.advance(all.revision);
     }
 
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -117,7 +117,7 @@
     if present {
         node.own_record_revision.set(0);
     }
-    node.feed.restart(&all);
+    node.feed.take_listing(&all);
     apply_all(node, all);
     node.note_promotions_known(revision);
     revision
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -111,6 +111,24 @@
 }
 
 impl StoreRecord {
+    /// The record that says that a subject's key is gone; nothing for the configuration, which
+    /// stays in force.
+    pub fn gone(subject: &ChangeSubject) -> Option<Self> {
+        match subject {
+            ChangeSubject::Configuration => None,
+            ChangeSubject::Database(name) => Some(StoreRecord::DatabaseGone(name.clone())),
+            ChangeSubject::Evacuation(zone) => Some(StoreRecord::Evacuation {
+                zone: zone.clone(),
+                requested: false,
+            }),
+            ChangeSubject::Own(key) => Some(StoreRecord::Own {
+                key: key.clone(),
+                value: None,
+                lease: None,
+            }),
+        }
+    }
+
     /// What the record is about.
     pub fn subject(&self) -> ChangeSubject {
         match self {
