A node that starts again finds its lease among the members near it

Cause, from the logs of a twentieth of the fleet: after a loss of power each node registered as soon as it had read the members near it, and took a new lease and wrote its record, four calls, as it did not know yet that its lease went on. That was found by the listing before. Now the lease is found in the first read. When the whole fleet starts for the first time a node registers at once and reads the members near it when they have done so too, in place of reading each second.

--- a/crates/serving/src/coordinator/mod.rs
+++ b/crates/serving/src/coordinator/mod.rs
@@ -321,7 +321,10 @@
         let all_hold = witnesses.holders == witnesses.members;
         let reached = seen.contains(&Observation::Reachable);
         let own_view = 1;
-        let some_look = seen.iter().skip(own_view).any(|seen| *seen == Observation::Unknown);
+        let some_look = seen
+            .iter()
+            .skip(own_view)
+            .any(|seen| *seen == Observation::Unknown);
         if all_hold || reached || some_look || is_lost(&seen, witnesses) {
             return views;
         }
--- a/crates/serving/src/homes.rs
+++ b/crates/serving/src/homes.rs
@@ -132,7 +132,11 @@
     /// Whether another record of a node tells the same of it.
     fn is_same_process_as(&self, other: &Self) -> bool {
         let gone_at = other.gone_at;
-        *other == Self { gone_at, ..self.clone() }
+        *other
+            == Self {
+                gone_at,
+                ..self.clone()
+            }
     }
 
     /// The member called `name` as one that may be home.
@@ -189,9 +193,7 @@
             member.gone_at = Some(now);
             let mut homes = self.homes.borrow_mut();
             homes.registered = None;
-            homes
-                .leaving
-                .insert((now + MEMBER_MEMORY, name.to_owned()));
+            homes.leaving.insert((now + MEMBER_MEMORY, name.to_owned()));
         }
     }
 
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -234,7 +234,6 @@
         let counters = Rc::new(Counters::default());
         Rc::new(Self {
             changeable: RefCell::new(Rc::new(settings.changeable.clone())),
-            settings,
             protocol,
             store: Rc::new(CountedStore::new(store, Rc::clone(&counters))),
             promotions,
@@ -259,7 +258,8 @@
             coordinator_lease: Cell::new(None),
             coordinator_until: Cell::default(),
             promotions_ordered: Cell::new(0),
-            store_reachable: Cell::new(false),
+            // Nothing can be read yet when the whole fleet starts, but each node can register.
+            store_reachable: Cell::new(settings.first_start),
             store_steady_since: Cell::default(),
             stopping_since: Cell::new(None),
             sessions: Cell::new(0),
@@ -278,6 +278,7 @@
             homes: RefCell::default(),
             pools: RefCell::default(),
             cold: ColdDatabases::default(),
+            settings,
             started: Instant::now(),
         })
     }
--- a/crates/serving/src/start.rs
+++ b/crates/serving/src/start.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hookpoint_coordination::serving::feed::start_upstreams;
 use hookpoint_coordination::serving::homes::HomeCandidate;
 use tokio::time::sleep;
@@ -18,6 +19,7 @@
 use crate::node::Node;
 use crate::ports::{ReadFreshness, StoreChanges, StoreError, StoreRecord};
 use crate::records::{MemberRecord, decode, member_part};
+use crate::registration;
 
 /// Time within which processes that lost power together start: until then a peer that refuses
 /// connections may be about to run.
@@ -27,11 +29,11 @@
 const PEERS_KNOW: Duration = Duration::from_secs(4);
 /// Pause before the peers are asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
-/// Pause between reads when the whole fleet starts for the first time. That is long before it
+/// Pause before each read when the whole fleet starts for the first time. That is long before it
 /// has callers, so a node can wait until the others have registered.
-const FIRST_START_PAUSE: Duration = Duration::from_millis(1_000);
+const FIRST_START_PAUSE: Duration = Duration::from_millis(2_000);
 /// Such reads at the most: each may be seconds old.
-const FIRST_START_READS: u32 = 5;
+const FIRST_START_READS: u32 = 3;
 
 /// Everything that the store holds, from a peer. Nothing if this node is the one to list the
 /// store, or no peer is of help.
@@ -57,20 +59,35 @@
 /// first time it waits until it is among them: the others have registered by then.
 async fn read_near(node: &Rc<Node>) -> Result<Vec<MemberRecord>, StoreError> {
     let part = member_part(&node.settings.zone, &node.settings.name);
-    let mut reads = 1;
+    let mut reads = 0;
     loop {
+        if node.settings.first_start {
+            sleep(FIRST_START_PAUSE).await;
+        }
+        reads += 1;
         let read = node.store.read_own(&part, ReadFreshness::MayBeOld).await?;
+        find_own_lease(node, &read);
         note_reachable(node, true, "read");
         let near = member_records(read);
         let registered = near.iter().any(|record| record.node == node.settings.name);
         if registered || !node.settings.first_start || reads == FIRST_START_READS {
             return Ok(near);
         }
-        reads += 1;
-        sleep(FIRST_START_PAUSE).await;
     }
 }
 
+/// Finds the lease of an earlier process of this node, so that it goes on with that: a lease of
+/// its own and a new record would cost several calls more.
+fn find_own_lease(node: &Rc<Node>, read: &StoreChanges) {
+    let own = registration::own_record(node);
+    let is_own = |value: &Option<Bytes>| value.as_deref().and_then(decode) == Some(own.clone());
+    let lease = read.changes.iter().find_map(|change| match &change.record {
+        StoreRecord::Own { value, lease, .. } if is_own(value) => *lease,
+        _ => None,
+    });
+    node.lease_found.set(lease);
+}
+
 fn member_records(read: StoreChanges) -> Vec<MemberRecord> {
     let record = |record| match record {
         StoreRecord::Own { value, .. } => value.as_deref().and_then(decode),
