A node that starts is told everything at once, as a listing that may be old

Now it passes its listing on as it is; the follower takes it as one that may be old, and learns the present state as it follows on.

--- a/crates/coordination/src/serving/feed.rs
+++ b/crates/coordination/src/serving/feed.rs
@@ -308,6 +308,11 @@
         }
     }
 
+    /// Whether the newest change of every subject is known here.
+    pub fn is_whole(&self) -> bool {
+        self.whole
+    }
+
     /// The newest change of every subject; nothing if some are not known here.
     pub fn everything(&self) -> Option<Vec<Change>> {
         self.whole.then(|| self.changes.values().cloned().collect())
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -256,6 +256,14 @@
     hold_ms: u64,
 }
 
+impl FollowQuestion {
+    /// Whether the follower has just started. What its upstream knows helps it at once, like a
+    /// listing that may be old; whether that is the present state it learns as it follows on.
+    fn knows_nothing(&self) -> bool {
+        self.revision == 0
+    }
+}
+
 /// Answers a follower: as soon as there is newer word of the store than it has.
 pub async fn answer(node: &Rc<Node>, question: &FollowQuestion) -> FeedAnswer {
     let feed = &node.feed;
@@ -266,6 +274,9 @@
         let advanced = feed.advanced.notified();
         let now = node.now();
         let changes = feed.changes_since(question.revision);
+        if question.knows_nothing() && feed.log.borrow().is_whole() {
+            return news_answer(node, question.revision, changes, asked_at);
+        }
         let changed = changes.as_ref().is_some_and(|changes| !changes.is_empty());
         match feed.news.borrow().reply(known_at, changed, until, now) {
             Reply::News => return news_answer(node, question.revision, changes, asked_at),
@@ -406,10 +417,12 @@
             // answer's way.
             let told_at = node.now().min(asked_at + Duration::from_millis(held_ms));
             node.counters.count("store_followed", "peer");
-            node.feed.note_heard(
-                told_at - Duration::from_millis(age_ms),
-                told_at - Duration::from_millis(covered_ms),
-            );
+            let age = Duration::from_millis(age_ms);
+            // A node that starts may be told an old state, which proves nothing of the present.
+            if revision > 0 || age < limits(node).oldest {
+                let covered = told_at - Duration::from_millis(covered_ms);
+                node.feed.note_heard(told_at - age, covered);
+            }
             note_steady(node, Duration::from_millis(steady_ms));
             Ok(if everything {
                 node.feed.keep_packed(&changes, &packed_changes);
