A node that the store answers again does not count as turned away

Cause, from the logs of a large deployment whose power is lost while the store is down: each node's first calls failed, so for 3.4 s each told its followers that the store turns it away, though it had read the store since; what changed in the store, databases that registered again, reached nobody for 2.7 s after it was back (statements refused with no database known). Only a call that told the present state ended that. Now any answer of the store does. Test: fails without the change (there was no such event).

--- a/crates/coordination/src/serving/store_news.rs
+++ b/crates/coordination/src/serving/store_news.rs
@@ -188,6 +188,13 @@
         }
     }
 
+    /// The store answered a call of this node's own, maybe with an old state: it does not turn
+    /// the node away. One that starts in an outage would else send its followers elsewhere for
+    /// seconds after the store is back.
+    pub fn note_answered(&mut self) {
+        self.turned_away_at = None;
+    }
+
     /// A call of this node's own failed, or its answer is overdue.
     pub fn note_turned_away(&mut self, now: Timestamp) {
         self.turned_away_at = Some(now);
--- a/crates/coordination/tests/serving_store_news.rs
+++ b/crates/coordination/tests/serving_store_news.rs
@@ -198,3 +198,14 @@
         assert_eq!(answer.covered(), at(covered), "{changed} {read_at}");
     }
 }
+
+#[test]
+fn a_node_that_the_store_answers_again_passes_on_what_it_hears() {
+    let mut news = StoreNews::default();
+    news.note_turned_away(at(0));
+    news.note_answered();
+    assert!(!news.is_turned_away(at(100)));
+    news.note_heard(at(200));
+    let reply = news.reply(at(0), true, at(1_000), at(200));
+    assert_eq!(reply, Reply::News);
+}
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -148,6 +148,11 @@
         self.advanced.notify_waiters();
     }
 
+    /// The store answered a call of this node's own, maybe with an old state.
+    pub(crate) fn note_answered(&self) {
+        self.news.borrow_mut().note_answered();
+    }
+
     fn note_heard(&self, when: Timestamp, covered: Timestamp) {
         self.failures.set(0);
         self.caught_up.set(true);
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -95,6 +95,7 @@
     match read_or_ask_peers(node, freshness).await {
         Ok(all) => {
             note_reachable(node, true, "read");
+            node.feed.note_answered();
             node.store_steady_since.set(node.now());
             let present = freshness == ReadFreshness::Present;
             if present {
--- a/crates/serving/src/start.rs
+++ b/crates/serving/src/start.rs
@@ -66,6 +66,7 @@
         }
         reads += 1;
         let read = node.store.read_own(&part, ReadFreshness::MayBeOld).await?;
+        node.feed.note_answered();
         find_own_lease(node, &read);
         note_reachable(node, true, "read");
         let near = member_records(read);
