--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -138,6 +138,11 @@
         self.advanced.notify_waiters();
     }
 
+    /// Up to where this node follows the store; 0 before it knows anything.
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
     /// The store answered a call of this node's own at `when`; the answer is about to be taken
     /// in, and holds every change up to `covered`.
     pub fn note_told(&self, when: Timestamp, covered: Timestamp) {
@@ -275,6 +280,9 @@
     let asked_at = node.now();
     let known_at = asked_at - Duration::from_millis(question.age_ms);
     let until = asked_at + Duration::from_millis(question.hold_ms);
+    if question.revision > feed.revision() {
+        node.counters.count("followers_answered", "ahead");
+    }
     loop {
         let advanced = feed.advanced.notified();
         let now = node.now();
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -115,10 +115,19 @@
 /// revision to go on from.
 fn take_everything(node: &Rc<Node>, all: StoreChanges, present: bool) -> u64 {
     let revision = all.revision;
+    node.log(
+        "store_listed",
+        &[
+            ("revision", revision.into()),
+            ("known", node.feed.revision().into()),
+            ("present", present.into()),
+        ],
+    );
     if present {
         node.own_record_revision.set(0);
     }
     node.feed.take_listing(&all);
+    node.counters.set("store_revision", revision);
     apply_all(node, all);
     node.note_promotions_known(revision);
     revision
@@ -203,6 +212,7 @@
         apply(node, change);
     }
     node.feed.advance(next);
+    node.counters.set("store_revision", next);
     node.note_promotions_known(next);
     housekeeping(node);
     next
