--- a/crates/coordination/src/serving/coordinator.rs
+++ b/crates/coordination/src/serving/coordinator.rs
@@ -4,6 +4,7 @@
 //! order to its peers. A record can lapse while the store is away though its writer lives
 //! and others go on voting for it, so the newest coordinator stays known without it.
 
+use hookpoint_state::StoreRevision;
 use serde::{Deserialize, Serialize};
 
 /// The coordinator's record in the state store.
@@ -18,33 +19,36 @@
 /// What a node knows of coordinators. A revision is that of a record in the store.
 #[derive(Clone, Debug, Default)]
 pub struct CoordinatorView {
-    revision: u64,
+    revision: StoreRevision,
     holder: Option<CoordinatorRecord>,
-    newest: Option<(u64, String)>,
+    newest: Option<(StoreRevision, String)>,
 }
 
 impl CoordinatorView {
     /// Takes the record as of `revision`, or that it is gone. An older one is passed over.
-    pub fn take_record(&mut self, revision: u64, record: Option<CoordinatorRecord>) {
+    pub fn take_record(&mut self, revision: StoreRevision, record: Option<CoordinatorRecord>) {
         if revision < self.revision {
             return;
         }
         if let Some(record) = &record {
             self.learn(revision, &record.node);
         }
-        self.revision = if record.is_some() { revision } else { 0 };
+        self.revision = match record {
+            Some(_) => revision,
+            None => StoreRevision::default(),
+        };
         self.holder = record;
     }
 
     /// Notes that there is no record now.
     pub fn forget_record(&mut self) {
-        self.revision = 0;
+        self.revision = StoreRevision::default();
         self.holder = None;
     }
 
     /// Takes notice of a coordinator that announces something. A node that has lost the
     /// store learns of a new one only so.
-    pub fn learn(&mut self, revision: u64, node: &str) {
+    pub fn learn(&mut self, revision: StoreRevision, node: &str) {
         if self
             .newest
             .as_ref()
@@ -59,8 +63,8 @@
         self.holder.as_ref()
     }
 
-    /// Its revision; 0 if there is none.
-    pub fn revision(&self) -> u64 {
+    /// Its revision; the default if there is none.
+    pub fn revision(&self) -> StoreRevision {
         self.revision
     }
 
@@ -71,9 +75,10 @@
             .filter(|record| record.node == node && Some(record.lease) != lease)
     }
 
-    /// Revision of the newest coordinator known of; 0 if there is none.
-    pub fn newest_revision(&self) -> u64 {
-        self.newest.as_ref().map_or(0, |(revision, _)| *revision)
+    /// Revision of the newest coordinator known of; the default if there is none.
+    pub fn newest_revision(&self) -> StoreRevision {
+        let newest = self.newest.as_ref();
+        newest.map_or_else(StoreRevision::default, |(revision, _)| *revision)
     }
 
     /// Name of the newest coordinator known of, whether its record is there or not.
--- a/crates/coordination/src/serving/database_life.rs
+++ b/crates/coordination/src/serving/database_life.rs
@@ -12,7 +12,7 @@
 
 use std::collections::BTreeMap;
 
-use hookpoint_state::DatabaseName;
+use hookpoint_state::{DatabaseName, StoreRevision};
 use serde::{Deserialize, Serialize};
 
 /// When a database's process started, as the database tells it: Unix milliseconds.
@@ -29,12 +29,15 @@
 /// Revision and start of the last entry of databases that were forgotten.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Tombstones {
-    entries: BTreeMap<DatabaseName, (u64, Option<DatabaseStart>)>,
+    entries: BTreeMap<DatabaseName, (StoreRevision, Option<DatabaseStart>)>,
 }
 
 impl Tombstones {
     /// What is remembered of a database.
-    pub(super) fn get(&self, name: &DatabaseName) -> Option<(u64, Option<DatabaseStart>)> {
+    pub(super) fn get(
+        &self,
+        name: &DatabaseName,
+    ) -> Option<(StoreRevision, Option<DatabaseStart>)> {
         self.entries.get(name).copied()
     }
 
@@ -43,7 +46,7 @@
     pub(super) fn put(
         &mut self,
         name: &DatabaseName,
-        revision: u64,
+        revision: StoreRevision,
         started: Option<DatabaseStart>,
     ) {
         self.entries.insert(name.clone(), (revision, started));
--- a/crates/coordination/src/serving/directory.rs
+++ b/crates/coordination/src/serving/directory.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
+use hookpoint_state::{DatabaseName, GroupName, StoreRevision, Timestamp, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use super::database_life::{DatabaseStart, Tombstones};
@@ -54,8 +54,8 @@
 pub struct Listed {
     /// The registration.
     pub database: Database,
-    /// Revision of the registration, in the store's counter.
-    pub revision: u64,
+    /// Revision of the registration.
+    pub revision: StoreRevision,
     /// Its leaving: it has announced its end, or its entry is missing.
     pub departure: Option<Departure>,
     /// Whether its entry is missing from the store.
@@ -114,7 +114,12 @@
 impl Directory {
     /// Takes one registration; an older revision than the one held is passed over, so it
     /// brings no earlier life back.
-    pub fn put(&mut self, database: Database, revision: u64, hearing: Hearing) -> Registration {
+    pub fn put(
+        &mut self,
+        database: Database,
+        revision: StoreRevision,
+        hearing: Hearing,
+    ) -> Registration {
         let before = self.databases.get(&database.name);
         let known = match before {
             Some(listed) => Some((listed.revision, listed.database.started)),
@@ -174,7 +179,7 @@
     }
 
     /// Notes that the entry of `name` is gone as of `revision`.
-    pub fn remove(&mut self, name: &DatabaseName, revision: u64, hearing: Hearing) {
+    pub fn remove(&mut self, name: &DatabaseName, revision: StoreRevision, hearing: Hearing) {
         if let Some(listed) = self.databases.get_mut(name)
             && listed.revision <= revision
         {
--- a/crates/coordination/src/serving/evacuation.rs
+++ b/crates/coordination/src/serving/evacuation.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hookpoint_state::{Timestamp, ZoneName};
+use hookpoint_state::{StoreRevision, Timestamp, ZoneName};
 
 /// What the databases of a zone may be used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,8 +22,8 @@
 /// What is known of one zone's evacuation.
 #[derive(Clone, Copy, Debug)]
 struct Evacuation {
-    /// Revision of the request, or of its end, in the store's counter.
-    revision: u64,
+    /// Revision of the request, or of its end.
+    revision: StoreRevision,
     /// Whether it is in force.
     requested: bool,
     /// When this node learnt of the request or its end.
@@ -44,7 +44,7 @@
         &mut self,
         zone: &ZoneName,
         requested: bool,
-        revision: u64,
+        revision: StoreRevision,
         now: Timestamp,
     ) -> bool {
         let known = self.zones.get(zone).copied();
@@ -69,8 +69,8 @@
     /// has ended. Returns the zones for which what is in force changed.
     pub fn replace(
         &mut self,
-        listed: &[(ZoneName, u64)],
-        revision: u64,
+        listed: &[(ZoneName, StoreRevision)],
+        revision: StoreRevision,
         now: Timestamp,
     ) -> Vec<ZoneName> {
         let mut changed = Vec::new();
@@ -99,7 +99,7 @@
 
     /// All that is known: each zone, whether its request is in force, and the revision of the
     /// request or its end.
-    pub fn known(&self) -> impl Iterator<Item = (&ZoneName, bool, u64)> {
+    pub fn known(&self) -> impl Iterator<Item = (&ZoneName, bool, StoreRevision)> {
         self.zones
             .iter()
             .map(|(zone, evacuation)| (zone, evacuation.requested, evacuation.revision))
@@ -112,7 +112,7 @@
     }
 
     /// The requests in force and their revisions.
-    pub fn requested(&self) -> impl Iterator<Item = (&ZoneName, u64)> {
+    pub fn requested(&self) -> impl Iterator<Item = (&ZoneName, StoreRevision)> {
         self.zones
             .iter()
             .filter(|(_, evacuation)| evacuation.requested)
--- a/crates/coordination/src/serving/feed.rs
+++ b/crates/coordination/src/serving/feed.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use hookpoint_state::ZoneName;
+use hookpoint_state::{StoreEra, StoreRevision, ZoneName};
 
 use super::homes::{HomeCandidate, rendezvous_score};
 use super::store_news::TryOrder;
@@ -226,11 +226,11 @@
 #[derive(Clone, Debug)]
 pub struct ChangeLog<Subject, Change> {
     /// The log holds every change after this revision; none if nothing is known yet.
-    complete_after: Option<u64>,
+    complete_after: Option<StoreRevision>,
     /// Whether the log holds the newest of every subject, whenever that changed.
     whole: bool,
-    changes: BTreeMap<(u64, Subject), Change>,
-    newest: BTreeMap<Subject, u64>,
+    changes: BTreeMap<(StoreRevision, Subject), Change>,
+    newest: BTreeMap<Subject, StoreRevision>,
 }
 
 impl<Subject, Change> Default for ChangeLog<Subject, Change> {
@@ -247,7 +247,7 @@
 impl<Subject: Ord + Clone, Change: Clone> ChangeLog<Subject, Change> {
     /// Begins anew after a listing of everything that was read at `revision`; each record of the
     /// listing is to be recorded next.
-    pub fn restart(&mut self, revision: u64) {
+    pub fn restart(&mut self, revision: StoreRevision) {
         self.changes.clear();
         self.newest.clear();
         self.complete_after = Some(revision);
@@ -259,18 +259,22 @@
     /// What is listed as it was known stays as it is, so that followers, who know it as well,
     /// hear only of what changed meanwhile. What is known and not listed has gone: `gone` says
     /// how that is told of a subject, nothing if its last change told it or it never goes.
+    ///
+    /// A listing of another era begins anew: followers may know changes of the earlier one that
+    /// are not known here.
     pub fn take_listing(
         &mut self,
-        revision: u64,
-        listed: Vec<(u64, Subject, Change)>,
+        revision: StoreRevision,
+        listed: Vec<(StoreRevision, Subject, Change)>,
         gone: impl Fn(&Subject, &Change) -> Option<Change>,
     ) {
-        if !self.whole {
+        if !self.whole || !self.is_of(revision.era()) {
             self.restart(revision);
         }
         let present: BTreeSet<&Subject> = listed.iter().map(|(_, subject, _)| subject).collect();
-        let missing =
-            |(at, subject): &&(u64, Subject)| *at <= revision && !present.contains(subject);
+        let missing = |(at, subject): &&(StoreRevision, Subject)| {
+            *at <= revision && !present.contains(subject)
+        };
         let ended: Vec<(Subject, Change)> = self
             .changes
             .iter()
@@ -286,7 +290,7 @@
     }
 
     /// Takes a change; one that is older than the newest of its subject is passed over.
-    pub fn record(&mut self, revision: u64, subject: Subject, change: Change) {
+    pub fn record(&mut self, revision: StoreRevision, subject: Subject, change: Change) {
         if let Some(known) = self.newest.get(&subject).copied() {
             if known >= revision {
                 return;
@@ -318,12 +322,19 @@
         self.whole.then(|| self.changes.values().cloned().collect())
     }
 
-    /// The changes after `revision`; nothing if some of them are not known here.
-    pub fn since(&self, revision: u64) -> Option<Vec<Change>> {
-        if self
+    /// Whether the log holds the changes of this era.
+    fn is_of(&self, era: StoreEra) -> bool {
+        self.complete_after
+            .is_some_and(|complete| complete.era() == era)
+    }
+
+    /// The changes after `revision`; nothing if some of them are not known here, as those of
+    /// another era never are.
+    pub fn since(&self, revision: StoreRevision) -> Option<Vec<Change>> {
+        let known = self
             .complete_after
-            .is_none_or(|complete| revision < complete)
-        {
+            .is_some_and(|complete| complete <= revision);
+        if !known || !self.is_of(revision.era()) {
             return None;
         }
         let later = self
--- a/crates/coordination/src/serving/lease_grantor.rs
+++ b/crates/coordination/src/serving/lease_grantor.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use hookpoint_state::Timestamp;
+use hookpoint_state::{StoreRevision, Timestamp};
 
 use super::failover::majority;
 use super::primary_lease::{GRANT_TIME, LeaseAnswer, LeaseRequest, ProcessTime, VOTE_TIME};
@@ -22,7 +22,7 @@
 /// The store's word that this node coordinates.
 #[derive(Clone, Copy, Debug)]
 struct CoordinatorTerm {
-    coordinator: u64,
+    coordinator: StoreRevision,
     claimed_at: Timestamp,
     renewed_at: Timestamp,
 }
@@ -42,7 +42,7 @@
     life: u64,
     term: Option<CoordinatorTerm>,
     /// The coordinator under which the votes were given.
-    coordinator: u64,
+    coordinator: StoreRevision,
     /// This process's own time that each voter's last request told back.
     votes: BTreeMap<String, Timestamp>,
     granted_at: BTreeMap<String, Timestamp>,
@@ -54,7 +54,7 @@
         Self {
             life,
             term: None,
-            coordinator: 0,
+            coordinator: StoreRevision::default(),
             votes: BTreeMap::new(),
             granted_at: BTreeMap::new(),
         }
@@ -62,7 +62,7 @@
 
     /// The process coordinates: its record has this revision and was written in a call
     /// made at `claimed_at`.
-    pub fn begin_coordinating(&mut self, coordinator: u64, claimed_at: Timestamp) {
+    pub fn begin_coordinating(&mut self, coordinator: StoreRevision, claimed_at: Timestamp) {
         self.term = Some(CoordinatorTerm {
             coordinator,
             claimed_at,
@@ -88,7 +88,7 @@
         &mut self,
         voter: &str,
         request: &LeaseRequest,
-        coordinator: u64,
+        coordinator: StoreRevision,
         electorate: Electorate,
         now: Timestamp,
     ) -> LeaseAnswer {
--- a/crates/coordination/src/serving/primary_lease.rs
+++ b/crates/coordination/src/serving/primary_lease.rs
@@ -13,7 +13,7 @@
 
 use std::time::Duration;
 
-use hookpoint_state::Timestamp;
+use hookpoint_state::{StoreRevision, Timestamp};
 use serde::{Deserialize, Serialize};
 
 /// How long a lease lasts, from when it was asked for. Longer than it takes to turn to a
@@ -44,7 +44,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRequest {
     /// Revision of the newest coordinator's record that the node knows.
-    pub coordinator: u64,
+    pub coordinator: StoreRevision,
     /// When it is asked for, by the node's clock.
     pub asked_at: ProcessTime,
     /// The time that the last answer told, if there was one.
@@ -55,7 +55,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseAnswer {
     /// Revision of the newest coordinator's record that the answering node knows.
-    pub coordinator: u64,
+    pub coordinator: StoreRevision,
     /// As in the request.
     pub asked_at: ProcessTime,
     /// When it was answered, by the clock of who answers.
@@ -78,7 +78,7 @@
 pub struct PrimaryLease {
     life: u64,
     /// The newest coordinator that this node knows of.
-    coordinator: u64,
+    coordinator: StoreRevision,
     grantor: Grantor,
     unanswered: Option<Timestamp>,
     failures: u32,
@@ -98,7 +98,7 @@
     pub fn new(life: u64, now: Timestamp) -> Self {
         Self {
             life,
-            coordinator: 0,
+            coordinator: StoreRevision::default(),
             grantor: Grantor::Coordinator,
             unanswered: None,
             failures: 0,
@@ -112,12 +112,12 @@
     }
 
     /// Revision of the newest coordinator's record that this node knows of.
-    pub fn coordinator(&self) -> u64 {
+    pub fn coordinator(&self) -> StoreRevision {
         self.coordinator
     }
 
     /// Takes notice of a coordinator; one that is not newer is passed over.
-    pub fn follow(&mut self, coordinator: u64, now: Timestamp) {
+    pub fn follow(&mut self, coordinator: StoreRevision, now: Timestamp) {
         if coordinator <= self.coordinator {
             return;
         }
@@ -240,7 +240,7 @@
     /// Whether an announcement of a coordinator may be acknowledged now: no vote for
     /// anybody else may bind this node. From now on no earlier coordinator is listened to,
     /// and the present one, who can be heard, is asked again instead of a stand-in.
-    pub fn acknowledge(&mut self, coordinator: u64, now: Timestamp) -> bool {
+    pub fn acknowledge(&mut self, coordinator: StoreRevision, now: Timestamp) -> bool {
         self.follow(coordinator, now);
         if coordinator == self.coordinator && self.grantor != Grantor::Coordinator {
             self.turn_to(Grantor::Coordinator, now);
--- a/crates/coordination/tests/serving.rs
+++ b/crates/coordination/tests/serving.rs
@@ -1,5 +1,7 @@
 //! Decisions of the serving path, as tables of cases and as properties.
 
+mod store;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +24,7 @@
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
 use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp, ZoneName};
 use quickcheck::quickcheck;
+use store::revision;
 
 /// Heard as it happens.
 fn heard(millis: u64) -> Hearing {
@@ -369,20 +372,20 @@
 #[test]
 fn absence_proves_leaving_only_in_a_store_that_was_followed_all_the_while() {
     let mut directory = Directory::default();
-    directory.put(database("a", false), 1, heard(0));
-    directory.remove(&name("a"), 2, heard(1_000));
+    directory.put(database("a", false), revision(1), heard(0));
+    directory.remove(&name("a"), revision(2), heard(1_000));
     let listed = directory.get(&name("a")).unwrap();
     assert!(!listed.is_leaving(at(0), at(4_400)));
     assert!(listed.is_leaving(at(0), at(4_500)));
     assert!(!listed.is_leaving(at(3_000), at(4_500)));
-    directory.put(database("a", false), 3, heard(5_000));
+    directory.put(database("a", false), revision(3), heard(5_000));
     assert!(
         !directory
             .get(&name("a"))
             .unwrap()
             .is_leaving(at(0), at(9_000))
     );
-    directory.put(database("a", true), 4, heard(5_000));
+    directory.put(database("a", true), revision(4), heard(5_000));
     assert!(
         directory
             .get(&name("a"))
@@ -394,10 +397,10 @@
 #[test]
 fn an_older_registration_does_not_replace_a_newer_one() {
     let mut directory = Directory::default();
-    directory.put(database("a", true), 5, heard(0));
-    directory.put(database("a", false), 4, heard(1));
+    directory.put(database("a", true), revision(5), heard(0));
+    directory.put(database("a", false), revision(4), heard(1));
     assert!(directory.get(&name("a")).unwrap().database.draining);
-    directory.remove(&name("a"), 4, heard(2));
+    directory.remove(&name("a"), revision(4), heard(2));
     assert!(!directory.get(&name("a")).unwrap().missing);
 }
 
--- a/crates/coordination/tests/serving_database_life.rs
+++ b/crates/coordination/tests/serving_database_life.rs
@@ -1,5 +1,7 @@
 //! Databases that start again under their names: what a node still uses of the life before.
 
+mod store;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -11,6 +13,7 @@
 use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
 use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp, ZoneName};
 use quickcheck::quickcheck;
+use store::revision;
 
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
@@ -60,8 +63,8 @@
         ("told again", Some(2), 10, NewLife),
     ];
     let mut directory = Directory::default();
-    for (now, (case, started, revision, expected)) in (10..).zip(cases) {
-        let taken = directory.put(database("a", started), revision, heard(at(now)));
+    for (now, (case, started, number, expected)) in (10..).zip(cases) {
+        let taken = directory.put(database("a", started), revision(number), heard(at(now)));
         assert_eq!(taken, expected, "{case}");
     }
     let listed = directory.get(&name("a")).unwrap();
@@ -72,7 +75,7 @@
 #[test]
 fn what_was_asked_before_a_database_was_heard_of_may_be_of_an_earlier_life() {
     let mut directory = Directory::default();
-    directory.put(database("a", Some(2)), 1, heard(at(50)));
+    directory.put(database("a", Some(2)), revision(1), heard(at(50)));
     let listed = directory.get(&name("a")).unwrap();
     assert!(!listed.is_of_this_life(at(49)), "a peer may have asked");
     assert!(listed.is_of_this_life(at(51)));
@@ -85,8 +88,8 @@
         draining: true,
         ..database("a", Some(started))
     };
-    directory.put(draining(1), 1, heard(at(10)));
-    directory.put(draining(2), 2, heard(at(20)));
+    directory.put(draining(1), revision(1), heard(at(10)));
+    directory.put(draining(2), revision(2), heard(at(20)));
     let departure = directory.get(&name("a")).unwrap().departure.unwrap();
     assert_eq!(departure.counted_from(), at(20));
 }
@@ -94,26 +97,26 @@
 #[test]
 fn a_forgotten_database_is_not_brought_back_by_a_late_word_and_keeps_its_start() {
     let mut directory = Directory::default();
-    directory.put(database("a", Some(1)), 1, heard(at(10)));
-    directory.remove(&name("a"), 2, heard(at(20)));
+    directory.put(database("a", Some(1)), revision(1), heard(at(10)));
+    directory.remove(&name("a"), revision(2), heard(at(20)));
     directory.forget_missing(at(30));
-    let late = directory.put(database("a", Some(1)), 1, heard(at(40)));
+    let late = directory.put(database("a", Some(1)), revision(1), heard(at(40)));
     assert_eq!(late, Registration::Outdated);
     assert!(directory.get(&name("a")).is_none());
-    let back = directory.put(database("a", Some(2)), 3, heard(at(50)));
+    let back = directory.put(database("a", Some(2)), revision(3), heard(at(50)));
     assert_eq!(back, Registration::NewLife);
 }
 
 #[test]
 fn what_a_listing_lacks_is_missing_and_may_return_in_the_same_life() {
     let mut directory = Directory::default();
-    directory.put(database("a", Some(1)), 1, heard(at(10)));
-    directory.put(database("b", Some(1)), 2, heard(at(10)));
+    directory.put(database("a", Some(1)), revision(1), heard(at(10)));
+    directory.put(database("b", Some(1)), revision(2), heard(at(10)));
     assert_eq!(directory.lacking(&BTreeSet::from([name("b")])), [name("a")]);
-    directory.remove(&name("a"), 6, heard(at(20)));
+    directory.remove(&name("a"), revision(6), heard(at(20)));
     assert!(directory.get(&name("a")).unwrap().missing);
     assert!(!directory.get(&name("b")).unwrap().missing);
-    let back = directory.put(database("a", Some(1)), 7, heard(at(30)));
+    let back = directory.put(database("a", Some(1)), revision(7), heard(at(30)));
     assert_eq!(back, Registration::Taken);
 }
 
@@ -274,9 +277,11 @@
     }
 
     fn hear(&mut self, place: usize) {
-        let (registration, revision) = self.written[place].clone();
+        let (registration, number) = self.written[place].clone();
         let name = registration.name.clone();
-        let taken = self.directory.put(registration, revision, heard(self.now));
+        let taken = self
+            .directory
+            .put(registration, revision(number), heard(self.now));
         if taken == Registration::NewLife && self.protection.end_of_life {
             self.leadership.end_life(&name, self.now);
         }
--- a/crates/coordination/tests/serving_departure.rs
+++ b/crates/coordination/tests/serving_departure.rs
@@ -1,5 +1,7 @@
 //! Databases that leave: no node counts from a time after the announcement, whatever it hears late.
 
+mod store;
+
 use std::time::Duration;
 
 use hookpoint_coordination::serving::database_life::DatabaseStart;
@@ -9,6 +11,7 @@
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
 use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
 use quickcheck::quickcheck;
+use store::revision;
 
 /// How long a database gets new work.
 const LIMIT: Duration = Duration::from_secs(9);
@@ -98,21 +101,21 @@
         let departure = directory.get(&name())?.departure?;
         Some(departure.counted_from())
     };
-    directory.put(database(1, true), 5, hearing(100));
-    directory.put(database(1, true), 6, hearing(900));
+    directory.put(database(1, true), revision(5), hearing(100));
+    directory.put(database(1, true), revision(6), hearing(900));
     assert_eq!(counted_from(&directory), Some(at(100)), "still the same");
-    directory.remove(&name(), 7, hearing(2_000));
+    directory.remove(&name(), revision(7), hearing(2_000));
     assert_eq!(counted_from(&directory), Some(at(100)), "its entry goes");
-    directory.put(database(1, false), 8, hearing(3_000));
+    directory.put(database(1, false), revision(8), hearing(3_000));
     assert_eq!(counted_from(&directory), None, "taken back");
-    directory.remove(&name(), 9, hearing(4_000));
-    directory.put(database(1, true), 10, hearing(7_000));
+    directory.remove(&name(), revision(9), hearing(4_000));
+    directory.put(database(1, true), revision(10), hearing(7_000));
     assert_eq!(
         counted_from(&directory),
         Some(at(7_000)),
         "it had only lapsed"
     );
-    directory.put(database(2, true), 11, hearing(8_000));
+    directory.put(database(2, true), revision(11), hearing(8_000));
     assert_eq!(counted_from(&directory), Some(at(8_000)), "another life");
     directory.learn_departure(&name(), Some(DatabaseStart(1)), at(8_500));
     assert_eq!(
@@ -290,7 +293,7 @@
         let registration = database(1, answer.draining);
         machine
             .directory
-            .put(registration, answer.revision, hearing);
+            .put(registration, revision(answer.revision), hearing);
         if let Some(not_before) = answer.departure {
             let started = Some(DatabaseStart(1));
             machine
--- a/crates/coordination/tests/serving_directory.rs
+++ b/crates/coordination/tests/serving_directory.rs
@@ -1,5 +1,7 @@
 //! The directory's indexes, held to a look at every database.
 
+mod store;
+
 use std::time::Duration;
 
 use hookpoint_coordination::serving::departure::Hearing;
@@ -27,6 +29,7 @@
 fn take(directory: &mut Directory, step: (u8, u8, u8), revision: u64) {
     let (number, group, kind) = step;
     let at = START + Duration::from_secs(revision);
+    let revision = store::revision(revision);
     let hearing = Hearing { at, not_before: at };
     match kind % 4 {
         0 => {
--- a/crates/coordination/tests/serving_feed.rs
+++ b/crates/coordination/tests/serving_feed.rs
@@ -1,11 +1,14 @@
 //! Who watches the state store, and the log of changes that watchers pass on.
 
+mod store;
+
 use std::collections::BTreeMap;
 
 use hookpoint_coordination::serving::feed::{ChangeLog, Regions, store_upstreams};
 use hookpoint_coordination::serving::homes::HomeCandidate;
-use hookpoint_state::ZoneName;
+use hookpoint_state::{StoreEra, StoreRevision, ZoneName};
 use quickcheck::quickcheck;
+use store::revision;
 
 fn nodes(zone: &str, count: usize) -> Vec<HomeCandidate> {
     (0..count)
@@ -238,32 +241,32 @@
 #[test]
 fn a_log_that_lacks_changes_says_so() {
     let mut log: ChangeLog<u8, u64> = ChangeLog::default();
-    assert_eq!(log.since(0), None);
-    log.restart(10);
-    assert_eq!(log.since(9), None);
-    assert_eq!(log.since(10), Some(vec![]));
-    log.record(12, 1, 12);
-    log.record(11, 1, 11);
-    assert_eq!(log.since(10), Some(vec![12]));
-    log.restart(20);
-    assert_eq!(log.since(12), None);
+    assert_eq!(log.since(revision(0)), None);
+    log.restart(revision(10));
+    assert_eq!(log.since(revision(9)), None);
+    assert_eq!(log.since(revision(10)), Some(vec![]));
+    log.record(revision(12), 1, 12);
+    log.record(revision(11), 1, 11);
+    assert_eq!(log.since(revision(10)), Some(vec![12]));
+    log.restart(revision(20));
+    assert_eq!(log.since(revision(12)), None);
 }
 
 quickcheck! {
     /// Whoever applies what the log tells ends with the newest change of each subject.
     fn a_follower_ends_where_the_watcher_is(subjects: Vec<u8>, asked: u8) -> bool {
         let mut log: ChangeLog<u8, (u8, u64)> = ChangeLog::default();
-        log.restart(0);
+        log.restart(revision(0));
         let mut whole = BTreeMap::new();
         let mut follower = BTreeMap::new();
-        for (revision, subject) in (1_u64..).zip(&subjects) {
-            log.record(revision, *subject, (*subject, revision));
-            whole.insert(*subject, revision);
-            if revision <= u64::from(asked) {
-                follower.insert(*subject, revision);
+        for (number, subject) in (1_u64..).zip(&subjects) {
+            log.record(revision(number), *subject, (*subject, number));
+            whole.insert(*subject, number);
+            if number <= u64::from(asked) {
+                follower.insert(*subject, number);
             }
         }
-        let changes = log.since(u64::from(asked)).unwrap_or_default();
+        let changes = log.since(revision(u64::from(asked))).unwrap_or_default();
         let in_order = changes.windows(2).all(|pair| pair[0].1 < pair[1].1);
         follower.extend(changes);
         in_order && follower == whole
@@ -274,17 +277,17 @@
 fn a_log_that_began_with_a_listing_knows_everything_until_it_forgets() {
     let mut log: ChangeLog<u32, &str> = ChangeLog::default();
     assert_eq!(log.everything(), None);
-    log.record(9, 1, "before any listing");
+    log.record(revision(9), 1, "before any listing");
     assert_eq!(log.everything(), None);
-    log.restart(10);
-    log.record(3, 1, "listed");
-    log.record(7, 2, "listed");
-    log.record(12, 1, "changed");
-    assert_eq!(log.since(9), None);
-    assert_eq!(log.since(10), Some(vec!["changed"]));
+    log.restart(revision(10));
+    log.record(revision(3), 1, "listed");
+    log.record(revision(7), 2, "listed");
+    log.record(revision(12), 1, "changed");
+    assert_eq!(log.since(revision(9)), None);
+    assert_eq!(log.since(revision(10)), Some(vec!["changed"]));
     assert_eq!(log.everything(), Some(vec!["listed", "changed"]));
-    for revision in 0..20_000_u32 {
-        log.record(u64::from(revision) + 20, revision + 10, "many");
+    for number in 0..20_000_u32 {
+        log.record(revision(u64::from(number) + 20), number + 10, "many");
     }
     assert_eq!(log.everything(), None);
 }
@@ -311,15 +314,15 @@
 }
 
 /// The store's items with their revisions.
-fn listing(history: &[ModelChange]) -> Vec<(u64, u8, ModelChange)> {
+fn listing(history: &[ModelChange]) -> Vec<(StoreRevision, u8, ModelChange)> {
     let mut newest = BTreeMap::new();
-    for (revision, change) in (1_u64..).zip(history) {
-        newest.insert(change.0, (revision, *change));
+    for (number, change) in (1_u64..).zip(history) {
+        newest.insert(change.0, (number, *change));
     }
     let items = newest.into_iter();
     items
         .filter(|(_, (_, change))| change.1.is_some())
-        .map(|(subject, (revision, change))| (revision, subject, change))
+        .map(|(subject, (number, change))| (revision(number), subject, change))
         .collect()
 }
 
@@ -338,15 +341,15 @@
         let followed = usize::from(followed).min(history.len());
         let known = usize::from(known).min(followed);
         let mut log: ChangeLog<u8, ModelChange> = ChangeLog::default();
-        log.take_listing(0, Vec::new(), gone);
-        for (revision, change) in (1_u64..).zip(&history[..followed]) {
-            log.record(revision, change.0, *change);
+        log.take_listing(revision(0), Vec::new(), gone);
+        for (number, change) in (1_u64..).zip(&history[..followed]) {
+            log.record(revision(number), change.0, *change);
         }
         let read_at = u64::try_from(history.len()).unwrap();
-        log.take_listing(read_at, listing(&history), gone);
+        log.take_listing(revision(read_at), listing(&history), gone);
         let mut follower = BTreeMap::new();
         apply(&mut follower, history[..known].iter().copied());
-        let told = log.since(u64::try_from(known).unwrap());
+        let told = log.since(revision(u64::try_from(known).unwrap()));
         apply(&mut follower, told.expect("the watcher knows everything"));
         let mut store = BTreeMap::new();
         apply(&mut store, history);
@@ -357,16 +360,146 @@
 #[test]
 fn a_listing_after_missed_changes_tells_just_those_however_much_it_lists() {
     for subjects in [1_000_u32, 2_000] {
-        let first: Vec<(u64, u32, Option<u64>)> =
-            (0..subjects).map(|subject| (5, subject, Some(5))).collect();
+        let first: Vec<(StoreRevision, u32, Option<u64>)> = (0..subjects)
+            .map(|subject| (revision(5), subject, Some(5)))
+            .collect();
         let gone = |_: &u32, last: &Option<u64>| last.map(|_| None);
         let mut log: ChangeLog<u32, Option<u64>> = ChangeLog::default();
-        log.take_listing(10, first.clone(), gone);
+        log.take_listing(revision(10), first.clone(), gone);
         let mut again = first;
-        again[7] = (15, 7, Some(15));
+        again[7] = (revision(15), 7, Some(15));
         again.remove(3);
-        log.take_listing(20, again, gone);
-        let told = log.since(10).expect("nothing is missing");
+        log.take_listing(revision(20), again, gone);
+        let told = log.since(revision(10)).expect("nothing is missing");
         assert_eq!(told, [Some(15), None], "{subjects} subjects");
     }
 }
+
+#[test]
+fn a_change_of_an_earlier_era_does_not_hide_one_with_a_lower_number() {
+    let [first, second] = [1, 2].map(StoreEra::new);
+    let mut log: ChangeLog<&str, &str> = ChangeLog::default();
+    let listed = vec![(StoreRevision::new(first, 9), "configuration", "old")];
+    log.take_listing(StoreRevision::new(first, 10), listed, |_, _| None);
+    log.record(StoreRevision::new(first, 20), "configuration", "lost");
+    let listed = vec![(StoreRevision::new(second, 11), "configuration", "new")];
+    log.take_listing(StoreRevision::new(second, 12), listed, |_, _| None);
+    assert_eq!(log.everything(), Some(vec!["new"]));
+    log.record(StoreRevision::new(second, 13), "configuration", "newer");
+    let known = StoreRevision::new(second, 12);
+    assert_eq!(log.since(known), Some(vec!["newer"]));
+}
+
+#[test]
+fn a_log_tells_no_changes_to_who_follows_another_era() {
+    let mut log: ChangeLog<u8, u8> = ChangeLog::default();
+    let second = StoreEra::new(2);
+    log.take_listing(StoreRevision::new(second, 10), Vec::new(), |_, _| None);
+    log.record(StoreRevision::new(second, 11), 1, 1);
+    for era in [1, 3].map(StoreEra::new) {
+        for number in [0, 10, 11, 500] {
+            assert_eq!(log.since(StoreRevision::new(era, number)), None);
+        }
+    }
+}
+
+/// Items of a model store by subject: the number of the last change, and the content.
+type ModelItems = BTreeMap<u8, (u64, u64)>;
+
+/// A model store that may come back from a copy, and the states it had with their numbers.
+struct ModelStore {
+    era: u64,
+    number: u64,
+    items: ModelItems,
+    copies: Vec<(u64, ModelItems)>,
+}
+
+impl ModelStore {
+    fn position(&self) -> StoreRevision {
+        StoreRevision::new(StoreEra::new(self.era), self.number)
+    }
+
+    fn put(&mut self, subject: u8, content: u64) -> StoreRevision {
+        self.copies.push((self.number, self.items.clone()));
+        self.number += 1;
+        self.items.insert(subject, (self.number, content));
+        self.position()
+    }
+
+    fn restore(&mut self, back: usize) {
+        let place = self.copies.len().saturating_sub(back);
+        self.copies.truncate(place + 1);
+        if let Some((number, items)) = self.copies.pop() {
+            self.number = number;
+            self.items = items;
+        }
+        self.era += 1;
+    }
+
+    fn listing(&self) -> Vec<(StoreRevision, u8, (u8, Option<u64>))> {
+        let era = StoreEra::new(self.era);
+        let items = self.items.iter();
+        items
+            .map(|(subject, (number, content))| {
+                let told = (*subject, Some(*content));
+                (StoreRevision::new(era, *number), *subject, told)
+            })
+            .collect()
+    }
+}
+
+/// What a follower knows, and up to where.
+#[derive(Clone, Default)]
+struct ModelFollower {
+    position: StoreRevision,
+    known: BTreeMap<u8, u64>,
+}
+
+impl ModelFollower {
+    fn follow(&mut self, log: &ChangeLog<u8, (u8, Option<u64>)>, position: StoreRevision) {
+        let told = log.since(self.position).unwrap_or_else(|| {
+            self.known.clear();
+            log.everything().expect("the watcher listed the store")
+        });
+        apply(&mut self.known, told);
+        self.position = position;
+    }
+}
+
+quickcheck! {
+    /// Followers that are told of changes now and then end where the store is, however often it
+    /// comes back from a copy meanwhile.
+    fn a_follower_ends_where_a_store_is_that_returns_from_copies(steps: Vec<(u8, u8)>) -> bool {
+        let mut store = ModelStore {
+            era: 1,
+            number: 0,
+            items: BTreeMap::new(),
+            copies: Vec::new(),
+        };
+        let mut log = ChangeLog::default();
+        log.take_listing(store.position(), Vec::new(), gone);
+        let mut followers = [ModelFollower::default(), ModelFollower::default()];
+        for (content, (kind, subject)) in (1_u64..).zip(steps) {
+            match kind % 8 {
+                0 => {
+                    store.restore(usize::from(subject % 8));
+                    log.take_listing(store.position(), store.listing(), gone);
+                }
+                1 | 2 => followers[usize::from(kind % 8 - 1)].follow(&log, store.position()),
+                _ => {
+                    let revision = store.put(subject % 4, content);
+                    log.record(revision, subject % 4, (subject % 4, Some(content)));
+                }
+            }
+        }
+        let present: BTreeMap<u8, u64> = store
+            .items
+            .iter()
+            .map(|(subject, (_, content))| (*subject, *content))
+            .collect();
+        followers.into_iter().all(|mut follower| {
+            follower.follow(&log, store.position());
+            follower.known == present
+        })
+    }
+}
--- a/crates/coordination/tests/serving_handover.rs
+++ b/crates/coordination/tests/serving_handover.rs
@@ -1,5 +1,7 @@
 //! When a group's primary moves, and where to.
 
+mod store;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -13,6 +15,7 @@
 };
 use hookpoint_state::{DatabaseName, Position, RegionName, Timestamp, ZoneName};
 use quickcheck::quickcheck;
+use store::revision;
 
 const NONE: Drawbacks = Drawbacks {
     evacuated: false,
@@ -308,11 +311,14 @@
     assert!(known.is_empty());
     let standing = |known: &Evacuations, now| known.standing(&zone, LIMIT, RETURN, now);
     assert_eq!(standing(&known, at(0)), ZoneStanding::Open);
-    assert!(known.take(&zone, true, 5, at(0)));
+    assert!(known.take(&zone, true, revision(5), at(0)));
     assert_eq!(standing(&known, at(2_499)), ZoneStanding::Evacuating);
     assert_eq!(standing(&known, at(2_500)), ZoneStanding::Evacuated);
-    assert!(!known.take(&zone, false, 4, at(2_600)), "an older word");
-    assert!(known.take(&zone, false, 6, at(3_000)));
+    assert!(
+        !known.take(&zone, false, revision(4), at(2_600)),
+        "an older word"
+    );
+    assert!(known.take(&zone, false, revision(6), at(3_000)));
     assert_eq!(known.age(&zone, at(3_000)), None);
     assert_eq!(standing(&known, at(6_999)), ZoneStanding::Returning);
     assert_eq!(standing(&known, at(7_000)), ZoneStanding::Open);
@@ -322,14 +328,14 @@
 fn a_request_that_is_repeated_keeps_its_age_and_one_made_anew_begins_anew() {
     let zone = ZoneName::new("z");
     let mut known = Evacuations::default();
-    known.take(&zone, true, 5, at(0));
-    assert!(!known.take(&zone, true, 7, at(1_000)));
+    known.take(&zone, true, revision(5), at(0));
+    assert!(!known.take(&zone, true, revision(7), at(1_000)));
     assert_eq!(
         known.age(&zone, at(1_500)),
         Some(Duration::from_millis(1_500))
     );
-    known.take(&zone, false, 8, at(2_000));
-    known.take(&zone, true, 9, at(2_100));
+    known.take(&zone, false, revision(8), at(2_000));
+    known.take(&zone, true, revision(9), at(2_100));
     assert_eq!(
         known.age(&zone, at(2_200)),
         Some(Duration::from_millis(100))
@@ -340,15 +346,21 @@
 fn a_listing_ends_what_it_lacks_and_an_end_is_passed_on() {
     let [first, second] = ["a", "b"].map(ZoneName::new);
     let mut known = Evacuations::default();
-    known.take(&first, true, 5, at(0));
-    let changed = known.replace(&[(second.clone(), 6)], 8, at(100));
+    known.take(&first, true, revision(5), at(0));
+    let changed = known.replace(&[(second.clone(), revision(6))], revision(8), at(100));
     assert_eq!(changed, [second.clone(), first.clone()]);
     let told: Vec<_> = known.known().collect();
-    assert_eq!(told, [(&first, false, 8), (&second, true, 6)]);
+    assert_eq!(
+        told,
+        [(&first, false, revision(8)), (&second, true, revision(6))]
+    );
     let mut behind = Evacuations::default();
-    behind.take(&first, true, 5, at(0));
+    behind.take(&first, true, revision(5), at(0));
     for (zone, requested, revision) in known.known() {
         behind.take(zone, requested, revision, at(200));
     }
-    assert_eq!(behind.requested().collect::<Vec<_>>(), [(&second, 6)]);
+    assert_eq!(
+        behind.requested().collect::<Vec<_>>(),
+        [(&second, revision(6))]
+    );
 }
--- a/crates/coordination/tests/serving_primary_lease.rs
+++ b/crates/coordination/tests/serving_primary_lease.rs
@@ -1,5 +1,7 @@
 //! Leases on primaries: who may use one, and when it may be replaced.
 
+mod store;
+
 use std::time::Duration;
 
 use hookpoint_coordination::serving::lease_grantor::{
@@ -8,10 +10,11 @@
 use hookpoint_coordination::serving::primary_lease::{
     GRANT_TIME, Grantor, LeaseRequest, PrimaryLease, ProcessTime, VOTE_TIME,
 };
-use hookpoint_state::Timestamp;
+use hookpoint_state::{StoreRevision, Timestamp};
+use store::revision;
 
 const LIFE: u64 = 7;
-const COORDINATOR: u64 = 100;
+const COORDINATOR: StoreRevision = revision(100);
 const MOMENT: Duration = Duration::from_millis(1);
 
 fn at(millis: u64) -> Timestamp {
@@ -29,7 +32,7 @@
     }
 }
 
-fn request(coordinator: u64, told: Option<Timestamp>) -> LeaseRequest {
+fn request(coordinator: StoreRevision, told: Option<Timestamp>) -> LeaseRequest {
     LeaseRequest {
         coordinator,
         asked_at: ProcessTime {
@@ -84,7 +87,7 @@
     restarted.follow(COORDINATOR, at(0));
     restarted.take(&answer, at(20));
     assert!(!restarted.covers(at(20)));
-    asked.follow(COORDINATOR + 1, at(15));
+    asked.follow(revision(101), at(15));
     asked.take(&answer, at(20));
     assert!(!asked.covers(at(20)));
 }
@@ -208,7 +211,7 @@
     assert!(!lease.acknowledge(COORDINATOR, now + VOTE_TIME - MOMENT));
     assert!(lease.acknowledge(COORDINATOR, now + VOTE_TIME));
     assert!(
-        !lease.acknowledge(COORDINATOR - 1, now + VOTE_TIME),
+        !lease.acknowledge(revision(99), now + VOTE_TIME),
         "an earlier one"
     );
     assert!(lease.voted_for_others(now + VOTE_TIME));
--- a/crates/serving/src/coordinator/order.rs
+++ b/crates/serving/src/coordinator/order.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hookpoint_state::{DatabaseName, GroupName};
+use hookpoint_state::{DatabaseName, GroupName, StoreRevision};
 use tokio::time::{sleep, timeout};
 
 use super::SETTLING;
@@ -54,7 +54,7 @@
         return None;
     }
     node.promotions_ordered.set(number);
-    Some(revision * TOKENS_PER_COORDINATOR + number)
+    Some(revision.parts().1 * TOKENS_PER_COORDINATOR + number)
 }
 
 /// Orders a promotion, again under the same token while it is not answered.
@@ -177,9 +177,10 @@
         fencing_token: order.fencing_token,
     };
     let known = node.with_group(&order.group, |state| state.announced_at);
+    let announced_before = known != StoreRevision::default();
     let write = ConditionalWrite {
         key: format!("{PROMOTION_PREFIX}{}", order.group),
-        expected_revision: known,
+        expected: announced_before.then_some(known),
         value: encode(&record),
         lease: None,
     };
--- a/crates/serving/src/coordinator/withdrawal.rs
+++ b/crates/serving/src/coordinator/withdrawal.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hookpoint_state::{DatabaseName, GroupName, Timestamp};
+use hookpoint_state::{DatabaseName, GroupName, StoreRevision, Timestamp};
 use serde_json::Value;
 use tokio::time::sleep;
 
@@ -95,7 +95,7 @@
 fn announce_to(
     node: &Rc<Node>,
     peers: &Rc<Peers>,
-    coordinator: u64,
+    coordinator: StoreRevision,
     announcement: &Announcement,
     names: &[&String],
 ) {
--- a/crates/serving/src/coordinator_record.rs
+++ b/crates/serving/src/coordinator_record.rs
@@ -8,7 +8,7 @@
 
 use hookpoint_coordination::serving::coordinator::CoordinatorRecord;
 use hookpoint_coordination::serving::homes::claim_order;
-use hookpoint_state::Timestamp;
+use hookpoint_state::{StoreRevision, Timestamp};
 use tokio::time::{sleep, timeout};
 
 use crate::feed;
@@ -75,7 +75,7 @@
 
 /// Revision of a record that an earlier process of this node left behind. It coordinates
 /// no more, so this one need not wait until the record lapses.
-fn left_behind(node: &Rc<Node>) -> Option<u64> {
+fn left_behind(node: &Rc<Node>) -> Option<StoreRevision> {
     let view = node.coordinator.borrow();
     let own_lease = node.coordinator_lease.get();
     view.left_behind(&node.settings.name, own_lease)?;
@@ -94,7 +94,10 @@
 
 /// Writes the record, over one that was left behind if there is such. Its lease and its
 /// revision.
-async fn claim(node: &Rc<Node>, left_behind: Option<u64>) -> Option<(LeaseId, u64)> {
+async fn claim(
+    node: &Rc<Node>,
+    left_behind: Option<StoreRevision>,
+) -> Option<(LeaseId, StoreRevision)> {
     let asked_at = node.now();
     let lease = node.store.grant_lease(RECORD_TIME).await.ok()?;
     let record = CoordinatorRecord {
@@ -103,7 +106,7 @@
     };
     let write = ConditionalWrite {
         key: COORDINATOR_KEY.to_owned(),
-        expected_revision: left_behind.unwrap_or(0),
+        expected: left_behind,
         value: encode(&record),
         lease: Some(lease),
     };
@@ -120,7 +123,10 @@
     node.coordinator
         .borrow_mut()
         .take_record(revision, Some(record));
-    node.log("coordinator_claimed", &[("revision", revision.into())]);
+    node.log(
+        "coordinator_claimed",
+        &[("revision", revision.to_string().into())],
+    );
     Some((lease, revision))
 }
 
@@ -135,7 +141,7 @@
         let asked_at = node.now();
         let renewal = node.store.renew_lease(lease);
         match timeout(RENEWAL_LIMIT, renewal).await {
-            Ok(Ok(())) => {
+            Ok(Ok(_)) => {
                 note_held(node, asked_at);
                 node.store_heard_at.set(node.now());
                 node.grantor.borrow_mut().note_renewed(asked_at);
@@ -175,7 +181,7 @@
 impl Node {
     /// The revision of the coordinator's record, if this life of this node wrote it and no
     /// newer one is known of.
-    pub fn coordinator_revision(&self) -> Option<u64> {
+    pub fn coordinator_revision(&self) -> Option<StoreRevision> {
         let view = self.coordinator.borrow();
         let holder = view.holder()?;
         let own =
--- a/crates/serving/src/counted_store.rs
+++ b/crates/serving/src/counted_store.rs
@@ -6,6 +6,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use hookpoint_state::{StoreEra, StoreRevision};
 
 use crate::counters::Counters;
 use crate::ports::{
@@ -47,12 +48,16 @@
         self.store.read_own(prefix, freshness).await
     }
 
-    async fn watch(&self, revision: u64, wait: Duration) -> Result<StoreChanges, StoreError> {
+    async fn watch(
+        &self,
+        revision: StoreRevision,
+        wait: Duration,
+    ) -> Result<StoreChanges, StoreError> {
         self.count("watch");
         self.store.watch(revision, wait).await
     }
 
-    async fn read(&self, key: &str) -> Result<Option<(u64, Bytes)>, StoreError> {
+    async fn read(&self, key: &str) -> Result<Option<(StoreRevision, Bytes)>, StoreError> {
         self.count("read");
         self.store.read(key).await
     }
@@ -67,7 +72,7 @@
         self.store.grant_lease(time_to_live).await
     }
 
-    async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+    async fn renew_lease(&self, lease: LeaseId) -> Result<StoreEra, StoreError> {
         self.count("renew_lease");
         self.store.renew_lease(lease).await
     }
--- a/crates/serving/src/database_life.rs
+++ b/crates/serving/src/database_life.rs
@@ -5,14 +5,14 @@
 use std::rc::Rc;
 
 use hookpoint_coordination::serving::directory::{Database, Registration};
-use hookpoint_state::{DatabaseName, Timestamp};
+use hookpoint_state::{DatabaseName, StoreRevision, Timestamp};
 
 use crate::node::{Contact, Node};
 use crate::pool::Pool;
 
 impl Node {
     /// Takes the registration of a database, as of `revision` of the store.
-    pub(crate) fn register_database(&self, database: Database, revision: u64) {
+    pub(crate) fn register_database(&self, database: Database, revision: StoreRevision) {
         let name = database.name.clone();
         let before = self.directory.borrow().get(&name).cloned();
         let registration = self
@@ -27,7 +27,11 @@
     }
 
     /// Takes a complete listing of the databases, read at `revision`.
-    pub(crate) fn register_databases(&self, listing: Vec<(Database, u64)>, revision: u64) {
+    pub(crate) fn register_databases(
+        &self,
+        listing: Vec<(Database, StoreRevision)>,
+        revision: StoreRevision,
+    ) {
         let present: BTreeSet<DatabaseName> = listing
             .iter()
             .map(|(database, _)| database.name.clone())
@@ -42,7 +46,7 @@
     }
 
     /// Takes in that the entry of a database is gone as of `revision`.
-    pub(crate) fn remove_database(&self, name: &DatabaseName, revision: u64) {
+    pub(crate) fn remove_database(&self, name: &DatabaseName, revision: StoreRevision) {
         let before = self.directory.borrow().get(name).cloned();
         let hearing = self.hearing();
         self.directory.borrow_mut().remove(name, revision, hearing);
--- a/crates/serving/src/departures.rs
+++ b/crates/serving/src/departures.rs
@@ -124,7 +124,7 @@
             &[
                 ("database", name.as_str().into()),
                 ("announced", (!listed.missing).into()),
-                ("revision", listed.revision.into()),
+                ("revision", listed.revision.to_string().into()),
                 ("leaving_ms", millis(leaving).into()),
             ],
         );
--- a/crates/serving/src/evacuation.rs
+++ b/crates/serving/src/evacuation.rs
@@ -10,7 +10,7 @@
 
 use hookpoint_coordination::serving::evacuation::ZoneStanding;
 use hookpoint_coordination::serving::feed::share_of;
-use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
+use hookpoint_state::{DatabaseName, GroupName, StoreRevision, Timestamp, ZoneName};
 
 use crate::node::Node;
 use crate::pool::Pool;
@@ -102,7 +102,7 @@
 
     /// What is known of evacuations: each zone, whether it is being evacuated, and the revision
     /// that says so.
-    pub(crate) fn known_evacuations(&self) -> Vec<(ZoneName, bool, u64)> {
+    pub(crate) fn known_evacuations(&self) -> Vec<(ZoneName, bool, StoreRevision)> {
         let known = self.evacuations.known.borrow();
         known
             .known()
@@ -116,7 +116,12 @@
     }
 
     /// Takes a request, or its end, unless what is known is as new.
-    pub(crate) fn take_evacuation(&self, zone: &ZoneName, requested: bool, revision: u64) {
+    pub(crate) fn take_evacuation(
+        &self,
+        zone: &ZoneName,
+        requested: bool,
+        revision: StoreRevision,
+    ) {
         let since = self.evacuation_heard_at();
         let mut known = self.evacuations.known.borrow_mut();
         let changed = known.take(zone, requested, revision, since);
@@ -128,7 +133,11 @@
 
     /// Takes the requests of a complete listing read at `revision`; those that it lacks have
     /// ended.
-    pub(crate) fn take_evacuations(&self, listed: &[(ZoneName, u64)], revision: u64) {
+    pub(crate) fn take_evacuations(
+        &self,
+        listed: &[(ZoneName, StoreRevision)],
+        revision: StoreRevision,
+    ) {
         let since = self.evacuation_heard_at();
         let mut known = self.evacuations.known.borrow_mut();
         let changed = known.replace(listed, revision, since);
@@ -150,7 +159,7 @@
         hearing.at.min(hearing.not_before + in_time)
     }
 
-    fn note_evacuation(&self, zone: &ZoneName, requested: bool, revision: u64) {
+    fn note_evacuation(&self, zone: &ZoneName, requested: bool, revision: StoreRevision) {
         let mut progress = self.evacuations.progress.borrow_mut();
         progress.insert(zone.clone(), Progress::default());
         drop(progress);
@@ -162,7 +171,7 @@
             &[
                 ("zone", zone.as_str().into()),
                 ("requested", requested.into()),
-                ("revision", revision.into()),
+                ("revision", revision.to_string().into()),
             ],
         );
         self.leader_changed.notify_waiters();
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -13,7 +13,7 @@
     ChangeLog, is_small_region, store_upstreams, try_order,
 };
 use hookpoint_coordination::serving::store_news::{LONGEST_WATCH, NewsLimits, Reply, StoreNews};
-use hookpoint_state::Timestamp;
+use hookpoint_state::{StoreRevision, Timestamp};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -72,7 +72,7 @@
 pub struct Feed {
     log: RefCell<ChangeLog<ChangeSubject, Rc<StoreChange>>>,
     /// Up to where this node follows the store.
-    revision: Cell<u64>,
+    revision: Cell<StoreRevision>,
     /// How old that is, and the search for newer.
     news: RefCell<StoreNews>,
     /// Up to when every change is known here.
@@ -88,9 +88,9 @@
 /// Changes as they are sent to followers.
 struct PackedChanges {
     /// The follower knows everything up to this revision; none if they are everything.
-    after: Option<u64>,
+    after: Option<StoreRevision>,
     /// The changes are all up to this one.
-    revision: u64,
+    revision: StoreRevision,
     bytes: Bytes,
 }
 
@@ -133,13 +133,13 @@
     }
 
     /// All changes up to `revision` are taken in.
-    pub fn advance(&self, revision: u64) {
+    pub fn advance(&self, revision: StoreRevision) {
         self.revision.set(revision);
         self.advanced.notify_waiters();
     }
 
-    /// Up to where this node follows the store; 0 before it knows anything.
-    pub(crate) fn revision(&self) -> u64 {
+    /// Up to where this node follows the store; the default before it knows anything.
+    pub(crate) fn revision(&self) -> StoreRevision {
         self.revision.get()
     }
 
@@ -219,7 +219,7 @@
     }
 
     /// The changes after `revision`, if all of them are known.
-    fn changes_since(&self, revision: u64) -> Option<Vec<Rc<StoreChange>>> {
+    fn changes_since(&self, revision: StoreRevision) -> Option<Vec<Rc<StoreChange>>> {
         self.log.borrow().since(revision)
     }
 
@@ -234,7 +234,11 @@
 
     /// Packs `changes`, which are all after `after`, or everything; those that were packed last
     /// are neither copied nor packed again.
-    fn pack(&self, after: Option<u64>, changes: &[Rc<StoreChange>]) -> Result<Bytes, PackError> {
+    fn pack(
+        &self,
+        after: Option<StoreRevision>,
+        changes: &[Rc<StoreChange>],
+    ) -> Result<Bytes, PackError> {
         let revision = self.revision.get().max(after.unwrap_or_default());
         if let Some(last) = &*self.packed.borrow()
             && (last.after, last.revision) == (after, revision)
@@ -258,8 +262,8 @@
 /// What a follower asks.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct FollowQuestion {
-    /// It knows everything up to this revision.
-    revision: u64,
+    /// It knows everything up to this revision; the default if it knows nothing.
+    revision: StoreRevision,
     /// How long ago the store told of that, in milliseconds.
     age_ms: u64,
     /// How long the answer may be held back, in milliseconds.
@@ -270,7 +274,7 @@
     /// Whether the follower has just started. What its upstream knows helps it at once, like a
     /// listing that may be old; whether that is the present state it learns as it follows on.
     fn knows_nothing(&self) -> bool {
-        self.revision == 0
+        self.revision == StoreRevision::default()
     }
 }
 
@@ -291,6 +295,15 @@
             return news_answer(node, question.revision, changes, asked_at);
         }
         let changed = changes.as_ref().is_some_and(|changes| !changes.is_empty());
+        let known_era = feed.revision().era();
+        let outdated = question.revision.era() < known_era;
+        // However lately the store told of an earlier era, the follower knows better.
+        let known_at = if question.revision.era() > known_era {
+            now
+        } else {
+            known_at
+        };
+        let changed = changed || outdated;
         match feed.news.borrow().reply(known_at, changed, until, now) {
             Reply::News => return news_answer(node, question.revision, changes, asked_at),
             Reply::StoreLost => return FeedAnswer::StoreLost,
@@ -305,7 +318,7 @@
 /// of those are not known.
 fn news_answer(
     node: &Rc<Node>,
-    revision: u64,
+    revision: StoreRevision,
     changes: Option<Vec<Rc<StoreChange>>>,
     asked_at: Timestamp,
 ) -> FeedAnswer {
@@ -322,7 +335,7 @@
 /// The answer that tells of `changes`, which are all after `after`, or everything.
 fn changes_answer(
     node: &Rc<Node>,
-    after: Option<u64>,
+    after: Option<StoreRevision>,
     changes: &[Rc<StoreChange>],
     asked_at: Timestamp,
 ) -> FeedAnswer {
@@ -357,7 +370,7 @@
 
 /// Follows the store through an upstream. One that the store turns away tells so at once, and
 /// the next one is asked until it is this node's turn to try the store itself.
-pub async fn follow_upstream(node: &Rc<Node>, revision: u64) -> Followed {
+pub async fn follow_upstream(node: &Rc<Node>, revision: StoreRevision) -> Followed {
     let mut asked: Vec<String> = Vec::new();
     while let Some(upstream) = next_upstream(node, &asked) {
         asked.push(upstream.name.clone());
@@ -413,7 +426,11 @@
 }
 
 /// Asks an upstream for the changes after `revision`, and takes in how old what it tells is.
-async fn ask(node: &Rc<Node>, upstream: &Peer, revision: u64) -> Result<Followed, NoNews> {
+async fn ask(
+    node: &Rc<Node>,
+    upstream: &Peer,
+    revision: StoreRevision,
+) -> Result<Followed, NoNews> {
     let asked_at = node.now();
     match call(node, upstream, revision).await {
         Some(FeedAnswer::Changes {
@@ -426,13 +443,16 @@
         }) => {
             let packed_changes = changes;
             let changes = unpack(node, upstream, &packed_changes).ok_or(NoNews::NotAnswered)?;
+            if changes.revision.era() < revision.era() {
+                return Err(NoNews::Behind);
+            }
             // All of the time that the upstream did not hold the question back may be the
             // answer's way.
             let told_at = node.now().min(asked_at + Duration::from_millis(held_ms));
             node.counters.count("store_followed", "peer");
             let age = Duration::from_millis(age_ms);
             // A node that starts may be told an old state, which proves nothing of the present.
-            if revision > 0 || age < limits(node).oldest {
+            if revision != StoreRevision::default() || age < limits(node).oldest {
                 let covered = told_at - Duration::from_millis(covered_ms);
                 node.feed.note_heard(told_at - age, covered);
             }
@@ -463,7 +483,7 @@
 
 /// Asks a peer for everything that the store holds, for a node that knows nothing.
 pub(crate) async fn ask_for_everything(node: &Rc<Node>, upstream: &Peer) -> Everything {
-    match ask(node, upstream, 0).await {
+    match ask(node, upstream, StoreRevision::default()).await {
         Ok(Followed::Everything(everything)) => Everything::Told(everything),
         Err(NoNews::Behind | NoNews::Incomplete) => Everything::NotYet,
         Ok(_) | Err(NoNews::NotAnswered | NoNews::TurnedAway) => Everything::NotAnswered,
@@ -471,7 +491,7 @@
 }
 
 /// Sends the question. Nothing if it is not answered.
-async fn call(node: &Rc<Node>, upstream: &Peer, revision: u64) -> Option<FeedAnswer> {
+async fn call(node: &Rc<Node>, upstream: &Peer, revision: StoreRevision) -> Option<FeedAnswer> {
     let now = node.now();
     let (age, hold) = {
         let news = node.feed.news.borrow();
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -7,7 +7,7 @@
 use hookpoint_coordination::serving::coordinator::CoordinatorRecord;
 use hookpoint_coordination::serving::directory::Database;
 use hookpoint_coordination::serving::store_news::{WatchAnswer, patience};
-use hookpoint_state::{DatabaseName, Timestamp, ZoneName};
+use hookpoint_state::{DatabaseName, StoreRevision, Timestamp, ZoneName};
 use tokio::time::{sleep, timeout};
 
 use crate::departures;
@@ -65,7 +65,7 @@
 
 /// Takes in everything that the store holds: from a peer if this node starts and others start
 /// with it or run already, or else from the store. Returns the revision to go on from.
-async fn begin(node: &Rc<Node>) -> Option<u64> {
+async fn begin(node: &Rc<Node>) -> Option<StoreRevision> {
     if node.configuration().is_none()
         && let Some(everything) = start::take_from_peers(node).await
     {
@@ -90,7 +90,7 @@
 }
 
 /// Takes a listing of everything. Returns its revision; nothing if the store did not answer.
-async fn read_everything(node: &Rc<Node>, freshness: ReadFreshness) -> Option<u64> {
+async fn read_everything(node: &Rc<Node>, freshness: ReadFreshness) -> Option<StoreRevision> {
     let asked_at = node.now();
     match read_or_ask_peers(node, freshness).await {
         Ok(all) => {
@@ -113,26 +113,56 @@
 
 /// Takes in everything that the store holds, in its present state or an older one. Returns the
 /// revision to go on from.
-fn take_everything(node: &Rc<Node>, all: StoreChanges, present: bool) -> u64 {
+fn take_everything(node: &Rc<Node>, all: StoreChanges, present: bool) -> StoreRevision {
     let revision = all.revision;
+    let known = node.feed.revision();
+    if revision.era() < known.era() {
+        node.counters.count("store_followed", "earlier_era");
+        return known;
+    }
+    note_era(node, known, revision);
     node.log(
         "store_listed",
         &[
-            ("revision", revision.into()),
-            ("known", node.feed.revision().into()),
+            ("revision", revision.to_string().into()),
+            ("known", known.to_string().into()),
             ("present", present.into()),
         ],
     );
     if present {
-        node.own_record_revision.set(0);
+        node.own_record_revision.set(None);
     }
     node.feed.take_listing(&all);
-    node.counters.set("store_revision", revision);
+    tell_position(node, revision);
     apply_all(node, all);
     node.note_promotions_known(revision);
     revision
 }
 
+/// Takes notice of the era of a listing. A store that came back from a copy lacks what was written
+/// last; what is missing from it proves nothing until that is written again.
+fn note_era(node: &Rc<Node>, known: StoreRevision, listed: StoreRevision) {
+    let knew_nothing = known == StoreRevision::default();
+    if knew_nothing || listed.era() == known.era() {
+        return;
+    }
+    node.store_steady_since.set(node.now());
+    node.counters.count("store_followed", "restored");
+    node.log(
+        "store_restored",
+        &[
+            ("revision", listed.to_string().into()),
+            ("known", known.to_string().into()),
+        ],
+    );
+}
+
+fn tell_position(node: &Rc<Node>, revision: StoreRevision) {
+    let (era, number) = revision.parts();
+    node.counters.set("store_era", era.number());
+    node.counters.set("store_revision", number);
+}
+
 /// A node that starts takes a listing that may be old, and catches up from its revision on;
 /// it has promised nothing yet that an older configuration could break.
 fn listing_freshness(node: &Rc<Node>) -> ReadFreshness {
@@ -164,7 +194,7 @@
 
 /// Follows the store for a moment, through an upstream or by a watch of this node's
 /// own. Returns the revision to go on from, or nothing if all is to be read again.
-async fn follow_once(node: &Rc<Node>, revision: u64) -> Option<u64> {
+async fn follow_once(node: &Rc<Node>, revision: StoreRevision) -> Option<StoreRevision> {
     if feed::watches(node) {
         return watch_once(node, revision).await;
     }
@@ -181,7 +211,11 @@
 
 /// Takes in what an upstream told. Returns the revision to go on from; nothing if none told
 /// anything newer.
-fn take_followed(node: &Rc<Node>, followed: Followed, revision: u64) -> Option<u64> {
+fn take_followed(
+    node: &Rc<Node>,
+    followed: Followed,
+    revision: StoreRevision,
+) -> Option<StoreRevision> {
     match followed {
         Followed::Changes(changes) => {
             note_reachable(node, true, "peer");
@@ -205,21 +239,21 @@
 }
 
 /// Takes changes in and passes them on. Returns the revision to go on from.
-fn take_changes(node: &Rc<Node>, changes: StoreChanges, revision: u64) -> u64 {
+fn take_changes(node: &Rc<Node>, changes: StoreChanges, revision: StoreRevision) -> StoreRevision {
     let next = changes.revision.max(revision);
     for change in changes.changes {
         node.feed.record(&change);
         apply(node, change);
     }
     node.feed.advance(next);
-    node.counters.set("store_revision", next);
+    tell_position(node, next);
     node.note_promotions_known(next);
     housekeeping(node);
     next
 }
 
 /// One watch. Returns the revision to go on from, or nothing if all is to be read again.
-async fn watch_once(node: &Rc<Node>, revision: u64) -> Option<u64> {
+async fn watch_once(node: &Rc<Node>, revision: StoreRevision) -> Option<StoreRevision> {
     let wait = feed::watch_wait(node);
     let asked_at = node.now();
     let mut watch = node.store.watch(revision, wait);
@@ -257,7 +291,7 @@
     /// An upstream told newer first.
     NotNeeded {
         /// The revision to go on from.
-        next: u64,
+        next: StoreRevision,
     },
 }
 
@@ -266,7 +300,7 @@
 async fn await_late_watch(
     node: &Rc<Node>,
     watch: impl Future<Output = Result<StoreChanges, StoreError>>,
-    revision: u64,
+    revision: StoreRevision,
 ) -> LateWatch {
     node.counters.count("store_followed", "store_late");
     node.feed.note_turned_away(node.now());
@@ -290,10 +324,10 @@
 async fn take_watched(
     node: &Rc<Node>,
     changes: StoreChanges,
-    revision: u64,
+    revision: StoreRevision,
     asked_at: Timestamp,
     wait: Duration,
-) -> u64 {
+) -> StoreRevision {
     note_reachable(node, true, "watch");
     let answer = WatchAnswer {
         asked_at,
@@ -376,7 +410,7 @@
 }
 
 /// The requests to evacuate a zone in a complete listing, with their revisions.
-fn requested_evacuations(all: &StoreChanges) -> Vec<(ZoneName, u64)> {
+fn requested_evacuations(all: &StoreChanges) -> Vec<(ZoneName, StoreRevision)> {
     let requested = |change: &StoreChange| match &change.record {
         StoreRecord::Evacuation {
             zone,
@@ -444,7 +478,7 @@
     }
 }
 
-fn remove_database(node: &Rc<Node>, name: &DatabaseName, revision: u64) {
+fn remove_database(node: &Rc<Node>, name: &DatabaseName, revision: StoreRevision) {
     node.remove_database(name, revision);
     node.log("database_missing", &[("database", name.as_str().into())]);
 }
@@ -454,13 +488,12 @@
     key: &str,
     value: Option<&[u8]>,
     lease: Option<LeaseId>,
-    revision: u64,
+    revision: StoreRevision,
 ) {
     if let Some(name) = member_name(key) {
         let record = value.and_then(decode);
         if *name == node.settings.name {
-            let revision = value.map_or(0, |_| revision);
-            node.own_record_revision.set(revision);
+            node.own_record_revision.set(value.map(|_| revision));
             let as_now = record == Some(registration::own_record(node));
             node.lease_found.set(lease.filter(|_| as_now));
         }
@@ -481,7 +514,7 @@
     }
 }
 
-fn apply_promotion(node: &Rc<Node>, record: Option<PromotionRecord>, revision: u64) {
+fn apply_promotion(node: &Rc<Node>, record: Option<PromotionRecord>, revision: StoreRevision) {
     if let Some(record) = record {
         node.learn_promotion(&Announcement {
             group: record.group,
--- a/crates/serving/src/homes.rs
+++ b/crates/serving/src/homes.rs
@@ -285,7 +285,7 @@
         let configured_at = self.configured_at.get();
         let start = Start {
             caught_up: self.feed.has_caught_up(),
-            registered: self.own_record_revision.get() > 0,
+            registered: self.own_record_revision.get().is_some(),
             configured_for: configured_at.map(|since| self.now().since(since)),
         };
         start.knows_fleet()
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -15,7 +15,7 @@
 use hookpoint_coordination::serving::primary_lease::PrimaryLease;
 use hookpoint_coordination::serving::selection::Distance;
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
-use hookpoint_state::{DatabaseName, GroupName, RegionName, Timestamp, ZoneName};
+use hookpoint_state::{DatabaseName, GroupName, RegionName, StoreRevision, Timestamp, ZoneName};
 use serde_json::Value;
 use tokio::sync::Notify;
 
@@ -72,8 +72,8 @@
     pub leaderless_since: Option<Timestamp>,
     /// Database that a promotion was ordered for, and when that was learnt.
     pub promoting: Option<(DatabaseName, Timestamp)>,
-    /// Revision of that promotion's record in the store; 0 if there is none.
-    pub announced_at: u64,
+    /// Revision of that promotion's record in the store; the default if there is none.
+    pub announced_at: StoreRevision,
     /// Whether this node is busy replacing its primary.
     pub being_replaced: bool,
     /// Since when this node, as the coordinator, has wanted to move its primary.
@@ -82,7 +82,7 @@
     /// it was asked.
     pub overruled: Option<(DatabaseName, Timestamp)>,
     /// Revision of the newest announcement that this node has acknowledged.
-    pub closed_by: u64,
+    pub closed_by: StoreRevision,
     /// Writes and commits that are sent and not answered.
     pub writes_in_flight: usize,
 }
@@ -158,21 +158,21 @@
     pub groups: RefCell<BTreeMap<GroupName, GroupState>>,
     /// Peers, this node included.
     pub members: RefCell<BTreeMap<String, Member>>,
-    /// Revision of this node's own member record as last seen in the store; 0 if absent.
-    pub own_record_revision: Cell<u64>,
+    /// Revision of this node's own member record as last seen in the store; none if absent.
+    pub own_record_revision: Cell<Option<StoreRevision>>,
     /// The lease that this node's member record goes with as last seen in the store, if the
     /// record, maybe an earlier process's, says what this process's would.
     pub lease_found: Cell<Option<LeaseId>>,
     /// Who may order promotions.
     pub coordinator: RefCell<CoordinatorView>,
     /// Up to which revision of the store all promotions are known.
-    pub promotions_known: Cell<u64>,
+    pub promotions_known: Cell<StoreRevision>,
     /// Leave to use primaries, where promotions are not fenced.
     pub primary_lease: RefCell<PrimaryLease>,
     /// What this node has granted, as the coordinator or a stand-in.
     pub grantor: RefCell<LeaseGrantor>,
     /// Up to which revision of the store the one asked for the lease knows all promotions.
-    pub grantor_knows: Cell<u64>,
+    pub grantor_knows: Cell<StoreRevision>,
     /// When the store last answered.
     pub store_heard_at: Cell<Timestamp>,
     /// Lease that this node's record as the coordinator goes with.
@@ -247,13 +247,13 @@
             attention: Attention::default(),
             groups: RefCell::default(),
             members: RefCell::default(),
-            own_record_revision: Cell::new(0),
+            own_record_revision: Cell::default(),
             lease_found: Cell::new(None),
             coordinator: RefCell::default(),
-            promotions_known: Cell::new(0),
+            promotions_known: Cell::default(),
             primary_lease: RefCell::new(PrimaryLease::new(life, START)),
             grantor: RefCell::new(LeaseGrantor::new(life)),
-            grantor_knows: Cell::new(0),
+            grantor_knows: Cell::default(),
             store_heard_at: Cell::default(),
             coordinator_lease: Cell::new(None),
             coordinator_until: Cell::default(),
--- a/crates/serving/src/peer_message.rs
+++ b/crates/serving/src/peer_message.rs
@@ -7,7 +7,7 @@
 use hookpoint_coordination::serving::failover::Observation;
 use hookpoint_coordination::serving::primary_lease::{LeaseAnswer, LeaseRequest};
 use hookpoint_coordination::serving::quota::TokenAnswer;
-use hookpoint_state::{DatabaseName, GroupName, Position, TenantName};
+use hookpoint_state::{DatabaseName, GroupName, Position, StoreRevision, TenantName};
 use serde::{Deserialize, Serialize};
 
 use crate::primary_lease::{Announcement, Promotions};
@@ -89,14 +89,14 @@
     /// The sender coordinates from now on.
     TellCoordinator {
         /// Revision of its record.
-        revision: u64,
+        revision: StoreRevision,
         /// Its name.
         node: String,
     },
     /// A primary is about to be replaced: use it no more.
     Announce {
         /// Revision of the coordinator's record.
-        coordinator: u64,
+        coordinator: StoreRevision,
         /// Name of the coordinator, which sends this.
         node: String,
         /// What is announced.
@@ -107,7 +107,7 @@
         /// Who answers.
         node: String,
         /// Revision of the announcement.
-        revision: u64,
+        revision: StoreRevision,
         /// Whether others may have granted leases by its vote.
         voted_for_others: bool,
     },
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -11,7 +11,7 @@
 use hookpoint_coordination::serving::failover::Observation;
 use hookpoint_coordination::serving::leadership::{Confirmation, Reign};
 use hookpoint_coordination::serving::peer_contact::LONGEST_ROUND_TRIP;
-use hookpoint_state::{DatabaseName, GroupName, Timestamp};
+use hookpoint_state::{DatabaseName, GroupName, StoreRevision, Timestamp};
 use tokio::net::UdpSocket;
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
@@ -63,7 +63,7 @@
     /// Questions to peers about lost primaries that may be on their way.
     gathering: Semaphore,
     /// Who acknowledged the announcement of a revision.
-    acknowledged: RefCell<BTreeMap<u64, Vec<(String, bool)>>>,
+    acknowledged: RefCell<BTreeMap<StoreRevision, Vec<(String, bool)>>>,
 }
 
 impl Peers {
@@ -236,13 +236,13 @@
     }
 
     /// Begins to take in acknowledgements of an announcement.
-    pub(crate) fn await_acknowledgements(&self, revision: u64) {
+    pub(crate) fn await_acknowledgements(&self, revision: StoreRevision) {
         self.acknowledged.borrow_mut().insert(revision, Vec::new());
     }
 
     /// The nodes that have acknowledged it since the last look, and whether others may have
     /// granted leases by their votes.
-    pub(crate) fn take_acknowledgements(&self, revision: u64) -> Vec<(String, bool)> {
+    pub(crate) fn take_acknowledgements(&self, revision: StoreRevision) -> Vec<(String, bool)> {
         let mut acknowledged = self.acknowledged.borrow_mut();
         acknowledged
             .get_mut(&revision)
@@ -251,7 +251,7 @@
     }
 
     /// Takes in no more of them.
-    pub(crate) fn end_acknowledgements(&self, revision: u64) {
+    pub(crate) fn end_acknowledgements(&self, revision: StoreRevision) {
         self.acknowledged.borrow_mut().remove(&revision);
     }
 
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use hookpoint_coordination::serving::directory::Database;
 use hookpoint_coordination::serving::topology::Configuration;
-use hookpoint_state::{DatabaseName, GroupName, ZoneName};
+use hookpoint_state::{DatabaseName, GroupName, StoreEra, StoreRevision, ZoneName};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -39,7 +39,7 @@
     /// It was refused and nothing was done.
     #[error("the state store refused the call with status {0}")]
     Refused(u16),
-    /// The history after the given revision is gone: read everything again.
+    /// The history after the given revision is gone, maybe with its era: read everything again.
     #[error("the state store no longer has the history asked for")]
     HistoryGone,
     /// The lease is over.
@@ -92,7 +92,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StoreChange {
     /// Revision of the change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The record.
     pub record: StoreRecord,
 }
@@ -146,7 +146,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct StoreChanges {
     /// Revision to continue watching from.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The records.
     pub changes: Vec<StoreChange>,
 }
@@ -156,8 +156,9 @@
 pub struct ConditionalWrite {
     /// Key, without the fleet's prefix.
     pub key: String,
-    /// Revision that it must have; 0 if it must be absent.
-    pub expected_revision: u64,
+    /// Revision that it must have; none if it must be absent. The store compares only the number:
+    /// in a later era another change may have it.
+    pub expected: Option<StoreRevision>,
     /// New value.
     pub value: Bytes,
     /// Lease that the key goes with.
@@ -168,7 +169,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteOutcome {
     /// Written, at this revision.
-    Written(u64),
+    Written(StoreRevision),
     /// The condition did not hold.
     Conflict,
 }
@@ -193,16 +194,21 @@
         prefix: &str,
         freshness: ReadFreshness,
     ) -> Result<StoreChanges, StoreError>;
-    /// Waits up to `wait` for changes after `revision`.
-    async fn watch(&self, revision: u64, wait: Duration) -> Result<StoreChanges, StoreError>;
+    /// Waits up to `wait` for changes after `revision`, all of its era.
+    async fn watch(
+        &self,
+        revision: StoreRevision,
+        wait: Duration,
+    ) -> Result<StoreChanges, StoreError>;
     /// Reads one of the fleet's own keys with its revision.
-    async fn read(&self, key: &str) -> Result<Option<(u64, Bytes)>, StoreError>;
+    async fn read(&self, key: &str) -> Result<Option<(StoreRevision, Bytes)>, StoreError>;
     /// Writes under a condition.
     async fn write(&self, write: ConditionalWrite) -> Result<WriteOutcome, StoreError>;
     /// Takes a lease.
     async fn grant_lease(&self, time_to_live: Duration) -> Result<LeaseId, StoreError>;
-    /// Renews a lease.
-    async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError>;
+    /// Renews a lease. Returns the era of the answer: what was written under the lease in an
+    /// earlier one may be gone though the lease is not.
+    async fn renew_lease(&self, lease: LeaseId) -> Result<StoreEra, StoreError>;
     /// Ends a lease and its keys.
     async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError>;
 }
--- a/crates/serving/src/primary_lease.rs
+++ b/crates/serving/src/primary_lease.rs
@@ -7,7 +7,7 @@
 use hookpoint_coordination::serving::homes::claim_order;
 use hookpoint_coordination::serving::lease_grantor::{Electorate, VOTER_MEMORY};
 use hookpoint_coordination::serving::primary_lease::{Grantor, LeaseAnswer, LeaseRequest};
-use hookpoint_state::{DatabaseName, GroupName, Timestamp};
+use hookpoint_state::{DatabaseName, GroupName, StoreRevision, Timestamp};
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
@@ -30,7 +30,7 @@
     /// The database that is to lead.
     pub candidate: DatabaseName,
     /// Revision of its record in the store.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// What a node knows of promotions.
@@ -39,7 +39,7 @@
     /// Those that the other side may not know.
     pub newer: Vec<Announcement>,
     /// Up to which revision of the store this node knows all of them.
-    pub known: u64,
+    pub known: StoreRevision,
 }
 
 /// Lapse after which requests that need a primary are refused at once: their callers reach
@@ -72,7 +72,10 @@
 fn log_change(node: &Rc<Node>, covers: bool, now: Timestamp) {
     if covers {
         let coordinator = node.coordinator.borrow().revision();
-        node.log("primary_lease_held", &[("coordinator", coordinator.into())]);
+        node.log(
+            "primary_lease_held",
+            &[("coordinator", coordinator.to_string().into())],
+        );
         node.leader_changed.notify_waiters();
     } else {
         let lapsed_since = node.primary_lease.borrow().lapsed_since(now);
@@ -165,7 +168,7 @@
 }
 
 /// Tells all nodes that this one coordinates: they ask it for leases at once.
-pub(crate) fn tell_coordinator(node: &Node, peers: &Peers, revision: u64) {
+pub(crate) fn tell_coordinator(node: &Node, peers: &Peers, revision: StoreRevision) {
     let message = PeerMessage::TellCoordinator {
         revision,
         node: node.settings.name.clone(),
@@ -177,7 +180,7 @@
 }
 
 /// Takes notice of a coordinator.
-pub(crate) fn take_coordinator(node: &Node, revision: u64, name: &str) {
+pub(crate) fn take_coordinator(node: &Node, revision: StoreRevision, name: &str) {
     node.coordinator.borrow_mut().learn(revision, name);
     node.lease_due.notify_one();
 }
@@ -186,7 +189,7 @@
 /// node acknowledges it: once it uses the replaced primary no more.
 pub(crate) fn take_announcement(
     node: &Rc<Node>,
-    coordinator: u64,
+    coordinator: StoreRevision,
     coordinator_name: &str,
     announcement: &Announcement,
 ) -> bool {
@@ -245,7 +248,7 @@
     }
 
     /// What this node knows of promotions, for one that knows all up to `revision`.
-    fn promotions_after(&self, revision: u64) -> Promotions {
+    fn promotions_after(&self, revision: StoreRevision) -> Promotions {
         let groups = self.groups.borrow();
         let later = groups
             .iter()
@@ -322,7 +325,7 @@
     }
 
     /// All promotions announced up to this revision of the store are known.
-    pub(crate) fn note_promotions_known(&self, revision: u64) {
+    pub(crate) fn note_promotions_known(&self, revision: StoreRevision) {
         let known = self.promotions_known.get();
         self.promotions_known.set(known.max(revision));
     }
--- a/crates/serving/src/registration.rs
+++ b/crates/serving/src/registration.rs
@@ -62,7 +62,7 @@
 async fn take_lease(node: &Rc<Node>) -> Result<LeaseId, StoreError> {
     if let Some(lease) = node.lease_found.take() {
         match node.store.renew_lease(lease).await {
-            Ok(()) => {
+            Ok(_) => {
                 node.lease_renewed_at.set(node.now());
                 node.log("lease_resumed", &[("lease", lease.0.into())]);
                 return Ok(lease);
@@ -93,11 +93,11 @@
     let key = member_key(&node.settings.zone, &node.settings.name);
     let record = own_record(node);
     // An earlier process may have left a record behind.
-    let mut expected_revision = node.own_record_revision.get();
+    let mut expected = node.own_record_revision.get();
     loop {
         let write = ConditionalWrite {
             key: key.clone(),
-            expected_revision,
+            expected,
             value: encode(&record),
             lease: Some(lease),
         };
@@ -105,7 +105,7 @@
             WriteOutcome::Written(_) => return Ok(()),
             WriteOutcome::Conflict => {
                 let present = node.store.read(&key).await?;
-                expected_revision = present.map_or(0, |(revision, _)| revision);
+                expected = present.map(|(revision, _)| revision);
             }
         }
     }
@@ -133,7 +133,7 @@
         if !node.store_reachable.get() {
             continue;
         }
-        let record_present = node.own_record_revision.get() > 0;
+        let record_present = node.own_record_revision.get().is_some();
         let record_vanished = record_seen && !record_present;
         record_seen = record_present;
         let now = node.now();
--- a/crates/serving/src/snapshot.rs
+++ b/crates/serving/src/snapshot.rs
@@ -7,7 +7,7 @@
 
 use hookpoint_coordination::serving::directory::Database;
 use hookpoint_coordination::serving::topology::Configuration;
-use hookpoint_state::ZoneName;
+use hookpoint_state::{StoreRevision, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::departures;
@@ -21,11 +21,11 @@
     /// The configuration in force there.
     pub configuration: Configuration,
     /// Registered databases with the revisions of their entries.
-    pub databases: Vec<(Database, u64)>,
+    pub databases: Vec<(Database, StoreRevision)>,
     /// Registered nodes.
     pub members: Vec<MemberRecord>,
     /// Zones that are being evacuated, or were, with the revisions that say so.
-    pub evacuations: Vec<(ZoneName, bool, u64)>,
+    pub evacuations: Vec<(ZoneName, bool, StoreRevision)>,
 }
 
 impl Snapshot {
--- a/crates/serving/tests/packed.rs
+++ b/crates/serving/tests/packed.rs
@@ -7,7 +7,7 @@
 use hookpoint_coordination::serving::topology::{Configuration, Consistency, Route};
 use hookpoint_serving::packed::{PackError, pack, unpack};
 use hookpoint_serving::ports::{StoreChange, StoreChanges, StoreRecord};
-use hookpoint_state::GroupName;
+use hookpoint_state::{GroupName, StoreEra, StoreRevision};
 
 /// Routes of the largest configuration that the users describe.
 const ROUTES: usize = 2_900;
@@ -32,9 +32,9 @@
         ..Configuration::default()
     };
     StoreChanges {
-        revision: 12,
+        revision: StoreRevision::new(StoreEra::new(1), 12),
         changes: vec![StoreChange {
-            revision: 12,
+            revision: StoreRevision::new(StoreEra::new(1), 12),
             record: StoreRecord::Configuration(configuration),
         }],
     }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod names;
 pub mod outcome;
 pub mod position;
+pub mod store_revision;
 pub mod time;
 pub mod token;
 
@@ -19,5 +20,6 @@
 };
 pub use outcome::{Outcome, Refusal, UnknownCause};
 pub use position::{Lsn, Position, Term};
+pub use store_revision::{StoreEra, StoreRevision};
 pub use time::Timestamp;
 pub use token::SessionToken;
