Fencing tokens of a later era of the store are above all of earlier ones

What callers saw: after the store came back from a copy, a primary that was lost stayed lost, as every promotion was refused.

Cause: a token was the revision of the coordinator's record, times the orders of one tenure. The new coordinator's record got a lower number than its predecessor's, so the promotion service took its orders for those of a coordinator that had been replaced. Where the numbers meet again, one token could even have named two candidates.

Evidence: a_primary_is_replaced_after_the_store_lost_the_coordinators_claim failed before (no write within 8 s) and passes.

Why it holds: a token is a type of its own, made of era, number and order in this order of weight, and none is made if a part does not fit. The order of claims is the order of tokens for any claims and orders (property test).

--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -14,6 +14,7 @@
 pub mod evacuation;
 pub mod failover;
 pub mod feed;
+pub mod fencing;
 pub mod fleet;
 pub mod freshness;
 pub mod handover;
--- a/crates/serving/src/coordinator/order.rs
+++ b/crates/serving/src/coordinator/order.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::fencing::FencingToken;
 use hookpoint_state::{DatabaseName, GroupName, StoreRevision};
 use tokio::time::{sleep, timeout};
 
@@ -19,8 +20,6 @@
 /// Limit for a promotion's answer. One without an answer is ordered again: the token and
 /// the candidate are the same, so being carried out twice changes nothing.
 const PROMOTION_LIMIT: Duration = Duration::from_millis(350);
-/// Orders that one coordinator may give.
-const TOKENS_PER_COORDINATOR: u64 = 4_096;
 /// Pause between two orders of the same promotion.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -45,16 +44,23 @@
 /// The next token of this coordinator.
 ///
 /// A coordinator's record is written once in its life, under a condition, so its revision
-/// is this life's own and higher than that of every earlier coordinator. Each order takes
-/// the next number below it, so one token names one candidate for ever.
-fn next_token(node: &Rc<Node>) -> Option<u64> {
-    let revision = node.coordinator_revision()?;
+/// is this life's own.
+fn next_token(node: &Rc<Node>, group: &GroupName) -> Option<FencingToken> {
+    let claim = node.coordinator_revision()?;
     let number = node.promotions_ordered.get() + 1;
-    if number >= TOKENS_PER_COORDINATOR {
-        return None;
+    let token = FencingToken::new(claim, number);
+    if token.is_none() {
+        node.log(
+            "tokens_used_up",
+            &[
+                ("group", group.as_str().into()),
+                ("claim", claim.to_string().into()),
+                ("ordered", (number - 1).into()),
+            ],
+        );
     }
     node.promotions_ordered.set(number);
-    Some(revision.parts().1 * TOKENS_PER_COORDINATOR + number)
+    token
 }
 
 /// Orders a promotion, again under the same token while it is not answered.
@@ -66,7 +72,7 @@
     replaced: Option<&DatabaseName>,
     authority: Authority,
 ) -> Result<(), OrderError> {
-    let fencing_token = next_token(node).ok_or(OrderError::Rejected)?;
+    let fencing_token = next_token(node, group).ok_or(OrderError::Rejected)?;
     let order = PromotionOrder {
         group: group.clone(),
         candidate: candidate.clone(),
@@ -162,7 +168,7 @@
         &[
             ("group", order.group.as_str().into()),
             ("candidate", order.candidate.as_str().into()),
-            ("token", order.fencing_token.into()),
+            ("token", u64::from(order.fencing_token).into()),
             ("detail", detail.into()),
         ],
     );
--- a/crates/serving/src/ports.rs
+++ b/crates/serving/src/ports.rs
@@ -9,6 +9,7 @@
 use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
 use hookpoint_coordination::serving::directory::Database;
+use hookpoint_coordination::serving::fencing::FencingToken;
 use hookpoint_coordination::serving::topology::Configuration;
 use hookpoint_state::{DatabaseName, GroupName, StoreEra, StoreRevision, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -223,7 +224,7 @@
     /// The node that orders it.
     pub holder: String,
     /// Fencing token; one token names one candidate for ever.
-    pub fencing_token: u64,
+    pub fencing_token: FencingToken,
 }
 
 /// Why an order was not confirmed.
--- a/crates/serving/src/records.rs
+++ b/crates/serving/src/records.rs
@@ -1,6 +1,7 @@
 //! The fleet's own records in the state store.
 
 use bytes::Bytes;
+use hookpoint_coordination::serving::fencing::FencingToken;
 use hookpoint_coordination::serving::homes::choice_weight;
 use hookpoint_state::{DatabaseName, GroupName, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -55,7 +56,7 @@
     /// The database that is to lead.
     pub candidate: DatabaseName,
     /// The token of the order.
-    pub fencing_token: u64,
+    pub fencing_token: FencingToken,
 }
 
 /// Encodes a record.
