A coordinator that has used up its tokens gives its record up

What callers saw: nothing yet; found while tokens were looked at. A process counted its orders over all its tenures, and after 4,095 of them it would have kept the record and ordered no promotion any more. Evacuations of a large fleet give a thousand orders each.

The count begins anew with each claim, which has a revision of its own, and a coordinator without tokens ends its lease, so that the next claim follows at once. No test plays 4,096 promotions; that no token is made twice is in serving_fencing.rs.

--- a/crates/serving/src/coordinator_record.rs
+++ b/crates/serving/src/coordinator_record.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::coordinator::CoordinatorRecord;
+use hookpoint_coordination::serving::fencing::FencingToken;
 use hookpoint_coordination::serving::homes::claim_order;
 use hookpoint_state::{StoreRevision, Timestamp};
 use tokio::time::{sleep, timeout};
@@ -116,6 +117,7 @@
         return None;
     };
     node.coordinator_lease.set(Some(lease.0));
+    node.promotions_ordered.set(0);
     note_held(node, asked_at);
     node.grantor
         .borrow_mut()
@@ -155,7 +157,7 @@
                 .max(LOOK),
         )
         .await;
-        if node.stopping_since.get().is_some() {
+        if node.stopping_since.get().is_some() || tokens_used_up(node) {
             registration::end_lease(node, lease).await;
             break;
         }
@@ -163,6 +165,11 @@
     leave(node);
 }
 
+/// Whether this tenure has no token left for a further order.
+fn tokens_used_up(node: &Rc<Node>) -> bool {
+    node.promotions_ordered.get() + 1 >= FencingToken::ORDERS_PER_CLAIM
+}
+
 fn leave(node: &Rc<Node>) {
     node.coordinator_lease.set(None);
     node.coordinator_until.set(Timestamp::default());
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -179,7 +179,7 @@
     pub coordinator_lease: Cell<Option<u64>>,
     /// Until when that lease surely holds.
     pub coordinator_until: Cell<Timestamp>,
-    /// Promotions that this node has ordered, which are part of their tokens.
+    /// Promotions that this node has ordered in its present tenure, which are part of their tokens.
     pub promotions_ordered: Cell<u64>,
     /// Whether the store was reachable at the last call of the follower.
     pub store_reachable: Cell<bool>,
