One coordinator at a time though the store loses its record

What callers would see: two nodes that order promotions by turns, after the store came back from a copy that lacks the coordinator's record.

Cause: a record is relied on for 1.2 s after its last renewal. Others claim as soon as it is not there, which was safe while a record went only with its lease. A copy lacks it at once; and where the copy holds the lease, written a moment before the record, renewals went on being answered. A claim or its repetition could also match a revision that was given out again.

Now the record's key names the era, so a claim of an earlier era touches nothing that counts. A renewal answered in another era ends the tenure, and so does a listing of one. In an era without a claim, which a key of its own tells, a free record is left alone for the time that a record may be relied on, except by the coordinator of the era before. A claim counts only in the era in which the record was seen to be free.

Evidence: a model of three nodes plays claims, renewals, late hearing and lost records; without the delay two coordinate in the sequence that a test names, with it none do in 4,000 plays.

--- a/crates/coordination/src/serving/coordinator.rs
+++ b/crates/coordination/src/serving/coordinator.rs
@@ -4,9 +4,60 @@
 //! order to its peers. A record can lapse while the store is away though its writer lives
 //! and others go on voting for it, so the newest coordinator stays known without it.
 
-use hookpoint_state::StoreRevision;
+use std::time::Duration;
+
+use hookpoint_state::{StoreEra, StoreRevision, Timestamp};
 use serde::{Deserialize, Serialize};
 
+/// Time to live of a coordinator's record.
+pub const RECORD_TIME: Duration = Duration::from_millis(1_500);
+/// Time before the end of its lease from which a record is not relied on any more.
+const RECORD_MARGIN: Duration = Duration::from_millis(300);
+
+/// Until when a coordinator relies on a record that it asked to be renewed at `asked_at`.
+pub fn relied_on_until(asked_at: Timestamp) -> Timestamp {
+    asked_at + RECORD_TIME - RECORD_MARGIN
+}
+
+/// How long a node leaves a free record alone after it first heard of the store's era.
+///
+/// A store that comes back from a copy may have lost the record of a coordinator that goes on
+/// relying on it: that one was last answered in the earlier era, which ended before anybody
+/// heard of the new one. Once a record was claimed in the era, nobody relies on an earlier one.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ClaimDelay {
+    era: Option<StoreEra>,
+    until: Timestamp,
+    settled: Option<StoreEra>,
+}
+
+impl ClaimDelay {
+    /// A record was claimed in `era`, maybe long ago.
+    pub fn settle(&mut self, era: StoreEra) {
+        self.settled = self.settled.max(Some(era));
+    }
+
+    /// Whether a record is known to have been claimed in the present era.
+    pub fn is_settled(&self) -> bool {
+        self.era.is_some() && self.settled >= self.era
+    }
+
+    /// Takes notice of the era of an answer. `no_other` says that no other node can be the
+    /// coordinator of the era before.
+    pub fn note_era(&mut self, era: StoreEra, no_other: bool, now: Timestamp) {
+        if self.era.is_some_and(|known| known >= era) {
+            return;
+        }
+        self.era = Some(era);
+        self.until = if no_other { now } else { now + RECORD_TIME };
+    }
+
+    /// Whether no coordinator of an earlier era can rely on its record any more.
+    pub fn is_over(&self, now: Timestamp) -> bool {
+        self.is_settled() || self.era.is_some() && now >= self.until
+    }
+}
+
 /// The coordinator's record in the state store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CoordinatorRecord {
--- a/crates/coordination/tests/serving_coordinator.rs
+++ b/crates/coordination/tests/serving_coordinator.rs
@@ -2,8 +2,13 @@
 
 mod store;
 
-use hookpoint_coordination::serving::coordinator::{CoordinatorRecord, CoordinatorView};
-use hookpoint_state::StoreRevision;
+use std::time::Duration;
+
+use hookpoint_coordination::serving::coordinator::{
+    ClaimDelay, CoordinatorRecord, CoordinatorView, RECORD_TIME, relied_on_until,
+};
+use hookpoint_state::{StoreEra, StoreRevision, Timestamp};
+use quickcheck::{QuickCheck, TestResult};
 use store::revision;
 
 fn record(node: &str) -> CoordinatorRecord {
@@ -62,3 +67,135 @@
     view.take_record(revision(8), None);
     assert_eq!(view.revision(), revision(9));
 }
+
+#[test]
+fn a_node_leaves_a_free_record_alone_until_a_lost_coordinator_relies_on_it_no_more() {
+    let first = StoreEra::new(1);
+    let second = StoreEra::new(2);
+    let at = Timestamp::from_millis;
+    let mut delay = ClaimDelay::default();
+    assert!(!delay.is_over(at(9_000)), "nothing was heard yet");
+    delay.note_era(first, false, at(10_000));
+    assert!(delay.is_over(at(12_000)));
+    delay.note_era(second, false, at(20_000));
+    assert!(!delay.is_over(at(20_000) + RECORD_TIME - Duration::from_millis(1)));
+    assert!(delay.is_over(at(20_000) + RECORD_TIME));
+    delay.note_era(second, false, at(30_000));
+    delay.note_era(first, false, at(30_000));
+    assert!(delay.is_over(at(30_000)), "nothing new");
+}
+
+#[test]
+fn the_coordinator_of_the_era_before_waits_for_nobody() {
+    let mut delay = ClaimDelay::default();
+    delay.note_era(StoreEra::new(1), false, Timestamp::from_millis(10_000));
+    delay.note_era(StoreEra::new(2), true, Timestamp::from_millis(20_000));
+    assert!(delay.is_over(Timestamp::from_millis(20_000)));
+}
+
+#[test]
+fn a_record_that_was_claimed_in_this_era_is_left_alone_by_nobody_that_starts() {
+    let mut delay = ClaimDelay::default();
+    delay.settle(StoreEra::new(2));
+    assert!(
+        !delay.is_over(Timestamp::from_millis(9_000)),
+        "no era was heard of"
+    );
+    delay.note_era(StoreEra::new(2), false, Timestamp::from_millis(10_000));
+    assert!(delay.is_over(Timestamp::from_millis(10_000)));
+    delay.note_era(StoreEra::new(3), false, Timestamp::from_millis(20_000));
+    assert!(!delay.is_over(Timestamp::from_millis(20_000)));
+}
+
+const NODES: usize = 3;
+
+/// What one node of the model believes.
+#[derive(Clone, Copy, Default)]
+struct ModelNode {
+    heard: Option<StoreEra>,
+    delay: ClaimDelay,
+    /// The era of its record, and until when it relies on that.
+    tenure: Option<(StoreEra, Timestamp)>,
+}
+
+impl ModelNode {
+    fn coordinates(&self, now: Timestamp) -> bool {
+        self.tenure.is_some_and(|(_, until)| now < until)
+    }
+
+    fn hear(&mut self, era: StoreEra, now: Timestamp) {
+        let coordinates = self.coordinates(now);
+        self.delay.note_era(era, coordinates, now);
+        self.tenure = self.tenure.filter(|(claimed_in, _)| *claimed_in == era);
+        self.heard = Some(era);
+    }
+}
+
+/// The store's record: its holder, and until when its lease runs.
+type ModelRecord = Option<(usize, Timestamp)>;
+
+/// Plays claims, renewals and returns of the store from a copy without the record. Says whether
+/// two nodes ever coordinated at once.
+fn two_coordinate(steps: &[(u8, u8)], delayed: bool) -> bool {
+    let mut now = Timestamp::from_millis(60_000);
+    let mut era = StoreEra::new(1);
+    let mut record: ModelRecord = None;
+    let mut nodes = [ModelNode::default(); NODES];
+    for (kind, value) in steps {
+        let index = usize::from(*value) % NODES;
+        let node = &mut nodes[index];
+        record = record.filter(|(_, until)| now < *until);
+        match kind % 8 {
+            0 => {
+                era = StoreEra::new(era.number() + 1);
+                record = None;
+            }
+            1 | 2 => now = now + Duration::from_millis(u64::from(*value) * 4),
+            3 | 4 => node.hear(era, now),
+            5 => {
+                let delay_over = !delayed || node.delay.is_over(now);
+                if record.is_none() && node.heard == Some(era) && delay_over {
+                    record = Some((index, now + RECORD_TIME));
+                    node.tenure = Some((era, relied_on_until(now)));
+                }
+            }
+            _ => {
+                let own = record.filter(|(holder, _)| *holder == index);
+                match (own, node.tenure) {
+                    (Some(_), Some((claimed_in, _))) if claimed_in == era => {
+                        record = Some((index, now + RECORD_TIME));
+                        node.tenure = Some((era, relied_on_until(now)));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        if nodes.iter().filter(|node| node.coordinates(now)).count() > 1 {
+            return true;
+        }
+    }
+    false
+}
+
+#[test]
+fn at_most_one_node_coordinates_however_often_the_store_loses_the_record() {
+    fn one_at_most(steps: Vec<(u8, u8)>) -> TestResult {
+        TestResult::from_bool(!two_coordinate(&steps, true))
+    }
+    QuickCheck::new()
+        .tests(4_000)
+        .quickcheck(one_at_most as fn(Vec<(u8, u8)>) -> TestResult);
+}
+
+#[test]
+fn without_the_delay_two_nodes_would_coordinate() {
+    let claimed_by_one_then_lost_then_claimed_by_another = [(3, 0), (5, 0), (0, 0), (3, 1), (5, 1)];
+    assert!(two_coordinate(
+        &claimed_by_one_then_lost_then_claimed_by_another,
+        false
+    ));
+    assert!(!two_coordinate(
+        &claimed_by_one_then_lost_then_claimed_by_another,
+        true
+    ));
+}
--- a/crates/serving/src/coordinator_record.rs
+++ b/crates/serving/src/coordinator_record.rs
@@ -6,10 +6,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hookpoint_coordination::serving::coordinator::CoordinatorRecord;
+use bytes::Bytes;
+use hookpoint_coordination::serving::coordinator::{
+    CoordinatorRecord, RECORD_TIME, relied_on_until,
+};
 use hookpoint_coordination::serving::fencing::FencingToken;
 use hookpoint_coordination::serving::homes::claim_order;
-use hookpoint_state::{StoreRevision, Timestamp};
+use hookpoint_state::{StoreEra, StoreRevision, Timestamp};
 use tokio::time::{sleep, timeout};
 
 use crate::feed;
@@ -17,13 +20,9 @@
 use crate::peers::Peers;
 use crate::ports::{ConditionalWrite, LeaseId, StoreError, WriteOutcome};
 use crate::primary_lease;
-use crate::records::{COORDINATOR_KEY, encode};
+use crate::records::{claimed_era_key, coordinator_key, encode};
 use crate::registration;
 
-/// Time to live of the record.
-const RECORD_TIME: Duration = Duration::from_millis(1_500);
-/// Time before the end of its lease from which it is not relied on any more.
-const RECORD_MARGIN: Duration = Duration::from_millis(300);
 /// Pause between two renewals.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(400);
 /// Limit for a renewal's answer.
@@ -59,7 +58,7 @@
         match claim(&node, left_behind).await {
             Some((lease, revision)) => {
                 primary_lease::tell_coordinator(&node, &peers, revision);
-                hold(&node, lease).await;
+                hold(&node, lease, revision).await;
             }
             None => sleep(RETRY_PAUSE).await,
         }
@@ -70,8 +69,13 @@
 /// Whether the record is free as the store shows it at present. A node that has not caught up
 /// since it started may just not know of the holder.
 fn may_claim(node: &Rc<Node>) -> bool {
-    let free = node.coordinator.borrow().holder().is_none() || left_behind(node).is_some();
-    free && node.store_reachable.get() && feed::is_fresh(node) && node.configuration().is_some()
+    let free = node.coordinator.borrow().holder().is_none();
+    let free_for_long = free && node.claim_delay.get().is_over(node.now());
+    let claimable = left_behind(node).is_some() || free_for_long;
+    claimable
+        && node.store_reachable.get()
+        && feed::is_fresh(node)
+        && node.configuration().is_some()
 }
 
 /// Revision of a record that an earlier process of this node left behind. It coordinates
@@ -100,19 +104,24 @@
     left_behind: Option<StoreRevision>,
 ) -> Option<(LeaseId, StoreRevision)> {
     let asked_at = node.now();
+    let era = node.feed.revision().era();
     let lease = node.store.grant_lease(RECORD_TIME).await.ok()?;
     let record = CoordinatorRecord {
         node: node.settings.name.clone(),
         lease: lease.0,
     };
     let write = ConditionalWrite {
-        key: COORDINATOR_KEY.to_owned(),
+        key: coordinator_key(era),
         expected: left_behind,
         value: encode(&record),
         lease: Some(lease),
     };
     let claimed_at = node.now();
-    let Ok(WriteOutcome::Written(revision)) = node.store.write(write).await else {
+    let written = match node.store.write(write).await {
+        Ok(WriteOutcome::Written(revision)) if revision.era() == era => Some(revision),
+        _ => None,
+    };
+    let Some(revision) = written else {
         registration::end_lease(node, lease).await;
         return None;
     };
@@ -129,25 +138,66 @@
         "coordinator_claimed",
         &[("revision", revision.to_string().into())],
     );
+    if !node.claim_delay.get().is_settled() {
+        note_claimed_era(node, era);
+        tokio::task::spawn_local(tell_claimed_era(Rc::clone(node), era));
+    }
     Some((lease, revision))
 }
 
+/// Takes notice of the era of an answer of the store.
+pub(crate) fn note_era(node: &Node, era: StoreEra) {
+    let fleet_is_new =
+        node.settings.first_start && node.feed.revision() == StoreRevision::default();
+    let no_other = node.coordinates() || fleet_is_new;
+    let mut claim_delay = node.claim_delay.get();
+    claim_delay.note_era(era, no_other, node.now());
+    node.claim_delay.set(claim_delay);
+}
+
+/// Takes notice of an era in which there was a coordinator.
+pub(crate) fn note_claimed_era(node: &Node, era: StoreEra) {
+    let mut claim_delay = node.claim_delay.get();
+    claim_delay.settle(era);
+    node.claim_delay.set(claim_delay);
+}
+
+/// Writes that there was a coordinator in the era of a claim, for nodes that start later.
+async fn tell_claimed_era(node: Rc<Node>, era: StoreEra) {
+    let write = ConditionalWrite {
+        key: claimed_era_key(era),
+        expected: None,
+        value: Bytes::new(),
+        lease: None,
+    };
+    if let Err(error) = node.store.write(write).await {
+        node.log(
+            "claimed_era_not_told",
+            &[("detail", error.to_string().into())],
+        );
+    }
+}
+
 fn note_held(node: &Rc<Node>, asked_at: Timestamp) {
-    node.coordinator_until
-        .set(asked_at + RECORD_TIME - RECORD_MARGIN);
+    node.coordinator_until.set(relied_on_until(asked_at));
 }
 
-/// Renews the record until it is over, another's, or the node stops.
-async fn hold(node: &Rc<Node>, lease: LeaseId) {
+/// Renews the record until it is over, another's, or the node stops. A renewal in a later era
+/// keeps the lease at most: the record was written in the one before.
+async fn hold(node: &Rc<Node>, lease: LeaseId, claim: StoreRevision) {
     while node.coordinator_revision().is_some() {
         let asked_at = node.now();
         let renewal = node.store.renew_lease(lease);
         match timeout(RENEWAL_LIMIT, renewal).await {
-            Ok(Ok(_)) => {
+            Ok(Ok(era)) if era == claim.era() => {
                 note_held(node, asked_at);
                 node.store_heard_at.set(node.now());
                 node.grantor.borrow_mut().note_renewed(asked_at);
             }
+            Ok(Ok(era)) => {
+                note_era(node, era);
+                break;
+            }
             Ok(Err(StoreError::LeaseOver)) => break,
             Ok(Err(_)) | Err(_) => {}
         }
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -10,6 +10,7 @@
 use hookpoint_state::{DatabaseName, StoreRevision, Timestamp, ZoneName};
 use tokio::time::{sleep, timeout};
 
+use crate::coordinator_record;
 use crate::departures;
 use crate::feed::{self, Followed};
 use crate::node::Node;
@@ -18,7 +19,8 @@
 };
 use crate::primary_lease::Announcement;
 use crate::records::{
-    COORDINATOR_KEY, MemberRecord, PROMOTION_PREFIX, PromotionRecord, decode, member_name,
+    MemberRecord, PROMOTION_PREFIX, PromotionRecord, claimed_era, decode, is_coordinator_key,
+    member_name,
 };
 use crate::registration;
 use crate::snapshot;
@@ -142,6 +144,7 @@
 /// Takes notice of the era of a listing. A store that came back from a copy lacks what was written
 /// last; what is missing from it proves nothing until that is written again.
 fn note_era(node: &Rc<Node>, known: StoreRevision, listed: StoreRevision) {
+    coordinator_record::note_era(node, listed.era());
     let knew_nothing = known == StoreRevision::default();
     if knew_nothing || listed.era() == known.era() {
         return;
@@ -394,7 +397,7 @@
             StoreRecord::Database(database) => databases.push((database, change.revision)),
             StoreRecord::Own { ref key, .. } => {
                 members.extend(member_name(key).map(str::to_owned));
-                coordinated |= key == COORDINATOR_KEY;
+                coordinated |= is_coordinator_key(key, all.revision.era());
                 apply(node, change);
             }
             _ => apply(node, change),
@@ -498,9 +501,11 @@
             node.lease_found.set(lease.filter(|_| as_now));
         }
         apply_member(node, name, record);
-    } else if key == COORDINATOR_KEY {
+    } else if is_coordinator_key(key, revision.era()) {
         let record: Option<CoordinatorRecord> = value.and_then(decode);
         node.coordinator.borrow_mut().take_record(revision, record);
+    } else if let Some(era) = claimed_era(key) {
+        coordinator_record::note_claimed_era(node, era);
     } else if key.starts_with(PROMOTION_PREFIX) {
         apply_promotion(node, value.and_then(decode), revision);
     }
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use hookpoint_coordination::serving::coordinator::CoordinatorView;
+use hookpoint_coordination::serving::coordinator::{ClaimDelay, CoordinatorView};
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
 use hookpoint_coordination::serving::interest::Interest;
 use hookpoint_coordination::serving::isolation::Isolation;
@@ -165,6 +165,8 @@
     pub lease_found: Cell<Option<LeaseId>>,
     /// Who may order promotions.
     pub coordinator: RefCell<CoordinatorView>,
+    /// How long a free record is left alone in the present era of the store.
+    pub(crate) claim_delay: Cell<ClaimDelay>,
     /// Up to which revision of the store all promotions are known.
     pub promotions_known: Cell<StoreRevision>,
     /// Leave to use primaries, where promotions are not fenced.
@@ -250,6 +252,7 @@
             own_record_revision: Cell::default(),
             lease_found: Cell::new(None),
             coordinator: RefCell::default(),
+            claim_delay: Cell::default(),
             promotions_known: Cell::default(),
             primary_lease: RefCell::new(PrimaryLease::new(life, START)),
             grantor: RefCell::new(LeaseGrantor::new(life)),
--- a/crates/serving/src/records.rs
+++ b/crates/serving/src/records.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use hookpoint_coordination::serving::fencing::FencingToken;
 use hookpoint_coordination::serving::homes::choice_weight;
-use hookpoint_state::{DatabaseName, GroupName, ZoneName};
+use hookpoint_state::{DatabaseName, GroupName, StoreEra, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -12,8 +12,10 @@
 /// Parts that the members of a zone are divided into by their keys. A node that starts reads
 /// its own part only, to find others that start with it or run already.
 const PARTS_A_ZONE: u64 = 8;
-/// Key of the node that may order promotions.
-pub const COORDINATOR_KEY: &str = "coordinator";
+/// Prefix of the keys of the nodes that may order promotions.
+const COORDINATOR_PREFIX: &str = "coordinator/";
+/// Prefix of the keys that say in which eras of the store there was a coordinator.
+const CLAIMED_ERA_PREFIX: &str = "eras/";
 /// Prefix of the keys of ordered promotions.
 pub const PROMOTION_PREFIX: &str = "promotions/";
 
@@ -28,6 +30,29 @@
     format!("{}{name}", member_part(zone, name))
 }
 
+/// Key of the node that may order promotions in an era of the store. A claim of an earlier era
+/// that is carried out late does not touch it, whatever revisions the store gave out again.
+pub fn coordinator_key(era: StoreEra) -> String {
+    format!("{COORDINATOR_PREFIX}{era}")
+}
+
+/// Key that says that a coordinator's record was claimed in an era of the store.
+pub fn claimed_era_key(era: StoreEra) -> String {
+    format!("{CLAIMED_ERA_PREFIX}{era}")
+}
+
+/// The era whose first claim a key tells of; nothing if it tells of none.
+pub fn claimed_era(key: &str) -> Option<StoreEra> {
+    let number = key.strip_prefix(CLAIMED_ERA_PREFIX)?.parse().ok()?;
+    Some(StoreEra::new(number))
+}
+
+/// Whether `key` is that of the node that may order promotions in `era`.
+pub fn is_coordinator_key(key: &str, era: StoreEra) -> bool {
+    let named = key.strip_prefix(COORDINATOR_PREFIX);
+    named.and_then(|number| number.parse().ok()) == Some(era.number())
+}
+
 /// Name of the node that a key is of; nothing if it is no node's.
 pub fn member_name(key: &str) -> Option<&str> {
     let (_, name) = key.strip_prefix(MEMBER_PREFIX)?.rsplit_once('/')?;
