What was over does not begin again with a store that came back from a copy

What callers would see: requests at a database later than its drain limit (rule DRAIN), or facts of a database's earlier life.

Cause: a listing of the later era replaces registrations of the earlier one. A copy from before an announcement lists the database as ready, so the announcement was forgotten, and counted anew when it was written again. A database that had left, or a life that had ended, came back with its old entry. And a node that heard of the announcement only then took the listing between for proof that there had been none.

Now an announcement is only taken back in its own era; an entry that had gone counts as gone if it has the number that it had, until it has outlived three heartbeats; a life that ended before the era is passed over; and in the first 3.5 s of an era news cover nothing, so what is heard then counts from the last word of the earlier era. Nodes that start learn from a key of the store that its era has settled.

--- a/crates/coordination/src/serving/coordinator.rs
+++ b/crates/coordination/src/serving/coordinator.rs
@@ -23,7 +23,7 @@
 ///
 /// A store that comes back from a copy may have lost the record of a coordinator that goes on
 /// relying on it: that one was last answered in the earlier era, which ended before anybody
-/// heard of the new one. Once a record was claimed in the era, nobody relies on an earlier one.
+/// heard of the new one. Once the era has settled, nobody relies on an earlier one.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ClaimDelay {
     era: Option<StoreEra>,
@@ -32,12 +32,12 @@
 }
 
 impl ClaimDelay {
-    /// A record was claimed in `era`, maybe long ago.
+    /// The store has been in `era` for long.
     pub fn settle(&mut self, era: StoreEra) {
         self.settled = self.settled.max(Some(era));
     }
 
-    /// Whether a record is known to have been claimed in the present era.
+    /// Whether the present era is known to have settled.
     pub fn is_settled(&self) -> bool {
         self.era.is_some() && self.settled >= self.era
     }
--- a/crates/coordination/src/serving/departure.rs
+++ b/crates/coordination/src/serving/departure.rs
@@ -15,18 +15,39 @@
 /// an entry that lapsed in an outage comes back with the next one.
 pub const ABSENCE_PROVES: Duration = Duration::from_millis(3_500);
 
+/// Time within which databases and operators write again what a store lost that came back from
+/// an older copy: over two heartbeats.
+pub const WRITTEN_AGAIN: Duration = Duration::from_millis(3_500);
+
 /// Up to when a node knows of every change of the store.
+///
+/// A store that came back from a copy lists no change that it lost, though it had acknowledged
+/// it. Until those are written again its news cover nothing.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Coverage {
     until: Timestamp,
     before_news: Timestamp,
+    /// News from before this moment may lack lost changes.
+    incomplete_until: Timestamp,
 }
 
 impl Coverage {
     /// News of the store was taken in that holds every change up to `until`.
     pub fn extend(&mut self, until: Timestamp) {
         self.before_news = self.until;
-        self.until = self.until.max(until);
+        if until >= self.incomplete_until {
+            self.until = self.until.max(until);
+        }
+    }
+
+    /// The store is in another era than it was known to be in before `now`.
+    pub fn note_era(&mut self, now: Timestamp) {
+        self.incomplete_until = now + WRITTEN_AGAIN;
+    }
+
+    /// The store has been in its era for longer than that takes.
+    pub fn settle(&mut self) {
+        self.incomplete_until = Timestamp::default();
     }
 
     /// Up to when every change is known; zero for a node that has just started.
--- a/crates/coordination/src/serving/directory.rs
+++ b/crates/coordination/src/serving/directory.rs
@@ -4,6 +4,10 @@
 //! if the listing was stable, so absence is remembered with its time and the caller
 //! decides how long a missing database is still used.
 //!
+//! The store may come back from an older copy of itself, and lists again what was over: a
+//! registration from before an announced end, of a database that left, or of an earlier life.
+//! What was known of these holds on until the database itself writes anew.
+//!
 //! A database that starts again may keep its name. It then holds and knows nothing of
 //! before: see [`database_life`](super::database_life).
 
@@ -11,12 +15,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hookpoint_state::{DatabaseName, GroupName, StoreRevision, Timestamp, ZoneName};
+use hookpoint_state::{DatabaseName, GroupName, StoreEra, StoreRevision, Timestamp, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use super::database_life::{DatabaseStart, Tombstones};
 use super::departure::{ABSENCE_PROVES, Departure, Hearing, Sign};
 
+/// Time within which an entry lapses that a store brought back with a copy, if its database does
+/// not live: three heartbeats, and the passing on of the news.
+pub const COPY_LAPSES: Duration = Duration::from_secs(6);
+
 /// Role that a database states for itself. It may be out of date.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StatedRole {
@@ -54,14 +62,22 @@
 pub struct Listed {
     /// The registration.
     pub database: Database,
-    /// Revision of the registration.
+    /// Revision of the registration, or of its end.
     pub revision: StoreRevision,
+    /// Revision of the registration itself.
+    registered_at: StoreRevision,
     /// Its leaving: it has announced its end, or its entry is missing.
     pub departure: Option<Departure>,
+    /// Era of the store in which that was told.
+    departed_in: StoreEra,
     /// Whether its entry is missing from the store.
     pub missing: bool,
+    /// When its entry, which had gone, was listed again by a store that came back from a copy.
+    relisted_at: Option<Timestamp>,
     /// When this node learnt of its present life.
     pub life_since: Timestamp,
+    /// Start of the life before, if there was one that this node knew of.
+    ended: Option<Option<DatabaseStart>>,
 }
 
 impl Listed {
@@ -71,6 +87,27 @@
         asked_at > self.life_since
     }
 
+    /// Whether a registration tells of a life that had ended before its era of the store.
+    fn has_ended(&self, started: Option<DatabaseStart>, told_at: StoreRevision) -> bool {
+        let is_later = told_at.era() > self.revision.era();
+        is_later && self.ended == Some(started) && started != self.database.started
+    }
+
+    /// Whether a registration is the one that had gone, which a store brought back with a copy.
+    fn had_gone(&self, told_at: StoreRevision) -> bool {
+        self.missing && told_at.may_be_copy_of(self.registered_at)
+    }
+
+    /// The announcement of the database's end that a registration of the same life told at
+    /// `revision` does not take back.
+    fn lasting_announcement(&self, draining: bool, revision: StoreRevision) -> Option<Departure> {
+        let announced = self
+            .departure
+            .filter(|known| known.sign() == Sign::Announced);
+        let lost = self.departed_in < revision.era();
+        announced.filter(|_| draining || lost)
+    }
+
     /// Whether the database is leaving for certain.
     ///
     /// It is if it says so. If its entry is missing, the store has to have been followed
@@ -120,6 +157,17 @@
         revision: StoreRevision,
         hearing: Hearing,
     ) -> Registration {
+        if let Some(listed) = self.databases.get_mut(&database.name) {
+            if listed.had_gone(revision) {
+                listed.relisted_at.get_or_insert(hearing.at);
+                listed.revision = revision;
+                return Registration::Outdated;
+            }
+            if listed.has_ended(database.started, revision) {
+                listed.revision = revision;
+                return Registration::Outdated;
+            }
+        }
         let before = self.databases.get(&database.name);
         let known = match before {
             Some(listed) => Some((listed.revision, listed.database.started)),
@@ -130,21 +178,34 @@
         }
         let is_new_life = known.is_some_and(|(_, started)| started != database.started);
         let same_life = before.filter(|_| !is_new_life);
-        let known_departure = same_life
-            .and_then(|listed| listed.departure)
-            .filter(|departure| departure.sign() == Sign::Announced);
+        let lasting =
+            same_life.and_then(|listed| listed.lasting_announcement(database.draining, revision));
         let announced = || Departure::heard(Sign::Announced, hearing);
-        let departure = database
-            .draining
-            .then(|| known_departure.unwrap_or_else(announced));
+        let departure = lasting.or_else(|| database.draining.then(announced));
+        let departed_in = match same_life.filter(|_| lasting.is_some()) {
+            Some(listed) => listed.departed_in,
+            None => revision.era(),
+        };
         let life_since = same_life.map_or(hearing.at, |listed| listed.life_since);
+        let ended = match before {
+            Some(listed) if is_new_life => Some(listed.database.started),
+            Some(listed) => listed.ended,
+            None => None,
+        };
         self.tombstones.remove(&database.name);
         let listed = Listed {
-            database,
+            database: Database {
+                draining: departure.is_some(),
+                ..database
+            },
             revision,
+            registered_at: revision,
             departure,
+            departed_in,
             missing: false,
+            relisted_at: None,
             life_since,
+            ended,
         };
         self.insert(listed);
         if is_new_life {
@@ -185,9 +246,12 @@
         {
             listed.revision = revision;
             listed.missing = true;
+            listed.relisted_at = None;
             self.leaving.insert(name.clone());
-            let missing = || Departure::heard(Sign::Missing, hearing);
-            listed.departure.get_or_insert_with(missing);
+            if listed.departure.is_none() {
+                listed.departure = Some(Departure::heard(Sign::Missing, hearing));
+                listed.departed_in = revision.era();
+            }
         }
     }
 
@@ -216,12 +280,39 @@
             .collect()
     }
 
+    /// Takes databases for present whose entries came back with a copy of the store and have not
+    /// lapsed since.
+    pub fn note_lasting(&mut self, now: Timestamp) {
+        let lasts = |listed: &&Listed| {
+            let since = listed.relisted_at;
+            since.is_some_and(|since| now.since(since) >= COPY_LAPSES)
+        };
+        let lasting: Vec<DatabaseName> = self
+            .leaving()
+            .filter(lasts)
+            .map(|listed| listed.database.name.clone())
+            .collect();
+        for name in lasting {
+            if let Some(listed) = self.databases.get_mut(&name) {
+                listed.relisted_at = None;
+                listed.missing = false;
+                listed.departure = listed
+                    .departure
+                    .filter(|known| known.sign() == Sign::Announced);
+                if listed.departure.is_none() {
+                    self.leaving.remove(&name);
+                }
+            }
+        }
+    }
+
     /// Forgets databases that have been missing since before `before`; tells which.
     pub fn forget_missing(&mut self, before: Timestamp) -> Vec<DatabaseName> {
         let heard_before = |departure: Departure| departure.heard_at() <= before;
         let forgotten: Vec<DatabaseName> = self
             .leaving()
-            .filter(|listed| listed.missing && listed.departure.is_some_and(heard_before))
+            .filter(|listed| listed.missing && listed.relisted_at.is_none())
+            .filter(|listed| listed.departure.is_some_and(heard_before))
             .map(|listed| listed.database.name.clone())
             .collect();
         for name in &forgotten {
--- a/crates/coordination/tests/serving_coordinator.rs
+++ b/crates/coordination/tests/serving_coordinator.rs
@@ -94,7 +94,7 @@
 }
 
 #[test]
-fn a_record_that_was_claimed_in_this_era_is_left_alone_by_nobody_that_starts() {
+fn a_node_that_starts_in_an_era_that_has_settled_claims_a_free_record_at_once() {
     let mut delay = ClaimDelay::default();
     delay.settle(StoreEra::new(2));
     assert!(
--- a/crates/coordination/tests/serving_database_life.rs
+++ b/crates/coordination/tests/serving_database_life.rs
@@ -11,7 +11,9 @@
 use hookpoint_coordination::serving::failover::{ReplicaState, choose_candidate};
 use hookpoint_coordination::serving::handover::Drawbacks;
 use hookpoint_coordination::serving::leadership::{Confirmation, Leadership};
-use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp, ZoneName};
+use hookpoint_state::{
+    DatabaseName, GroupName, Position, StoreEra, StoreRevision, Timestamp, ZoneName,
+};
 use quickcheck::quickcheck;
 use store::revision;
 
@@ -107,6 +109,27 @@
     assert_eq!(back, Registration::NewLife);
 }
 
+#[test]
+fn an_ended_life_is_not_brought_back_by_a_store_that_returned_from_a_copy() {
+    use Registration::{NewLife, Outdated, Taken};
+    let restored = |number| StoreRevision::new(StoreEra::new(2), number);
+    let mut directory = Directory::default();
+    directory.put(database("a", Some(1)), revision(5), heard(at(10)));
+    directory.put(database("a", Some(2)), revision(9), heard(at(20)));
+    let copied = directory.put(database("a", Some(1)), restored(5), heard(at(30)));
+    assert_eq!(copied, Outdated);
+    let listed = directory.get(&name("a")).unwrap();
+    assert_eq!(listed.database.started, Some(DatabaseStart(2)));
+    assert!(
+        listed.is_of_this_life(at(25)),
+        "nothing learnt is forgotten"
+    );
+    let again = directory.put(database("a", Some(2)), restored(7), heard(at(40)));
+    assert_eq!(again, Taken);
+    let next = directory.put(database("a", Some(3)), restored(8), heard(at(50)));
+    assert_eq!(next, NewLife);
+}
+
 #[test]
 fn what_a_listing_lacks_is_missing_and_may_return_in_the_same_life() {
     let mut directory = Directory::default();
--- a/crates/coordination/tests/serving_departure.rs
+++ b/crates/coordination/tests/serving_departure.rs
@@ -6,10 +6,10 @@
 
 use hookpoint_coordination::serving::database_life::DatabaseStart;
 use hookpoint_coordination::serving::departure::{
-    ABSENCE_PROVES, Coverage, Departure, Hearing, Sign,
+    ABSENCE_PROVES, Coverage, Departure, Hearing, Sign, WRITTEN_AGAIN,
 };
-use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
-use hookpoint_state::{DatabaseName, GroupName, Timestamp, ZoneName};
+use hookpoint_coordination::serving::directory::{COPY_LAPSES, Database, Directory, StatedRole};
+use hookpoint_state::{DatabaseName, GroupName, StoreEra, StoreRevision, Timestamp, ZoneName};
 use quickcheck::quickcheck;
 use store::revision;
 
@@ -125,6 +125,91 @@
     );
 }
 
+/// The state that a store called `number` after it had come back from a copy.
+fn restored(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra::new(2), number)
+}
+
+fn at_once(millis: u64) -> Hearing {
+    Hearing {
+        at: at(millis),
+        not_before: at(millis),
+    }
+}
+
+#[test]
+fn an_announced_end_is_not_taken_back_by_a_store_that_lost_it() {
+    let mut directory = Directory::default();
+    directory.put(database(1, false), revision(5), at_once(0));
+    directory.put(database(1, true), revision(9), at_once(100));
+    let rounds = [
+        ("the copy lists it as ready", false, 5),
+        ("so does the database with another change", false, 8),
+        ("it announces its end again", true, 9),
+    ];
+    for (case, draining, number) in rounds {
+        directory.put(database(1, draining), restored(number), at_once(5_000));
+        let listed = directory.get(&name()).unwrap();
+        let counted_from = listed.departure.map(|departure| departure.counted_from());
+        assert_eq!(counted_from, Some(at(100)), "{case}");
+        assert!(listed.database.draining, "{case}");
+    }
+    directory.put(database(2, false), restored(10), at_once(6_000));
+    let listed = directory.get(&name()).unwrap();
+    assert_eq!(listed.departure, None, "another life");
+}
+
+#[test]
+fn a_database_that_left_does_not_return_with_a_copy_that_holds_its_entry() {
+    let mut directory = Directory::default();
+    directory.put(database(1, false), revision(5), at_once(0));
+    directory.remove(&name(), revision(9), at_once(100));
+    directory.put(database(1, false), restored(5), at_once(5_000));
+    let listed = directory.get(&name()).unwrap();
+    assert!(listed.missing);
+    let counted_from = listed.departure.map(|departure| departure.counted_from());
+    assert_eq!(counted_from, Some(at(100)));
+    directory.put(database(1, false), restored(7), at_once(5_500));
+    let listed = directory.get(&name()).unwrap();
+    assert!(!listed.missing, "it registered anew, so it had only lapsed");
+    assert_eq!(listed.departure, None);
+}
+
+/// A living database whose entry had lapsed writes nothing new, as the copy holds it.
+#[test]
+fn a_database_whose_copied_entry_does_not_lapse_again_lives() {
+    let mut directory = Directory::default();
+    directory.put(database(1, false), revision(5), at_once(0));
+    directory.remove(&name(), revision(9), at_once(100));
+    directory.put(database(1, false), restored(5), at_once(5_000));
+    directory.note_lasting(at(5_000) + COPY_LAPSES - Duration::from_millis(1));
+    assert!(directory.get(&name()).unwrap().missing);
+    let mut lapsing = directory.clone();
+    lapsing.remove(&name(), restored(8), at_once(9_000));
+    for directory in [&mut directory, &mut lapsing] {
+        directory.note_lasting(at(5_000) + COPY_LAPSES);
+    }
+    let listed = directory.get(&name()).unwrap();
+    assert!(!listed.missing);
+    assert_eq!(listed.departure, None);
+    assert!(lapsing.get(&name()).unwrap().missing);
+}
+
+#[test]
+fn news_of_a_store_that_came_back_cover_nothing_until_lost_changes_are_written_again() {
+    let mut coverage = Coverage::default();
+    coverage.extend(at(10_000));
+    coverage.note_era(at(12_000));
+    coverage.extend(at(12_000));
+    coverage.extend(at(15_400));
+    assert_eq!(coverage.until(), at(10_000));
+    assert_eq!(coverage.before_news(), at(10_000));
+    let complete = at(12_000) + WRITTEN_AGAIN;
+    coverage.extend(complete);
+    assert_eq!(coverage.before_news(), at(10_000));
+    assert_eq!(coverage.until(), complete);
+}
+
 #[test]
 fn a_peer_that_knows_more_gives_time_back_and_never_takes_any() {
     let hearing = Hearing {
--- a/crates/serving/src/coordinator_record.rs
+++ b/crates/serving/src/coordinator_record.rs
@@ -10,6 +10,7 @@
 use hookpoint_coordination::serving::coordinator::{
     CoordinatorRecord, RECORD_TIME, relied_on_until,
 };
+use hookpoint_coordination::serving::departure::WRITTEN_AGAIN;
 use hookpoint_coordination::serving::fencing::FencingToken;
 use hookpoint_coordination::serving::homes::claim_order;
 use hookpoint_state::{StoreEra, StoreRevision, Timestamp};
@@ -20,7 +21,7 @@
 use crate::peers::Peers;
 use crate::ports::{ConditionalWrite, LeaseId, StoreError, WriteOutcome};
 use crate::primary_lease;
-use crate::records::{claimed_era_key, coordinator_key, encode};
+use crate::records::{coordinator_key, encode, settled_era_key};
 use crate::registration;
 
 /// Pause between two renewals.
@@ -139,40 +140,46 @@
         &[("revision", revision.to_string().into())],
     );
     if !node.claim_delay.get().is_settled() {
-        note_claimed_era(node, era);
-        tokio::task::spawn_local(tell_claimed_era(Rc::clone(node), era));
+        tokio::task::spawn_local(tell_settled_era(Rc::clone(node), era));
     }
     Some((lease, revision))
 }
 
 /// Takes notice of the era of an answer of the store.
 pub(crate) fn note_era(node: &Node, era: StoreEra) {
-    let fleet_is_new =
-        node.settings.first_start && node.feed.revision() == StoreRevision::default();
+    let fleet_is_new = node.settings.first_start && node.store_era.get().is_none();
     let no_other = node.coordinates() || fleet_is_new;
     let mut claim_delay = node.claim_delay.get();
     claim_delay.note_era(era, no_other, node.now());
     node.claim_delay.set(claim_delay);
 }
 
-/// Takes notice of an era in which there was a coordinator.
-pub(crate) fn note_claimed_era(node: &Node, era: StoreEra) {
+/// Takes notice that the store has been in an era for long.
+pub(crate) fn note_settled_era(node: &Node, era: StoreEra) {
     let mut claim_delay = node.claim_delay.get();
     claim_delay.settle(era);
     node.claim_delay.set(claim_delay);
+    if claim_delay.is_settled() {
+        node.feed.note_settled();
+    }
 }
 
-/// Writes that there was a coordinator in the era of a claim, for nodes that start later.
-async fn tell_claimed_era(node: Rc<Node>, era: StoreEra) {
+/// Writes that an era has settled, for nodes that start later, once it has for certain.
+async fn tell_settled_era(node: Rc<Node>, era: StoreEra) {
+    sleep(WRITTEN_AGAIN).await;
+    if node.store_era.get() != Some(era) {
+        return;
+    }
+    note_settled_era(&node, era);
     let write = ConditionalWrite {
-        key: claimed_era_key(era),
+        key: settled_era_key(era),
         expected: None,
         value: Bytes::new(),
         lease: None,
     };
     if let Err(error) = node.store.write(write).await {
         node.log(
-            "claimed_era_not_told",
+            "settled_era_not_told",
             &[("detail", error.to_string().into())],
         );
     }
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -158,6 +158,17 @@
         self.news.borrow_mut().note_answered();
     }
 
+    /// The store is in another era than was known, or this node hears of its era for the first
+    /// time.
+    pub(crate) fn note_era(&self, now: Timestamp) {
+        self.coverage.borrow_mut().note_era(now);
+    }
+
+    /// The store has been in its era for so long that it holds again what it lost.
+    pub(crate) fn note_settled(&self) {
+        self.coverage.borrow_mut().settle();
+    }
+
     fn note_heard(&self, when: Timestamp, covered: Timestamp) {
         self.failures.set(0);
         self.caught_up.set(true);
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -19,8 +19,8 @@
 };
 use crate::primary_lease::Announcement;
 use crate::records::{
-    MemberRecord, PROMOTION_PREFIX, PromotionRecord, claimed_era, decode, is_coordinator_key,
-    member_name,
+    MemberRecord, PROMOTION_PREFIX, PromotionRecord, decode, is_coordinator_key, member_name,
+    settled_era,
 };
 use crate::registration;
 use crate::snapshot;
@@ -99,6 +99,7 @@
             note_reachable(node, true, "read");
             node.feed.note_answered();
             node.store_steady_since.set(node.now());
+            note_era(node, &all);
             let present = freshness == ReadFreshness::Present;
             if present {
                 node.feed.note_told(asked_at, asked_at);
@@ -122,7 +123,7 @@
         node.counters.count("store_followed", "earlier_era");
         return known;
     }
-    note_era(node, known, revision);
+    note_era(node, &all);
     node.log(
         "store_listed",
         &[
@@ -141,12 +142,25 @@
     revision
 }
 
-/// Takes notice of the era of a listing. A store that came back from a copy lacks what was written
-/// last; what is missing from it proves nothing until that is written again.
-fn note_era(node: &Rc<Node>, known: StoreRevision, listed: StoreRevision) {
+/// Takes notice of the era of a listing that is about to be taken in. A store that came back
+/// from a copy lacks what was written last; what is missing from it proves nothing until that is
+/// written again.
+fn note_era(node: &Rc<Node>, all: &StoreChanges) {
+    let listed = all.revision;
+    let known_era = node.store_era.get();
+    if known_era.is_some_and(|known| known >= listed.era()) {
+        return;
+    }
     coordinator_record::note_era(node, listed.era());
-    let knew_nothing = known == StoreRevision::default();
-    if knew_nothing || listed.era() == known.era() {
+    node.store_era.set(Some(listed.era()));
+    let fleet_is_new = known_era.is_none() && node.settings.first_start;
+    if !fleet_is_new {
+        node.feed.note_era(node.now());
+    }
+    if tells_settled(all) {
+        coordinator_record::note_settled_era(node, listed.era());
+    }
+    if known_era.is_none() {
         return;
     }
     node.store_steady_since.set(node.now());
@@ -155,11 +169,19 @@
         "store_restored",
         &[
             ("revision", listed.to_string().into()),
-            ("known", known.to_string().into()),
+            ("known", node.feed.revision().to_string().into()),
         ],
     );
 }
 
+/// Whether a listing tells that its era has settled.
+fn tells_settled(all: &StoreChanges) -> bool {
+    all.changes.iter().any(|change| match &change.record {
+        StoreRecord::Own { key, .. } => settled_era(key) == Some(all.revision.era()),
+        _ => false,
+    })
+}
+
 fn tell_position(node: &Rc<Node>, revision: StoreRevision) {
     let (era, number) = revision.parts();
     node.counters.set("store_era", era.number());
@@ -504,8 +526,8 @@
     } else if is_coordinator_key(key, revision.era()) {
         let record: Option<CoordinatorRecord> = value.and_then(decode);
         node.coordinator.borrow_mut().take_record(revision, record);
-    } else if let Some(era) = claimed_era(key) {
-        coordinator_record::note_claimed_era(node, era);
+    } else if let Some(era) = settled_era(key) {
+        coordinator_record::note_settled_era(node, era);
     } else if key.starts_with(PROMOTION_PREFIX) {
         apply_promotion(node, value.and_then(decode), revision);
     }
@@ -530,6 +552,7 @@
 }
 
 fn housekeeping(node: &Rc<Node>) {
+    node.directory.borrow_mut().note_lasting(node.now());
     let before = node.now() - FORGET_AFTER;
     let forgotten = node.directory.borrow_mut().forget_missing(before);
     departures::ask_if_heard_late(node);
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -15,7 +15,9 @@
 use hookpoint_coordination::serving::primary_lease::PrimaryLease;
 use hookpoint_coordination::serving::selection::Distance;
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
-use hookpoint_state::{DatabaseName, GroupName, RegionName, StoreRevision, Timestamp, ZoneName};
+use hookpoint_state::{
+    DatabaseName, GroupName, RegionName, StoreEra, StoreRevision, Timestamp, ZoneName,
+};
 use serde_json::Value;
 use tokio::sync::Notify;
 
@@ -165,6 +167,8 @@
     pub lease_found: Cell<Option<LeaseId>>,
     /// Who may order promotions.
     pub coordinator: RefCell<CoordinatorView>,
+    /// Era of the newest listing of the store; none before the first.
+    pub(crate) store_era: Cell<Option<StoreEra>>,
     /// How long a free record is left alone in the present era of the store.
     pub(crate) claim_delay: Cell<ClaimDelay>,
     /// Up to which revision of the store all promotions are known.
@@ -252,6 +256,7 @@
             own_record_revision: Cell::default(),
             lease_found: Cell::new(None),
             coordinator: RefCell::default(),
+            store_era: Cell::default(),
             claim_delay: Cell::default(),
             promotions_known: Cell::default(),
             primary_lease: RefCell::new(PrimaryLease::new(life, START)),
--- a/crates/serving/src/records.rs
+++ b/crates/serving/src/records.rs
@@ -14,8 +14,8 @@
 const PARTS_A_ZONE: u64 = 8;
 /// Prefix of the keys of the nodes that may order promotions.
 const COORDINATOR_PREFIX: &str = "coordinator/";
-/// Prefix of the keys that say in which eras of the store there was a coordinator.
-const CLAIMED_ERA_PREFIX: &str = "eras/";
+/// Prefix of the keys that say which eras of the store have settled.
+const SETTLED_ERA_PREFIX: &str = "eras/";
 /// Prefix of the keys of ordered promotions.
 pub const PROMOTION_PREFIX: &str = "promotions/";
 
@@ -36,14 +36,15 @@
     format!("{COORDINATOR_PREFIX}{era}")
 }
 
-/// Key that says that a coordinator's record was claimed in an era of the store.
-pub fn claimed_era_key(era: StoreEra) -> String {
-    format!("{CLAIMED_ERA_PREFIX}{era}")
+/// Key that says that the store has been in an era for so long that nothing is missing any more
+/// which it lost as it came back from a copy, and that nobody relies on an earlier era.
+pub fn settled_era_key(era: StoreEra) -> String {
+    format!("{SETTLED_ERA_PREFIX}{era}")
 }
 
-/// The era whose first claim a key tells of; nothing if it tells of none.
-pub fn claimed_era(key: &str) -> Option<StoreEra> {
-    let number = key.strip_prefix(CLAIMED_ERA_PREFIX)?.parse().ok()?;
+/// The era that a key tells of; nothing if it tells of none.
+pub fn settled_era(key: &str) -> Option<StoreEra> {
+    let number = key.strip_prefix(SETTLED_ERA_PREFIX)?.parse().ok()?;
     Some(StoreEra::new(number))
 }
 
--- a/crates/state/src/store_revision.rs
+++ b/crates/state/src/store_revision.rs
@@ -57,6 +57,12 @@
         self.era
     }
 
+    /// Whether this may be the change `earlier` itself, told by a store that came back from a copy
+    /// which holds it: a copy keeps the numbers of what it holds.
+    pub fn may_be_copy_of(self, earlier: Self) -> bool {
+        self.era > earlier.era && self.number == earlier.number
+    }
+
     /// Era and number, to be spelt in a message.
     pub const fn parts(self) -> (StoreEra, u64) {
         (self.era, self.number)
