An evacuation holds on while a store that lost the request may have it written again

What callers would see: requests at the databases of a zone that the operator had emptied (rule EVAC), after the store came back from a copy of before the request.

Cause: a complete listing ends what it lacks. One of a later era lacks what the store lost, which is written again a moment later.

--- a/crates/coordination/src/serving/evacuation.rs
+++ b/crates/coordination/src/serving/evacuation.rs
@@ -5,6 +5,8 @@
 
 use hookpoint_state::{StoreRevision, Timestamp, ZoneName};
 
+use super::departure::WRITTEN_AGAIN;
+
 /// What the databases of a zone may be used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ZoneStanding {
@@ -28,6 +30,9 @@
     requested: bool,
     /// When this node learnt of the request or its end.
     since: Timestamp,
+    /// Since when the store has not listed the request, after it came back from a copy. Lost
+    /// requests are written again; one that was taken back is not.
+    unlisted_since: Option<Timestamp>,
 }
 
 /// The evacuations that this node knows of. A request that has ended is remembered, so that
@@ -60,13 +65,15 @@
             revision,
             requested,
             since,
+            unlisted_since: None,
         };
         self.zones.insert(zone.clone(), evacuation);
         before != requested
     }
 
     /// Takes a complete listing of the requests in force, read at `revision`: what it lacks
-    /// has ended. Returns the zones for which what is in force changed.
+    /// has ended. A listing of a later era may lack what the store has lost, which holds on for
+    /// a while. Returns the zones for which what is in force changed.
     pub fn replace(
         &mut self,
         listed: &[(ZoneName, StoreRevision)],
@@ -79,19 +86,46 @@
                 changed.push(zone.clone());
             }
         }
-        let absent: Vec<ZoneName> = self
+        let absent: Vec<(ZoneName, StoreRevision)> = self
             .requested()
-            .map(|(zone, _)| zone.clone())
-            .filter(|zone| !listed.iter().any(|(present, _)| present == zone))
+            .filter(|(zone, _)| !listed.iter().any(|(present, _)| present == *zone))
+            .map(|(zone, requested_at)| (zone.clone(), requested_at))
             .collect();
-        for zone in absent {
-            if self.take(&zone, false, revision, now) {
+        for (zone, requested_at) in absent {
+            if requested_at.era() < revision.era() {
+                self.note_unlisted(&zone, now);
+            } else if self.take(&zone, false, revision, now) {
                 changed.push(zone);
             }
         }
         changed
     }
 
+    fn note_unlisted(&mut self, zone: &ZoneName, now: Timestamp) {
+        if let Some(evacuation) = self.zones.get_mut(zone) {
+            evacuation.unlisted_since.get_or_insert(now);
+        }
+    }
+
+    /// Ends the requests that were not written again after the store came back without them, as
+    /// of `revision`. Returns their zones.
+    pub fn end_unlisted(&mut self, revision: StoreRevision, now: Timestamp) -> Vec<ZoneName> {
+        let is_over = |evacuation: &Evacuation| {
+            let since = evacuation.unlisted_since;
+            since.is_some_and(|since| now.since(since) >= WRITTEN_AGAIN)
+        };
+        let over: Vec<ZoneName> = self
+            .zones
+            .iter()
+            .filter(|(_, evacuation)| is_over(evacuation))
+            .map(|(zone, _)| zone.clone())
+            .collect();
+        for zone in &over {
+            self.take(zone, false, revision, now);
+        }
+        over
+    }
+
     /// Whether no zone has been evacuated as far as is known.
     pub fn is_empty(&self) -> bool {
         self.zones.is_empty()
--- a/crates/coordination/tests/serving_handover.rs
+++ b/crates/coordination/tests/serving_handover.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::departure::WRITTEN_AGAIN;
 use hookpoint_coordination::serving::evacuation::{Evacuations, ZoneStanding};
 use hookpoint_coordination::serving::failover::{
     NoCandidate, ReplicaState, choose_candidate, choose_target,
@@ -13,7 +14,9 @@
     CATCH_UP_TIME, Drawbacks, HandoverPace, LEAST_STAY, MoveReason, PLANNED_SHARE, Place,
     PlannedMove, holds_enough, plan_move, reason_to_move,
 };
-use hookpoint_state::{DatabaseName, Position, RegionName, Timestamp, ZoneName};
+use hookpoint_state::{
+    DatabaseName, Position, RegionName, StoreEra, StoreRevision, Timestamp, ZoneName,
+};
 use quickcheck::quickcheck;
 use store::revision;
 
@@ -364,3 +367,27 @@
         [(&second, revision(6))]
     );
 }
+
+#[test]
+fn a_request_holds_on_while_a_store_that_lost_it_may_have_it_written_again() {
+    let [lost, taken_back] = ["a", "b"].map(ZoneName::new);
+    let restored = |number| StoreRevision::new(StoreEra::new(2), number);
+    let mut known = Evacuations::default();
+    known.take(&lost, true, revision(8), at(0));
+    known.take(&taken_back, true, revision(9), at(0));
+    assert!(known.replace(&[], restored(5), at(10_000)).is_empty());
+    assert!(known.replace(&[], restored(6), at(11_000)).is_empty());
+    assert!(!known.take(&lost, true, restored(7), at(12_000)));
+    let over = at(10_000) + WRITTEN_AGAIN;
+    let before = over - Duration::from_millis(1);
+    assert!(known.end_unlisted(restored(9), before).is_empty());
+    let ended = known.end_unlisted(restored(9), over);
+    assert_eq!(ended, std::slice::from_ref(&taken_back));
+    assert_eq!(
+        known.age(&lost, over),
+        Some(over.since(at(0))),
+        "still the same"
+    );
+    assert_eq!(known.age(&taken_back, over), None);
+    assert!(known.end_unlisted(restored(9), over).is_empty());
+}
--- a/crates/serving/src/evacuation.rs
+++ b/crates/serving/src/evacuation.rs
@@ -148,6 +148,21 @@
         }
     }
 
+    /// Ends the requests that the store lost as it came back from a copy and that nobody wrote
+    /// again.
+    fn end_unlisted_evacuations(&self) {
+        let revision = self.feed.revision();
+        let now = self.now();
+        let ended = self
+            .evacuations
+            .known
+            .borrow_mut()
+            .end_unlisted(revision, now);
+        for zone in ended {
+            self.note_evacuation(&zone, false, revision);
+        }
+    }
+
     /// From when the time of a request counts that is heard now. It is at most as old as the
     /// news before, and one that took longer to be heard than it should has less time left. One
     /// that a starting node finds may be of any age, and the node has nothing open there that
@@ -199,6 +214,7 @@
 /// Closes what is open in evacuated zones and not in use, has the rest end, and tells how far
 /// that is. To be called every moment.
 pub(crate) fn clear_zones(node: &Rc<Node>) {
+    node.end_unlisted_evacuations();
     let zones: Vec<ZoneName> = {
         let known = node.evacuations.known.borrow();
         known.requested().map(|(zone, _)| zone.clone()).collect()
