Followers are told the newest configuration though the store came back without it

What callers would see: a node that starts while the store lacks the newest configuration serves by an older one, though its peers have the newer.

Cause: what is passed on is what the store lists. After a return from a copy that is an older configuration, until the operator writes the newer one again.

A follower now says which version is in force there, and is told the newer one of its upstream if the changes do not hold it. Nothing is added in ordinary operation, where they do.

Evidence: a_node_that_starts_is_told_the_newest_configuration_though_the_store_lost_it failed before (unknown after 3.0 s) and passes.

--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -4,6 +4,7 @@
 //! `hookpoint_coordination::serving::store_news`.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -250,17 +251,13 @@
         after: Option<StoreRevision>,
         changes: &[Rc<StoreChange>],
     ) -> Result<Bytes, PackError> {
-        let revision = self.revision.get().max(after.unwrap_or_default());
+        let revision = self.known_after(after);
         if let Some(last) = &*self.packed.borrow()
             && (last.after, last.revision) == (after, revision)
         {
             return Ok(last.bytes.clone());
         }
-        let changes = changes.iter().map(|change| StoreChange::clone(change));
-        let bytes = packed::pack(&StoreChanges {
-            revision,
-            changes: changes.collect(),
-        })?;
+        let bytes = self.pack_anew(after, changes)?;
         *self.packed.borrow_mut() = Some(PackedChanges {
             after,
             revision,
@@ -268,6 +265,24 @@
         });
         Ok(bytes)
     }
+
+    /// The same without a look at what was packed last.
+    fn pack_anew(
+        &self,
+        after: Option<StoreRevision>,
+        changes: &[Rc<StoreChange>],
+    ) -> Result<Bytes, PackError> {
+        let changes = changes.iter().map(|change| StoreChange::clone(change));
+        packed::pack(&StoreChanges {
+            revision: self.known_after(after),
+            changes: changes.collect(),
+        })
+    }
+
+    /// Up to where this node knows the changes after `after`.
+    fn known_after(&self, after: Option<StoreRevision>) -> StoreRevision {
+        self.revision.get().max(after.unwrap_or_default())
+    }
 }
 
 /// What a follower asks.
@@ -275,6 +290,8 @@
 pub struct FollowQuestion {
     /// It knows everything up to this revision; the default if it knows nothing.
     revision: StoreRevision,
+    /// Version of the configuration in force there; none if there is none.
+    configuration: Option<u64>,
     /// How long ago the store told of that, in milliseconds.
     age_ms: u64,
     /// How long the answer may be held back, in milliseconds.
@@ -303,20 +320,20 @@
         let now = node.now();
         let changes = feed.changes_since(question.revision);
         if question.knows_nothing() && feed.log.borrow().is_whole() {
-            return news_answer(node, question.revision, changes, asked_at);
+            return news_answer(node, question, changes, asked_at);
         }
         let changed = changes.as_ref().is_some_and(|changes| !changes.is_empty());
-        let known_era = feed.revision().era();
-        let outdated = question.revision.era() < known_era;
-        // However lately the store told of an earlier era, the follower knows better.
-        let known_at = if question.revision.era() > known_era {
-            now
-        } else {
-            known_at
+        let (changed, known_at) = match question.revision.era().cmp(&feed.revision().era()) {
+            Ordering::Less => (true, known_at),
+            Ordering::Equal => {
+                let newer = question.configuration < node.configuration_version();
+                (changed || newer, known_at)
+            }
+            // However lately the store told of an earlier era, the follower knows better.
+            Ordering::Greater => (false, now),
         };
-        let changed = changed || outdated;
         match feed.news.borrow().reply(known_at, changed, until, now) {
-            Reply::News => return news_answer(node, question.revision, changes, asked_at),
+            Reply::News => return news_answer(node, question, changes, asked_at),
             Reply::StoreLost => return FeedAnswer::StoreLost,
             Reply::NothingNew => return FeedAnswer::NothingNew,
             Reply::Wait => {}
@@ -325,33 +342,60 @@
     }
 }
 
-/// The answer that tells of `changes`, which are all after `revision`, or of everything if some
-/// of those are not known.
+/// The answer that tells of `changes`, which are all after the follower's revision, or of
+/// everything if some of those are not known.
 fn news_answer(
     node: &Rc<Node>,
-    revision: StoreRevision,
+    question: &FollowQuestion,
     changes: Option<Vec<Rc<StoreChange>>>,
     asked_at: Timestamp,
 ) -> FeedAnswer {
     if let Some(changes) = changes {
-        return changes_answer(node, Some(revision), &changes, asked_at);
+        return changes_answer(node, question, Some(question.revision), changes, asked_at);
     }
     let everything = node.feed.log.borrow().everything();
     match everything {
-        Some(all) => changes_answer(node, None, &all, asked_at),
+        Some(all) => changes_answer(node, question, None, all, asked_at),
         None => FeedAnswer::Incomplete,
     }
 }
 
+/// The configuration in force, if neither the follower nor `changes` know one as new: the store
+/// may have come back without it.
+fn unlisted_configuration(
+    node: &Node,
+    question: &FollowQuestion,
+    changes: &[Rc<StoreChange>],
+) -> Option<StoreChange> {
+    let in_force = node.configuration()?;
+    let is_known = |change: &Rc<StoreChange>| match &change.record {
+        StoreRecord::Configuration(listed) => listed.version >= in_force.version,
+        _ => false,
+    };
+    let known = question.configuration >= Some(in_force.version) || changes.iter().any(is_known);
+    (!known).then(|| StoreChange {
+        revision: node.feed.revision(),
+        record: StoreRecord::Configuration((*in_force).clone()),
+    })
+}
+
 /// The answer that tells of `changes`, which are all after `after`, or everything.
 fn changes_answer(
     node: &Rc<Node>,
+    question: &FollowQuestion,
     after: Option<StoreRevision>,
-    changes: &[Rc<StoreChange>],
+    mut changes: Vec<Rc<StoreChange>>,
     asked_at: Timestamp,
 ) -> FeedAnswer {
     let now = node.now();
-    let Ok(packed) = node.feed.pack(after, changes) else {
+    let packed = match unlisted_configuration(node, question, &changes) {
+        Some(configuration) => {
+            changes.push(Rc::new(configuration));
+            node.feed.pack_anew(after, &changes)
+        }
+        None => node.feed.pack(after, &changes),
+    };
+    let Ok(packed) = packed else {
         node.counters.count("store_followed", "not_packed");
         return FeedAnswer::Incomplete;
     };
@@ -510,6 +554,7 @@
     };
     let request = LinkRequest::Follow(FollowQuestion {
         revision,
+        configuration: node.configuration_version(),
         age_ms: millis(age),
         hold_ms: millis(hold),
     });
