Announcements of promotions are ordered by their tokens, not by what the store holds of them

What callers would see, where the promotion service does not fence: a lost primary that nobody replaces, after the store came back from a copy without the record of the promotion before; and nodes that take an older candidate for the newest.

Cause: an announcement counted as newer by the revision of its record, and the next one was written under the condition that the record still had the revision at which the last was written. The store had lost that record, so the condition never held again.

A node now keeps apart what was announced last, by its token, and what the store lists, which is the condition of the next write. Announcements that the store lost are told to peers whatever they have read. Taking an announcement back takes a token of its own: one token names one candidate.

--- a/crates/serving/src/coordinator/order.rs
+++ b/crates/serving/src/coordinator/order.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::fencing::FencingToken;
-use hookpoint_state::{DatabaseName, GroupName, StoreRevision};
+use hookpoint_state::{DatabaseName, GroupName};
 use tokio::time::{sleep, timeout};
 
 use super::SETTLING;
 use super::replicas::sync_replicas;
 use super::step_down::step_down_in_background;
 use super::withdrawal::{WithdrawalError, withdraw_leases};
-use crate::node::Node;
+use crate::node::{ListedAnnouncement, Node};
 use crate::peers::Peers;
 use crate::ports::{ConditionalWrite, PromotionError, PromotionOrder, WriteOutcome};
 use crate::primary_lease::Announcement;
@@ -147,8 +147,12 @@
     let Some(present) = present else {
         return;
     };
+    let Some(fencing_token) = next_token(node, &order.group) else {
+        return;
+    };
     let order = PromotionOrder {
         candidate: present.clone(),
+        fencing_token,
         ..order.clone()
     };
     log_order(node, &order, "promotion_taken_back", "the primary answers");
@@ -182,11 +186,10 @@
         candidate: order.candidate.clone(),
         fencing_token: order.fencing_token,
     };
-    let known = node.with_group(&order.group, |state| state.announced_at);
-    let announced_before = known != StoreRevision::default();
+    let listed = node.with_group(&order.group, |state| state.announcement_listed);
     let write = ConditionalWrite {
         key: format!("{PROMOTION_PREFIX}{}", order.group),
-        expected: announced_before.then_some(known),
+        expected: listed.map(|listed| listed.revision),
         value: encode(&record),
         lease: None,
     };
@@ -197,8 +200,13 @@
     let announcement = Announcement {
         group: order.group,
         candidate: order.candidate,
+        token: order.fencing_token,
         revision,
     };
+    node.with_group(&announcement.group, |state| {
+        let token = announcement.token;
+        state.announcement_listed = Some(ListedAnnouncement { token, revision });
+    });
     node.learn_promotion(&announcement);
     Some(announcement)
 }
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -13,7 +13,7 @@
 use crate::coordinator_record;
 use crate::departures;
 use crate::feed::{self, Followed};
-use crate::node::Node;
+use crate::node::{ListedAnnouncement, Node};
 use crate::ports::{
     ChangeSubject, LeaseId, ReadFreshness, StoreChange, StoreChanges, StoreError, StoreRecord,
 };
@@ -413,6 +413,7 @@
     let mut databases = Vec::new();
     let mut members = BTreeSet::new();
     let mut coordinated = false;
+    node.forget_listed_announcements();
     for change in all.changes {
         match change.record {
             StoreRecord::Evacuation { .. } => {}
@@ -542,13 +543,19 @@
 }
 
 fn apply_promotion(node: &Rc<Node>, record: Option<PromotionRecord>, revision: StoreRevision) {
-    if let Some(record) = record {
-        node.learn_promotion(&Announcement {
-            group: record.group,
-            candidate: record.candidate,
-            revision,
-        });
-    }
+    let Some(record) = record else {
+        return;
+    };
+    let token = record.fencing_token;
+    node.with_group(&record.group, |state| {
+        state.announcement_listed = Some(ListedAnnouncement { token, revision });
+    });
+    node.learn_promotion(&Announcement {
+        group: record.group,
+        candidate: record.candidate,
+        token,
+        revision,
+    });
 }
 
 fn housekeeping(node: &Rc<Node>) {
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -8,6 +8,7 @@
 
 use hookpoint_coordination::serving::coordinator::{ClaimDelay, CoordinatorView};
 use hookpoint_coordination::serving::directory::{Database, Directory, StatedRole};
+use hookpoint_coordination::serving::fencing::FencingToken;
 use hookpoint_coordination::serving::interest::Interest;
 use hookpoint_coordination::serving::isolation::Isolation;
 use hookpoint_coordination::serving::leadership::Leadership;
@@ -53,6 +54,15 @@
     pub refused: bool,
 }
 
+/// An announcement of a promotion as the store holds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListedAnnouncement {
+    /// Its token.
+    pub token: FencingToken,
+    /// Revision of the record.
+    pub revision: StoreRevision,
+}
+
 /// What is known of one group.
 #[derive(Default)]
 pub struct GroupState {
@@ -74,8 +84,13 @@
     pub leaderless_since: Option<Timestamp>,
     /// Database that a promotion was ordered for, and when that was learnt.
     pub promoting: Option<(DatabaseName, Timestamp)>,
-    /// Revision of that promotion's record in the store; the default if there is none.
+    /// Token of that promotion's announcement. A later announcement has a higher one, whatever
+    /// the store holds.
+    pub announced: Option<FencingToken>,
+    /// Revision at which it was announced; the default if there is none.
     pub announced_at: StoreRevision,
+    /// The record of announcements as last seen in the store.
+    pub announcement_listed: Option<ListedAnnouncement>,
     /// Whether this node is busy replacing its primary.
     pub being_replaced: bool,
     /// Since when this node, as the coordinator, has wanted to move its primary.
@@ -83,8 +98,8 @@
     /// The database that last proved to lead though another one was announced, and when
     /// it was asked.
     pub overruled: Option<(DatabaseName, Timestamp)>,
-    /// Revision of the newest announcement that this node has acknowledged.
-    pub closed_by: StoreRevision,
+    /// Token of the newest announcement that this node has acknowledged.
+    pub closed_by: Option<FencingToken>,
     /// Writes and commits that are sent and not answered.
     pub writes_in_flight: usize,
 }
@@ -101,6 +116,12 @@
             .is_some_and(|(_, reported_at)| now.since(*reported_at) < REPORT_MEMORY)
     }
 
+    /// Whether the store does not hold the newest announcement that is known here.
+    pub(crate) fn announcement_is_lost(&self) -> bool {
+        let listed = self.announcement_listed.map(|listed| listed.token);
+        self.announced > listed
+    }
+
     /// The primary that a peer lately reported as lost.
     pub(crate) fn reported_leader(&self, now: Timestamp) -> Option<&DatabaseName> {
         let (leader, _) = self.reported_lost.as_ref()?;
--- a/crates/serving/src/primary_lease.rs
+++ b/crates/serving/src/primary_lease.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hookpoint_coordination::serving::fencing::FencingToken;
 use hookpoint_coordination::serving::homes::claim_order;
 use hookpoint_coordination::serving::lease_grantor::{Electorate, VOTER_MEMORY};
 use hookpoint_coordination::serving::primary_lease::{Grantor, LeaseAnswer, LeaseRequest};
@@ -29,6 +30,8 @@
     pub group: GroupName,
     /// The database that is to lead.
     pub candidate: DatabaseName,
+    /// The token of the order: an announcement replaces those of lower ones.
+    pub token: FencingToken,
     /// Revision of its record in the store.
     pub revision: StoreRevision,
 }
@@ -247,17 +250,19 @@
             .collect()
     }
 
-    /// What this node knows of promotions, for one that knows all up to `revision`.
+    /// What this node knows of promotions, for one that knows all up to `revision`. Those that
+    /// the store has lost are not among what that one has read.
     fn promotions_after(&self, revision: StoreRevision) -> Promotions {
         let groups = self.groups.borrow();
         let later = groups
             .iter()
-            .filter(|(_, state)| state.announced_at > revision);
+            .filter(|(_, state)| state.announced_at > revision || state.announcement_is_lost());
         let newer = later.filter_map(|(group, state)| {
             let (candidate, _) = state.promoting.as_ref()?;
             Some(Announcement {
                 group: group.clone(),
                 candidate: candidate.clone(),
+                token: state.announced?,
                 revision: state.announced_at,
             })
         });
@@ -267,6 +272,14 @@
         }
     }
 
+    /// A complete listing is about to be taken in: announcements that it lacks are not in the
+    /// store.
+    pub(crate) fn forget_listed_announcements(&self) {
+        for state in self.groups.borrow_mut().values_mut() {
+            state.announcement_listed = None;
+        }
+    }
+
     /// Takes announcements that a peer passes on.
     fn learn_promotions(&self, announcements: &[Announcement]) {
         for announcement in announcements {
@@ -280,7 +293,7 @@
         let now = self.now();
         self.groups.borrow().values().any(|state| {
             let since = state.promoting.as_ref().map_or(now, |(_, since)| *since);
-            let open = state.closed_by < state.announced_at && state.writes_in_flight > 0;
+            let open = state.closed_by < state.announced && state.writes_in_flight > 0;
             open && now.since(since) < WRITES_END
         })
     }
@@ -289,7 +302,7 @@
     /// granted after an announcement does not cover the primary that it replaces.
     fn close_all_replaced(&self) {
         for state in self.groups.borrow_mut().values_mut() {
-            state.closed_by = state.closed_by.max(state.announced_at);
+            state.closed_by = state.closed_by.max(state.announced);
         }
     }
 
@@ -299,8 +312,9 @@
         let now = self.now();
         let candidate = &announcement.candidate;
         let newer = self.with_group(group, |state| {
-            let newer = announcement.revision > state.announced_at;
+            let newer = Some(announcement.token) > state.announced;
             if newer {
+                state.announced = Some(announcement.token);
                 state.announced_at = announcement.revision;
                 state.promoting = Some((candidate.clone(), now));
             }
@@ -320,7 +334,7 @@
     /// From now on nothing that the replaced primary answers is passed on as done.
     pub(crate) fn close_replaced(&self, announcement: &Announcement) {
         self.with_group(&announcement.group, |state| {
-            state.closed_by = state.closed_by.max(announcement.revision);
+            state.closed_by = state.closed_by.max(Some(announcement.token));
         });
     }
 
@@ -356,7 +370,7 @@
                 .promoting
                 .as_ref()
                 .is_some_and(|(candidate, _)| candidate != database);
-            replaced && state.closed_by >= state.announced_at
+            replaced && state.closed_by >= state.announced
         });
         !closed && self.may_use_primaries()
     }
