A coordinator that may lack announcements grants leases once a majority told it what it knows

What callers would see, where the promotion service does not fence: a node that goes on using a primary that was replaced, after the store came back without the announcement, as the new coordinator knew nothing of it.

Cause: a coordinator granted leases on the strength of its record alone, which was enough while the store held every announcement of those before. What a node told a grantor was what the one before it might lack, too.

Now a coordinator in an era that has not settled needs the votes of a majority once; each request tells it what the voter knows, all of it if the grantor's claim is of another era. A promotion is ordered only when a majority knows of it, so one of them tells.

Not played with real processes.

--- a/crates/coordination/src/serving/lease_grantor.rs
+++ b/crates/coordination/src/serving/lease_grantor.rs
@@ -25,6 +25,18 @@
     coordinator: StoreRevision,
     claimed_at: Timestamp,
     renewed_at: Timestamp,
+    /// Whether this process knows all promotions that were announced before.
+    knows_predecessors: bool,
+}
+
+/// What the store holds of earlier coordinators' announcements as a process begins to coordinate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Predecessors {
+    /// All that they announced.
+    Listed,
+    /// Maybe less: the store came back from a copy. Each announcement that was carried out is
+    /// known to a majority, so one node of any majority tells of it.
+    MaybeLost,
 }
 
 /// Those who may vote, as the granting node sees it.
@@ -62,11 +74,17 @@
 
     /// The process coordinates: its record has this revision and was written in a call
     /// made at `claimed_at`.
-    pub fn begin_coordinating(&mut self, coordinator: StoreRevision, claimed_at: Timestamp) {
+    pub fn begin_coordinating(
+        &mut self,
+        coordinator: StoreRevision,
+        claimed_at: Timestamp,
+        predecessors: Predecessors,
+    ) {
         self.term = Some(CoordinatorTerm {
             coordinator,
             claimed_at,
             renewed_at: claimed_at,
+            knows_predecessors: predecessors == Predecessors::Listed,
         });
     }
 
@@ -99,6 +117,7 @@
         let same = request.coordinator == coordinator;
         if same {
             self.take_vote(voter, request.told);
+            self.note_majority(electorate);
         }
         let granted = same && self.has_authority(electorate, now);
         if granted {
@@ -124,11 +143,24 @@
         *vote = (*vote).max(told.time);
     }
 
+    /// Once a majority has voted for this process, and told it what it knew, it knows what was
+    /// announced before.
+    fn note_majority(&mut self, electorate: Electorate) {
+        let majority_voted = self.votes.len() >= majority(electorate.voters);
+        if let Some(term) = &mut self.term
+            && term.coordinator == self.coordinator
+            && majority_voted
+        {
+            term.knows_predecessors = true;
+        }
+    }
+
     /// Whether nobody can replace a primary now without this process's hearing of it: it
     /// is the only coordinator by the store's word, or a majority is bound by its votes.
     pub fn has_authority(&self, electorate: Electorate, now: Timestamp) -> bool {
         let by_store = self.term.is_some_and(|term| {
-            term.coordinator == self.coordinator && now.since(term.renewed_at) < STORE_AUTHORITY
+            let relied_on = now.since(term.renewed_at) < STORE_AUTHORITY;
+            term.coordinator == self.coordinator && relied_on && term.knows_predecessors
         });
         if by_store {
             return true;
--- a/crates/coordination/tests/serving_primary_lease.rs
+++ b/crates/coordination/tests/serving_primary_lease.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::lease_grantor::{
-    Electorate, LeaseGrantor, OUTAGE_AUTHORITY, STORE_AUTHORITY, Withdrawal,
+    Electorate, LeaseGrantor, OUTAGE_AUTHORITY, Predecessors, STORE_AUTHORITY, Withdrawal,
 };
 use hookpoint_coordination::serving::primary_lease::{
     GRANT_TIME, Grantor, LeaseRequest, PrimaryLease, ProcessTime, VOTE_TIME,
@@ -45,7 +45,7 @@
 
 fn coordinator(claimed_at: Timestamp) -> LeaseGrantor {
     let mut grantor = LeaseGrantor::new(LIFE);
-    grantor.begin_coordinating(COORDINATOR, claimed_at);
+    grantor.begin_coordinating(COORDINATOR, claimed_at, Predecessors::Listed);
     grantor
 }
 
@@ -306,3 +306,21 @@
     assert!(grantor.withdraw().is_none());
     assert!(!grantor.has_authority(electorate(1, at(0)), at(1)));
 }
+
+#[test]
+fn a_coordinator_that_may_lack_announcements_grants_nothing_before_a_majority_has_told_what_it_knows()
+ {
+    let now = at(50);
+    let mut grantor = LeaseGrantor::new(LIFE);
+    grantor.begin_coordinating(COORDINATOR, at(0), Predecessors::MaybeLost);
+    let told = |grantor: &mut LeaseGrantor, voter: &str| {
+        let first = request(COORDINATOR, None);
+        let answer = grantor.answer(voter, &first, COORDINATOR, electorate(3, now), now);
+        let second = request(COORDINATOR, Some(answer.told.time));
+        let answer = grantor.answer(voter, &second, COORDINATOR, electorate(3, now), now);
+        answer.granted
+    };
+    assert!(!told(&mut grantor, "a"));
+    assert!(told(&mut grantor, "b"));
+    assert!(told(&mut grantor, "a"));
+}
--- a/crates/serving/src/coordinator_record.rs
+++ b/crates/serving/src/coordinator_record.rs
@@ -13,6 +13,7 @@
 use hookpoint_coordination::serving::departure::WRITTEN_AGAIN;
 use hookpoint_coordination::serving::fencing::FencingToken;
 use hookpoint_coordination::serving::homes::claim_order;
+use hookpoint_coordination::serving::lease_grantor::Predecessors;
 use hookpoint_state::{StoreEra, StoreRevision, Timestamp};
 use tokio::time::{sleep, timeout};
 
@@ -131,7 +132,7 @@
     note_held(node, asked_at);
     node.grantor
         .borrow_mut()
-        .begin_coordinating(revision, claimed_at);
+        .begin_coordinating(revision, claimed_at, predecessors(node));
     node.coordinator
         .borrow_mut()
         .take_record(revision, Some(record));
@@ -139,7 +140,8 @@
         "coordinator_claimed",
         &[("revision", revision.to_string().into())],
     );
-    if !node.claim_delay.get().is_settled() {
+    let told_before = node.claim_delay.get().is_settled() && !node.settings.first_start;
+    if !told_before {
         tokio::task::spawn_local(tell_settled_era(Rc::clone(node), era));
     }
     Some((lease, revision))
@@ -151,6 +153,9 @@
     let no_other = node.coordinates() || fleet_is_new;
     let mut claim_delay = node.claim_delay.get();
     claim_delay.note_era(era, no_other, node.now());
+    if fleet_is_new {
+        claim_delay.settle(era);
+    }
     node.claim_delay.set(claim_delay);
 }
 
@@ -185,6 +190,15 @@
     }
 }
 
+/// Whether the store can have lost announcements of promotions since its era began.
+fn predecessors(node: &Node) -> Predecessors {
+    if node.claim_delay.get().is_settled() {
+        Predecessors::Listed
+    } else {
+        Predecessors::MaybeLost
+    }
+}
+
 fn note_held(node: &Rc<Node>, asked_at: Timestamp) {
     node.coordinator_until.set(relied_on_until(asked_at));
 }
--- a/crates/serving/src/primary_lease.rs
+++ b/crates/serving/src/primary_lease.rs
@@ -118,12 +118,23 @@
         let message = PeerMessage::AskLease {
             node: node.settings.name.clone(),
             request,
-            promotions: node.promotions_after(node.grantor_knows.get()),
+            promotions: node.promotions_after(known_to_grantor(node, &request)),
         };
         peers.send(&message, address);
     }
 }
 
+/// Up to which revision of the store the node that is asked knows all promotions. One that
+/// coordinates in another era may lack those of the era before.
+fn known_to_grantor(node: &Node, request: &LeaseRequest) -> StoreRevision {
+    let known = node.grantor_knows.get();
+    if known.era() == request.coordinator.era() {
+        known
+    } else {
+        StoreRevision::default()
+    }
+}
+
 /// The node to ask; none if nobody coordinates, or no other node is known.
 fn grantor_name(node: &Rc<Node>, grantor: Grantor) -> Option<String> {
     let view = node.coordinator.borrow();
