A listing that may be old does not count as the present era's

What callers would see: a node that starts in the seconds after a drill goes on using a database that leaves, or passes old registrations on, until the store's counter has passed the numbers of before.

Cause: a node that starts takes a listing that may be seconds old. After a drill that may show the state that was lost, with higher numbers, under the header of the new era; the page does not tell. Its records then hid all that came after.

The coordinator's record is still found in it.

--- a/crates/coordination/src/serving/feed.rs
+++ b/crates/coordination/src/serving/feed.rs
@@ -261,14 +261,16 @@
     /// how that is told of a subject, nothing if its last change told it or it never goes.
     ///
     /// A listing of another era begins anew: followers may know changes of the earlier one that
-    /// are not known here.
+    /// are not known here. So does one of an earlier state than that of the first listing, which
+    /// was old then, and of an era before.
     pub fn take_listing(
         &mut self,
         revision: StoreRevision,
         listed: Vec<(StoreRevision, Subject, Change)>,
         gone: impl Fn(&Subject, &Change) -> Option<Change>,
     ) {
-        if !self.whole || !self.is_of(revision.era()) {
+        let began_later = self.complete_after > Some(revision);
+        if !self.whole || began_later || !self.is_of(revision.era()) {
             self.restart(revision);
         }
         let present: BTreeSet<&Subject> = listed.iter().map(|(_, subject, _)| subject).collect();
--- a/crates/coordination/tests/serving_feed.rs
+++ b/crates/coordination/tests/serving_feed.rs
@@ -390,6 +390,20 @@
     assert_eq!(log.since(known), Some(vec!["newer"]));
 }
 
+#[test]
+fn a_log_that_began_with_a_later_number_than_the_store_has_begins_anew() {
+    let [first, second] = [1, 2].map(StoreEra::new);
+    let mut log: ChangeLog<&str, &str> = ChangeLog::default();
+    let old = vec![(StoreRevision::new(first, 180), "database", "lost")];
+    log.take_listing(StoreRevision::new(second, 200), old, |_, _| None);
+    let present = vec![(StoreRevision::new(second, 9), "database", "present")];
+    log.take_listing(StoreRevision::new(second, 12), present, |_, _| None);
+    assert_eq!(log.everything(), Some(vec!["present"]));
+    log.record(StoreRevision::new(second, 13), "database", "changed");
+    let known = StoreRevision::new(second, 12);
+    assert_eq!(log.since(known), Some(vec!["changed"]));
+}
+
 #[test]
 fn a_log_tells_no_changes_to_who_follows_another_era() {
     let mut log: ChangeLog<u8, u8> = ChangeLog::default();
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -524,7 +524,7 @@
             node.lease_found.set(lease.filter(|_| as_now));
         }
         apply_member(node, name, record);
-    } else if is_coordinator_key(key, revision.era()) {
+    } else if is_present_coordinators(node, key) {
         let record: Option<CoordinatorRecord> = value.and_then(decode);
         node.coordinator.borrow_mut().take_record(revision, record);
     } else if let Some(era) = settled_era(key) {
@@ -534,6 +534,13 @@
     }
 }
 
+/// Whether a key is that of the coordinator in the store's present era, whichever era the listing
+/// that tells of it may be of.
+fn is_present_coordinators(node: &Node, key: &str) -> bool {
+    let era = node.store_era.get();
+    era.is_some_and(|era| is_coordinator_key(key, era))
+}
+
 fn apply_member(node: &Rc<Node>, name: &str, record: Option<MemberRecord>) {
     match record {
         Some(record) if record.node == name => node.register_member(record),
--- a/crates/state/src/store_revision.rs
+++ b/crates/state/src/store_revision.rs
@@ -21,6 +21,11 @@
         Self(number)
     }
 
+    /// The era before; the first era has none, and is its own.
+    pub const fn before(self) -> Self {
+        Self(self.0.saturating_sub(1))
+    }
+
     /// What the store calls it.
     pub const fn number(self) -> u64 {
         self.0
