A replaced primary is told to step down though its coordinator's tenure has ended

What callers would see, where the promotion service does not fence: after a drill right behind a promotion, a replaced primary that comes back goes on calling itself the primary; if the new one is lost then, nobody replaces it.

Cause: the node that ordered a promotion told replaced primaries to step down only while its tenure lasted, and the store's return from a copy ends that.

That is safe without a tenure: a database is told to step down from terms below the newest one that answers, which no later primary is.

--- a/crates/serving/src/coordinator/step_down.rs
+++ b/crates/serving/src/coordinator/step_down.rs
@@ -23,10 +23,16 @@
     tokio::task::spawn_local(stepping_down);
 }
 
+/// Goes on after this node's tenure, which may end at any time, until another promotion is
+/// announced: a database is only told to step down from a term below the newest.
 async fn step_down_until_replaced(node: Rc<Node>, order: PromotionOrder) {
     let began = node.now();
+    let is_newest = || {
+        let announced = node.with_group(&order.group, |state| state.announced);
+        announced == Some(order.fencing_token)
+    };
     step_down_others(&node, &order).await;
-    while node.now().since(began) < STEP_DOWN_TIME && node.coordinator_revision().is_some() {
+    while node.now().since(began) < STEP_DOWN_TIME && is_newest() {
         sleep(STEP_DOWN_PAUSE).await;
         if node.leader(&order.group).as_ref() == Some(&order.candidate) {
             step_down_others(&node, &order).await;
