Simulator: the model of primary leases names states of the store by era and number

The package did not build since revisions got their type; only the packages of the platform had been built. The model plays a store that loses nothing, as before.

--- a/lab/sim/src/models/primary_lease.rs
+++ b/lab/sim/src/models/primary_lease.rs
@@ -5,11 +5,13 @@
 
 use std::time::Duration;
 
-use hookpoint_coordination::serving::lease_grantor::{Electorate, LeaseGrantor, Withdrawal};
+use hookpoint_coordination::serving::lease_grantor::{
+    Electorate, LeaseGrantor, Predecessors, Withdrawal,
+};
 use hookpoint_coordination::serving::primary_lease::{
     Grantor, LeaseAnswer, LeaseRequest, PrimaryLease,
 };
-use hookpoint_state::Timestamp;
+use hookpoint_state::{StoreEra, StoreRevision, Timestamp};
 
 use super::explore::Model;
 
@@ -20,7 +22,10 @@
 /// The node that takes over.
 const SECOND: usize = 1;
 /// Revisions of their records.
-const REVISIONS: [u64; 2] = [1, 2];
+const REVISIONS: [StoreRevision; 2] = [
+    StoreRevision::new(StoreEra::new(0), 1),
+    StoreRevision::new(StoreEra::new(0), 2),
+];
 /// Names of the nodes as voters.
 const NAMES: [&str; NODES] = ["first", "second", "third"];
 /// Order in which the nodes stand in.
@@ -160,7 +165,9 @@
         };
         let second = &mut state.nodes[SECOND];
         second.lease.follow(REVISIONS[1], state.now);
-        second.grantor.begin_coordinating(REVISIONS[1], claimed_at);
+        second
+            .grantor
+            .begin_coordinating(REVISIONS[1], claimed_at, Predecessors::Listed);
         second.grantor.note_renewed(state.now);
     }
 
@@ -210,7 +217,7 @@
         let mut nodes = [node(0), node(1), node(2)];
         nodes[FIRST]
             .grantor
-            .begin_coordinating(REVISIONS[0], started);
+            .begin_coordinating(REVISIONS[0], started, Predecessors::Listed);
         if !self.taken_over {
             nodes[FIRST].grantor.note_renewed(now);
         }
@@ -224,7 +231,9 @@
         if self.taken_over {
             let second = &mut state.nodes[SECOND];
             second.lease.follow(REVISIONS[1], started);
-            second.grantor.begin_coordinating(REVISIONS[1], started);
+            second
+                .grantor
+                .begin_coordinating(REVISIONS[1], started, Predecessors::Listed);
             second.grantor.note_renewed(now);
         }
         state
