--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+# TROUBLE=0 leaves the disruption out. VARIANT=coordinator plays the second order of events of
+# claim.txt.
+set -uo pipefail
+cd "$(dirname "$0")/../.."
+if [ ! -x target/release/hookpoint-node ]; then
+  echo "build the program first, as deploy/system.toml says" >&2
+  exit 2
+fi
+bash review/build.sh >/dev/null || exit 2
+case=restarted-replica
+if [ "${VARIANT:-}" = coordinator ]; then
+  case=resumed-replicas
+fi
+target/review/release/review-standin "$case" review/2/record.txt &
+runner=$!
+trap 'kill $(pgrep -P "$runner") "$runner" 2>/dev/null' INT TERM
+wait "$runner"
