LOST: nodes withhold commits of a synchronous group during a promotion

Cause: the comparison of the replicas is true at one moment, and the order takes effect up to a second later, or seconds later if the request is delayed. Only the pause of the replicas kept the primary from answering commits in between. A replica's restart ends its pause, and so does the RESUME of a coordinator that takes office.

Fix: the announcement of a promotion names the terms that it ends. Every node stops sending writes and acknowledging commits of those terms, or has lost its lease on primaries, before the replicas are compared again and the order is sent. The candidate then holds every acknowledged commit whenever the order is carried out. While an earlier order for another candidate may still take effect, all commits are withheld until it has settled. The primary continues only if no order can take effect; otherwise the promotion is completed, also by the next coordinator. Replicas are no longer paused.

Groups without sync_replicas: same messages, waits and store calls as before.

--- a/crates/coordination/src/serving/lease_grantor.rs
+++ b/crates/coordination/src/serving/lease_grantor.rs
@@ -175,6 +175,13 @@
         remembered && votes >= majority(electorate.voters)
     }
 
+    /// Returns whether this process coordinates by the record at `coordinator` and knows all
+    /// promotions that earlier coordinators announced.
+    pub fn knows_predecessors(&self, coordinator: StoreRevision) -> bool {
+        self.term
+            .is_some_and(|term| term.coordinator == coordinator && term.knows_predecessors)
+    }
+
     /// Begins to withdraw the leases granted so far with respect to one group. Every later answer
     /// includes the announcement, so leases granted from now on need no withdrawal. Returns `None`
     /// if this process is not the coordinator.
--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -39,3 +39,4 @@
 pub mod tenancy;
 pub mod token_holders;
 pub mod topology;
+pub mod withheld_commits;
--- a/crates/serving/src/coordinator/mod.rs
+++ b/crates/serving/src/coordinator/mod.rs
@@ -15,14 +15,16 @@
 use hookpoint_coordination::serving::failover::{Observation, is_lost};
 use hookpoint_coordination::serving::handover::{HandoverLimiter, holds_enough};
 use hookpoint_coordination::serving::leadership::LeadershipPeriod;
-use hookpoint_state::{DatabaseName, GroupName, Timestamp};
+use hookpoint_state::{DatabaseName, GroupName, Term, Timestamp};
 use tokio::time::sleep;
 
 use self::handover::Handover;
-use self::order::{Authority, OrderError, order};
-use self::replicas::{Eligible, find_candidate, resume_replicas};
+use self::order::{Authority, Cause, OrderError, Replacement, confirm_settled, order};
+use self::replicas::{Eligible, ask_all, find_candidate};
+use crate::message::Command;
 use crate::node::Node;
 use crate::peers::{FIRST_PRIMARY_TIME, PeerView, Peers};
+use crate::ports::PromotionOrder;
 use crate::units::millis;
 
 /// Pause between two rounds of the coordinator.
@@ -45,6 +47,8 @@
 enum Reason {
     Lost,
     Planned(Handover),
+    /// An announced promotion did not take effect.
+    Pending,
 }
 
 /// Runs the coordinator's rounds, each replacement in a task of its own, until the node shuts
@@ -62,9 +66,7 @@
         }
         if resumed_for != revision && node.configuration().is_some() {
             resumed_for = revision;
-            for group in synchronous_groups(&node) {
-                resume_replicas(&node, &group).await;
-            }
+            resume_replicas(&node).await;
         }
         for group in survey.due_groups(&node) {
             let node = Rc::clone(&node);
@@ -77,11 +79,15 @@
     }
 }
 
-/// Returns the groups whose replicas may have been paused for a promotion.
-fn synchronous_groups(node: &Rc<Node>) -> Vec<GroupName> {
-    let groups = node.configured_groups();
-    let synchronous = |group: &GroupName| replicas::sync_replicas(node, group) > 0;
-    groups.into_iter().filter(synchronous).collect()
+/// Resumes replication on the replicas of synchronous groups. This fleet does not pause them, but
+/// operators and earlier versions may, and a group whose replicas are paused acknowledges nothing.
+async fn resume_replicas(node: &Rc<Node>) {
+    for group in node.configured_groups() {
+        if node.is_synchronous(&group) {
+            let databases = node.by_stated_role(&group);
+            ask_all(node, &databases, &Command::ResumeReplication).await;
+        }
+    }
 }
 
 /// State of the coordinator's periodic check of all groups.
@@ -109,7 +115,7 @@
             }
             let starts = match reason(node, &group) {
                 None => false,
-                Some(Reason::Lost) => true,
+                Some(Reason::Lost | Reason::Pending) => true,
                 Some(Reason::Planned(_)) => self.handover_limiter.take(rate, node.now()),
             };
             if starts {
@@ -178,14 +184,25 @@
     if lost && !node.is_in_evacuated_zone(&leader) {
         return Some(Reason::Lost);
     }
+    if is_overdue(node, group, &leader) {
+        return Some(Reason::Pending);
+    }
     handover::due(node, group, &leader).map(Reason::Planned)
 }
 
+/// Returns whether an announced promotion of a synchronous group should have taken effect or been
+/// reverted by now. Until then the group's writes are withheld.
+fn is_overdue(node: &Rc<Node>, group: &GroupName, leader: &DatabaseName) -> bool {
+    let withheld_since = node.writes_withheld_at_since(group, leader);
+    withheld_since.is_some_and(|since| node.now().since(since) >= SETTLE_TIME)
+}
+
 async fn replace_primary(node: &Rc<Node>, peers: &Rc<Peers>, group: &GroupName) {
     match reason(node, group) {
         None => {}
         Some(Reason::Lost) => replace_lost(node, peers, group).await,
         Some(Reason::Planned(planned)) => hand_over(node, peers, group, &planned).await,
+        Some(Reason::Pending) => complete_promotion(node, peers, group).await,
     }
 }
 
@@ -200,23 +217,56 @@
         return;
     }
     log_loss(node, group, leader.as_ref(), &observations);
-    let found = find_candidate(node, group, leader.as_ref(), Eligible::All).await;
-    let Some(candidate) = found else {
+    let eligible = Eligible::All;
+    let found = find_candidate(node, group, leader.as_ref(), eligible).await;
+    let Some(found) = found else {
         return;
     };
     if node.lost_leader(group) != leader {
         return;
     }
-    let outcome = order(
-        node,
-        peers,
+    let replacement = Replacement {
         group,
-        &candidate.name,
-        leader.as_ref(),
+        candidate: found.replica.name,
+        present: leader.as_ref(),
+        cause: Cause::Lost,
+        newest_term: found.newest_term,
+        eligible,
         authority,
-    );
-    let outcome = outcome.await;
-    settle(node, group, &candidate.name, outcome).await;
+    };
+    let outcome = order(node, peers, replacement).await;
+    settle(node, outcome).await;
+}
+
+/// Orders the promotion of a synchronous group again that was announced and did not take effect,
+/// perhaps because the coordinator that announced it ended. The order may have been sent, so the
+/// present primary cannot simply continue.
+async fn complete_promotion(node: &Rc<Node>, peers: &Rc<Peers>, group: &GroupName) {
+    let Some(leader) = node.leader(group).filter(|_| node.coordinates()) else {
+        return;
+    };
+    let eligible = Eligible::All;
+    let leads_by_promotion = node.leads_by_announced_promotion(group, &leader);
+    let (candidate, newest_term) = if leads_by_promotion {
+        (leader.clone(), Term::default())
+    } else {
+        let Some(found) = find_candidate(node, group, Some(&leader), eligible).await else {
+            sleep(NOT_MOVED_PAUSE).await;
+            return;
+        };
+        (found.replica.name, found.newest_term)
+    };
+    let replacement = Replacement {
+        group,
+        candidate,
+        present: Some(&leader),
+        cause: Cause::Pending,
+        newest_term,
+        eligible,
+        authority: Authority::Lease,
+    };
+    let outcome = order(node, peers, replacement).await;
+    settle(node, outcome).await;
 }
 
 /// Moves a primary. The present primary continues to serve until the promotion takes effect.
@@ -231,13 +281,14 @@
         return;
     };
     let eligible = Eligible::Only(&planned.planned.targets);
-    let Some(candidate) = find_candidate(node, group, Some(&leader), eligible).await else {
+    let Some(found) = find_candidate(node, group, Some(&leader), eligible).await else {
         handover::log_outcome(node, group, &leader, None, planned, "no_candidate");
         sleep(NOT_MOVED_PAUSE).await;
         return;
     };
-    let name = &candidate.name;
-    let not_moved = if !holds_enough(candidate.received, planned.primary_held, planned.wanted_for) {
+    let name = &found.replica.name;
+    let received = found.replica.received;
+    let not_moved = if !holds_enough(received, planned.primary_held, planned.wanted_for) {
         Some("behind")
     } else if !still_wanted(node, group, &leader, name) {
         Some("taken_back")
@@ -245,19 +296,27 @@
         None
     };
     if let Some(outcome) = not_moved {
-        resume_replicas(node, group).await;
         handover::log_outcome(node, group, &leader, Some(name), planned, outcome);
         sleep(NOT_MOVED_PAUSE).await;
         return;
     }
-    let outcome = order(node, peers, group, name, None, authority).await;
+    let replacement = Replacement {
+        group,
+        candidate: name.clone(),
+        present: Some(&leader),
+        cause: Cause::Planned,
+        newest_term: found.newest_term,
+        eligible,
+        authority,
+    };
+    let outcome = order(node, peers, replacement).await;
     let order_result = match &outcome {
-        Ok(()) => "ordered",
+        Ok(_) => "ordered",
         Err(OrderError::Rejected) => "rejected",
         Err(OrderError::Unanswered) => "unanswered",
     };
     handover::log_outcome(node, group, &leader, Some(name), planned, order_result);
-    settle(node, group, name, outcome).await;
+    settle(node, outcome).await;
 }
 
 /// Returns whether a group's primary should still move to `candidate`.
@@ -273,18 +332,14 @@
 }
 
 /// Waits until the outcome of an order can be known.
-async fn settle(
-    node: &Rc<Node>,
-    group: &GroupName,
-    candidate: &DatabaseName,
-    outcome: Result<(), OrderError>,
-) {
+async fn settle(node: &Rc<Node>, outcome: Result<PromotionOrder, OrderError>) {
     match outcome {
-        Ok(()) => await_new_leader(node, group, candidate).await,
-        Err(OrderError::Rejected) => {
-            resume_replicas(node, group).await;
-            sleep(REJECTED_PAUSE).await;
+        Ok(order) => {
+            let confirmed_at = node.now();
+            await_new_leader(node, &order.group, &order.candidate).await;
+            confirm_settled(node, &order, confirmed_at + SETTLE_TIME).await;
         }
+        Err(OrderError::Rejected) => sleep(REJECTED_PAUSE).await,
         Err(OrderError::Unanswered) => sleep(SETTLE_TIME).await,
     }
 }
--- a/crates/serving/src/coordinator/order.rs
+++ b/crates/serving/src/coordinator/order.rs
@@ -1,15 +1,19 @@
-//! Orders promotions. Where the promotion service does not fence, every node learns of the
-//! promotion first.
+//! Orders promotions. Where the promotion service does not fence, and in synchronous groups, every
+//! node learns of the promotion first.
+
+mod synchronous;
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use hookpoint_coordination::serving::fencing::FencingToken;
-use hookpoint_state::{DatabaseName, GroupName};
+use hookpoint_coordination::serving::withheld_commits::WithheldCommits;
+use hookpoint_state::{DatabaseName, GroupName, Term};
 use tokio::time::{sleep, timeout};
 
+pub(super) use self::synchronous::confirm_settled;
 use super::SETTLE_TIME;
-use super::replicas::sync_replicas;
+use super::replicas::Eligible;
 use super::step_down::step_down_in_background;
 use super::withdrawal::{WithdrawalError, withdraw_leases};
 use crate::node::{ListedAnnouncement, Node};
@@ -24,6 +28,9 @@
 /// Pause between two requests for the same promotion.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Why an announcement is reverted: the primary that counted as lost answers.
+const PRIMARY_IS_BACK: &str = "the primary answers again";
+
 /// The basis on which a promotion is ordered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Authority {
@@ -64,53 +71,118 @@
     token
 }
 
+/// A decided replacement of a group's primary.
+pub(super) struct Replacement<'a> {
+    /// The group whose primary is replaced.
+    pub(super) group: &'a GroupName,
+    /// The database that is to become the primary.
+    pub(super) candidate: DatabaseName,
+    /// The present primary, if one is known.
+    pub(super) present: Option<&'a DatabaseName>,
+    /// Why it is replaced.
+    pub(super) cause: Cause,
+    /// Newest term that a database of the group reported.
+    pub(super) newest_term: Term,
+    /// The replicas that may become the primary.
+    pub(super) eligible: Eligible<'a>,
+    /// The basis on which the promotion is ordered.
+    pub(super) authority: Authority,
+}
+
+/// Why a primary is replaced, as far as ordering the promotion depends on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Cause {
+    /// It counts as lost, and stays the primary if it answers before the order.
+    Lost,
+    /// It serves until the promotion takes effect.
+    Planned,
+    /// An earlier promotion was announced and has not taken effect.
+    Pending,
+}
+
+impl Replacement<'_> {
+    /// Returns the primary that stays if it answers before the order.
+    fn lost(&self) -> Option<&DatabaseName> {
+        self.present.filter(|_| self.cause == Cause::Lost)
+    }
+
+    fn next_order(&self, node: &Rc<Node>) -> Result<PromotionOrder, OrderError> {
+        let fencing_token = next_token(node, self.group).ok_or(OrderError::Rejected)?;
+        Ok(PromotionOrder {
+            group: self.group.clone(),
+            candidate: self.candidate.clone(),
+            holder: node.settings.name.clone(),
+            fencing_token,
+        })
+    }
+}
+
 /// Orders a promotion, repeating the request under the same token while it is not answered.
+/// Returns the order that was confirmed.
 pub(super) async fn order(
     node: &Rc<Node>,
     peers: &Rc<Peers>,
-    group: &GroupName,
-    candidate: &DatabaseName,
-    replaced: Option<&DatabaseName>,
-    authority: Authority,
-) -> Result<(), OrderError> {
-    let fencing_token = next_token(node, group).ok_or(OrderError::Rejected)?;
-    let order = PromotionOrder {
-        group: group.clone(),
-        candidate: candidate.clone(),
-        holder: node.settings.name.clone(),
-        fencing_token,
-    };
+    replacement: Replacement<'_>,
+) -> Result<PromotionOrder, OrderError> {
+    if node.is_synchronous(replacement.group) {
+        return synchronous::order(node, peers, replacement).await;
+    }
+    let order = replacement.next_order(node)?;
     if node.changeable().fenced_promotions {
-        tokio::task::spawn_local(announce(Rc::clone(node), order.clone()));
+        let announced = announce(Rc::clone(node), order.clone(), WithheldCommits::None);
+        tokio::task::spawn_local(announced);
     } else {
-        replace_unfenced(node, peers, &order, replaced).await?;
+        replace_unfenced(node, peers, &order, replacement.lost()).await?;
     }
+    let limit = Some(SETTLE_TIME);
+    match send(node, &order, replacement.authority, limit).await {
+        Ok(()) => Ok(order),
+        Err(SendError::Rejected { .. }) => Err(OrderError::Rejected),
+        Err(SendError::Unanswered) => Err(OrderError::Unanswered),
+    }
+}
+
+/// The reason why the promotion service did not confirm an order.
+enum SendError {
+    /// The last request was rejected. `after_unanswered`: an earlier request with the same token
+    /// was not answered and may still be carried out.
+    Rejected { after_unanswered: bool },
+    /// The order may still be carried out.
+    Unanswered,
+}
+
+/// Sends an order until it is answered, this node may no longer order promotions, or `limit` has
+/// passed.
+async fn send(
+    node: &Rc<Node>,
+    order: &PromotionOrder,
+    authority: Authority,
+    limit: Option<Duration>,
+) -> Result<(), SendError> {
     let began = node.now();
-    // The replicas of a synchronous group stay paused until the order is answered: an order
-    // carried out after they resumed would roll back acknowledged commits.
-    let synchronous = sync_replicas(node, group) > 0;
+    let mut after_unanswered = false;
     loop {
         if authority == Authority::Lease && !node.coordinates() {
-            return Err(OrderError::Unanswered);
+            return Err(SendError::Unanswered);
         }
-        log_order(node, &order, "promotion_ordered", authority_name(authority));
-        let answer = timeout(PROMOTION_TIMEOUT, node.promotions.promote(&order)).await;
+        log_order(node, order, "promotion_ordered", authority_name(authority));
+        let answer = timeout(PROMOTION_TIMEOUT, node.promotions.promote(order)).await;
         let outcome = answer.unwrap_or(Err(PromotionError::NoAnswer));
         let answer_text = match &outcome {
             Ok(()) => "confirmed".to_owned(),
             Err(error) => error.to_string(),
         };
-        log_order(node, &order, "promotion_answered", &answer_text);
+        log_order(node, order, "promotion_answered", &answer_text);
         match outcome {
             Ok(()) => return Ok(()),
-            Err(PromotionError::Rejected) => return Err(OrderError::Rejected),
-            Err(PromotionError::NoAnswer | PromotionError::Unavailable)
-                if synchronous || node.now().since(began) < SETTLE_TIME =>
-            {
-                sleep(REPEAT_PAUSE).await;
-            }
-            Err(_) => return Err(OrderError::Unanswered),
+            Err(PromotionError::Rejected) => return Err(SendError::Rejected { after_unanswered }),
+            Err(PromotionError::NoAnswer) => after_unanswered = true,
+            Err(PromotionError::Unavailable) => {}
+        }
+        if limit.is_some_and(|limit| node.now().since(began) >= limit) {
+            return Err(SendError::Unanswered);
         }
+        sleep(REPEAT_PAUSE).await;
     }
 }
 
@@ -123,32 +195,64 @@
     order: &PromotionOrder,
     replaced: Option<&DatabaseName>,
 ) -> Result<(), OrderError> {
-    let announcement = announce(Rc::clone(node), order.clone())
+    let withheld = WithheldCommits::None;
+    match announce_to_all(node, peers, order, withheld, replaced).await {
+        Ok(()) => Ok(()),
+        Err(AnnouncementError::PrimaryIsBack) => {
+            revert_announcement(node, order, replaced, withheld, PRIMARY_IS_BACK).await;
+            Err(OrderError::Rejected)
+        }
+        Err(AnnouncementError::NotWritten | AnnouncementError::NotCoordinator) => {
+            Err(OrderError::Rejected)
+        }
+    }
+}
+
+/// The reason why a promotion must not be ordered although it was to be announced.
+enum AnnouncementError {
+    /// The announcement could not be written to the store.
+    NotWritten,
+    /// This node is no longer the coordinator.
+    NotCoordinator,
+    /// The primary that was considered lost answers this node again.
+    PrimaryIsBack,
+}
+
+/// Announces a promotion and waits until every node knows of it or can no longer use the present
+/// primary. `lost` is the primary that stays if it answers meanwhile.
+async fn announce_to_all(
+    node: &Rc<Node>,
+    peers: &Rc<Peers>,
+    order: &PromotionOrder,
+    withheld: WithheldCommits,
+    lost: Option<&DatabaseName>,
+) -> Result<(), AnnouncementError> {
+    let steps_down = !node.changeable().fenced_promotions;
+    let announcement = announce(Rc::clone(node), order.clone(), withheld)
         .await
-        .ok_or(OrderError::Rejected)?;
-    if replaced.is_none() {
+        .ok_or(AnnouncementError::NotWritten)?;
+    if steps_down && lost.is_none() {
         step_down_in_background(node, order);
     }
-    match withdraw_leases(node, peers, &announcement, replaced).await {
+    match withdraw_leases(node, peers, &announcement, lost).await {
         Ok(()) => {}
-        Err(WithdrawalError::NotCoordinator) => return Err(OrderError::Rejected),
-        Err(WithdrawalError::PrimaryIsBack) => {
-            revert_announcement(node, order, replaced).await;
-            return Err(OrderError::Rejected);
-        }
+        Err(WithdrawalError::NotCoordinator) => return Err(AnnouncementError::NotCoordinator),
+        Err(WithdrawalError::PrimaryIsBack) => return Err(AnnouncementError::PrimaryIsBack),
     }
-    if replaced.is_some() {
+    if steps_down && lost.is_some() {
         step_down_in_background(node, order);
     }
     Ok(())
 }
 
-/// Announces the present primary again in place of the candidate, whose promotion has not been
-/// ordered yet.
+/// Announces the present primary again in place of the candidate, whose promotion will not take
+/// effect.
 async fn revert_announcement(
     node: &Rc<Node>,
     order: &PromotionOrder,
     present: Option<&DatabaseName>,
+    withheld: WithheldCommits,
+    detail: &str,
 ) {
     let Some(present) = present else {
         return;
@@ -161,13 +265,8 @@
         fencing_token,
         ..order.clone()
     };
-    log_order(
-        node,
-        &order,
-        "promotion_taken_back",
-        "the primary answers again",
-    );
-    announce(Rc::clone(node), order).await;
+    log_order(node, &order, "promotion_taken_back", detail);
+    announce(Rc::clone(node), order, withheld).await;
 }
 
 fn authority_name(authority: Authority) -> &'static str {
@@ -191,11 +290,16 @@
 
 /// Writes an order's announcement to the store, from where the other nodes read it. Returns `None`
 /// if the write failed.
-async fn announce(node: Rc<Node>, order: PromotionOrder) -> Option<Announcement> {
+async fn announce(
+    node: Rc<Node>,
+    order: PromotionOrder,
+    withheld: WithheldCommits,
+) -> Option<Announcement> {
     let record = PromotionRecord {
         group: order.group.clone(),
         candidate: order.candidate.clone(),
         fencing_token: order.fencing_token,
+        withheld,
     };
     let listed = node.with_group(&order.group, |state| state.announcement_listed);
     let write = ConditionalWrite {
@@ -213,6 +317,7 @@
         candidate: order.candidate,
         token: order.fencing_token,
         revision,
+        withheld,
     };
     node.with_group(&announcement.group, |state| {
         let token = announcement.token;
--- a/crates/serving/src/coordinator/replicas.rs
+++ b/crates/serving/src/coordinator/replicas.rs
@@ -32,20 +32,6 @@
 /// Priority of status requests: the most urgent.
 const STATUS_PRIORITY: u8 = 0;
 
-pub(super) fn sync_replicas(node: &Rc<Node>, group: &GroupName) -> u32 {
-    node.configuration()
-        .and_then(|configuration| configuration.groups.get(group).cloned())
-        .map_or(0, |group| group.sync_replicas)
-}
-
-/// Resumes replication on replicas that were paused for a promotion that did not take place.
-pub(super) async fn resume_replicas(node: &Rc<Node>, group: &GroupName) {
-    if sync_replicas(node, group) > 0 {
-        let databases = node.by_stated_role(group);
-        ask_all(node, &databases, &Command::ResumeReplication).await;
-    }
-}
-
 /// The replicas that may become the next primary.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Eligible<'a> {
@@ -69,35 +55,26 @@
     }
 }
 
-/// Asks the replicas for their positions and chooses the next primary. In a synchronous group the
-/// replicas have paused replication when a candidate is returned.
+/// The replica chosen as the next primary.
+pub(super) struct Found {
+    pub(super) replica: ReplicaState,
+    /// Newest term that the replicas reported.
+    pub(super) newest_term: Term,
+}
+
+/// Asks the replicas for their positions and chooses the next primary.
 pub(super) async fn find_candidate(
     node: &Rc<Node>,
     group: &GroupName,
     leader: Option<&DatabaseName>,
     eligible: Eligible<'_>,
-) -> Option<ReplicaState> {
-    let sync_replicas = sync_replicas(node, group);
+) -> Option<Found> {
     let replicas: Vec<DatabaseName> = node
         .by_stated_role(group)
         .into_iter()
         .filter(|name| Some(name) != leader && is_candidate(node, name))
         .collect();
-    let mut answers = ask_until_some_answer(node, &replicas).await;
-    if sync_replicas > 0 {
-        // Replication is not paused, which would block the present primary, for a move that cannot
-        // be made.
-        if let Eligible::Only(_) = eligible
-            && let Err(error) =
-                eligible.choose(&states_of(node, &answers), replicas.len(), sync_replicas)
-        {
-            log_no_candidate(node, group, error);
-            return None;
-        }
-        let newest = answers.iter().map(|(_, status)| status.term).max()?;
-        let term = Term(newest.0 + 1);
-        answers = ask_all(node, &replicas, &Command::PauseReplication { term }).await;
-    }
+    let answers = ask_until_some_answer(node, &replicas).await;
     let states = states_of(node, &answers);
     if let Some(name) = present_primary(&answers, &states) {
         node.log(
@@ -110,14 +87,56 @@
         prove_found_primary(node, &name).await;
         return None;
     }
-    match eligible.choose(&states, replicas.len(), sync_replicas) {
-        Ok(candidate) => states.into_iter().find(|state| state.name == candidate),
+    let chosen = match eligible.choose(&states, replicas.len(), node.sync_replicas(group)) {
+        Ok(chosen) => prefer_announced(node, group, chosen, &states),
         Err(error) => {
-            resume_replicas(node, group).await;
             log_no_candidate(node, group, error);
-            None
+            return None;
         }
-    }
+    };
+    let replica = states.into_iter().find(|state| state.name == chosen)?;
+    Some(Found {
+        replica,
+        newest_term: newest_term(node, &answers),
+    })
+}
+
+/// Returns the candidate of a pending promotion of a synchronous group if it holds as much as the
+/// one chosen, and the latter otherwise: an earlier order for the same candidate may take effect
+/// without loss.
+fn prefer_announced(
+    node: &Rc<Node>,
+    group: &GroupName,
+    chosen: DatabaseName,
+    states: &[ReplicaState],
+) -> DatabaseName {
+    let received = |name: &DatabaseName| {
+        let state = states.iter().find(|state| state.name == *name);
+        state.map(|state| state.received)
+    };
+    let announced = node.with_group(group, |state| {
+        let pending = state.promotion_is_pending();
+        let candidate = state.promoting.as_ref().filter(|_| pending);
+        candidate.map(|(candidate, _)| candidate.clone())
+    });
+    announced
+        .filter(|announced| received(announced) >= received(&chosen))
+        .unwrap_or(chosen)
+}
+
+/// Returns the newest term that the databases reported. A database that was ordered to step down
+/// may report a term that no primary leads, which happens only where promotions are not fenced.
+fn newest_term(node: &Rc<Node>, answers: &[(DatabaseName, DatabaseStatus)]) -> Term {
+    let fenced = node.changeable().fenced_promotions;
+    let terms = answers.iter().map(|(_, status)| {
+        let stated = if fenced || status.primary {
+            status.term
+        } else {
+            Term::default()
+        };
+        stated.max(status.received.term)
+    });
+    terms.max().unwrap_or_default()
 }
 
 fn states_of(node: &Rc<Node>, answers: &[(DatabaseName, DatabaseStatus)]) -> Vec<ReplicaState> {
--- a/crates/serving/src/coordinator/withdrawal.rs
+++ b/crates/serving/src/coordinator/withdrawal.rs
@@ -88,7 +88,13 @@
 ) -> bool {
     node.with_group(group, |state| {
         let proof = state.overruled_proof.as_ref();
-        proof.is_some_and(|(name, asked_at)| Some(name) == replaced && *asked_at > began)
+        let overruled =
+            proof.is_some_and(|(name, asked_at)| Some(name) == replaced && *asked_at > began);
+        let leadership = &state.leadership;
+        let confirmed = replaced.is_some()
+            && leadership.leader() == replaced
+            && leadership.confirmed_at() > began;
+        overruled || confirmed
     })
 }
 
--- a/crates/serving/src/follower.rs
+++ b/crates/serving/src/follower.rs
@@ -20,8 +20,8 @@
 };
 use crate::primary_lease::Announcement;
 use crate::records::{
-    MemberRecord, PROMOTION_PREFIX, PromotionRecord, decode, is_coordinator_key, member_name,
-    settled_era,
+    MemberRecord, PROMOTION_PREFIX, PromotionRecord, decode, decode_promotion, is_coordinator_key,
+    member_name, settled_era,
 };
 use crate::registration;
 use crate::snapshot;
@@ -542,7 +542,7 @@
     } else if let Some(era) = settled_era(key) {
         coordinator_record::note_settled_era(node, era);
     } else if key.starts_with(PROMOTION_PREFIX) {
-        apply_promotion(node, value.and_then(decode), revision);
+        apply_promotion(node, value.and_then(decode_promotion), revision);
     }
 }
 
@@ -574,6 +574,7 @@
         candidate: record.candidate,
         token,
         revision,
+        withheld: record.withheld,
     });
 }
 
--- a/crates/serving/src/leaders.rs
+++ b/crates/serving/src/leaders.rs
@@ -115,6 +115,7 @@
             let changed = state.leadership.confirm(name, proof);
             let ended = led && state.leadership.leader().is_none();
             if state.leadership.leader() == Some(name) {
+                state.note_proof_for_promotion(name, &proof);
                 state.contact = Contact {
                     last_answer_at: now,
                     ..Contact::default()
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod socket;
 mod start;
 mod statement;
+mod synchronous_groups;
 mod tokens;
 pub mod units;
 mod zone_evacuations;
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -16,8 +16,9 @@
 use hookpoint_coordination::serving::primary_lease::PrimaryLease;
 use hookpoint_coordination::serving::selection::Distance;
 use hookpoint_coordination::serving::topology::{Configuration, ConfigurationHolder};
+use hookpoint_coordination::serving::withheld_commits::WithheldCommits;
 use hookpoint_state::{
-    DatabaseName, GroupName, RegionName, StoreEra, StoreRevision, Timestamp, ZoneName,
+    DatabaseName, GroupName, RegionName, StoreEra, StoreRevision, Term, Timestamp, ZoneName,
 };
 use serde_json::Value;
 use tokio::sync::Notify;
@@ -90,6 +91,12 @@
     pub announced: Option<FencingToken>,
     /// Store revision of that announcement; the default if there is none.
     pub announced_at: StoreRevision,
+    /// The commits that are not acknowledged because of that promotion.
+    pub withheld: WithheldCommits,
+    /// Fencing token of the newest promotion whose candidate has proved since that it leads.
+    pub took_effect: Option<FencingToken>,
+    /// Newest term in the position of a primary.
+    pub newest_term: Term,
     /// The group's announcement as last seen in the store, or `None` if the store has none.
     pub announcement_listed: Option<ListedAnnouncement>,
     /// Whether this node is currently replacing the group's primary.
@@ -174,6 +181,8 @@
     /// Regions in which the primaries of groups should be, for groups that the configuration
     /// restricts.
     pub(crate) primary_regions: RefCell<BTreeMap<GroupName, BTreeSet<RegionName>>>,
+    /// Whether a group is or was synchronous, so that writes depend on announced promotions.
+    pub(crate) has_synchronous_groups: Cell<bool>,
     /// The registered databases.
     pub directory: RefCell<Directory>,
     /// Evacuations of zones and this node's progress with them.
@@ -274,6 +283,7 @@
             configuration: RefCell::default(),
             configured_at: Cell::default(),
             primary_regions: RefCell::default(),
+            has_synchronous_groups: Cell::default(),
             directory: RefCell::default(),
             evacuations: ZoneEvacuations::default(),
             monitored_groups: MonitoredGroups::default(),
@@ -381,6 +391,7 @@
         if self.configuration.borrow_mut().offer(configuration) {
             if let Some(taken) = self.configuration() {
                 self.compute_primary_regions(&taken);
+                self.note_synchronous_groups(&taken);
             }
             if self.configured_at.get().is_none() {
                 self.configured_at.set(Some(self.now()));
--- a/crates/serving/src/primary_lease.rs
+++ b/crates/serving/src/primary_lease.rs
@@ -1,6 +1,6 @@
 //! Renews this node's lease on the use of primaries, and grants leases to other nodes, as the
 //! coordinator or a substitute coordinator. Needed only where the promotion service does not fence
-//! promotions.
+//! promotions, and for writes of synchronous groups.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +9,8 @@
 use hookpoint_coordination::serving::homes::claim_order;
 use hookpoint_coordination::serving::lease_grantor::{Electorate, VOTER_RETENTION};
 use hookpoint_coordination::serving::primary_lease::{Grantor, LeaseAnswer, LeaseRequest};
-use hookpoint_state::{DatabaseName, GroupName, StoreRevision, Timestamp};
+use hookpoint_coordination::serving::withheld_commits::WithheldCommits;
+use hookpoint_state::{DatabaseName, GroupName, StoreRevision, Term, Timestamp};
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
@@ -35,6 +36,8 @@
     pub token: FencingToken,
     /// Revision of the announcement's record in the store.
     pub revision: StoreRevision,
+    /// The commits that nodes no longer acknowledge because of it.
+    pub withheld: WithheldCommits,
 }
 
 /// The promotions that one node reports to another.
@@ -58,7 +61,7 @@
     let mut covered = false;
     loop {
         let _ = timeout(POLL_INTERVAL, node.lease_due.notified()).await;
-        if node.changeable().fenced_promotions {
+        if !node.needs_primary_lease() {
             continue;
         }
         renew(&node, &peers);
@@ -247,6 +250,14 @@
         grantor.answer(peer, request, coordinator, electorate, self.now())
     }
 
+    /// Returns whether this node, as the coordinator, knows all promotions that were announced
+    /// before its tenure.
+    pub(crate) fn knows_announcements(&self) -> bool {
+        let coordinator = self.primary_lease.borrow().coordinator();
+        let grantor = self.grantor.borrow();
+        grantor.knows_predecessors(coordinator)
+    }
+
     /// Returns whether other nodes may hold leases granted with this node's vote.
     pub(crate) fn voted_for_others(&self) -> bool {
         let now = self.now();
@@ -282,6 +293,7 @@
                 candidate: candidate.clone(),
                 token: state.announced?,
                 revision: state.announced_at,
+                withheld: state.withheld,
             })
         });
         Promotions {
@@ -336,12 +348,14 @@
                 state.announced = Some(announcement.token);
                 state.announced_at = announcement.revision;
                 state.promoting = Some((candidate.clone(), now));
+                state.withheld = announcement.withheld;
             }
             newer
         });
         if !newer {
             return;
         }
+        self.note_withheld_commits(announcement);
         let replaced = self.leader(group).filter(|leader| leader != candidate);
         if let Some(replaced) = replaced
             && !self.changeable().fenced_promotions
@@ -368,20 +382,39 @@
         self.covers_primaries(self.now())
     }
 
+    /// Returns whether this node's lease on primaries is in force.
+    pub(crate) fn holds_primary_lease(&self) -> bool {
+        self.primary_lease.borrow().covers(self.now())
+    }
+
     /// Returns whether this node was allowed to use primaries at `moment`, which must lie within
     /// the last few seconds.
     pub(crate) fn covers_primaries(&self, moment: Timestamp) -> bool {
         self.changeable().fenced_promotions || self.primary_lease.borrow().covers(moment)
     }
 
-    /// Returns whether a write or a commit may be sent to a database now.
-    pub(crate) fn may_write(&self, database: &DatabaseName) -> bool {
+    /// Returns whether a write or a commit may be sent to a database of `group` now.
+    pub(crate) fn may_write(&self, group: &GroupName, database: &DatabaseName) -> bool {
+        self.may_use_as_primary(database) && !self.withholds_writes(group, database)
+    }
+
+    /// Returns whether a statement that needs the primary may be sent to a database now.
+    pub(crate) fn may_use_as_primary(&self, database: &DatabaseName) -> bool {
         self.changeable().fenced_promotions || (self.may_use_primaries() && self.leads(database))
     }
 
-    /// Returns whether a write that a database answered may be acknowledged to the caller. A write
-    /// sent before an announcement counts until this node has acknowledged the announcement.
-    pub(crate) fn may_acknowledge(&self, group: &GroupName, database: &DatabaseName) -> bool {
+    /// Returns whether a write that a database answered may be acknowledged to the caller. `term`
+    /// is the term of the position in the answer. A write sent before an announcement counts until
+    /// this node has acknowledged the announcement.
+    pub(crate) fn may_acknowledge(
+        &self,
+        group: &GroupName,
+        database: &DatabaseName,
+        term: Option<Term>,
+    ) -> bool {
+        if self.withholds_commit(group, term) {
+            return false;
+        }
         if self.changeable().fenced_promotions {
             return true;
         }
--- a/crates/serving/src/records.rs
+++ b/crates/serving/src/records.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use hookpoint_coordination::serving::fencing::FencingToken;
 use hookpoint_coordination::serving::homes::choice_weight;
+use hookpoint_coordination::serving::withheld_commits::WithheldCommits;
 use hookpoint_state::{DatabaseName, GroupName, StoreEra, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -85,6 +86,18 @@
     pub candidate: DatabaseName,
     /// Fencing token of the promotion order.
     pub fencing_token: FencingToken,
+    /// The commits that nodes no longer acknowledge.
+    pub withheld: WithheldCommits,
+}
+
+/// Decodes a promotion record; returns `None` if `value` is not a valid encoding of one.
+///
+/// Records of versions without the field `withheld` end before it. The appended byte encodes its
+/// default value and is ignored after a complete record.
+pub fn decode_promotion(value: &[u8]) -> Option<PromotionRecord> {
+    let mut extended = value.to_vec();
+    extended.push(0);
+    decode(&extended)
 }
 
 /// Encodes a record.
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -146,9 +146,13 @@
         if !self.still_allows(placement) {
             return Attempt::NotRun(AttemptFailure::PlacementChanged);
         }
-        let at_primary =
-            matches!(mode, TransactionMode::LeaderTransaction) || work.access == Access::Write;
-        if at_primary && !self.node.may_write(lease.pool().database()) {
+        let database = lease.pool().database();
+        let is_permitted = match (work.access, mode) {
+            (Access::Write, _) => self.node.may_write(&self.route.group, database),
+            (_, TransactionMode::LeaderTransaction) => self.node.may_use_as_primary(database),
+            _ => true,
+        };
+        if !is_permitted {
             return Attempt::NotRun(AttemptFailure::NoLease);
         }
         let single_write =
@@ -212,8 +216,7 @@
             Ok(_) => {
                 lease.pool().note_served(now, now.since(asked_at));
                 if work.access == Access::Write && matches!(mode, TransactionMode::Autocommit(_)) {
-                    let database = lease.pool().database();
-                    if !self.node.may_acknowledge(&self.route.group, database) {
+                    if !self.may_acknowledge(&lease, &answer) {
                         return Attempt::Unknown;
                     }
                     self.confirm(&lease, asked_at, answer.position);
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -149,9 +149,12 @@
     /// A request waits up to its deadline while a lost primary is being replaced. It is refused at
     /// once when the replacement has taken longer than `EXPECTED_FAILOVER_TIME`, when this node's
     /// primary lease lapsed `LEASE_RECOVERY_LIMIT` ago or earlier, and when this node is isolated.
-    fn wait_deadline(&self) -> Timestamp {
+    fn wait_deadline(&self, access: Access) -> Timestamp {
         let now = self.node.now();
-        let lapsed = self.node.lease_lapsed_since();
+        let lapsed = match access {
+            Access::Write => self.node.write_lease_lapsed_since(&self.route.group),
+            Access::Read => self.node.lease_lapsed_since(),
+        };
         if lapsed.is_some_and(|since| now.since(since) >= LEASE_RECOVERY_LIMIT) {
             return now;
         }
@@ -161,7 +164,9 @@
         let lost_since = self.node.with_group(&self.route.group, |state| {
             state.contact.lost_since.or(state.leaderless_since)
         });
-        let failover_since = lost_since.or_else(|| self.draining_leader_failover_since());
+        let failover_since = lost_since
+            .or_else(|| self.draining_leader_failover_since())
+            .or_else(|| self.promotion_pending_since(access));
         match failover_since {
             Some(since) if now.since(since) >= EXPECTED_FAILOVER_TIME => now,
             _ => self.deadline(),
@@ -184,12 +189,23 @@
         Some(ordered_at.map_or(draining_since, |ordered_at| ordered_at.max(draining_since)))
     }
 
+    /// Returns since when a promotion has been pending that withholds the group's writes; `None` if
+    /// none is, or for a read.
+    fn promotion_pending_since(&self, access: Access) -> Option<Timestamp> {
+        match access {
+            Access::Write => self.node.promotion_pending_since(&self.route.group),
+            Access::Read => None,
+        }
+    }
+
     /// Waits until a database may have become usable; fails at once if none is expected to.
-    async fn await_target(&self, only_leader: bool) -> Result<(), NoTarget> {
+    async fn await_target(&self, access: Access, only_leader: bool) -> Result<(), NoTarget> {
         let limit = match self.evacuation_wait(only_leader) {
-            Some(EvacuationWait::FailoverExpectedBy(limit)) => limit.min(self.wait_deadline()),
+            Some(EvacuationWait::FailoverExpectedBy(limit)) => {
+                limit.min(self.wait_deadline(access))
+            }
             Some(EvacuationWait::NoFailover) => return Err(NoTarget::ZoneEvacuated),
-            None => self.wait_deadline(),
+            None => self.wait_deadline(access),
         };
         let left = limit.since(self.node.now());
         if left < MIN_ATTEMPT_TIME {
@@ -243,7 +259,8 @@
                 }
                 Ok((None, need)) => {
                     excluded.clear();
-                    if let Err(no_target) = self.await_target(self.only_leader_serves(need)).await {
+                    let only_leader = self.only_leader_serves(need);
+                    if let Err(no_target) = self.await_target(work.access, only_leader).await {
                         return Err(self.refuse_without_target(work, summary, no_target));
                     }
                     continue;
--- a/crates/serving/src/statement/region_restriction.rs
+++ b/crates/serving/src/statement/region_restriction.rs
@@ -70,6 +70,10 @@
             return Err(placement_error);
         }
         let target = match need {
+            RequiredDatabase::Primary if work.access == Access::Write => {
+                let target = self.leader_target(&placement);
+                target.filter(|target| !self.withholds_writes_at(target))
+            }
             RequiredDatabase::Primary => self.leader_target(&placement),
             RequiredDatabase::AnyDatabase => self.read_target(&placement, excluded),
         };
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -65,6 +65,13 @@
         placement.permit(&database, &self.node.changeable().regions)
     }
 
+    /// Returns whether a write at the target would have to wait for a promotion or for this node's
+    /// primary lease.
+    pub(super) fn withholds_writes_at(&self, target: &Target) -> bool {
+        self.node
+            .withholds_writes(&self.route.group, target.database())
+    }
+
     pub(super) fn leader_target(&self, placement: &Rc<Placement>) -> Option<Target> {
         let leader = self.leader_in_contact()?;
         self.permit(placement, &leader).map(Target::Leader)
--- a/crates/serving/src/statement/transaction.rs
+++ b/crates/serving/src/statement/transaction.rs
@@ -86,11 +86,26 @@
         }
     }
 
-    /// Returns whether the answer to a commit may be sent to the caller. A successful commit at a
-    /// primary that this node may no longer use may be lost in a failover.
-    fn may_acknowledge_commit(&self, lease: &Lease, answer: &Answer) -> bool {
+    /// Returns whether the answer to a write or a commit may be sent to the caller. A successful
+    /// one at a primary that this node may no longer use may be lost in a failover.
+    pub(super) fn may_acknowledge(&self, lease: &Lease, answer: &Answer) -> bool {
         let database = lease.pool().database();
-        answer.result.is_err() || self.node.may_acknowledge(&self.route.group, database)
+        let term = answer.position.map(|position| position.term);
+        let group = &self.route.group;
+        let is_permitted =
+            answer.result.is_err() || self.node.may_acknowledge(group, database, term);
+        if !is_permitted {
+            self.node.log(
+                "answer_withheld",
+                &[
+                    ("group", group.as_str().into()),
+                    ("database", database.as_str().into()),
+                    ("term", term.map(|term| term.0).into()),
+                    ("lease", self.node.holds_primary_lease().into()),
+                ],
+            );
+        }
+        is_permitted
     }
 
     /// Commits the transaction that is open on `lease`. `wrote`: whether the transaction has
@@ -101,13 +116,17 @@
         lease: &mut Lease,
         wrote: bool,
     ) -> Result<Answer, Failure> {
-        if wrote && !self.node.may_write(lease.pool().database()) {
+        if wrote
+            && !self
+                .node
+                .may_write(&self.route.group, lease.pool().database())
+        {
             return Err(rolled_back());
         }
         let _in_flight = wrote.then(|| WriteInFlight::new(self.node, &self.route.group));
         let asked_at = self.node.now();
         match self.commit_with_retries(id, lease).await {
-            Ok(Some(answer)) if !wrote || self.may_acknowledge_commit(lease, &answer) => {
+            Ok(Some(answer)) if !wrote || self.may_acknowledge(lease, &answer) => {
                 if wrote && answer.result.is_ok() {
                     self.confirm(lease, asked_at, answer.position);
                 }
--- a/lab/sim/src/models/mod.rs
+++ b/lab/sim/src/models/mod.rs
@@ -5,3 +5,4 @@
 pub mod primary_lease;
 pub mod quota;
 pub mod rollout;
+pub mod synchronous_promotion;
