A new coordinator waits for all earlier leases at once

A coordinator that took office while a node was cut off waited for the leases of its predecessor and only then for those that other nodes may have granted, so a promotion came up to 2 s later than needed. The time of the others now counts from when a majority had acknowledged, whether or not the predecessor's leases have expired by then.

The new test failed before.

--- a/crates/coordination/src/serving/lease_grantor.rs
+++ b/crates/coordination/src/serving/lease_grantor.rs
@@ -234,6 +234,8 @@
     /// Returns whether no node that has not acknowledged can still hold a lease under which it uses
     /// the replaced primary. `voters` are all nodes that may hold a lease.
     pub fn is_complete(&mut self, voters: &[String], now: Timestamp) -> bool {
+        // Evaluated first because it records when a majority had acknowledged.
+        let others_have_ended = self.others_have_ended(voters, now);
         let missing = self.missing(voters);
         if missing.is_empty() {
             return true;
@@ -246,7 +248,7 @@
         if missing.iter().any(in_force) {
             return false;
         }
-        self.predecessor_has_ended(now) && self.others_have_ended(voters, now)
+        others_have_ended && self.predecessor_has_ended(now)
     }
 
     /// Returns whether all leases that an earlier coordinator granted with the store's authority
--- a/crates/coordination/tests/serving_primary_lease.rs
+++ b/crates/coordination/tests/serving_primary_lease.rs
@@ -305,6 +305,21 @@
     assert!(withdrawal.is_complete(&voters, ended));
 }
 
+/// Leases of the predecessor and those that other nodes granted expire at the same time, not one
+/// after the other.
+#[test]
+fn a_new_coordinator_waits_for_all_earlier_leases_at_once() {
+    let voters = names(&["a", "b", "c"]);
+    let grantor = coordinator(at(0));
+    let mut withdrawal = withdrawal(&grantor);
+    withdrawal.acknowledge("a", false);
+    withdrawal.acknowledge("b", true);
+    assert!(!withdrawal.is_complete(&voters, at(100)));
+    let ended = at(0) + STORE_AUTHORITY_TIME + LEASE_DURATION;
+    assert!(!withdrawal.is_complete(&voters, ended - ONE_MILLISECOND));
+    assert!(withdrawal.is_complete(&voters, ended));
+}
+
 #[test]
 fn a_former_coordinator_withdraws_nothing() {
     let mut grantor = coordinator(at(0));
