STALE: a session's own writes are kept by group

Cause: a session kept one position of its own writes, with the leadership period and without the group. A write to the second group replaced the position in the first one. Each node numbers the periods of each group from 1, so the foreign position was taken for one of the first group.

Evidence: statements now log the position that a replica must hold.

Fix: OwnWrites keeps the last position by group and returns one only for a group. A write whose position or period is not known, or is no longer kept, leads the session's reads to the primary until it is older than the staleness bound; such writes used to keep the position before or to be taken for the first sample of the present period.

--- a/crates/coordination/src/serving/mod.rs
+++ b/crates/coordination/src/serving/mod.rs
@@ -24,6 +24,7 @@
 pub mod leadership;
 pub mod lease_grantor;
 pub mod local_stalls;
+pub mod own_writes;
 pub mod peer_contact;
 pub mod placement;
 pub mod primary_lease;
--- a/crates/serving/src/leaders.rs
+++ b/crates/serving/src/leaders.rs
@@ -14,7 +14,7 @@
 const LEADER_CONFIRMATION_MAX_AGE: Duration = Duration::from_secs(10);
 
 /// Formats a position for the event log as `term.lsn`.
-fn format_position(position: Position) -> String {
+pub(crate) fn format_position(position: Position) -> String {
     format!("{}.{}", position.term.0, position.lsn.0)
 }
 
--- a/crates/serving/src/session/mod.rs
+++ b/crates/serving/src/session/mod.rs
@@ -9,6 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use hookpoint_coordination::serving::leadership::PeriodPosition;
+use hookpoint_coordination::serving::own_writes::OwnWrites;
 use hookpoint_coordination::serving::session::{Access, Phase, SessionState};
 use hookpoint_coordination::serving::tenancy::{KeyDigest, Principal};
 use hookpoint_coordination::serving::topology::Route;
@@ -75,7 +76,7 @@
         database: String::new(),
         key: KeyDigest::of(&[]),
         state: SessionState::default(),
-        own_position: None,
+        own_writes: OwnWrites::default(),
         transaction: None,
     };
     let outcome = session.run().await;
@@ -102,7 +103,7 @@
     /// Digest of the key that the caller sent.
     key: KeyDigest,
     state: SessionState,
-    own_position: Option<PeriodPosition>,
+    own_writes: OwnWrites,
     transaction: Option<Transaction>,
 }
 
@@ -406,11 +407,17 @@
             principal,
             freshness_base,
             arrived,
-            own_position: self.own_position,
+            own_writes: &self.own_writes,
             read_timeouts: Cell::default(),
         }
     }
 
+    /// Records a successful write or commit on `route`, for the session's later reads.
+    fn record_write(&mut self, route: &Route, position: Option<PeriodPosition>) {
+        let answered_at = self.node.now();
+        self.own_writes.record(&route.group, position, answered_at);
+    }
+
     async fn run_single(&mut self, work: Work, arrived: Timestamp) {
         let (route, principal) = match self.admission() {
             Ok(admitted) => admitted,
@@ -420,9 +427,9 @@
         let outcome = request.run_single(&work).await;
         match outcome {
             Ok((answer, database)) => {
-                if work.access == Access::Write {
-                    let written = request.written_position(&database, &answer);
-                    self.own_position = written.or(self.own_position);
+                if work.access == Access::Write && answer.result.is_ok() {
+                    let position = request.written_position(&database, &answer);
+                    self.record_write(&route, position);
                 }
                 self.forward_answer(answer);
             }
@@ -505,9 +512,9 @@
         let request = self.request(&route, &principal, transaction.began_at, arrived);
         match request.commit(&id, &mut lease, transaction.wrote).await {
             Ok(answer) => {
-                if transaction.wrote {
-                    let written = request.written_position(lease.pool().database(), &answer);
-                    self.own_position = written.or(self.own_position);
+                if transaction.wrote && answer.result.is_ok() {
+                    let position = request.written_position(lease.pool().database(), &answer);
+                    self.record_write(&route, position);
                 }
                 self.forward_answer(answer);
             }
--- a/crates/serving/src/statement/mod.rs
+++ b/crates/serving/src/statement/mod.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hookpoint_coordination::serving::leadership::PeriodPosition;
+use hookpoint_coordination::serving::own_writes::OwnWrites;
 use hookpoint_coordination::serving::placement::RequiredDatabase;
 use hookpoint_coordination::serving::session::{Access, Phase, PreparedShape, SessionState};
 use hookpoint_coordination::serving::tenancy::Principal;
@@ -121,8 +121,8 @@
     pub freshness_base: Timestamp,
     /// When this statement arrived.
     pub arrived: Timestamp,
-    /// Position of the session's own last write; `None` before the first.
-    pub own_position: Option<PeriodPosition>,
+    /// The session's own writes.
+    pub own_writes: &'a OwnWrites,
     /// Number of attempts at a read that timed out.
     pub read_timeouts: Cell<u32>,
 }
--- a/crates/serving/src/statement/outcome.rs
+++ b/crates/serving/src/statement/outcome.rs
@@ -10,6 +10,7 @@
 
 use super::attempt::AttemptFailure;
 use super::{Request, Work};
+use crate::leaders::format_position;
 use crate::message::{Failure, FailureCode};
 use crate::units::millis;
 
@@ -166,6 +167,10 @@
             ("reign", leadership_period.0.into()),
             ("confirmed_ms_ago", millis(now.since(confirmed_at)).into()),
             ("sample_ms_ago", sample_age.into()),
+            (
+                "required",
+                self.required_position().map(format_position).into(),
+            ),
             ("held_ms", millis(now.since(self.arrived)).into()),
             ("attempts", summary.attempts.into()),
             ("database", name(&summary.database)),
--- a/crates/serving/src/statement/target.rs
+++ b/crates/serving/src/statement/target.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hookpoint_coordination::serving::evacuation::ZoneAvailability;
+use hookpoint_coordination::serving::own_writes::OwnWriteRequirement;
 use hookpoint_coordination::serving::placement::{PermittedDatabase, Placement};
 use hookpoint_coordination::serving::selection::{Candidate, rank};
 use hookpoint_coordination::serving::topology::Consistency;
@@ -80,16 +81,25 @@
     /// Returns the position that a replica has to hold to serve this request's reads; `None` if
     /// only the primary may serve them or the position is not known.
     pub(super) fn required_position(&self) -> Option<Position> {
-        let (staleness, own) = match self.route.consistency {
+        let group = &self.route.group;
+        let (horizon, own) = match self.route.consistency {
             Consistency::Primary => return None,
-            Consistency::BoundedStaleness(bound) => (bound, None),
-            Consistency::ReadYourWrites(bound) => (bound, self.own_position),
+            Consistency::BoundedStaleness(bound) => {
+                (self.freshness_base - bound, OwnWriteRequirement::None)
+            }
+            Consistency::ReadYourWrites(bound) => {
+                let horizon = self.freshness_base - bound;
+                (horizon, self.own_writes.requirement(group, horizon))
+            }
         };
-        self.node.with_group(&self.route.group, |state| {
-            let floor = state.leadership.floor(self.freshness_base - staleness)?;
+        self.node.with_group(group, |state| {
+            let floor = state.leadership.floor(horizon)?;
             match own {
-                Some(own) => Some(floor.max(state.leadership.translate(own)?)),
-                None => Some(floor),
+                OwnWriteRequirement::None => Some(floor),
+                OwnWriteRequirement::Position(own) => {
+                    Some(floor.max(state.leadership.translate(own)?))
+                }
+                OwnWriteRequirement::UnknownPosition => None,
             }
         })
     }
--- a/crates/serving/src/statement/transaction.rs
+++ b/crates/serving/src/statement/transaction.rs
@@ -1,7 +1,7 @@
 //! The later statements of an open transaction and its commit.
 
 use bytes::Bytes;
-use hookpoint_coordination::serving::leadership::PeriodPosition;
+use hookpoint_coordination::serving::leadership::{LeadershipPeriod, PeriodPosition};
 use hookpoint_coordination::serving::session::Phase;
 use hookpoint_state::DatabaseName;
 use tokio::time::sleep;
@@ -151,18 +151,20 @@
         }
     }
 
-    /// Returns the session's position after `database` answered a write or its commit; `None` if
-    /// that failed or the answer holds no position.
+    /// Returns the position that `database` reported in its answer to a write or a commit; `None`
+    /// if the answer holds none, or if another database leads by now, so that the leadership period
+    /// of the position is not known.
     pub(crate) fn written_position(
         &self,
         database: &DatabaseName,
         answer: &Answer,
     ) -> Option<PeriodPosition> {
-        let position = answer.position.filter(|_| answer.result.is_ok())?;
+        let position = answer.position?;
         let leadership_period = self.node.with_group(&self.route.group, |state| {
             state.leadership.leadership_period_of(database)
         });
-        Some(PeriodPosition {
+        let is_known = leadership_period != LeadershipPeriod::default();
+        is_known.then_some(PeriodPosition {
             leadership_period,
             position,
         })
