--- a/crates/coordination/src/serving/own_writes.rs
+++ b/crates/coordination/src/serving/own_writes.rs
@@ -52,18 +52,28 @@
         position: Option<PeriodPosition>,
         answered_at: Timestamp,
     ) {
-        self.writes.retain(|write| write.group != *group);
-        if self.writes.len() == MAX_GROUPS {
-            let oldest = self.writes.remove(0);
-            self.forgotten = Some(oldest.answered_at);
-        }
+        let kept = self.writes.iter().position(|write| write.group == *group);
+        let group = match kept {
+            Some(index) => self.writes.remove(index).group,
+            None => {
+                self.forget_oldest_if_full();
+                group.clone()
+            }
+        };
         self.writes.push(OwnWrite {
-            group: group.clone(),
+            group,
             position,
             answered_at,
         });
     }
 
+    fn forget_oldest_if_full(&mut self) {
+        if self.writes.len() == MAX_GROUPS {
+            let oldest = self.writes.remove(0);
+            self.forgotten = Some(oldest.answered_at);
+        }
+    }
+
     /// Returns what a read of `group` has to see, if it sees every commit acknowledged before
     /// `horizon` in any case.
     pub fn requirement(&self, group: &GroupName, horizon: Timestamp) -> OwnWriteRequirement {
--- a/crates/serving/src/coordinator/order/synchronous.rs
+++ b/crates/serving/src/coordinator/order/synchronous.rs
@@ -54,7 +54,7 @@
         return Err(OrderError::Rejected);
     }
     let history = promotion_history(node, &replacement);
-    for _ in 0..MAX_CANDIDATES {
+    for candidates in 1.. {
         let announced = Announced {
             order: replacement.next_order(node)?,
             withheld: history.withheld_by(&replacement.candidate),
@@ -64,10 +64,10 @@
         announced.announce(node, peers).await?;
         match announced.compare_again(node).await {
             Some(best) if best == replacement.candidate => return announced.send(node).await,
-            Some(best) => replacement.candidate = best,
-            None => {
+            Some(best) if candidates < MAX_CANDIDATES => replacement.candidate = best,
+            _ => {
                 announced.revert(node, "no candidate").await;
-                return Err(OrderError::Rejected);
+                break;
             }
         }
     }
