Announcements keep their encoding for the version before

Nodes are upgraded one by one, and the commits that an announcement withholds had been added inside it: a node of the version before misread lists of announcements, and its own could not be read here, so where promotions are not fenced it got no lease after a promotion. Found by reading.

What is withheld now comes after the fields that the version before knows. It ignores bytes after a complete message; a message or record of that version is decoded with one zero byte more, which encodes the default.

Tests: datagrams and records of both versions in crates/serving/tests.

--- a/crates/serving/src/coordinator/withdrawal.rs
+++ b/crates/serving/src/coordinator/withdrawal.rs
@@ -110,6 +110,7 @@
         coordinator,
         node: node.settings.name.clone(),
         announcement: announcement.clone(),
+        withheld: announcement.withheld,
     };
     for member in names.iter().filter_map(|name| members.get(*name)) {
         if member.peer_address != node.settings.peer_address {
--- a/crates/serving/src/peer_message.rs
+++ b/crates/serving/src/peer_message.rs
@@ -7,6 +7,7 @@
 use hookpoint_coordination::serving::failover::Observation;
 use hookpoint_coordination::serving::primary_lease::{LeaseAnswer, LeaseRequest};
 use hookpoint_coordination::serving::quota::TokenAnswer;
+use hookpoint_coordination::serving::withheld_commits::WithheldCommits;
 use hookpoint_state::{DatabaseName, GroupName, Position, StoreRevision, TenantName};
 use serde::{Deserialize, Serialize};
 
@@ -105,6 +106,8 @@
         node: String,
         /// The announced promotion.
         announcement: Announcement,
+        /// The commits that it withholds.
+        withheld: WithheldCommits,
     },
     /// Answers `Announce`: the sender no longer uses the replaced primary.
     Acknowledge {
@@ -131,6 +134,22 @@
     },
 }
 
+impl PeerMessage {
+    /// Decodes the datagram in the first `length` bytes of `buffer`, which has at least one byte
+    /// more.
+    ///
+    /// Some messages end with a field that earlier versions do not send. The byte after the
+    /// datagram encodes its default value; it is ignored after a complete message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are not a valid encoding of a message.
+    pub fn decode(buffer: &mut [u8], length: usize) -> Result<Self, postcard::Error> {
+        buffer[length] = 0;
+        postcard::from_bytes(&buffer[..=length])
+    }
+}
+
 /// A primary's position as known to one node, for nodes that do not query the primary themselves.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrimarySample {
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -20,7 +20,7 @@
 use crate::counters::Counters;
 use crate::node::Node;
 use crate::peer_message::{PeerMessage, PrimarySample};
-use crate::primary_lease;
+use crate::primary_lease::{self, Announcement};
 use crate::reachability;
 use crate::tokens;
 
@@ -85,14 +85,15 @@
 
     /// Answers requests and handles answers of peers until the node shuts down.
     pub async fn serve(self: Rc<Self>, node: Rc<Node>) {
-        let mut datagram = vec![0_u8; MAX_DATAGRAM];
+        let mut buffer = vec![0_u8; MAX_DATAGRAM + 1];
         loop {
-            let Ok((length, sender)) = self.socket.recv_from(&mut datagram).await else {
+            let datagram = &mut buffer[..MAX_DATAGRAM];
+            let Ok((length, sender)) = self.socket.recv_from(datagram).await else {
                 node.counters.count("peer_datagrams", "receiving_failed");
                 sleep(RECEIVE_PAUSE).await;
                 continue;
             };
-            match postcard::from_bytes(&datagram[..length]) {
+            match PeerMessage::decode(&mut buffer, length) {
                 Ok(message) => self.handle(&node, message, sender),
                 Err(_) => node.counters.count("peer_datagrams", "unreadable"),
             }
@@ -211,19 +212,25 @@
                 coordinator,
                 node: sender_name,
                 announcement,
-            } if primary_lease::handle_announcement(
-                node,
-                coordinator,
-                &sender_name,
-                &announcement,
-            ) =>
-            {
-                let answer = PeerMessage::Acknowledge {
-                    node: node.settings.name.clone(),
-                    revision: announcement.revision,
-                    voted_for_others: node.voted_for_others(),
+                withheld,
+            } => {
+                let announcement = Announcement {
+                    withheld,
+                    ..announcement
                 };
-                self.send(&answer, sender);
+                if primary_lease::handle_announcement(
+                    node,
+                    coordinator,
+                    &sender_name,
+                    &announcement,
+                ) {
+                    let answer = PeerMessage::Acknowledge {
+                        node: node.settings.name.clone(),
+                        revision: announcement.revision,
+                        voted_for_others: node.voted_for_others(),
+                    };
+                    self.send(&answer, sender);
+                }
             }
             PeerMessage::Acknowledge {
                 node: peer,
--- a/crates/serving/src/primary_lease.rs
+++ b/crates/serving/src/primary_lease.rs
@@ -36,7 +36,9 @@
     pub token: FencingToken,
     /// Revision of the announcement's record in the store.
     pub revision: StoreRevision,
-    /// The commits that nodes no longer acknowledge because of it.
+    /// The commits that nodes no longer acknowledge because of it. Messages carry it after the
+    /// fields that earlier versions know.
+    #[serde(skip)]
     pub withheld: WithheldCommits,
 }
 
@@ -47,6 +49,34 @@
     pub newer: Vec<Announcement>,
     /// Store revision up to which the sender knows all announcements.
     pub known: StoreRevision,
+    /// What each of `newer` withholds; empty if none withholds anything.
+    pub withheld: Vec<WithheldCommits>,
+}
+
+impl Promotions {
+    /// Returns the promotions to report, for a sender that knows all announcements up to `known`.
+    pub fn new(newer: Vec<Announcement>, known: StoreRevision) -> Self {
+        let withheld: Vec<_> = newer.iter().map(|newer| newer.withheld).collect();
+        let withholds = withheld.iter().any(|it| *it != WithheldCommits::None);
+        Self {
+            newer,
+            known,
+            withheld: if withholds { withheld } else { Vec::new() },
+        }
+    }
+
+    /// Returns the reported announcements with what they withhold.
+    pub fn announcements(&self) -> impl Iterator<Item = Announcement> {
+        let withheld = self.withheld.iter().copied();
+        let withheld = withheld.chain(std::iter::repeat(WithheldCommits::None));
+        self.newer
+            .iter()
+            .zip(withheld)
+            .map(|(newer, withheld)| Announcement {
+                withheld,
+                ..newer.clone()
+            })
+    }
 }
 
 /// Time without a lease after which requests that need a primary are refused immediately: the
@@ -166,7 +196,7 @@
     request: &LeaseRequest,
     promotions: &Promotions,
 ) -> PeerMessage {
-    node.learn_announcements(&promotions.newer);
+    node.learn_announcements(promotions);
     node.primary_lease
         .borrow_mut()
         .follow(request.coordinator, node.now());
@@ -179,7 +209,7 @@
 /// Handles the answer to a lease request. The announcements in the answer take effect before the
 /// lease does, so the lease never covers a primary that they replace.
 pub(crate) fn handle_answer(node: &Rc<Node>, answer: &LeaseAnswer, promotions: &Promotions) {
-    node.learn_announcements(&promotions.newer);
+    node.learn_announcements(promotions);
     node.note_promotions_known(promotions.known);
     node.close_replaced_primaries();
     if node.primary_lease.borrow_mut().take(answer, node.now()) {
@@ -296,10 +326,7 @@
                 withheld: state.withheld,
             })
         });
-        Promotions {
-            newer: newer.collect(),
-            known: self.promotions_known_up_to.get(),
-        }
+        Promotions::new(newer.collect(), self.promotions_known_up_to.get())
     }
 
     /// Clears the announcements recorded as listed, before a complete listing of the store is
@@ -311,9 +338,9 @@
     }
 
     /// Applies announcements passed on by a peer.
-    fn learn_announcements(&self, announcements: &[Announcement]) {
-        for announcement in announcements {
-            self.learn_promotion(announcement);
+    fn learn_announcements(&self, promotions: &Promotions) {
+        for announcement in promotions.announcements() {
+            self.learn_promotion(&announcement);
         }
     }
 
