Synchronous groups: a pending promotion outlives a restart of its candidate

A candidate that started again under its id made a node of a fenced deployment forget the announced promotion. The next one was then taken for the only one that can take effect, and lease messages no longer carried the announcement, while the earlier order could still be carried out. Groups that withhold nothing are as before. Found by reading; no test of its own yet. database_incarnations and synchronous_promotions pass.

--- a/crates/serving/src/database_incarnation.rs
+++ b/crates/serving/src/database_incarnation.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use hookpoint_coordination::serving::directory::{Database, RegistrationOutcome};
+use hookpoint_coordination::serving::withheld_commits::WithheldCommits;
 use hookpoint_state::{DatabaseName, StoreRevision, Timestamp};
 
 use crate::node::{Contact, Node};
@@ -86,9 +87,11 @@
                 state.overruled_proof = None;
             }
             // Where promotions are not fenced, only the candidate of the newest order may lead,
-            // also after a restart, until another promotion is announced.
+            // also after a restart, until another promotion is announced. In a synchronous group
+            // an order for the candidate may take effect after the restart as well.
             let fenced = self.changeable().fenced_promotions;
-            if fenced && state.promoting.as_ref().is_some_and(names_database) {
+            let withholds = state.withheld != WithheldCommits::None;
+            if fenced && !withholds && state.promoting.as_ref().is_some_and(names_database) {
                 state.promoting = None;
             }
             had_led
