--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -27,6 +27,7 @@
         "silent-leave" => silent_leave(root, trouble, record, false),
         "restarted-coordinator" => silent_leave(root, trouble, record, true),
         "commit" => errors_after_run(root, trouble, record, true),
+        "empty-primary" => empty_primary(root, trouble, record),
         "mixed" => crate::mixed::search(root, trouble, record),
         _ => Outcome::NotRun,
     }
@@ -368,3 +369,128 @@
         Outcome::Broken
     }
 }
+
+/// How long the primary is down in case 8.
+const DOWN_TIME: Duration = Duration::from_millis(20);
+/// How long after its start the database writes its entry: half a heartbeat.
+const FIRST_HEARTBEAT: Duration = Duration::from_millis(600);
+/// Number of writes that every database has received before the primary crashes.
+const WRITES: u64 = 40;
+
+/// Case 8: a primary crashes and starts again at once under its id, without its log.
+fn empty_primary(root: &Path, trouble: bool, record: &Arc<Record>) -> Outcome {
+    let stale: Arc<Mutex<Vec<String>>> = Arc::default();
+    let found = Arc::clone(&stale);
+    let plan = Plan {
+        nodes: 6,
+        max_connections: CONNECTIONS,
+        fenced: false,
+        sync_replicas: 0,
+        second: None,
+        databases: 3,
+        disruption: Box::new(move |incoming, state| {
+            if incoming.kind == Kind::Read && incoming.received < state.log.len() {
+                found.lock().unwrap().push(incoming.id.to_owned());
+            }
+            Verdict::Run
+        }),
+    };
+    let Some(mut deployment) = Deployment::start(plan, root, record) else {
+        return Outcome::NotRun;
+    };
+    let front = deployment.nodes[0].front;
+    let written = Session::open(front, "accept", "writer", record).and_then(|mut session| {
+        for number in 0..WRITES {
+            let answer = session.query(&format!("w{number}"), &format!("WRITE t{number} new"))?;
+            if answer.code.is_some() {
+                return Err(std::io::ErrorKind::Other.into());
+            }
+        }
+        Ok(())
+    });
+    if written.is_err() {
+        return Outcome::NotRun;
+    }
+    thread::sleep(Duration::from_secs(1));
+    let served: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    let until = Instant::now() + Duration::from_secs(8);
+    let clients: Vec<_> = deployment
+        .nodes
+        .iter()
+        .cycle()
+        .take(deployment.nodes.len() * 3)
+        .enumerate()
+        .map(|(number, node)| {
+            let (front, record) = (node.front, Arc::clone(record));
+            let served = Arc::clone(&served);
+            thread::spawn(move || {
+                let mut operation = 0;
+                while Instant::now() < until {
+                    let name = format!("c{number}");
+                    let Ok(mut session) = Session::open(front, "accept", &name, &record) else {
+                        thread::sleep(PAUSE);
+                        continue;
+                    };
+                    while Instant::now() < until {
+                        operation += 1;
+                        let id = format!("{number:02x}{operation:06x}");
+                        let read = format!("READ t{}", operation % WRITES);
+                        match session.query(&id, &read) {
+                            Ok(answer) if answer.code.is_none() => {
+                                served.lock().unwrap().insert(id);
+                            }
+                            Ok(answer) if answer.state == "I" => {}
+                            _ => break,
+                        }
+                        thread::sleep(Duration::from_millis(15));
+                    }
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(2));
+    if trouble {
+        record.note("primary 0 crashes".to_owned());
+        deployment.service.state().crash(0);
+        thread::sleep(DOWN_TIME);
+        deployment.service.state().restart_empty();
+        record.note("database 0 is back, empty, and leads".to_owned());
+        thread::sleep(FIRST_HEARTBEAT);
+        deployment.registry.write();
+    }
+    for client in clients {
+        let _ended = client.join();
+    }
+    deployment.note_events(&[
+        "database_restarted",
+        "primary_lost_commits",
+        "promotion_ordered",
+    ]);
+    let served = served.lock().unwrap();
+    let stale: Vec<String> = stale
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|id| served.contains(*id))
+        .cloned()
+        .collect();
+    for id in &stale {
+        record.note(format!(
+            "STALE: read {id} ran on a log without the acknowledged writes"
+        ));
+    }
+    println!(
+        "{} reads served, {} of them without acknowledged commits, database {} leads",
+        served.len(),
+        stale.len(),
+        deployment.service.state().primary
+    );
+    if deployment.lost_a_process() || served.len() < 500 {
+        return Outcome::NotRun;
+    }
+    if stale.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    }
+}
--- a/review/standin-2/src/database.rs
+++ b/review/standin-2/src/database.rs
@@ -98,6 +98,10 @@
     pub sync_replicas: usize,
     /// What each database has of the log since the primary crashed.
     frozen: BTreeMap<usize, usize>,
+    /// A primary that has started again and holds nothing.
+    emptied: Option<usize>,
+    /// How often each database has started.
+    pub starts: Vec<u64>,
     /// Commits that promotions rolled back.
     pub rolled_back: BTreeSet<String>,
 }
@@ -153,6 +157,8 @@
                 floors: vec![0; places.len()],
                 sync_replicas: 0,
                 frozen: BTreeMap::new(),
+                emptied: None,
+                starts: vec![1; places.len()],
                 rolled_back: BTreeSet::new(),
             }),
             disruption,
@@ -181,6 +187,9 @@
 impl State {
     /// Returns the number of entries that a database has received.
     pub fn received(&self, index: usize) -> usize {
+        if self.emptied == Some(index) {
+            return 0;
+        }
         if index == self.primary {
             return self.log.len();
         }
@@ -221,6 +230,15 @@
         self.crashes[index] += 1;
     }
 
+    /// Starts the crashed primary again under its id. It still leads and holds nothing; the replicas
+    /// keep what they have received.
+    pub fn restart_empty(&mut self) {
+        let primary = self.primary;
+        self.down.remove(&primary);
+        self.starts[primary] += 1;
+        self.emptied = Some(primary);
+    }
+
     /// Starts a crashed database again, with its log.
     pub fn restart(&mut self, index: usize) {
         self.down.remove(&index);
@@ -252,6 +270,7 @@
                 self.rolled_back.insert(lost.id);
             }
             self.frozen.clear();
+            self.emptied = None;
             self.floors = reached;
             self.primary = index;
             self.term += 1;
--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -26,6 +26,8 @@
 pub const SERVICE: &str = "orders";
 /// Name of the second service.
 pub const SECOND_SERVICE: &str = "panels";
+/// Unix millisecond before the starts of the databases.
+const FIRST_START: u64 = 1_796_000_000_000;
 /// First of the ports that the nodes use among themselves.
 const FIRST_PORT: u16 = 7440;
 /// How long a promotion takes.
@@ -419,7 +421,7 @@
                     "replica"
                 };
                 let entry = json!({"service": self.service.name, "address": database.address.to_string(),
-                    "zone": database.zone, "version": 1, "slots": 3, "state": "ready",
+                    "zone": database.zone, "born": FIRST_START + state.starts[*index], "version": 1, "slots": 3, "state": "ready",
                     "cold_remaining_ms": 0, "sequence": 1, "database_role": role});
                 (database.id.clone(), entry)
             };
