--- a/review/standin-2/src/mixed.rs
+++ b/review/standin-2/src/mixed.rs
@@ -489,7 +489,7 @@
         max_connections: number("CONNECTIONS", 23) as usize,
         fenced: number("FENCED", 1) == 1,
         sync_replicas: number("SYNC", 0) as usize,
-        second: Some(Box::new(disruption.clone())),
+        further: vec![Box::new(disruption.clone())],
         databases: 3,
         disruption: Box::new(disruption),
     };
