serving: count the proofs of failures, and log those that fail

A failure that may be another command's is proved by the answers to further commands. Whether a proof was needed, and how it ended, could not be seen: a write that was tried again because the peer that holds the connection refused a proof looked like one whose database gets no more work (last_failure=not_sent in both cases).

hookpoint_answer_proofs_total and hookpoint_relayed_answer_proofs_total count proofs by outcome, and answer_unproved names the request, the reason and the outcome of one that failed.

No decision changes.

--- a/crates/serving/src/connection.rs
+++ b/crates/serving/src/connection.rs
@@ -123,6 +123,49 @@
     hasher.finish()
 }
 
+/// How the proof of a failure ended that may have been another command's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProofOutcome {
+    /// The failure was in its place.
+    Proved,
+    /// An answer to the proof does not follow from the failure, or cannot be attributed itself.
+    Disproved,
+    /// The peer that holds the connection did not send the proof.
+    NotSent,
+    /// The proof was sent and not answered.
+    Unanswered,
+}
+
+impl ProofOutcome {
+    fn of(outcome: &Result<(), ConnectionError>) -> Self {
+        match outcome {
+            Ok(()) => ProofOutcome::Proved,
+            Err(ConnectionError::NotSent) => ProofOutcome::NotSent,
+            Err(error) if error.is_misattribution() => ProofOutcome::Disproved,
+            Err(_) => ProofOutcome::Unanswered,
+        }
+    }
+
+    /// Returns the label used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ProofOutcome::Proved => "proved",
+            ProofOutcome::Disproved => "disproved",
+            ProofOutcome::NotSent => "not_sent",
+            ProofOutcome::Unanswered => "unanswered",
+        }
+    }
+}
+
+/// A proof that an exchange needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Proof {
+    /// Why it was needed.
+    pub reason: MisplacedAnswer,
+    /// How it ended.
+    pub outcome: ProofOutcome,
+}
+
 /// How commands reach the database.
 enum Channel {
     /// Over a connection of this node.
@@ -161,6 +204,8 @@
     pub broken: bool,
     /// When an answer was last received on it.
     pub last_received_at: Timestamp,
+    /// The proof that the last exchange needed.
+    last_proof: Option<Proof>,
 }
 
 impl Connection {
@@ -229,9 +274,15 @@
             prepared: BTreeSet::new(),
             broken: false,
             last_received_at: Timestamp::default(),
+            last_proof: None,
         }
     }
 
+    /// Returns the proof that the last exchange needed, once; `None` if it needed none.
+    pub fn take_last_proof(&mut self) -> Option<Proof> {
+        self.last_proof.take()
+    }
+
     /// Returns whether a read-write transaction is open, which only a primary accepts.
     pub fn is_in_read_write_transaction(&self) -> bool {
         self.in_read_write_transaction
@@ -310,6 +361,10 @@
             } else {
                 self.prove_order(left).await
             };
+            self.last_proof = Some(Proof {
+                reason,
+                outcome: ProofOutcome::of(&proved),
+            });
             proved.map_err(|error| match error {
                 error if error.is_misattribution() => reason.into(),
                 error => error,
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -7,7 +7,7 @@
 use hookpoint_coordination::serving::leadership::Confirmation;
 use hookpoint_state::Timestamp;
 
-use crate::connection::{Answer, Connection, ConnectionError};
+use crate::connection::{Answer, Connection, ConnectionError, Proof, ProofOutcome};
 use crate::message::{Command, FailureCode};
 use crate::node::Node;
 use crate::pool::{CONTROL_LIMIT, Pool};
@@ -92,6 +92,9 @@
         let outcome = self.connection().exchange(commands, limit).await;
         let stage = if relayed { "peer" } else { "database" };
         node.counters.observe(stage, node.now().since(asked_at));
+        if let Some(proof) = self.connection().take_last_proof() {
+            self.record_proof(node, commands, proof, asked_at);
+        }
         if self.pool.is_retired() {
             return outcome;
         }
@@ -170,6 +173,37 @@
         }
     }
 
+    /// Counts the proof that an exchange needed, and logs one that failed.
+    fn record_proof(
+        &mut self,
+        node: &Rc<Node>,
+        commands: &[Command],
+        proof: Proof,
+        asked_at: Timestamp,
+    ) {
+        let relayed = self.connection().is_relayed();
+        let counter = if relayed {
+            "relayed_answer_proofs"
+        } else {
+            "answer_proofs"
+        };
+        node.counters.count(counter, proof.outcome.as_str());
+        if proof.outcome == ProofOutcome::Proved {
+            return;
+        }
+        node.log(
+            "answer_unproved",
+            &[
+                ("database", self.pool.database().as_str().into()),
+                ("reason", proof.reason.as_str().into()),
+                ("proof", proof.outcome.as_str().into()),
+                ("requests", request_ids(commands).into()),
+                ("relayed", relayed.into()),
+                ("waited_ms", millis(node.now().since(asked_at)).into()),
+            ],
+        );
+    }
+
     fn log_misplaced(
         &mut self,
         node: &Rc<Node>,
@@ -178,18 +212,13 @@
         asked_at: Timestamp,
     ) {
         node.counters.count("answers_misplaced", misplaced.as_str());
-        let requests: Vec<String> = commands
-            .iter()
-            .filter_map(Command::request_id)
-            .map(|id| String::from_utf8_lossy(id).into_owned())
-            .collect();
         let relayed = self.connection().is_relayed();
         node.log(
             "answer_misplaced",
             &[
                 ("database", self.pool.database().as_str().into()),
                 ("reason", misplaced.as_str().into()),
-                ("requests", requests.into()),
+                ("requests", request_ids(commands).into()),
                 ("commands", commands.len().into()),
                 ("relayed", relayed.into()),
                 ("waited_ms", millis(node.now().since(asked_at)).into()),
@@ -198,6 +227,15 @@
     }
 }
 
+/// Returns the ids of the callers' statements among `commands`, for logs.
+fn request_ids(commands: &[Command]) -> Vec<String> {
+    commands
+        .iter()
+        .filter_map(Command::request_id)
+        .map(|id| String::from_utf8_lossy(id).into_owned())
+        .collect()
+}
+
 impl Drop for Lease {
     fn drop(&mut self) {
         if let Some(connection) = self.connection.take() {
