--- a/crates/serving/src/connection.rs
+++ b/crates/serving/src/connection.rs
@@ -15,11 +15,11 @@
 use hookpoint_coordination::serving::tenancy::Principal;
 use hookpoint_state::{DatabaseName, GroupName, Position, Timestamp};
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::exchange_error::{ConnectionError, ExchangeError, NotSent};
 use crate::message::{Command, DatabaseMessage, Failure, FailureCode};
 use crate::ports::WireProtocol;
 use crate::receive_buffer::ReceiveBuffer;
@@ -31,55 +31,6 @@
 /// Buffer space reserved for one read, in bytes.
 const READ_CHUNK: usize = 8 << 10;
 
-/// Why a connection could not be opened or can no longer be used.
-#[derive(Debug, Error)]
-pub enum ConnectionError {
-    /// The host refused the connection or reset it.
-    #[error("the database refused or reset the connection: {0}")]
-    Refused(io::Error),
-    /// The connection ended or failed, or a message was invalid.
-    #[error("the connection broke: {0}")]
-    Broken(io::Error),
-    /// The database did not answer in time.
-    #[error("the database did not answer in time")]
-    TimedOut,
-    /// Nothing was sent: the database is draining and gets no more new work, or its zone is
-    /// evacuated.
-    #[error("the database gets no more work")]
-    NotSent,
-    /// Nothing was sent: the answers on the connection could not be attributed to their commands.
-    #[error("the connection cannot be used any more")]
-    Unusable,
-    /// The commands were sent, and an answer may belong to another command.
-    #[error("an answer may belong to another command: {0}")]
-    Misplaced(#[from] MisplacedAnswer),
-    /// The database refused the session.
-    #[error("the database refused the session: {}", .0.code.as_str())]
-    Rejected(Failure),
-}
-
-impl ConnectionError {
-    /// Returns whether the error says nothing about the state of the database: it has answered, but
-    /// the answer cannot be attributed.
-    pub fn is_misattribution(&self) -> bool {
-        matches!(
-            self,
-            ConnectionError::Unusable | ConnectionError::Misplaced(_)
-        )
-    }
-}
-
-impl From<io::Error> for ConnectionError {
-    fn from(error: io::Error) -> Self {
-        match error.kind() {
-            io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => {
-                ConnectionError::Refused(error)
-            }
-            _ => ConnectionError::Broken(error),
-        }
-    }
-}
-
 /// The answer to one command.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Answer {
@@ -137,12 +88,14 @@
 }
 
 impl ProofOutcome {
-    fn of(outcome: &Result<(), ConnectionError>) -> Self {
+    fn of(outcome: &Result<(), ExchangeError>) -> Self {
         match outcome {
             Ok(()) => ProofOutcome::Proved,
-            Err(ConnectionError::NotSent) => ProofOutcome::NotSent,
-            Err(error) if error.is_misattribution() => ProofOutcome::Disproved,
-            Err(_) => ProofOutcome::Unanswered,
+            Err(ExchangeError::NotSent(_)) => ProofOutcome::NotSent,
+            Err(ExchangeError::Unanswered(ConnectionError::Misplaced(_))) => {
+                ProofOutcome::Disproved
+            }
+            Err(ExchangeError::Unanswered(_)) => ProofOutcome::Unanswered,
         }
     }
 
@@ -320,11 +273,16 @@
     /// be no other command's.
     ///
     /// After an error the connection is not used any more, because an answer may still arrive.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError::NotSent`] only if none of the commands was sent, whatever happened after
+    /// that.
     pub async fn exchange(
         &mut self,
         commands: &[Command],
         limit: Duration,
-    ) -> Result<Vec<Answer>, ConnectionError> {
+    ) -> Result<Vec<Answer>, ExchangeError> {
         self.broken = true;
         let outcome = self.exchange_attributed(commands, limit).await;
         match &outcome {
@@ -343,32 +301,32 @@
         &mut self,
         commands: &[Command],
         limit: Duration,
-    ) -> Result<Vec<Answer>, ConnectionError> {
+    ) -> Result<Vec<Answer>, ExchangeError> {
         if !self.order.may_send(commands.iter().map(Command::kind)) {
-            return Err(ConnectionError::Unusable);
+            return Err(NotSent::Unusable.into());
         }
         if self.idle_input_received() {
-            return Err(ConnectionError::Unusable);
+            return Err(NotSent::Unusable.into());
         }
         let deadline = Instant::now() + limit;
-        let mut answers = self.send_and_receive(commands, limit).await?;
+        let answers = self.send_and_receive(commands, limit).await?;
+        let answers = self.accept_answers(commands, answers, deadline).await?;
+        Ok(answers)
+    }
+
+    /// Attributes the answers to commands that were sent, and proves the last one if it may be
+    /// another command's.
+    async fn accept_answers(
+        &mut self,
+        commands: &[Command],
+        mut answers: Vec<Answer>,
+        deadline: Instant,
+    ) -> Result<Vec<Answer>, ConnectionError> {
         if let Some(reason) = self.attribute(commands, &answers)? {
             let left = deadline.saturating_duration_since(Instant::now());
             let leaves_open = matches!(commands.last(), Some(Command::Commit { .. }))
                 && answers.last().map(|answer| answer.phase) == Some(Phase::InTransaction);
-            let proved = if leaves_open {
-                self.prove_transaction_open(left).await
-            } else {
-                self.prove_order(left).await
-            };
-            self.last_proof = Some(Proof {
-                reason,
-                outcome: ProofOutcome::of(&proved),
-            });
-            proved.map_err(|error| match error {
-                error if error.is_misattribution() => reason.into(),
-                error => error,
-            })?;
+            self.prove(reason, leaves_open, left).await?;
             if let Some(failed) = answers.last_mut().filter(|_| !leaves_open) {
                 failed.phase = Phase::Idle;
             }
@@ -379,15 +337,42 @@
         Ok(answers)
     }
 
+    /// Proves a failure that may be another command's for `reason`. A proof that was not sent, or
+    /// that contradicts the failure, leaves the outcome of the commands before it unknown.
+    async fn prove(
+        &mut self,
+        reason: MisplacedAnswer,
+        leaves_open: bool,
+        limit: Duration,
+    ) -> Result<(), ConnectionError> {
+        let proved = if leaves_open {
+            self.prove_transaction_open(limit).await
+        } else {
+            self.prove_order(limit).await
+        };
+        self.last_proof = Some(Proof {
+            reason,
+            outcome: ProofOutcome::of(&proved),
+        });
+        proved.map_err(|error| match error {
+            ExchangeError::NotSent(_)
+            | ExchangeError::Unanswered(ConnectionError::Misplaced(_)) => reason.into(),
+            ExchangeError::Unanswered(error) => error,
+        })
+    }
+
     async fn send_and_receive(
         &mut self,
         commands: &[Command],
         limit: Duration,
-    ) -> Result<Vec<Answer>, ConnectionError> {
+    ) -> Result<Vec<Answer>, ExchangeError> {
         match &mut self.channel {
-            Channel::Direct(channel) => timeout(limit, channel.exchange(commands))
-                .await
-                .unwrap_or(Err(ConnectionError::TimedOut)),
+            Channel::Direct(channel) => {
+                let answers = timeout(limit, channel.exchange(commands))
+                    .await
+                    .unwrap_or(Err(ConnectionError::TimedOut))?;
+                Ok(answers)
+            }
             Channel::Relayed(channel) => channel.exchange(commands, limit).await,
         }
     }
@@ -428,7 +413,7 @@
     }
 
     /// Rolls the transaction back and proves that the last failure was in its place.
-    async fn prove_order(&mut self, limit: Duration) -> Result<(), ConnectionError> {
+    async fn prove_order(&mut self, limit: Duration) -> Result<(), ExchangeError> {
         let commands = [
             Command::Rollback,
             Command::Begin {
@@ -443,7 +428,7 @@
 
     /// Proves that a failed commit has left its transaction open: the answer to a commit that ran
     /// would come before that to a command inside the transaction.
-    async fn prove_transaction_open(&mut self, limit: Duration) -> Result<(), ConnectionError> {
+    async fn prove_transaction_open(&mut self, limit: Duration) -> Result<(), ExchangeError> {
         self.prove_by(&[Command::open_transaction_probe()], limit)
             .await
     }
@@ -453,7 +438,7 @@
         &mut self,
         commands: &[Command],
         limit: Duration,
-    ) -> Result<(), ConnectionError> {
+    ) -> Result<(), ExchangeError> {
         let answers = self.send_and_receive(commands, limit).await?;
         let unproved = self.attribute(commands, &answers)?;
         if unproved.is_some() || answers.iter().any(|answer| answer.result.is_err()) {
--- a/crates/serving/src/fallback_connection.rs
+++ b/crates/serving/src/fallback_connection.rs
@@ -11,7 +11,7 @@
 
 use tokio::time::timeout;
 
-use crate::connection::ConnectionError;
+use crate::exchange_error::ExchangeError;
 use crate::lease::Lease;
 use crate::node::Node;
 use crate::pool::{AcquireError, CONTROL_LIMIT, Pool};
@@ -28,8 +28,8 @@
     node: &Rc<Node>,
     pool: &Rc<Pool>,
     mut lease: Lease,
-    send_command: impl AsyncFn(&mut Lease) -> Result<(), ConnectionError>,
-) -> Result<(), ConnectionError> {
+    send_command: impl AsyncFn(&mut Lease) -> Result<(), ExchangeError>,
+) -> Result<(), ExchangeError> {
     let asked_at = node.now();
     let relayed = lease.connection().is_relayed();
     let mut first = pin!(send_command(&mut lease));
@@ -61,7 +61,7 @@
 async fn ask_on_new_connection(
     node: &Rc<Node>,
     pool: &Rc<Pool>,
-    send_command: impl AsyncFn(&mut Lease) -> Result<(), ConnectionError>,
+    send_command: impl AsyncFn(&mut Lease) -> Result<(), ExchangeError>,
 ) -> Option<()> {
     let asking = async {
         match pool.open(node, None).await {
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -7,7 +7,8 @@
 use hookpoint_coordination::serving::leadership::Confirmation;
 use hookpoint_state::Timestamp;
 
-use crate::connection::{Answer, Connection, ConnectionError, Proof, ProofOutcome};
+use crate::connection::{Answer, Connection, Proof, ProofOutcome};
+use crate::exchange_error::{ConnectionError, ExchangeError, NotSent};
 use crate::message::{Command, FailureCode};
 use crate::node::Node;
 use crate::pool::{CONTROL_LIMIT, Pool};
@@ -70,17 +71,17 @@
         node: &Rc<Node>,
         commands: &[Command],
         limit: Duration,
-    ) -> Result<Vec<Answer>, ConnectionError> {
+    ) -> Result<Vec<Answer>, ExchangeError> {
         if node.is_in_evacuated_zone(self.pool.database()) {
             self.connection().broken = true;
-            return Err(ConnectionError::NotSent);
+            return Err(NotSent::NoMoreWork.into());
         }
         let begins_work = !self.statement_sent && commands.iter().any(Command::is_statement);
         if begins_work && !node.accepts_new_work(self.pool.database()) {
             // The connection's recorded values and prepared statements already include the
             // commands that are not sent.
             self.connection().broken = true;
-            return Err(ConnectionError::NotSent);
+            return Err(NotSent::NoMoreWork.into());
         }
         self.statement_sent |= begins_work;
         let asked_at = node.now();
@@ -104,16 +105,18 @@
                 node.note_contact(self.pool.database());
                 self.note_leadership(node, commands, answers, asked_at);
             }
-            Err(ConnectionError::NotSent) => {}
-            Err(ConnectionError::Unusable) => node.counters.count("connections", "unusable"),
-            Err(ConnectionError::Misplaced(reason)) => {
+            Err(ExchangeError::NotSent(NotSent::Unusable)) => {
+                node.counters.count("connections", "unusable");
+            }
+            Err(ExchangeError::NotSent(_)) => {}
+            Err(ExchangeError::Unanswered(ConnectionError::Misplaced(reason))) => {
                 self.log_misplaced(node, commands, *reason, asked_at);
             }
-            Err(_) if relayed => {
+            Err(ExchangeError::Unanswered(_)) if relayed => {
                 node.counters.count("relayed_exchanges", "failed");
                 self.pool.note_outcome(node.now(), true);
             }
-            Err(error) => {
+            Err(ExchangeError::Unanswered(error)) => {
                 self.pool.note_failure(node.now());
                 if !matches!(error, ConnectionError::TimedOut) {
                     self.pool.note_closed();
@@ -260,7 +263,7 @@
 
 /// Asks whether the database is the primary: begins a plain transaction, which only a primary
 /// accepts, and rolls it back. [`Lease::exchange`] records what the answers prove.
-pub async fn check_leadership(node: &Rc<Node>, lease: &mut Lease) -> Result<(), ConnectionError> {
+pub async fn check_leadership(node: &Rc<Node>, lease: &mut Lease) -> Result<(), ExchangeError> {
     let mut commands = Vec::with_capacity(3);
     if lease.connection().in_transaction {
         commands.push(Command::Rollback);
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -17,6 +17,7 @@
 mod departures;
 mod evacuation;
 pub mod events;
+pub mod exchange_error;
 pub mod explanation;
 mod fallback_connection;
 pub mod feed;
--- a/crates/serving/src/monitor/queries.rs
+++ b/crates/serving/src/monitor/queries.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::cold_start;
-use crate::connection::ConnectionError;
+use crate::exchange_error::{ConnectionError, ExchangeError};
 use crate::fallback_connection;
 use crate::lease::{Lease, check_leadership};
 use crate::node::Node;
@@ -122,7 +122,7 @@
     let lease = match lease {
         Ok(lease) => lease,
         Err(AcquireError::Connection(error)) => {
-            note_error(node, database, asked_at, &error);
+            note_error(node, database, asked_at, &error.into());
             return;
         }
         Err(AcquireError::Unreachable) => {
@@ -142,12 +142,19 @@
     node: &Rc<Node>,
     database: &DatabaseName,
     asked_at: Timestamp,
-    error: &ConnectionError,
+    error: &ExchangeError,
 ) {
-    if matches!(error, ConnectionError::Rejected(_)) || error.is_misattribution() {
+    let rejected = matches!(
+        error,
+        ExchangeError::Unanswered(ConnectionError::Rejected(_))
+    );
+    if rejected || error.is_misattribution() {
         return;
     }
-    let refused = matches!(error, ConnectionError::Refused(_));
+    let refused = matches!(
+        error,
+        ExchangeError::Unanswered(ConnectionError::Refused(_))
+    );
     node.note_lost_contact(database, asked_at, refused);
 }
 
--- a/crates/serving/src/pool/mod.rs
+++ b/crates/serving/src/pool/mod.rs
@@ -25,7 +25,8 @@
 
 use self::idle::IdleConnections;
 use self::waiters::Waiters;
-use crate::connection::{Connection, ConnectionError, IdleState};
+use crate::connection::{Connection, IdleState};
+use crate::exchange_error::ConnectionError;
 use crate::fallback_connection;
 use crate::lease::Lease;
 use crate::message::Command;
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -19,7 +19,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-use crate::connection::{Answer, Connection, ConnectionError};
+use crate::connection::{Answer, Connection};
+use crate::exchange_error::{ConnectionError, ExchangeError, NotSent};
 use crate::feed;
 use crate::homes::Peer;
 use crate::lease::Lease;
@@ -61,7 +62,7 @@
         &mut self,
         commands: &[Command],
         limit: Duration,
-    ) -> Result<Vec<Answer>, ConnectionError> {
+    ) -> Result<Vec<Answer>, ExchangeError> {
         let request = LinkRequest::Exchange {
             commands: commands.to_vec(),
             limit_ms: millis(limit),
@@ -73,12 +74,12 @@
         let reply = timeout(limit + LINK_SLACK, exchange).await;
         match reply {
             Ok(Ok(LinkReply::Answers(answers))) => Ok(answers),
-            Ok(Ok(LinkReply::Broken { timed_out: false })) => Err(ConnectionError::Broken(
-                io::ErrorKind::ConnectionAborted.into(),
-            )),
-            Ok(Ok(LinkReply::NotSent)) => Err(ConnectionError::NotSent),
-            Ok(Ok(_)) | Err(_) => Err(ConnectionError::TimedOut),
-            Ok(Err(error)) => Err(ConnectionError::Broken(error)),
+            Ok(Ok(LinkReply::NotSent)) => Err(NotSent::RefusedByPeer.into()),
+            Ok(Ok(LinkReply::Broken { timed_out: false })) => {
+                Err(ConnectionError::Broken(io::ErrorKind::ConnectionAborted.into()).into())
+            }
+            Ok(Ok(_)) | Err(_) => Err(ConnectionError::TimedOut.into()),
+            Ok(Err(error)) => Err(ConnectionError::Broken(error).into()),
         }
     }
 }
@@ -479,11 +480,13 @@
     let in_transaction = lease.connection().is_in_read_write_transaction();
     match lease.exchange(node, commands, limit).await {
         Ok(answers) => LinkReply::Answers(answers),
-        Err(ConnectionError::NotSent | ConnectionError::Unusable) => LinkReply::NotSent,
+        Err(ExchangeError::NotSent(_)) => LinkReply::NotSent,
         // Tells the peer that the transaction may not have been open. Outside one, a peer of an
         // earlier version would take this for a statement that did not run.
-        Err(ConnectionError::Misplaced(_)) if in_transaction => LinkReply::Answers(Vec::new()),
-        Err(error) => LinkReply::Broken {
+        Err(ExchangeError::Unanswered(ConnectionError::Misplaced(_))) if in_transaction => {
+            LinkReply::Answers(Vec::new())
+        }
+        Err(ExchangeError::Unanswered(error)) => LinkReply::Broken {
             timed_out: matches!(error, ConnectionError::TimedOut),
         },
     }
--- a/crates/serving/src/statement/attempt.rs
+++ b/crates/serving/src/statement/attempt.rs
@@ -12,7 +12,8 @@
 use super::target::Target;
 use super::transaction_mode::TransactionMode;
 use super::{Request, Work, min_attempt_time, prepared_name};
-use crate::connection::{Answer, ConnectionError};
+use crate::connection::Answer;
+use crate::exchange_error::{ConnectionError, ExchangeError, NotSent};
 use crate::lease::Lease;
 use crate::message::{Command, FailureCode};
 use crate::pool::{AcquireError, ConnectionRequest, WaitLimits};
@@ -90,14 +91,15 @@
 }
 
 /// Returns the result of an attempt whose commands got no answers that could be attributed.
-fn attempt_without_answer(
-    access: Access,
-    mode: TransactionMode,
-    error: &ConnectionError,
-) -> Attempt {
+fn attempt_without_answer(access: Access, mode: TransactionMode, error: &ExchangeError) -> Attempt {
+    let error = match error {
+        ExchangeError::NotSent(NotSent::Unusable) => {
+            return Attempt::NotRun(AttemptFailure::Misattributed);
+        }
+        ExchangeError::NotSent(_) => return Attempt::NotRun(AttemptFailure::NotSent),
+        ExchangeError::Unanswered(error) => error,
+    };
     let failure = match (error, access) {
-        (ConnectionError::NotSent, _) => AttemptFailure::NotSent,
-        (ConnectionError::Unusable, _) => AttemptFailure::Misattributed,
         (_, Access::Write) if matches!(mode, TransactionMode::Autocommit(_)) => {
             return Attempt::Unknown;
         }
@@ -215,7 +217,7 @@
         let answers = match lease.exchange(self.node, &commands, limit).await {
             Ok(answers) => answers,
             Err(error) => {
-                if matches!(error, ConnectionError::TimedOut) {
+                if matches!(error, ExchangeError::Unanswered(ConnectionError::TimedOut)) {
                     self.read_timeouts.set(self.read_timeouts.get() + 1);
                 }
                 return attempt_without_answer(work.access, mode, &error);
--- a/crates/serving/src/statement/transaction.rs
+++ b/crates/serving/src/statement/transaction.rs
@@ -9,7 +9,8 @@
 use super::attempt::AttemptFailure;
 use super::outcome::{AttemptSummary, access_name, rolled_back};
 use super::{BUSY_RETRY_DELAY, MIN_ATTEMPT_TIME, Request, Work};
-use crate::connection::{Answer, ConnectionError};
+use crate::connection::Answer;
+use crate::exchange_error::ExchangeError;
 use crate::lease::Lease;
 use crate::message::{Command, Failure, FailureCode};
 use crate::primary_lease::WriteInFlight;
@@ -64,21 +65,21 @@
 
     /// Sends the commit and repeats it while the database refuses it as overloaded, keeps the
     /// transaction open and time is left.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError::NotSent`] only if no commit has run: the refusal of each earlier one was
+    /// attributed to it.
     async fn commit_with_retries(
         &self,
         id: &Bytes,
         lease: &mut Lease,
-    ) -> Result<Option<Answer>, ConnectionError> {
+    ) -> Result<Option<Answer>, ExchangeError> {
         loop {
             let command = Command::Commit { id: id.clone() };
-            let outcome = lease
+            let mut answers = lease
                 .exchange(self.node, &[command], self.time_left())
-                .await;
-            let mut answers = outcome.map_err(|error| match error {
-                // No earlier commit has run either: its refusal was proved.
-                ConnectionError::Unusable => ConnectionError::NotSent,
-                error => error,
-            })?;
+                .await?;
             let answer = answers.pop();
             let refused = answer.as_ref().is_some_and(|answer| {
                 let code = answer.result.as_ref().err().map(|failure| failure.code);
@@ -138,8 +139,8 @@
                 self.log_served(id, "commit", lease.pool().database());
                 Ok(answer)
             }
-            // The commit was not sent; the database rolls back when the connection closes.
-            Err(ConnectionError::NotSent) => Err(rolled_back()),
+            // The database rolls back when the connection closes.
+            Err(ExchangeError::NotSent(_)) => Err(rolled_back()),
             _ if wrote => {
                 self.node.log(
                     "commit_unknown",
--- a/crates/serving/src/statement/transaction_mode.rs
+++ b/crates/serving/src/statement/transaction_mode.rs
@@ -6,7 +6,8 @@
 
 use super::Request;
 use super::attempt::AttemptFailure;
-use crate::connection::{Answer, ConnectionError};
+use crate::connection::Answer;
+use crate::exchange_error::{ConnectionError, ExchangeError};
 use crate::lease::Lease;
 use crate::message::{Command, FailureCode};
 use crate::pool::CONTROL_LIMIT;
@@ -59,7 +60,10 @@
             Ok(answers) => answers,
             Err(error) if error.is_misattribution() => return Err(AttemptFailure::Misattributed),
             Err(error) => {
-                let refused = matches!(error, ConnectionError::Refused(_));
+                let refused = matches!(
+                    error,
+                    ExchangeError::Unanswered(ConnectionError::Refused(_))
+                );
                 let database = lease.pool().database().clone();
                 self.node.note_lost_contact(&database, asked_at, refused);
                 return Err(AttemptFailure::NoConnection);
